--- /dev/null
+++ b/coord/apply.go
@@ -0,0 +1,402 @@
+package coord
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// Rows of the table service.
+const (
+	rowHead    = "config/head"
+	rowFile    = "config/file/"
+	rowStop    = "config/stop/"
+	rowLog     = "config/log/"
+	keptLog    = 1000
+	listPage   = 500
+	applyTries = 8
+)
+
+func logRow(g proto.Generation) string { return fmt.Sprintf("%s%016d", rowLog, g) }
+
+// headValue is the value of the row that every change moves on.
+type headValue struct {
+	Generation proto.Generation `json:"generation"`
+}
+
+// Store reads and writes the accepted configuration in the platform.
+type Store struct {
+	platform Platform
+	clock    clockwork.Clock
+}
+
+// NewStore returns the accepted configuration as the platform holds it.
+func NewStore(platform Platform, clock clockwork.Clock) *Store {
+	return &Store{platform: platform, clock: clock}
+}
+
+// Head returns the accepted generation; it fails with KindUnavailable.
+func (s *Store) Head(ctx context.Context) (proto.Generation, uint64, error) {
+	row, err := s.platform.Read(ctx, rowHead)
+	if err != nil || row.Version == 0 {
+		return 0, 0, err
+	}
+	var head headValue
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return 0, 0, &Error{Op: "read head", Kind: proto.KindInvalid, Err: err}
+	}
+	return head.Generation, row.Version, nil
+}
+
+// CatchUp brings a copy up to the accepted generation; it fails with KindUnavailable.
+func (s *Store) CatchUp(ctx context.Context, c *Changes) error {
+	head, _, err := s.Head(ctx)
+	if err != nil {
+		return err
+	}
+	own := c.Generation()
+	if head > own && (own == 0 || head-own >= keptLog || !s.follow(ctx, c)) {
+		if err := s.whole(ctx, c); err != nil {
+			return err
+		}
+	}
+	c.Learnt(head)
+	return nil
+}
+
+// follow reads the log from the copy's generation on; it returns false if the log has a gap there.
+func (s *Store) follow(ctx context.Context, c *Changes) bool {
+	for {
+		list, err := s.platform.List(ctx, rowLog, logRow(c.Generation()), listPage)
+		if err != nil {
+			return false
+		}
+		changes, err := s.bodies(ctx, list.Rows)
+		if err != nil || !c.Take(changes) {
+			return false
+		}
+		if !list.More {
+			return true
+		}
+	}
+}
+
+func (s *Store) bodies(ctx context.Context, rows []proto.Row) ([]proto.Change, error) {
+	changes := make([]proto.Change, 0, len(rows))
+	for _, row := range rows {
+		var change proto.Change
+		if err := json.Unmarshal(row.Value, &change); err != nil {
+			return nil, &Error{Op: "read change", Kind: proto.KindInvalid, Err: err}
+		}
+		if change.Kind == proto.ChangeFile {
+			body, err := s.platform.Get(ctx, change.Hash)
+			if err != nil {
+				return nil, err
+			}
+			change.Body = body
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+// whole reads the state between two equal reads of the head, so that it is of one generation.
+func (s *Store) whole(ctx context.Context, c *Changes) error {
+	for range applyTries {
+		before, version, err := s.Head(ctx)
+		if err != nil {
+			return err
+		}
+		changes, err := s.all(ctx)
+		if err != nil {
+			return err
+		}
+		_, after, err := s.Head(ctx)
+		if err != nil {
+			return err
+		}
+		if version == after {
+			if !c.TakeWhole(before, changes) {
+				return fault("read configuration", proto.KindInvalid, "generation %d in the store cannot be read", before)
+			}
+			return nil
+		}
+	}
+	return fault("read configuration", proto.KindUnavailable, "it changed at each of %d reads", applyTries)
+}
+
+func (s *Store) all(ctx context.Context) ([]proto.Change, error) {
+	var all []proto.Change
+	for _, prefix := range []string{rowFile, rowStop} {
+		after := ""
+		for {
+			list, err := s.platform.List(ctx, prefix, after, listPage)
+			if err != nil {
+				return nil, err
+			}
+			changes, err := s.bodies(ctx, list.Rows)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, changes...)
+			if !list.More {
+				break
+			}
+			after = list.Rows[len(list.Rows)-1].Key
+		}
+	}
+	return all, nil
+}
+
+// Conflict says that another change came first.
+type Conflict struct {
+	Name string           `json:"name"`
+	Base proto.Generation `json:"base"`
+	Now  proto.Generation `json:"now"`
+	By   string           `json:"by"`
+	Diff []string         `json:"diff"`
+}
+
+// Applied is the result of a change.
+type Applied struct {
+	Generation proto.Generation `json:"generation"`
+	ApplyID    string           `json:"applyId"`
+	Unchanged  bool             `json:"unchanged,omitempty"`
+	Faults     []proto.Fault    `json:"faults,omitempty"`
+	Conflict   *Conflict        `json:"conflict,omitempty"`
+}
+
+// ApplyRequest asks for a file to be put in force.
+type ApplyRequest struct {
+	Body []byte
+	// Base is the generation at which the file of this name was last changed as the operator knows it; nil takes the current one.
+	Base    *proto.Generation
+	ApplyID string
+	By      string
+}
+
+// Apply puts a file in force as a whole, or nothing of it. It fails with KindUnavailable if
+// nothing was written and with KindUnknown if that could not be found out.
+func (s *Store) Apply(ctx context.Context, c *Changes, req ApplyRequest) (Applied, error) {
+	file, faults := proto.ReadFile(req.Body)
+	if len(faults) > 0 {
+		return Applied{Faults: faults}, nil
+	}
+	change := proto.Change{
+		Kind: proto.ChangeFile, Name: file.Name, Hash: HashOf(req.Body),
+		ApplyID: cmpOr(req.ApplyID, uuid.NewString()), By: req.By, At: s.clock.Now(), Body: req.Body,
+	}
+	if err := s.platform.Put(ctx, change.Hash, req.Body); err != nil {
+		return Applied{}, &Error{Op: "apply", Kind: proto.KindUnavailable, Err: err}
+	}
+	return s.change(ctx, c, change, rowFile+file.Name, func(row *proto.Change, snapshot *proto.Snapshot) *Applied {
+		if conflict := conflictOf(c, row, req.Base, &change); conflict != nil {
+			return &Applied{Conflict: conflict}
+		}
+		if row != nil && row.Hash == change.Hash {
+			return &Applied{Generation: row.Generation, ApplyID: row.ApplyID, Unchanged: true}
+		}
+		if faults := snapshot.CheckFile(file); len(faults) > 0 {
+			return &Applied{Faults: faults}
+		}
+		return nil
+	})
+}
+
+func cmpOr(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func conflictOf(c *Changes, row *proto.Change, base *proto.Generation, change *proto.Change) *Conflict {
+	current := proto.Generation(0)
+	by := ""
+	if row != nil {
+		current, by = row.Generation, row.By
+	}
+	if base == nil || *base == current || row != nil && row.Hash == change.Hash {
+		return nil
+	}
+	old, _ := c.File(change.Name)
+	return &Conflict{Name: change.Name, Base: *base, Now: current, By: by, Diff: diffLines(old.Body, change.Body)}
+}
+
+// PlanStop plans or cancels a stop; pools that it would leave without a target are faults unless the plan is forced.
+func (s *Store) PlanStop(ctx context.Context, c *Changes, plan proto.StopPlan, by string) (Applied, error) {
+	change := proto.Change{
+		Kind: proto.ChangeStop, Name: string(plan.VM), ApplyID: cmpOr(plan.ID, uuid.NewString()),
+		By: by, At: s.clock.Now(), Stop: &plan,
+	}
+	return s.change(ctx, c, change, rowStop+string(plan.VM), func(row *proto.Change, snapshot *proto.Snapshot) *Applied {
+		if plan.At.IsZero() {
+			if row == nil {
+				return &Applied{Faults: []proto.Fault{{Path: "vm", Reason: fmt.Sprintf("%q has no planned stop", plan.VM)}}}
+			}
+			return nil
+		}
+		if empty := snapshot.CheckStop(plan); len(empty) > 0 && !plan.Force {
+			return &Applied{Faults: []proto.Fault{{Path: "vm", Reason: "the stop would leave no target in pools " + strings.Join(empty, ", ")}}}
+		}
+		return nil
+	})
+}
+
+// change writes one change; check sees the newest state and can end the change before it is written.
+func (s *Store) change(ctx context.Context, c *Changes, change proto.Change, key string, check func(*proto.Change, *proto.Snapshot) *Applied) (Applied, error) {
+	for range applyTries {
+		if err := s.CatchUp(ctx, c); err != nil {
+			return Applied{}, &Error{Op: "apply", Kind: proto.KindUnavailable, Err: err}
+		}
+		head, headVersion, err := s.Head(ctx)
+		if err != nil {
+			return Applied{}, &Error{Op: "apply", Kind: proto.KindUnavailable, Err: err}
+		}
+		snapshot := c.Snapshot()
+		if snapshot.Generation != head {
+			continue
+		}
+		row, rowVersion, err := s.changeAt(ctx, key)
+		if err != nil {
+			return Applied{}, &Error{Op: "apply", Kind: proto.KindUnavailable, Err: err}
+		}
+		if row != nil && row.ApplyID == change.ApplyID {
+			return Applied{Generation: row.Generation, ApplyID: row.ApplyID}, nil
+		}
+		if ended := check(row, snapshot); ended != nil {
+			return *ended, nil
+		}
+		change.Generation = head + 1
+		err = s.platform.Transact(ctx, transaction(change, key, headVersion, rowVersion))
+		switch proto.KindOf(err) {
+		case "":
+			c.Take([]proto.Change{change})
+			return Applied{Generation: change.Generation, ApplyID: change.ApplyID}, nil
+		case proto.KindConflict:
+			continue
+		case proto.KindUnknown:
+			return s.settle(ctx, c, change, headVersion)
+		}
+		return Applied{}, &Error{Op: "apply", Kind: proto.KindUnavailable, Err: err}
+	}
+	return Applied{}, fault("apply", proto.KindUnavailable, "others changed the configuration at each of %d tries", applyTries)
+}
+
+func (s *Store) changeAt(ctx context.Context, key string) (*proto.Change, uint64, error) {
+	row, err := s.platform.Read(ctx, key)
+	if err != nil || row.Version == 0 {
+		return nil, 0, err
+	}
+	var change proto.Change
+	if err := json.Unmarshal(row.Value, &change); err != nil {
+		return nil, 0, &Error{Op: "read change", Kind: proto.KindInvalid, Err: err}
+	}
+	return &change, row.Version, nil
+}
+
+func transaction(change proto.Change, key string, headVersion, rowVersion uint64) proto.Transaction {
+	value, err := json.Marshal(change)
+	if err != nil {
+		value = nil
+	}
+	head, err := json.Marshal(headValue{Generation: change.Generation})
+	if err != nil {
+		head = nil
+	}
+	row := value
+	if change.Stop != nil && change.Stop.At.IsZero() {
+		row = nil
+	}
+	tx := proto.Transaction{
+		Conditions: []proto.Condition{{Key: rowHead, Version: headVersion}, {Key: key, Version: rowVersion}},
+		Writes:     []proto.Write{{Key: rowHead, Value: head}, {Key: key, Value: row}, {Key: logRow(change.Generation), Value: value}},
+	}
+	if change.Generation > keptLog {
+		tx.Writes = append(tx.Writes, proto.Write{Key: logRow(change.Generation - keptLog)})
+	}
+	return tx
+}
+
+// settle finds out by the apply id whether a write whose answer was lost took effect.
+// If it did not, the head row is rewritten first, so that the write cannot take effect later.
+func (s *Store) settle(ctx context.Context, c *Changes, change proto.Change, headVersion uint64) (Applied, error) {
+	for range applyTries {
+		row, _, err := s.changeAt(ctx, logRow(change.Generation))
+		if err != nil {
+			return Applied{ApplyID: change.ApplyID}, &Error{Op: "apply", Kind: proto.KindUnknown, Err: err}
+		}
+		if row != nil && row.ApplyID == change.ApplyID {
+			c.Take([]proto.Change{change})
+			return Applied{Generation: change.Generation, ApplyID: change.ApplyID}, nil
+		}
+		head, version, err := s.Head(ctx)
+		if err != nil {
+			return Applied{ApplyID: change.ApplyID}, &Error{Op: "apply", Kind: proto.KindUnknown, Err: err}
+		}
+		if version != headVersion || s.touchHead(ctx, head, version) == nil {
+			return s.settled(ctx, c, change)
+		}
+	}
+	return Applied{ApplyID: change.ApplyID}, fault("apply", proto.KindUnknown, "the answer to the write was lost")
+}
+
+// settled reads once more after the head has moved on, when the write can no longer take effect.
+func (s *Store) settled(ctx context.Context, c *Changes, change proto.Change) (Applied, error) {
+	row, _, err := s.changeAt(ctx, logRow(change.Generation))
+	if err != nil {
+		return Applied{ApplyID: change.ApplyID}, &Error{Op: "apply", Kind: proto.KindUnknown, Err: err}
+	}
+	if row == nil || row.ApplyID != change.ApplyID {
+		return Applied{}, fault("apply", proto.KindUnavailable, "the write did not take effect; apply again")
+	}
+	c.Take([]proto.Change{change})
+	return Applied{Generation: change.Generation, ApplyID: change.ApplyID}, nil
+}
+
+func (s *Store) touchHead(ctx context.Context, generation proto.Generation, version uint64) error {
+	value, err := json.Marshal(headValue{Generation: generation})
+	if err != nil {
+		return &Error{Op: "apply", Kind: proto.KindInvalid, Err: err}
+	}
+	return s.platform.Transact(ctx, proto.Transaction{
+		Conditions: []proto.Condition{{Key: rowHead, Version: version}},
+		Writes:     []proto.Write{{Key: rowHead, Value: value}},
+	})
+}
+
+const maxDiff = 20
+
+// diffLines names the lines that stand in only one of two files.
+func diffLines(old, fresh []byte) []string {
+	var diff []string
+	diff = append(diff, onlyIn("- ", string(old), string(fresh))...)
+	diff = append(diff, onlyIn("+ ", string(fresh), string(old))...)
+	if len(diff) > maxDiff {
+		diff = append(diff[:maxDiff], "...")
+	}
+	return diff
+}
+
+func onlyIn(mark, a, b string) []string {
+	count := map[string]int{}
+	for line := range strings.Lines(b) {
+		count[strings.TrimSpace(line)]++
+	}
+	var only []string
+	for line := range strings.Lines(a) {
+		line = strings.TrimSpace(line)
+		if count[line] > 0 {
+			count[line]--
+			continue
+		}
+		only = append(only, mark+line)
+	}
+	return only
+}
--- /dev/null
+++ b/coord/changes.go
@@ -0,0 +1,220 @@
+package coord
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"emberlead/proto"
+)
+
+const (
+	keptChanges = 512
+	// MaxAnswerChanges bounds the changes in one message.
+	MaxAnswerChanges = 128
+)
+
+// HashOf returns the name of an object: the SHA-256 of its content in hexadecimal.
+func HashOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Changes is one daemon's copy of the accepted configuration. Its generation never goes down.
+type Changes struct {
+	mu       sync.Mutex
+	snapshot *proto.Snapshot
+	files    map[string]proto.Change // the newest change of each file, with its body
+	stops    map[proto.VM]proto.Change
+	recent   []proto.Change // the last ones in order, without gaps
+	known    bool
+	adopted  func(*proto.Snapshot)
+	refused  int64
+}
+
+// NewChanges returns a copy of generation 0 that does not know yet what was accepted.
+func NewChanges(adopted func(*proto.Snapshot)) *Changes {
+	return &Changes{
+		snapshot: proto.EmptySnapshot(),
+		files:    map[string]proto.Change{},
+		stops:    map[proto.VM]proto.Change{},
+		adopted:  adopted,
+	}
+}
+
+// Snapshot returns what is in force here.
+func (c *Changes) Snapshot() *proto.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.snapshot
+}
+
+// Generation returns the generation in force here.
+func (c *Changes) Generation() proto.Generation { return c.Snapshot().Generation }
+
+// Known tells whether the daemon has learnt what was accepted, from the store or from a peer that knew.
+func (c *Changes) Known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
+// Learnt marks that the store or a peer has told this daemon the accepted generation and it has it.
+func (c *Changes) Learnt(generation proto.Generation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshot.Generation >= generation {
+		c.known = true
+	}
+}
+
+// File returns the newest change of a file, with its body.
+func (c *Changes) File(name string) (proto.Change, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change, ok := c.files[name]
+	return change, ok
+}
+
+// Files returns the newest change of every file.
+func (c *Changes) Files() map[string]proto.Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	copied := make(map[string]proto.Change, len(c.files))
+	for name, change := range c.files {
+		copied[name] = change
+	}
+	return copied
+}
+
+// Take adopts the changes that follow the own generation in order; it returns false if one is missing or does not match its hash.
+func (c *Changes) Take(changes []proto.Change) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.snapshot
+	for i := range changes {
+		change := changes[i]
+		if change.Generation <= next.Generation {
+			continue
+		}
+		if change.Generation != next.Generation+1 {
+			c.publish(next)
+			return false
+		}
+		stepped, ok := c.step(next, change)
+		if !ok {
+			c.refused++
+			c.publish(next)
+			return false
+		}
+		next = stepped
+	}
+	c.publish(next)
+	return true
+}
+
+func (c *Changes) publish(next *proto.Snapshot) {
+	if next == c.snapshot {
+		return
+	}
+	c.snapshot = next
+	if c.adopted != nil {
+		c.adopted(next)
+	}
+}
+
+func (c *Changes) step(from *proto.Snapshot, change proto.Change) (*proto.Snapshot, bool) {
+	switch change.Kind {
+	case proto.ChangeFile:
+		if HashOf(change.Body) != change.Hash {
+			return nil, false
+		}
+		file, faults := proto.ReadFile(change.Body)
+		if len(faults) > 0 {
+			return nil, false
+		}
+		c.files[change.Name] = change
+		c.remember(change)
+		return from.WithFile(change.Generation, file), true
+	case proto.ChangeStop:
+		if change.Stop == nil {
+			return nil, false
+		}
+		c.noteStop(change)
+		c.remember(change)
+		return from.WithStop(change.Generation, *change.Stop), true
+	}
+	return nil, false
+}
+
+func (c *Changes) noteStop(change proto.Change) {
+	if change.Stop.At.IsZero() {
+		delete(c.stops, change.Stop.VM)
+		return
+	}
+	c.stops[change.Stop.VM] = change
+}
+
+func (c *Changes) remember(change proto.Change) {
+	c.recent = append(c.recent, change)
+	if len(c.recent) > keptChanges {
+		c.recent = append([]proto.Change(nil), c.recent[len(c.recent)-keptChanges/2:]...)
+	}
+}
+
+// TakeWhole adopts a whole state; one that is not newer is ignored.
+func (c *Changes) TakeWhole(generation proto.Generation, changes []proto.Change) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if generation <= c.snapshot.Generation {
+		return true
+	}
+	snapshot := proto.EmptySnapshot()
+	fresh := &Changes{files: map[string]proto.Change{}, stops: map[proto.VM]proto.Change{}}
+	for _, change := range changes {
+		stepped, ok := fresh.step(snapshot, change)
+		if !ok {
+			c.refused++
+			return false
+		}
+		snapshot = stepped
+	}
+	whole := *snapshot
+	whole.Generation = generation
+	c.files, c.stops, c.recent = fresh.files, fresh.stops, nil
+	c.publish(&whole)
+	return true
+}
+
+// After answers a daemon that has a lower generation, with the changes if they are still kept and else with the whole state.
+func (c *Changes) After(generation proto.Generation) proto.ChangesAnswer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer := proto.ChangesAnswer{Generation: c.snapshot.Generation}
+	if generation >= answer.Generation {
+		return answer
+	}
+	if len(c.recent) > 0 && c.recent[0].Generation <= generation+1 {
+		for _, change := range c.recent {
+			if change.Generation > generation && len(answer.Changes) < MaxAnswerChanges {
+				answer.Changes = append(answer.Changes, change)
+			}
+		}
+		return answer
+	}
+	answer.Whole = true
+	for _, change := range c.files {
+		answer.Changes = append(answer.Changes, change)
+	}
+	for _, change := range c.stops {
+		answer.Changes = append(answer.Changes, change)
+	}
+	return answer
+}
+
+// EffectiveAt is a record of when a generation came into force here.
+type EffectiveAt struct {
+	Generation proto.Generation `json:"generation"`
+	At         time.Time        `json:"at"`
+}
--- /dev/null
+++ b/coord/claim.go
@@ -0,0 +1,264 @@
+package coord
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// SlotOf returns the slot that a key belongs to.
+func SlotOf(key proto.Key, slots int) int {
+	return int(xxhash.Sum64(key[:]) % uint64(slots))
+}
+
+// Round counts the answers of a group to one claim. It takes them in any order.
+type Round struct {
+	size     int
+	answers  map[proto.VM]proto.ClaimAnswer
+	failures int
+}
+
+// NewRound returns a round that waits for a group of the given size.
+func NewRound(size int) *Round {
+	return &Round{size: size, answers: map[proto.VM]proto.ClaimAnswer{}}
+}
+
+// Take counts an answer; a second one of the same replica replaces the first.
+func (r *Round) Take(from proto.VM, answer proto.ClaimAnswer) { r.answers[from] = answer }
+
+// Fail counts a replica that could not be asked.
+func (r *Round) Fail() { r.failures++ }
+
+func (r *Round) count(result proto.ClaimResult) int {
+	n := 0
+	for _, answer := range r.answers {
+		if answer.Result == result {
+			n++
+		}
+	}
+	return n
+}
+
+// Decision is what a round has come to.
+type Decision int
+
+// Decisions of a round.
+const (
+	DecisionOpen Decision = iota
+	DecisionGranted
+	DecisionTaken
+	DecisionDone
+	DecisionMismatch
+	DecisionTooOld
+	DecisionTooNew
+	DecisionStale
+	DecisionUnreachable
+)
+
+// Decide returns what is certain so far. Only a majority of the group grants, so that no two requests hold one key.
+func (r *Round) Decide() Decision {
+	majority := r.size/2 + 1
+	switch {
+	case r.count(proto.ClaimGranted) >= majority:
+		return DecisionGranted
+	case r.count(proto.ClaimDone) > 0:
+		return DecisionDone
+	case r.count(proto.ClaimMismatch) > 0:
+		return DecisionMismatch
+	case r.count(proto.ClaimTooOld) > 0:
+		return DecisionTooOld
+	case r.count(proto.ClaimTooNew) > 0:
+		return DecisionTooNew
+	case len(r.answers)+r.failures < r.size:
+		return DecisionOpen
+	case r.count(proto.ClaimStale) > 0:
+		return DecisionStale
+	case r.count(proto.ClaimTaken) > 0:
+		return DecisionTaken
+	}
+	return DecisionUnreachable
+}
+
+// newer returns a replica that has a newer roster than the asker.
+func (r *Round) newer() (proto.VM, bool) {
+	for from, answer := range r.answers {
+		if answer.Result == proto.ClaimStale {
+			return from, true
+		}
+	}
+	return "", false
+}
+
+// Answer returns the kept answer of a request that is done.
+func (r *Round) Answer() []byte {
+	for _, answer := range r.answers {
+		if answer.Result == proto.ClaimDone && answer.Answer != nil {
+			return answer.Answer
+		}
+	}
+	return nil
+}
+
+const (
+	claimRounds = 3
+	claimPause  = 30 * time.Millisecond
+)
+
+// Claimer claims keys for the requests of one daemon.
+type Claimer struct {
+	self   proto.RosterMember
+	roster func() proto.Roster
+	local  *Replica
+	peers  Peers
+	clock  clockwork.Clock
+	timing ClaimTiming
+	// refresh gets a newer roster from a daemon that has one.
+	refresh func(ctx context.Context, from proto.VM)
+
+	mu     sync.Mutex
+	random *rand.Rand
+	tries  int
+	groups map[proto.RequestID]claimed
+}
+
+type claimed struct {
+	slot  int
+	group []proto.RosterMember
+	claim proto.ClaimID
+}
+
+// NewClaimer returns a claimer that asks the groups of the replica's roster.
+func NewClaimer(self proto.RosterMember, local *Replica, peers Peers, clock clockwork.Clock, timing ClaimTiming, refresh func(context.Context, proto.VM)) *Claimer {
+	return &Claimer{
+		self: self, roster: local.Roster, local: local, peers: peers, clock: clock, timing: timing, refresh: refresh,
+		random: rand.New(rand.NewPCG(xxhash.Sum64String(string(self.VM)), uint64(self.Incarnation))),
+		groups: map[proto.RequestID]claimed{},
+	}
+}
+
+// Claim asks the key's group; DecisionGranted means that no other request was or will be granted the key.
+func (c *Claimer) Claim(ctx context.Context, key proto.Key, fingerprint uint64, request proto.RequestID) (Decision, []byte) {
+	for round := range claimRounds {
+		decision, answer := c.round(ctx, key, fingerprint, request)
+		contended := decision == DecisionTaken || decision == DecisionStale || decision == DecisionUnreachable
+		if !contended || round == claimRounds-1 {
+			return decision, answer
+		}
+		// Two claims at one time can share out the group so that neither has a majority.
+		select {
+		case <-ctx.Done():
+			return DecisionUnreachable, nil
+		case <-c.clock.After(c.pause()):
+		}
+	}
+	return DecisionUnreachable, nil
+}
+
+func (c *Claimer) pause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return claimPause/2 + time.Duration(c.random.Int64N(int64(claimPause)))
+}
+
+type reply struct {
+	from   proto.VM
+	answer proto.ClaimAnswer
+	err    error
+}
+
+func (c *Claimer) round(ctx context.Context, key proto.Key, fingerprint uint64, request proto.RequestID) (Decision, []byte) {
+	roster := c.roster()
+	if len(roster.Slots) == 0 {
+		return DecisionUnreachable, nil
+	}
+	index := SlotOf(key, len(roster.Slots))
+	slot := roster.Slots[index]
+	ask := proto.ClaimAsk{Slot: index, Since: slot.Since, Key: key, Fingerprint: fingerprint, Claim: c.claimID(request)}
+	ctx, cancel := context.WithTimeout(ctx, c.timing.Ask)
+	defer cancel()
+	replies := make(chan reply, len(slot.Group))
+	for _, member := range slot.Group {
+		go c.ask(ctx, member, ask, replies)
+	}
+	r := NewRound(len(slot.Group))
+	for range slot.Group {
+		got := <-replies
+		if got.err != nil {
+			r.Fail()
+		} else {
+			r.Take(got.from, got.answer)
+		}
+		if r.Decide() != DecisionOpen {
+			break
+		}
+	}
+	decision := r.Decide()
+	if decision == DecisionGranted {
+		c.mu.Lock()
+		c.groups[request] = claimed{slot: index, group: slot.Group, claim: ask.Claim}
+		c.mu.Unlock()
+		return decision, nil
+	}
+	c.release(index, slot.Group, key, ask.Claim)
+	if from, stale := r.newer(); stale && c.refresh != nil {
+		c.refresh(ctx, from)
+	}
+	return decision, r.Answer()
+}
+
+// claimID returns the claim that the request holds, or a new one: a claim that was released is never granted again.
+func (c *Claimer) claimID(request proto.RequestID) proto.ClaimID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held, ok := c.groups[request]; ok {
+		return held.claim
+	}
+	c.tries++
+	return proto.ClaimID{Holder: c.self.VM, Incarnation: c.self.Incarnation, Request: request, Try: c.tries}
+}
+
+func (c *Claimer) ask(ctx context.Context, member proto.RosterMember, ask proto.ClaimAsk, replies chan<- reply) {
+	if member == c.self {
+		replies <- reply{from: member.VM, answer: c.local.Claim(c.clock.Now(), ask)}
+		return
+	}
+	m, err := c.peers.Call(ctx, member.VM, ask)
+	answer, ok := m.(proto.ClaimAnswer)
+	if err == nil && !ok {
+		err = fault("claim", proto.KindInvalid, "%s answered with another message", member.VM)
+	}
+	replies <- reply{from: member.VM, answer: answer, err: err}
+}
+
+// release gives back what was granted short of a majority; this daemon is certain not to have used it.
+func (c *Claimer) release(slot int, group []proto.RosterMember, key proto.Key, claim proto.ClaimID) {
+	c.tell(group, proto.Settle{Slot: slot, Key: key, Claim: claim, Released: true})
+}
+
+func (c *Claimer) tell(group []proto.RosterMember, m proto.Settle) {
+	for _, member := range group {
+		if member == c.self {
+			c.local.Settle(m)
+			continue
+		}
+		c.peers.Send(member.VM, m)
+	}
+}
+
+// Settle tells the key's group how its request ended: released if it certainly did not run, else done with its answer.
+func (c *Claimer) Settle(key proto.Key, request proto.RequestID, released bool, answer []byte) {
+	c.mu.Lock()
+	held, ok := c.groups[request]
+	delete(c.groups, request)
+	c.mu.Unlock()
+	if !ok || !released && answer == nil {
+		return
+	}
+	c.tell(held.group, proto.Settle{Slot: held.slot, Key: key, Claim: held.claim, Released: released, Answer: answer})
+}
--- /dev/null
+++ b/coord/members.go
@@ -0,0 +1,511 @@
+package coord
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/proto"
+)
+
+// MemberTiming holds the intervals of membership.
+type MemberTiming struct {
+	Heartbeat time.Duration
+	// Silence is how long a link may be silent before its daemon raises an alarm.
+	Silence time.Duration
+	// Pause is how late its own tick may be before a daemon takes itself to have been paused.
+	Pause time.Duration
+	// Forget is how long a dead daemon stays known once the platform no longer lists it.
+	Forget time.Duration
+}
+
+// DefaultMemberTiming returns timing that notices a dead daemon within four seconds.
+func DefaultMemberTiming() MemberTiming {
+	return MemberTiming{Heartbeat: time.Second, Silence: 3 * time.Second, Pause: 1500 * time.Millisecond, Forget: 10 * time.Minute}
+}
+
+// keptBeats is how many heartbeats back an echo counts.
+const keptBeats = 32
+
+type member struct {
+	alive    proto.Alive
+	known    bool // announced by itself, not only listed
+	listed   bool
+	leaving  bool
+	dead     bool
+	deadAt   time.Time
+	alarms   map[proto.VM]proto.Alarm
+	heard    time.Time
+	alarming bool
+	// sequence is the highest one of its heartbeats, and confirmed when the newest heartbeat that it echoed was sent.
+	sequence  uint64
+	confirmed time.Time
+}
+
+// Members is one daemon's view of the others. Safety never rests on it: views may differ.
+type Members struct {
+	mu       sync.Mutex
+	self     proto.Alive
+	timing   MemberTiming
+	rings    Rings
+	peers    Peers
+	members  map[proto.VM]*member
+	graph    *graph
+	started  time.Time
+	lastTick time.Time
+	lastBeat time.Time
+	pausedAt time.Time
+	counts   uint64
+	listedAt uint64
+	leaving  map[proto.VM]bool
+	version  uint64
+	beat     func() proto.Heartbeat
+	extra    []proto.VM
+	sequence uint64
+	sent     [keptBeats]time.Time
+	alarms   int64
+	deaths   int64
+}
+
+// NewMembers returns a view that holds only the daemon itself; beat supplies what heartbeats say.
+func NewMembers(self proto.Alive, timing MemberTiming, rings Rings, peers Peers, beat func() proto.Heartbeat) *Members {
+	m := &Members{
+		self: self, timing: timing, rings: rings, peers: peers, beat: beat,
+		members: map[proto.VM]*member{}, leaving: map[proto.VM]bool{},
+	}
+	m.members[self.VM] = &member{alive: self, known: true, alarms: map[proto.VM]proto.Alarm{}}
+	m.rebuild()
+	return m
+}
+
+func (m *Members) rebuild() {
+	seats := make([]seat, 0, len(m.members))
+	for vm, mem := range m.members {
+		if !mem.dead {
+			seats = append(seats, seat{vm: vm, region: mem.alive.Zone.Region()})
+		}
+	}
+	m.graph = m.rings.graph(seats)
+	m.version++
+}
+
+// Version changes whenever the view does.
+func (m *Members) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+// Links returns the daemons that this one links to.
+func (m *Members) Links() []proto.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.links()
+}
+
+// Live returns the daemons that are not dead, this one included, in order of name.
+func (m *Members) Live() []proto.Alive {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var live []proto.Alive
+	for _, mem := range m.members {
+		if !mem.dead {
+			live = append(live, mem.alive)
+		}
+	}
+	slices.SortFunc(live, func(a, b proto.Alive) int {
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	})
+	return live
+}
+
+// Address returns where to reach a daemon.
+func (m *Members) Address(vm proto.VM) (proto.Alive, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mem := m.members[vm]
+	if mem == nil {
+		return proto.Alive{}, false
+	}
+	return mem.alive, true
+}
+
+// Alone tells whether there are other live daemons and none has been heard for a time.
+func (m *Members) Alone(now time.Time, since time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	others := false
+	for vm, mem := range m.members {
+		if vm == m.self.VM || !mem.known {
+			continue
+		}
+		others = true
+		if now.Sub(mem.heard) < since {
+			return false
+		}
+	}
+	return others
+}
+
+// Dead tells whether the view holds a run of a daemon to be over, and since when.
+func (m *Members) Dead(vm proto.VM, incarnation proto.Incarnation) (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mem := m.members[vm]
+	switch {
+	case mem == nil:
+		return m.started, !m.started.IsZero()
+	case mem.alive.Incarnation > incarnation:
+		return time.Time{}, true
+	}
+	return mem.deadAt, mem.dead
+}
+
+// Leaving returns the VMs that the platform lists as leaving, targets' VMs included.
+func (m *Members) Leaving() map[proto.VM]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+// Stop announces that this daemon is stopping.
+func (m *Members) Stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Stopping = true
+	m.announce()
+}
+
+// Announce tells the links that this daemon is alive.
+func (m *Members) Announce() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.announce()
+}
+
+func (m *Members) announce() {
+	m.self.Count++
+	m.members[m.self.VM].alive = m.self
+	for _, vm := range m.links() {
+		m.peers.Send(vm, m.self)
+	}
+}
+
+// Listed takes in the platform's list; an older version than one seen is ignored.
+func (m *Members) Listed(now time.Time, list proto.Listed, from proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if list.Version <= m.listedAt {
+		return
+	}
+	m.listedAt = list.Version
+	seen := map[proto.VM]bool{}
+	leaving := map[proto.VM]bool{}
+	changed := false
+	for _, entry := range list.VMs {
+		if entry.Leaving {
+			leaving[entry.VM] = true
+		}
+		if !entry.Entry {
+			continue
+		}
+		seen[entry.VM] = true
+		mem := m.members[entry.VM]
+		if mem == nil {
+			mem = &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
+			mem.alive = proto.Alive{VM: entry.VM, Zone: entry.Zone, Peer: entry.Peer}
+			m.members[entry.VM] = mem
+			changed = true
+		}
+		mem.listed, mem.leaving = true, entry.Leaving
+	}
+	for vm, mem := range m.members {
+		mem.listed = seen[vm]
+	}
+	m.leaving = leaving
+	if changed {
+		m.rebuild()
+		m.announce()
+	}
+	for _, vm := range m.links() {
+		if vm != from {
+			m.peers.Send(vm, list)
+		}
+	}
+}
+
+// Alive takes in an announcement and passes it on if it is news.
+func (m *Members) Alive(now time.Time, a proto.Alive, from proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a.VM == m.self.VM {
+		return
+	}
+	mem := m.members[a.VM]
+	isNew := mem == nil
+	if isNew {
+		mem = &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
+		m.members[a.VM] = mem
+	}
+	if !isNew && (a.Incarnation < mem.alive.Incarnation || a.Incarnation == mem.alive.Incarnation && a.Count <= mem.alive.Count) {
+		return
+	}
+	restarted := a.Incarnation != mem.alive.Incarnation
+	mem.alive = a
+	mem.known = true
+	if restarted {
+		mem.sequence = 0
+		mem.confirmed = time.Time{}
+	}
+	if restarted || mem.dead {
+		mem.dead = false
+		mem.alarming = false
+		mem.heard = now
+		mem.alarms = map[proto.VM]proto.Alarm{}
+		m.rebuild()
+	}
+	for _, vm := range m.links() {
+		if vm != from && vm != a.VM {
+			m.peers.Send(vm, a)
+		}
+	}
+	if restarted && from == a.VM {
+		m.introduce(a.VM)
+	}
+}
+
+// introduce tells a daemon that has just started what this one knows.
+func (m *Members) introduce(vm proto.VM) {
+	for other, mem := range m.members {
+		if other != vm && mem.known && !mem.dead {
+			m.peers.Send(vm, mem.alive)
+		}
+	}
+}
+
+// Heartbeat takes in a sign of life that came over a link.
+func (m *Members) Heartbeat(now time.Time, from proto.VM, beat proto.Heartbeat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mem := m.members[from]
+	if mem == nil || beat.Incarnation < mem.alive.Incarnation {
+		return
+	}
+	mem.heard = now
+	mem.sequence = max(mem.sequence, beat.Sequence)
+	if beat.Echo > 0 && beat.Echo <= m.sequence && m.sequence-beat.Echo < keptBeats {
+		if sent := m.sent[beat.Echo%keptBeats]; sent.After(mem.confirmed) {
+			mem.confirmed = sent
+		}
+	}
+	if mem.alarming {
+		mem.alarming = false
+		m.raise(now, mem, false)
+	}
+}
+
+// Confirmed returns when this daemon sent the newest heartbeat that a run of another is known to have received.
+// Unlike the time at which something was heard, it does not look fresh after a pause.
+func (m *Members) Confirmed(vm proto.VM, incarnation proto.Incarnation) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mem := m.members[vm]
+	if mem == nil || mem.alive.Incarnation != incarnation {
+		return time.Time{}
+	}
+	return mem.confirmed
+}
+
+// SetExtra sets links beside those of the rings.
+func (m *Members) SetExtra(vms []proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.extra = vms
+}
+
+func (m *Members) links() []proto.VM {
+	links := m.graph.links(m.self.VM)
+	for _, vm := range m.extra {
+		if vm != m.self.VM && !slices.Contains(links, vm) {
+			links = append(links, vm)
+		}
+	}
+	return links
+}
+
+func (m *Members) sendBeats(now time.Time) {
+	m.lastBeat = now
+	m.sequence++
+	m.sent[m.sequence%keptBeats] = now
+	beat := m.beat()
+	beat.Sequence = m.sequence
+	for _, vm := range m.links() {
+		if mem := m.members[vm]; mem != nil {
+			beat.Echo = mem.sequence
+		}
+		m.peers.Send(vm, beat)
+	}
+}
+
+// raise tells the links that a daemon has fallen silent, or is heard again.
+func (m *Members) raise(now time.Time, mem *member, silent bool) {
+	m.counts++
+	alarm := proto.Alarm{About: mem.alive.VM, Incarnation: mem.alive.Incarnation, By: m.self.VM, Count: m.counts, Silent: silent}
+	mem.alarms[m.self.VM] = alarm
+	if silent {
+		m.alarms++
+	}
+	m.pass(alarm, m.self.VM)
+	m.judge(now, mem)
+}
+
+func (m *Members) pass(a proto.Alarm, from proto.VM) {
+	for _, vm := range m.links() {
+		if vm != from && vm != a.By {
+			m.peers.Send(vm, a)
+		}
+	}
+}
+
+// Alarm takes in another daemon's word on a silent link and passes it on if it is news.
+func (m *Members) Alarm(now time.Time, a proto.Alarm, from proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a.About == m.self.VM {
+		if a.Silent && a.Incarnation == m.self.Incarnation {
+			m.announce()
+		}
+		return
+	}
+	mem := m.members[a.About]
+	if mem == nil || a.Incarnation != mem.alive.Incarnation {
+		return
+	}
+	if old, ok := mem.alarms[a.By]; ok && old.Count >= a.Count {
+		return
+	}
+	mem.alarms[a.By] = a
+	m.pass(a, from)
+	m.judge(now, mem)
+}
+
+// judge holds a daemon to be dead once more than half of those that link to it in its region, and at least two where there are two, are alarmed.
+func (m *Members) judge(now time.Time, mem *member) {
+	monitors, alarmed := 0, 0
+	for _, vm := range m.monitors(mem) {
+		other := m.members[vm]
+		if other == nil || other.dead {
+			continue
+		}
+		monitors++
+		if a, ok := mem.alarms[vm]; ok && a.Silent {
+			alarmed++
+		}
+	}
+	dead := monitors > 0 && 2*alarmed > monitors && alarmed >= min(2, monitors)
+	if dead == mem.dead {
+		return
+	}
+	mem.dead = dead
+	if dead {
+		mem.deadAt = now
+		m.deaths++
+	}
+	m.rebuild()
+}
+
+// monitors are the regional links that the daemon has, or would have if it were alive.
+func (m *Members) monitors(mem *member) []proto.VM {
+	if !mem.dead {
+		return m.graph.regional[mem.alive.VM]
+	}
+	monitors := make([]proto.VM, 0, len(mem.alarms))
+	for vm := range mem.alarms {
+		monitors = append(monitors, vm)
+	}
+	return monitors
+}
+
+// Beat sends heartbeats at once, because there is news in them.
+func (m *Members) Beat(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sendBeats(now)
+}
+
+// Tick sends heartbeats and raises alarms; it comes several times a second.
+func (m *Members) Tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.started.IsZero() {
+		m.started = now
+	}
+	if !m.lastTick.IsZero() && now.Sub(m.lastTick) > m.timing.Pause {
+		m.forgive(now)
+	}
+	m.lastTick = now
+	if now.Sub(m.lastBeat) >= m.timing.Heartbeat {
+		m.sendBeats(now)
+	}
+	for _, vm := range m.links() {
+		m.checkLink(now, m.members[vm])
+	}
+	m.forget(now)
+}
+
+func (m *Members) checkLink(now time.Time, mem *member) {
+	if mem == nil || mem.alarming || !mem.known {
+		return
+	}
+	if mem.heard.IsZero() {
+		mem.heard = now
+	}
+	if now.Sub(mem.heard) > m.timing.Silence {
+		mem.alarming = true
+		m.raise(now, mem, true)
+	}
+}
+
+// forgive starts all links afresh after a pause of this daemon, which was silent itself and heard nothing.
+func (m *Members) forgive(now time.Time) {
+	m.pausedAt = now
+	for _, mem := range m.members {
+		if !mem.alarming {
+			mem.heard = now
+		}
+	}
+	m.announce()
+}
+
+func (m *Members) forget(now time.Time) {
+	for vm, mem := range m.members {
+		if mem.dead && !mem.listed && now.Sub(mem.deadAt) > m.timing.Forget {
+			delete(m.members, vm)
+		}
+	}
+}
+
+// MemberCounts are the totals since the start.
+type MemberCounts struct {
+	Known  int   `json:"known"`
+	Dead   int   `json:"dead"`
+	Links  int   `json:"links"`
+	Alarms int64 `json:"alarms"`
+	Deaths int64 `json:"deaths"`
+}
+
+// Counts returns the totals.
+func (m *Members) Counts() MemberCounts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := MemberCounts{Known: len(m.members), Links: len(m.links()), Alarms: m.alarms, Deaths: m.deaths}
+	for _, mem := range m.members {
+		if mem.dead {
+			c.Dead++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/coord/node.go
@@ -0,0 +1,487 @@
+package coord
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// NodeTiming holds the intervals of a node's own work.
+type NodeTiming struct {
+	Tick   time.Duration
+	Poll   time.Duration // of the accepted generation
+	List   time.Duration // of the VM list
+	Revise time.Duration // of the roster
+	Sweep  time.Duration
+	// Alone is how long a daemon serves on that can reach neither the store nor another daemon.
+	Alone time.Duration
+	// Pollers is the number of daemons in a zone that read the store.
+	Pollers int
+}
+
+// DefaultNodeTiming returns the intervals that daemons run with.
+func DefaultNodeTiming() NodeTiming {
+	return NodeTiming{
+		Tick: 200 * time.Millisecond, Poll: time.Second, List: 2 * time.Second, Revise: time.Second,
+		Sweep: 10 * time.Second, Alone: 5 * time.Second, Pollers: 2,
+	}
+}
+
+// Deps are what every part of a node needs.
+type Deps struct {
+	Self     proto.Alive
+	Clock    clockwork.Clock
+	Log      hclog.Logger
+	Platform Platform
+	Peers    Peers
+}
+
+// Node is one daemon's part in acting together with the others.
+type Node struct {
+	deps    Deps
+	timing  NodeTiming
+	Members *Members
+	Changes *Changes
+	Store   *Store
+	Replica *Replica
+	Claimer *Claimer
+	Roster  *RosterKeeper
+	Sums    *UsageSums
+
+	started   time.Time
+	storeSeen atomic.Int64 // unix nanoseconds
+	pulling   atomic.Bool
+	rostering atomic.Bool
+	stopping  atomic.Bool
+
+	mu        sync.Mutex
+	nextList  time.Time
+	nextSweep time.Time
+	links     linkSet
+	onUsage   func([]proto.UsageRow)
+	onLoads   func(proto.Loads)
+}
+
+// linkSet caches which other roster members this daemon must be in contact with.
+type linkSet struct {
+	epoch  proto.Epoch
+	others []proto.RosterMember
+}
+
+// NodeOption changes a Node at construction.
+type NodeOption func(*nodeConfig)
+
+type nodeConfig struct {
+	node    NodeTiming
+	member  MemberTiming
+	claim   ClaimTiming
+	rings   Rings
+	roster  RosterPlan
+	adopted func(*proto.Snapshot)
+	usage   func([]proto.UsageRow)
+	loads   func(proto.Loads)
+}
+
+// WithNodeTiming sets the intervals of the node's own work.
+func WithNodeTiming(t NodeTiming) NodeOption { return func(c *nodeConfig) { c.node = t } }
+
+// WithMemberTiming sets the intervals of membership.
+func WithMemberTiming(t MemberTiming) NodeOption { return func(c *nodeConfig) { c.member = t } }
+
+// WithClaimTiming sets the intervals of claims.
+func WithClaimTiming(t ClaimTiming) NodeOption { return func(c *nodeConfig) { c.claim = t } }
+
+// WithRosterPlan sets the sizes of the roster.
+func WithRosterPlan(p RosterPlan) NodeOption { return func(c *nodeConfig) { c.roster = p } }
+
+// WithAdopted sets what is told of each snapshot that comes into force.
+func WithAdopted(fn func(*proto.Snapshot)) NodeOption {
+	return func(c *nodeConfig) { c.adopted = fn }
+}
+
+// WithReports sets what is told of other daemons' usage and of targets' loads.
+func WithReports(usage func([]proto.UsageRow), loads func(proto.Loads)) NodeOption {
+	return func(c *nodeConfig) { c.usage, c.loads = usage, loads }
+}
+
+// NewNode returns a node that knows only itself.
+func NewNode(deps Deps, options ...NodeOption) *Node {
+	c := nodeConfig{
+		node: DefaultNodeTiming(), member: DefaultMemberTiming(), claim: DefaultClaimTiming(),
+		rings: DefaultRings(), roster: DefaultRosterPlan(),
+		usage: func([]proto.UsageRow) {}, loads: func(proto.Loads) {},
+	}
+	for _, option := range options {
+		option(&c)
+	}
+	n := &Node{deps: deps, started: deps.Clock.Now(), timing: c.node, onUsage: c.usage, onLoads: c.loads, Sums: NewUsageSums()}
+	self := proto.RosterMember{VM: deps.Self.VM, Zone: deps.Self.Zone, Incarnation: deps.Self.Incarnation}
+	n.Changes = NewChanges(func(s *proto.Snapshot) {
+		if c.adopted != nil {
+			c.adopted(s)
+		}
+	})
+	n.Store = NewStore(deps.Platform, deps.Clock)
+	n.Members = NewMembers(deps.Self, c.member, c.rings, deps.Peers, n.heartbeat)
+	n.Replica = NewReplica(self, c.claim, func(now time.Time) bool { return n.inContact(now, c.claim.Contact) })
+	n.Roster = NewRosterKeeper(deps.Platform, c.roster, c.claim, n.Members, n.Replica)
+	n.Claimer = NewClaimer(self, n.Replica, deps.Peers, deps.Clock, c.claim, n.pullRoster)
+	return n
+}
+
+func (n *Node) heartbeat() proto.Heartbeat {
+	beat := proto.Heartbeat{Incarnation: n.deps.Self.Incarnation, Stopping: n.stopping.Load()}
+	if n.Changes != nil {
+		beat.Generation = n.Changes.Generation()
+	}
+	if n.Replica != nil {
+		beat.Roster = n.Replica.Epoch()
+	}
+	return beat
+}
+
+// inContact tells whether most of the roster members that this one links to have lately confirmed a heartbeat of its own.
+func (n *Node) inContact(now time.Time, within time.Duration) bool {
+	others := n.rosterLinks()
+	confirmed := 1
+	for _, member := range others {
+		if now.Sub(n.Members.Confirmed(member.VM, member.Incarnation)) < within {
+			confirmed++
+		}
+	}
+	return 2*confirmed > len(others)+1
+}
+
+// rosterLinks are the roster members that this one links to: all of them up to nine, else those of the rings.
+func (n *Node) rosterLinks() []proto.RosterMember {
+	epoch := n.Replica.Epoch()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links.epoch == epoch {
+		return n.links.others
+	}
+	members := map[proto.VM]proto.RosterMember{}
+	var seats []seat
+	for _, slot := range n.Replica.Roster().Slots {
+		for _, member := range slot.Group {
+			if _, ok := members[member.VM]; !ok {
+				seats = append(seats, seat{vm: member.VM, region: "roster"})
+			}
+			members[member.VM] = member
+		}
+	}
+	links := DefaultRings().graph(seats).regional[n.deps.Self.VM]
+	others := make([]proto.RosterMember, 0, len(links))
+	for _, vm := range links {
+		others = append(others, members[vm])
+	}
+	n.links = linkSet{epoch: epoch, others: others}
+	n.Members.SetExtra(links)
+	return others
+}
+
+// Start announces the daemon to those that the settings or the platform's list name.
+func (n *Node) Start(seeds []proto.Alive) {
+	now := n.deps.Clock.Now()
+	for _, seed := range seeds {
+		if seed.VM != n.deps.Self.VM {
+			n.Members.Alive(now, seed, "")
+		}
+	}
+	n.Members.Tick(now)
+	n.Members.Announce()
+}
+
+// Stop announces that the daemon is stopping, so that others take over what it owns.
+func (n *Node) Stop() {
+	n.stopping.Store(true)
+	n.Members.Stop()
+}
+
+// Handle takes in a message and returns the answer if it was a call.
+func (n *Node) Handle(ctx context.Context, from proto.VM, m proto.Message) proto.Message {
+	now := n.deps.Clock.Now()
+	switch msg := m.(type) {
+	case proto.Heartbeat:
+		n.takeHeartbeat(now, from, msg)
+	case proto.Alive:
+		n.Members.Alive(now, msg, from)
+	case proto.Alarm:
+		n.Members.Alarm(now, msg, from)
+	case proto.Listed:
+		n.Members.Listed(now, msg, from)
+	case proto.ChangesAsk:
+		return n.Changes.After(msg.After)
+	case proto.RosterAsk:
+		return proto.RosterAnswer{Roster: n.Replica.Roster()}
+	case proto.ClaimAsk:
+		return n.Replica.Claim(now, msg)
+	case proto.Settle:
+		n.Replica.Settle(msg)
+	case proto.TransferAsk:
+		return n.Replica.Transfer(msg)
+	case proto.SlotReady:
+		n.Roster.Report(from, msg)
+	case proto.Usage:
+		n.takeUsage(now, from, msg)
+	case proto.Loads:
+		n.onLoads(msg)
+	}
+	return proto.Done{}
+}
+
+func (n *Node) takeHeartbeat(now time.Time, from proto.VM, beat proto.Heartbeat) {
+	n.Members.Heartbeat(now, from, beat)
+	if beat.Generation > n.Changes.Generation() && n.pulling.CompareAndSwap(false, true) {
+		go n.pullChanges(from)
+	} else if beat.Generation > 0 {
+		n.Changes.Learnt(beat.Generation)
+	}
+	if beat.Roster > n.Replica.Epoch() && n.rostering.CompareAndSwap(false, true) {
+		go func() {
+			defer n.rostering.Store(false)
+			n.pullRoster(context.Background(), from)
+		}()
+	}
+}
+
+const pullTimeout = 2 * time.Second
+
+// pullChanges asks a daemon with a higher generation until there is nothing newer, and passes the news on at once.
+func (n *Node) pullChanges(from proto.VM) {
+	defer n.pulling.Store(false)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		m, err := n.deps.Peers.Call(ctx, from, proto.ChangesAsk{After: n.Changes.Generation()})
+		cancel()
+		answer, ok := m.(proto.ChangesAnswer)
+		if err != nil || !ok || answer.Generation <= n.Changes.Generation() {
+			break
+		}
+		if !n.take(answer) {
+			n.deps.Log.Warn("changes of a peer do not fit", "from", from, "generation", answer.Generation)
+			break
+		}
+		n.Changes.Learnt(answer.Generation)
+	}
+	n.Members.Beat(n.deps.Clock.Now())
+}
+
+func (n *Node) take(answer proto.ChangesAnswer) bool {
+	if answer.Whole {
+		return n.Changes.TakeWhole(answer.Generation, answer.Changes)
+	}
+	return n.Changes.Take(answer.Changes)
+}
+
+func (n *Node) pullRoster(ctx context.Context, from proto.VM) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	m, err := n.deps.Peers.Call(ctx, from, proto.RosterAsk{})
+	if answer, ok := m.(proto.RosterAnswer); ok && err == nil {
+		n.adoptRoster(answer.Roster)
+	}
+}
+
+func (n *Node) adoptRoster(roster proto.Roster) {
+	if n.Replica.Adopt(roster) {
+		n.rosterLinks()
+		n.Members.Beat(n.deps.Clock.Now())
+	}
+}
+
+func (n *Node) takeUsage(now time.Time, from proto.VM, msg proto.Usage) {
+	if msg.Totals {
+		n.onUsage(msg.Rows)
+		return
+	}
+	if others := n.Sums.Add(now, from, msg.Rows); len(others) > 0 {
+		n.deps.Peers.Send(from, proto.Usage{Rows: others, Totals: true})
+	}
+}
+
+// ShareUsage sends what this daemon spent to the collectors of its region.
+func (n *Node) ShareUsage(rows []proto.UsageRow) {
+	live := n.Members.Live()
+	region := n.deps.Self.Zone.Region()
+	batches := map[proto.VM][]proto.UsageRow{}
+	for _, row := range rows {
+		if vm, ok := UsageCollectorOf(row.Workspace, region, live); ok {
+			batches[vm] = append(batches[vm], row)
+		}
+	}
+	for vm, batch := range batches {
+		if vm == n.deps.Self.VM {
+			n.onUsage(n.Sums.Add(n.deps.Clock.Now(), vm, batch))
+			continue
+		}
+		n.deps.Peers.Send(vm, proto.Usage{Rows: batch})
+	}
+}
+
+// Tick does what is due by time and needs no store; it comes every NodeTiming.Tick.
+func (n *Node) Tick(now time.Time) {
+	n.Members.Tick(now)
+	n.mu.Lock()
+	sweep := !now.Before(n.nextSweep)
+	if sweep {
+		n.nextSweep = now.Add(n.timing.Sweep)
+	}
+	n.mu.Unlock()
+	if sweep {
+		n.Replica.Sweep(now)
+		n.Sums.Sweep(now)
+	}
+}
+
+// Transfer reads the claims of slots that this daemon has come to keep, and reports those that it has.
+func (n *Node) Transfer(ctx context.Context) {
+	for _, pending := range n.Replica.Pending() {
+		for _, member := range pending.From {
+			n.transferFrom(ctx, pending, member)
+		}
+	}
+	ready := n.Replica.ReadySlots()
+	if len(ready) == 0 {
+		return
+	}
+	keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon))
+	if !ok {
+		return
+	}
+	for _, m := range ready {
+		if keeper == n.deps.Self.VM {
+			n.Roster.Report(keeper, m)
+			continue
+		}
+		n.deps.Peers.Send(keeper, m)
+	}
+}
+
+func anyDaemon(proto.Alive) bool { return true }
+
+func (n *Node) transferFrom(ctx context.Context, pending Pending, member proto.RosterMember) {
+	if _, dead := n.Members.Dead(member.VM, member.Incarnation); dead {
+		return
+	}
+	ask := pending.Ask
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		m, err := n.deps.Peers.Call(callCtx, member.VM, ask)
+		cancel()
+		answer, ok := m.(proto.TransferAnswer)
+		if err != nil || !ok || !answer.Ready {
+			return
+		}
+		n.Replica.TakeTransfer(ask, member, answer)
+		if !answer.More {
+			return
+		}
+		ask.After = answer.Records[len(answer.Records)-1].Key
+	}
+}
+
+// Poll reads the store if this daemon is one of its zone's pollers, or knows nothing yet.
+func (n *Node) Poll(ctx context.Context) {
+	if !n.polls() && n.Changes.Known() {
+		return
+	}
+	now := n.deps.Clock.Now()
+	before := n.Changes.Generation()
+	if err := n.Store.CatchUp(ctx, n.Changes); err != nil {
+		n.deps.Log.Debug("the store did not answer", "error", err)
+		return
+	}
+	n.storeSeen.Store(now.UnixNano())
+	if n.Changes.Generation() > before {
+		n.Members.Beat(now)
+	}
+	n.pollList(ctx, now)
+}
+
+func (n *Node) pollList(ctx context.Context, now time.Time) {
+	if now.Before(n.nextList) {
+		return
+	}
+	n.nextList = now.Add(n.timing.List)
+	list, err := n.deps.Platform.VMs(ctx)
+	if err != nil {
+		n.deps.Log.Debug("the VM list did not answer", "error", err)
+		return
+	}
+	version := uint64(now.UnixNano())
+	n.Members.Listed(now, proto.Listed{Version: version, By: n.deps.Self.VM, VMs: list.VMs}, n.deps.Self.VM)
+}
+
+func (n *Node) polls() bool {
+	zone := n.deps.Self.Zone
+	vms := rank("poll", vmsOf(n.Members.Live(), func(a proto.Alive) bool { return a.Zone == zone }))
+	for i, vm := range vms {
+		if vm == n.deps.Self.VM {
+			return i < n.timing.Pollers
+		}
+	}
+	return true
+}
+
+// settleTime is how long a new daemon looks around before it writes the first roster.
+const settleTime = 1500 * time.Millisecond
+
+// Revise changes the roster if this daemon is the one to do so, and otherwise reads it while it has none.
+func (n *Node) Revise(ctx context.Context) {
+	keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon))
+	var err error
+	switch {
+	case n.Replica.Epoch() == 0 && n.deps.Clock.Since(n.started) < settleTime:
+		return
+	case ok && keeper == n.deps.Self.VM && !n.stopping.Load():
+		err = n.Roster.Revise(ctx, n.deps.Clock.Now())
+	case n.Replica.Epoch() == 0:
+		_, err = n.Roster.Read(ctx)
+	}
+	if err != nil {
+		n.deps.Log.Debug("the roster could not be revised", "error", err)
+	}
+	n.rosterLinks()
+}
+
+// KeepsClaims tells whether others can still take over claims that this run of the daemon keeps.
+func (n *Node) KeepsClaims() bool {
+	others := vmsOf(n.Members.Live(), func(a proto.Alive) bool { return a.VM != n.deps.Self.VM })
+	for _, slot := range n.Replica.Roster().Slots {
+		for _, member := range slices.Concat(slot.Group, slot.Previous) {
+			if member.VM == n.deps.Self.VM && member.Incarnation == n.deps.Self.Incarnation {
+				return len(others) >= len(slot.Group)
+			}
+		}
+	}
+	return false
+}
+
+// StoreSeen returns when this daemon last read the store.
+func (n *Node) StoreSeen() time.Time { return time.Unix(0, n.storeSeen.Load()) }
+
+// Isolated tells whether the daemon can reach neither the store nor any other daemon, so that it cannot know what is in force.
+func (n *Node) Isolated(now time.Time) bool {
+	return now.Sub(n.StoreSeen()) > n.timing.Alone && n.Members.Alone(now, n.timing.Alone)
+}
+
+// Ready tells whether the daemon knows what is in force and is neither isolated nor stopping.
+func (n *Node) Ready(now time.Time) (bool, string) {
+	switch {
+	case n.stopping.Load():
+		return false, "stopping"
+	case !n.Changes.Known():
+		return false, "what was accepted is not known yet"
+	case n.Isolated(now):
+		return false, "neither the store nor another daemon can be reached"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/coord/replica.go
@@ -0,0 +1,308 @@
+package coord
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// ClaimTiming holds the intervals of claims on keys.
+type ClaimTiming struct {
+	// Retention is how long a key is remembered, counted from the time that it carries.
+	Retention time.Duration
+	// Skew is how far ahead a caller's clock may be.
+	Skew time.Duration
+	// Contact is how recently a replica must have heard from most of the roster to grant.
+	Contact time.Duration
+	// Force is how long most of a group must have been dead before it is replaced without their claims.
+	Force time.Duration
+	// Ask is how long one round of asking replicas takes at most.
+	Ask time.Duration
+	// AnswerBytes bounds the answers kept with the claims of one slot.
+	AnswerBytes int
+}
+
+// DefaultClaimTiming returns the timing that daemons run with.
+func DefaultClaimTiming() ClaimTiming {
+	return ClaimTiming{
+		Retention: time.Hour, Skew: 5 * time.Second, Contact: 4 * time.Second,
+		Force: 12 * time.Second, Ask: time.Second, AnswerBytes: 2 << 20,
+	}
+}
+
+const transferPage = 1000
+
+// slotState is a replica's part in one slot.
+type slotState struct {
+	mu     sync.Mutex
+	since  proto.Epoch // of the group that this replica serves; 0 if none
+	ready  bool
+	sealed proto.Epoch // newest group that asked to take over
+	// vouched is the previous group whose claims this replica held in full when it moved on.
+	vouched proto.Epoch
+	ledger  *state.Ledger
+	read    map[proto.VM]bool // members of the previous group whose claims were read
+}
+
+// Replica keeps the claims of the slots whose groups this run of the daemon belongs to.
+type Replica struct {
+	self   proto.RosterMember
+	timing ClaimTiming
+	// contact tells whether most of the roster was heard from lately.
+	contact func(time.Time) bool
+
+	mu     sync.RWMutex
+	roster proto.Roster
+	slots  []*slotState
+}
+
+// NewReplica returns a replica that serves no slot yet.
+func NewReplica(self proto.RosterMember, timing ClaimTiming, contact func(time.Time) bool) *Replica {
+	return &Replica{self: self, timing: timing, contact: contact}
+}
+
+// Roster returns the roster as the replica knows it.
+func (r *Replica) Roster() proto.Roster {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.roster
+}
+
+// Epoch returns the epoch of the roster as the replica knows it.
+func (r *Replica) Epoch() proto.Epoch {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.roster.Epoch
+}
+
+func (r *Replica) slot(i int) *slotState {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if i < 0 || i >= len(r.slots) {
+		return nil
+	}
+	return r.slots[i]
+}
+
+// Adopt takes over a newer roster; an older one is ignored.
+func (r *Replica) Adopt(roster proto.Roster) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if roster.Epoch <= r.roster.Epoch {
+		return false
+	}
+	r.roster = roster
+	for len(r.slots) < len(roster.Slots) {
+		r.slots = append(r.slots, &slotState{ledger: state.NewLedger(r.timing.Retention, r.timing.AnswerBytes)})
+	}
+	for i := range roster.Slots {
+		r.adoptSlot(r.slots[i], &roster.Slots[i])
+	}
+	return true
+}
+
+func (r *Replica) adoptSlot(s *slotState, slot *proto.Slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(slot.Group, r.self) || s.since == slot.Since {
+		return
+	}
+	if s.sealed > slot.Since {
+		return
+	}
+	wasReady := s.ready && s.since == slot.PreviousSince
+	s.since = slot.Since
+	s.ready = false
+	s.read = map[proto.VM]bool{}
+	if wasReady {
+		s.vouched = slot.PreviousSince
+		s.read[r.self.VM] = true
+	}
+	s.settleReady(slot)
+}
+
+// settleReady makes the slot ready once the claims of most of the previous group are here.
+func (s *slotState) settleReady(slot *proto.Slot) {
+	if slot.Forced {
+		s.ledger.Forget(slot.ForgottenBefore)
+		s.ready = true
+		return
+	}
+	s.ready = 2*len(s.read) > len(slot.Previous)
+}
+
+// sources are the members to read from. Once the previous group is done with, any ready
+// member of the own group has its claims, and one is enough: claims granted since then are
+// held by most of the group without this replica.
+func (r *Replica) sources(slot *proto.Slot) (members []proto.RosterMember, old proto.Epoch) {
+	if len(slot.Previous) == 0 {
+		return slot.Group, slot.Since
+	}
+	return slot.Previous, slot.PreviousSince
+}
+
+// Pending is a slot whose claims are still to be read from members of the previous group.
+type Pending struct {
+	Slot int
+	Ask  proto.TransferAsk
+	From []proto.RosterMember
+}
+
+// Pending returns the slots that this replica has to read.
+func (r *Replica) Pending() []Pending {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var pending []Pending
+	for i, s := range r.slots {
+		slot := &r.roster.Slots[i]
+		s.mu.Lock()
+		if s.since == slot.Since && !s.ready {
+			members, old := r.sources(slot)
+			p := Pending{Slot: i, Ask: proto.TransferAsk{Slot: i, Since: slot.Since, Old: old}}
+			for _, member := range members {
+				if !s.read[member.VM] && member != r.self {
+					p.From = append(p.From, member)
+				}
+			}
+			pending = append(pending, p)
+		}
+		s.mu.Unlock()
+	}
+	return pending
+}
+
+// Claim answers an ask to grant a key.
+func (r *Replica) Claim(now time.Time, ask proto.ClaimAsk) proto.ClaimAnswer {
+	answer := proto.ClaimAnswer{Result: proto.ClaimNotReady, Roster: r.Epoch()}
+	s := r.slot(ask.Slot)
+	if s == nil || !r.contact(now) {
+		return answer
+	}
+	if proto.KeyTime(ask.Key).After(now.Add(r.timing.Skew)) {
+		answer.Result = proto.ClaimTooNew
+		return answer
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer.Since = s.since
+	switch {
+	case s.since > ask.Since || s.sealed > ask.Since:
+		answer.Result = proto.ClaimStale
+	case s.since < ask.Since || !s.ready:
+	default:
+		s.ledger.Sweep(now)
+		answer.Result, answer.Answer = s.ledger.Claim(ask.Key, ask.Fingerprint, ask.Claim)
+	}
+	return answer
+}
+
+// Settle takes in how a claim ended.
+func (r *Replica) Settle(m proto.Settle) {
+	s := r.slot(m.Slot)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Settle(m.Key, m.Claim, m.Released, m.Answer)
+}
+
+// Transfer stops granting for the group that is being replaced, and hands over a page of its claims.
+func (r *Replica) Transfer(ask proto.TransferAsk) proto.TransferAnswer {
+	s := r.slot(ask.Slot)
+	if s == nil {
+		return proto.TransferAnswer{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A replica that was never ready in the previous group has nothing to vouch for.
+	if vouches := s.since == ask.Old && s.ready || s.vouched == ask.Old && s.vouched != 0; !vouches {
+		return proto.TransferAnswer{}
+	}
+	s.sealed = max(s.sealed, ask.Since)
+	records, more := s.ledger.Page(ask.After, transferPage)
+	return proto.TransferAnswer{Ready: true, Records: records, More: more, ForgottenBefore: s.ledger.Forgotten()}
+}
+
+// TakeTransfer merges a page; after the last page of a member it returns whether the slot became ready.
+func (r *Replica) TakeTransfer(ask proto.TransferAsk, from proto.RosterMember, answer proto.TransferAnswer) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if ask.Slot >= len(r.slots) || !answer.Ready {
+		return false
+	}
+	slot := &r.roster.Slots[ask.Slot]
+	s := r.slots[ask.Slot]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since != ask.Since || s.ready || slot.Since != ask.Since {
+		return false
+	}
+	s.ledger.Forget(answer.ForgottenBefore)
+	s.ledger.Merge(answer.Records)
+	if answer.More {
+		return false
+	}
+	s.read[from.VM] = true
+	s.settleReady(slot)
+	return s.ready
+}
+
+// ReadySlots returns the slots with a previous group that this replica has read in full.
+func (r *Replica) ReadySlots() []proto.SlotReady {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var ready []proto.SlotReady
+	for i, s := range r.slots {
+		slot := &r.roster.Slots[i]
+		s.mu.Lock()
+		if s.since == slot.Since && s.ready && len(slot.Previous) > 0 {
+			ready = append(ready, proto.SlotReady{Slot: i, Since: slot.Since})
+		}
+		s.mu.Unlock()
+	}
+	return ready
+}
+
+// Sweep forgets old claims.
+func (r *Replica) Sweep(now time.Time) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, s := range r.slots {
+		s.mu.Lock()
+		if s.since != 0 {
+			s.ledger.Sweep(now)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// ReplicaCounts are what a replica holds.
+type ReplicaCounts struct {
+	Epoch  proto.Epoch `json:"epoch"`
+	Slots  int         `json:"slots"`
+	Ready  int         `json:"ready"`
+	Claims int         `json:"claims"`
+}
+
+// Counts returns what the replica holds.
+func (r *Replica) Counts() ReplicaCounts {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	c := ReplicaCounts{Epoch: r.roster.Epoch}
+	for i, s := range r.slots {
+		s.mu.Lock()
+		if s.since != 0 && s.since == r.roster.Slots[i].Since {
+			c.Slots++
+			if s.ready {
+				c.Ready++
+			}
+			c.Claims += s.ledger.Len()
+		}
+		s.mu.Unlock()
+	}
+	return c
+}
--- /dev/null
+++ b/core/engine.go
@@ -0,0 +1,305 @@
+package core
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// Engine decides for one entry daemon; its methods may be called from several threads.
+type Engine struct {
+	zone      proto.Zone
+	tuning    Tuning
+	newChoose func(*rand.Rand) Chooser[*target]
+	seed      uint64
+
+	snapshot  atomic.Pointer[proto.Snapshot]
+	requests  *state.Sharded[proto.RequestID, *request]
+	estimates *estimates
+	stats     *Stats
+
+	poolsMu sync.RWMutex
+	pools   map[string]*pool
+	listed  atomic.Pointer[map[proto.VM]bool]
+
+	timersMu sync.Mutex
+	timers   *state.Heap[timer]
+}
+
+type timer struct {
+	at      time.Time
+	request proto.RequestID
+	attempt int // 0 for the deadline of the request
+}
+
+// Option changes an Engine at construction.
+type Option func(*Engine)
+
+// WithTuning sets the tuning instead of DefaultTuning.
+func WithTuning(t Tuning) Option { return func(e *Engine) { e.tuning = t } }
+
+// WithZone sets the daemon's own availability zone.
+func WithZone(z proto.Zone) Option { return func(e *Engine) { e.zone = z } }
+
+// WithSeed sets the seed of all random choices.
+func WithSeed(seed uint64) Option { return func(e *Engine) { e.seed = seed } }
+
+// RouterName names a routing policy.
+type RouterName string
+
+// Routing policies.
+const (
+	RouterExpected   RouterName = "expectedFinish"
+	RouterRandom     RouterName = "random"
+	RouterRoundRobin RouterName = "roundRobin"
+	RouterLeast      RouterName = "leastOutstanding"
+)
+
+const expectedSample = 5
+
+// WithRouter sets the routing policy instead of RouterExpected.
+func WithRouter(name RouterName) Option {
+	return func(e *Engine) { e.newChoose = chooserOf(name) }
+}
+
+func chooserOf(name RouterName) func(*rand.Rand) Chooser[*target] {
+	return func(r *rand.Rand) Chooser[*target] {
+		switch name {
+		case RouterRandom:
+			return &Random[*target]{Rand: r}
+		case RouterRoundRobin:
+			return &RoundRobin[*target]{}
+		case RouterLeast:
+			return &LeastOutstanding[*target]{Rand: r}
+		default:
+			return &ExpectedFinish[*target]{Rand: r, Sample: expectedSample}
+		}
+	}
+}
+
+// New returns an engine without configuration.
+func New(options ...Option) *Engine {
+	e := &Engine{
+		tuning:    DefaultTuning(),
+		newChoose: chooserOf(RouterExpected),
+		estimates: newEstimates(),
+		stats:     newStats(),
+		pools:     map[string]*pool{},
+		timers:    state.NewHeap(func(a, b timer) bool { return a.at.Before(b.at) }),
+	}
+	e.requests = state.NewSharded[proto.RequestID, *request](func(id proto.RequestID) uint64 {
+		return binary.LittleEndian.Uint64(id[8:])
+	})
+	for _, option := range options {
+		option(e)
+	}
+	e.snapshot.Store(proto.EmptySnapshot())
+	return e
+}
+
+// Stats returns the engine's measures.
+func (e *Engine) Stats() *Stats { return e.stats }
+
+// Open returns the number of requests in progress.
+func (e *Engine) Open() int { return e.requests.Len() }
+
+// Snapshot returns the configuration that new requests start under.
+func (e *Engine) Snapshot() *proto.Snapshot { return e.snapshot.Load() }
+
+// Configure takes over a snapshot; one that is not newer is ignored.
+func (e *Engine) Configure(s *proto.Snapshot, now time.Time, lead time.Duration) bool {
+	e.poolsMu.Lock()
+	defer e.poolsMu.Unlock()
+	if s.Generation <= e.snapshot.Load().Generation && s.Generation != 0 {
+		return false
+	}
+	e.snapshot.Store(s)
+	leaving := e.leavingFunc(s, now, lead)
+	for name, spec := range s.Pools {
+		e.poolLocked(name, s).configure(spec, leaving)
+	}
+	for name, p := range e.pools {
+		if s.Pools[name] == nil {
+			p.configure(&proto.Pool{Name: name, Kind: p.kind}, leaving)
+		}
+	}
+	return true
+}
+
+func (e *Engine) poolLocked(name string, s *proto.Snapshot) *pool {
+	p := e.pools[name]
+	if p == nil {
+		random := rand.New(rand.NewPCG(e.seed, uint64(len(e.pools)+1)))
+		p = newPool(name, e.tuning.ForObjective(poolObjective(s, name)), e.newChoose(random))
+		e.pools[name] = p
+	}
+	return p
+}
+
+// poolObjective is that of the services which use the pool; the one that weighs attainment most wins.
+func poolObjective(s *proto.Snapshot, pool string) proto.Objective {
+	var best proto.Objective
+	for name, service := range s.Services {
+		for _, stage := range service.Stages {
+			if o := s.Objectives[name]; stage.Pool == pool && o.Attainment > best.Attainment {
+				best = o
+			}
+		}
+	}
+	return best
+}
+
+// SetListed takes over the VMs that the platform lists as leaving.
+func (e *Engine) SetListed(vms map[proto.VM]bool) { e.listed.Store(&vms) }
+
+func (e *Engine) leavingFunc(s *proto.Snapshot, now time.Time, lead time.Duration) func(proto.VM) bool {
+	return func(vm proto.VM) bool {
+		if listed := e.listed.Load(); listed != nil && (*listed)[vm] {
+			return true
+		}
+		return s.Leaving(vm, now, lead)
+	}
+}
+
+// RefreshLeaving marks the targets on VMs whose stop is listed or has come near.
+func (e *Engine) RefreshLeaving(now time.Time, lead time.Duration) {
+	leaving := e.leavingFunc(e.snapshot.Load(), now, lead)
+	for _, p := range e.allPools() {
+		p.setLeaving(leaving)
+	}
+}
+
+func (e *Engine) allPools() []*pool {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	all := make([]*pool, 0, len(e.pools))
+	for _, p := range e.pools {
+		all = append(all, p)
+	}
+	return all
+}
+
+func (e *Engine) poolOf(name string) *pool {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	return e.pools[name]
+}
+
+// TakeUsage returns what this daemon spent since the last call, for the other daemons.
+func (e *Engine) TakeUsage() []UsageReported {
+	var reports []UsageReported
+	for _, p := range e.allPools() {
+		for workspace, spent := range p.usage.take() {
+			reports = append(reports, UsageReported{Pool: p.name, Workspace: workspace, Spent: spent})
+		}
+	}
+	return reports
+}
+
+// turn collects what one event leads to.
+type turn struct {
+	now     time.Time
+	actions []Action
+	grants  []grant
+}
+
+func (t *turn) act(a Action) { t.actions = append(t.actions, a) }
+
+// Handle takes in one event and returns the actions that follow, in order.
+func (e *Engine) Handle(now time.Time, event Event) []Action {
+	t := &turn{now: now}
+	switch ev := event.(type) {
+	case Arrival:
+		e.arrive(t, &ev)
+	case AttemptEnded:
+		e.withRequest(t, ev.Attempt.Request, func(r *request) { e.attemptEnded(t, r, &ev) }, func() { e.stats.late(ev.Busy) })
+	case AttemptChunk:
+		e.withRequest(t, ev.Attempt.Request, func(r *request) { e.chunk(t, r, &ev) }, func() { e.stats.late(0) })
+	case CallerLeft:
+		e.withRequest(t, ev.Request, func(r *request) { e.callerLeft(t, r, ev.Slow) }, nil)
+	case ClaimAnswered:
+		e.withRequest(t, ev.Request, func(r *request) { e.claimAnswered(t, r, &ev) }, nil)
+	case LoadReported:
+		if p := e.poolOf(ev.Pool); p != nil {
+			t.grants = append(t.grants, p.report(now, ev.Load)...)
+		}
+	case CacheReported:
+		if p := e.poolOf(ev.Pool); p != nil {
+			p.cacheEvent(ev.Event)
+		}
+	case UsageReported:
+		if p := e.poolOf(ev.Pool); p != nil {
+			p.usage.add(ev.Workspace, now, ev.Spent, false)
+		}
+	case Tick:
+		e.tick(t)
+	}
+	for len(t.grants) > 0 {
+		g := t.grants[0]
+		t.grants = t.grants[1:]
+		e.granted(t, g)
+	}
+	return t.actions
+}
+
+func (e *Engine) withRequest(t *turn, id proto.RequestID, fn func(*request), gone func()) {
+	e.requests.With(id, func(items map[proto.RequestID]*request) {
+		r := items[id]
+		if r != nil {
+			fn(r)
+			forgetDone(items, r)
+			return
+		}
+		if gone != nil {
+			gone()
+		}
+	})
+}
+
+func (e *Engine) arm(at time.Time, id proto.RequestID, number int) {
+	e.timersMu.Lock()
+	defer e.timersMu.Unlock()
+	e.timers.Push(timer{at: at, request: id, attempt: number})
+}
+
+func (e *Engine) due(now time.Time) (timer, bool) {
+	e.timersMu.Lock()
+	defer e.timersMu.Unlock()
+	next, ok := e.timers.Peek()
+	if !ok || next.at.After(now) {
+		return timer{}, false
+	}
+	return e.timers.Pop()
+}
+
+func (e *Engine) tick(t *turn) {
+	for {
+		next, ok := e.due(t.now)
+		if !ok {
+			break
+		}
+		e.withRequest(t, next.request, func(r *request) { e.timerFired(t, r, next.attempt) }, nil)
+	}
+	for _, p := range e.allPools() {
+		expired, grants := p.poll(t.now)
+		t.grants = append(t.grants, grants...)
+		for _, ticket := range expired {
+			e.withRequest(t, ticket.Request, func(r *request) { e.expired(t, r, ticket) }, nil)
+		}
+	}
+}
+
+// NewRequestID returns a new identifier; the caller passes in the time so that tests are the same each run.
+func NewRequestID(now time.Time, r *rand.Rand) proto.RequestID {
+	var random [10]byte
+	binary.LittleEndian.PutUint64(random[:8], r.Uint64())
+	binary.LittleEndian.PutUint16(random[8:], uint16(r.Uint32()))
+	return uuid.UUID(proto.KeyAt(now, random))
+}
--- /dev/null
+++ b/core/pool.go
@@ -0,0 +1,313 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+const (
+	maxPrefixes    = 4096
+	drainHalfLife  = 2 * time.Second
+	openTarget     = -1
+	panicFraction  = 2 // at most one in this many targets stays ejected
+	retryBurst     = 10
+	usageSweepTime = 30 * time.Second
+)
+
+// grant gives a waiting ticket a target.
+type grant struct {
+	pool   *pool
+	ticket *Ticket
+	target *target
+}
+
+// pool is one pool's targets, queue and budgets under one lock.
+type pool struct {
+	mu       sync.Mutex
+	name     string
+	kind     proto.PoolKind
+	tuning   Tuning
+	targets  []*target
+	byName   map[string]*target
+	queue    Queue
+	chooser  Chooser[*target]
+	usage    *usage
+	cached   map[string]map[string]bool // prefix to names of targets
+	order    []string                   // prefixes in the order they came
+	drained  state.Decay
+	retries  state.Bucket
+	hedges   state.Bucket
+	sequence uint64
+	swept    time.Time
+}
+
+func newPool(name string, tuning Tuning, chooser Chooser[*target]) *pool {
+	p := &pool{
+		name:    name,
+		tuning:  tuning,
+		byName:  map[string]*target{},
+		chooser: chooser,
+		usage:   newUsage(tuning.UsageHalfLife),
+		cached:  map[string]map[string]bool{},
+		retries: state.NewBucket(retryBurst),
+		hedges:  state.NewBucket(retryBurst),
+	}
+	p.queue = newArrivalQueue()
+	if tuning.Fair {
+		p.queue = newFairQueue(p.usage, tuning.ShareSlack)
+	}
+	return p
+}
+
+// configure takes over the targets of a new generation; those left out get no new work and go once they are idle.
+func (p *pool) configure(spec *proto.Pool, leaving func(proto.VM) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kind = spec.Kind
+	wanted := make(map[string]bool, len(spec.Targets))
+	for _, t := range spec.Targets {
+		wanted[t.Name] = true
+		p.upsert(t).leaving = leaving(t.VM)
+	}
+	kept := p.targets[:0]
+	for _, t := range p.targets {
+		t.removed = !wanted[t.spec.Name]
+		if t.removed && t.inflight == 0 {
+			delete(p.byName, t.spec.Name)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(p.targets[len(kept):])
+	p.targets = kept
+}
+
+func (p *pool) upsert(spec proto.Target) *target {
+	t := p.byName[spec.Name]
+	if t == nil || t.spec.Address != spec.Address {
+		if t != nil {
+			t.removed = true
+		}
+		fresh := newTarget(spec, &p.tuning)
+		p.replace(t, fresh)
+		return fresh
+	}
+	t.spec = spec
+	return t
+}
+
+func (p *pool) replace(old, fresh *target) {
+	p.byName[fresh.spec.Name] = fresh
+	for i, t := range p.targets {
+		if t == old && old != nil {
+			p.targets[i] = fresh
+			return
+		}
+	}
+	p.targets = append(p.targets, fresh)
+}
+
+func (p *pool) setLeaving(leaving func(proto.VM) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		t.leaving = leaving(t.spec.VM)
+	}
+}
+
+// offer queues a ticket and returns the grants that follow.
+func (p *pool) offer(now time.Time, ticket *Ticket) []grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	ticket.sequence = p.sequence
+	ticket.Since = now
+	p.queue.Push(ticket)
+	return p.drain(now)
+}
+
+// wait estimates how long a new ticket of a workspace would queue.
+func (p *pool) wait(now time.Time, workspace string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ahead := p.queue.Ahead(workspace, now)
+	if ahead == 0 {
+		return 0
+	}
+	rate := p.drained.Value(now, drainHalfLife) * 0.693 / drainHalfLife.Seconds()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// drain grants waiting tickets in rank order while targets are open.
+func (p *pool) drain(now time.Time) []grant {
+	var grants []grant
+	for {
+		ticket := p.queue.Next(now)
+		if ticket == nil {
+			return grants
+		}
+		if ticket.withdrawn {
+			p.queue.Remove(ticket)
+			continue
+		}
+		chosen := p.choose(now, ticket)
+		if chosen == openTarget {
+			return grants
+		}
+		p.queue.Remove(ticket)
+		p.targets[chosen].started(now)
+		grants = append(grants, grant{pool: p, ticket: ticket, target: p.targets[chosen]})
+	}
+}
+
+func (p *pool) choose(now time.Time, ticket *Ticket) int {
+	need := &ticket.Need
+	need.Now = now
+	chosen := p.chooser.Choose(p.targets, need)
+	if chosen != openTarget {
+		return chosen
+	}
+	if need.Exclude != "" {
+		need.Exclude = ""
+		return p.chooser.Choose(p.targets, need)
+	}
+	p.readmitSome(now)
+	return openTarget
+}
+
+// readmitSome ends the ejections that are over soonest when more than half of the targets are ejected.
+func (p *pool) readmitSome(now time.Time) {
+	ejected := 0
+	var soonest *target
+	for _, t := range p.targets {
+		if !now.Before(t.ejectedTo) || t.leaving {
+			continue
+		}
+		ejected++
+		if soonest == nil || t.ejectedTo.Before(soonest.ejectedTo) {
+			soonest = t
+		}
+	}
+	if ejected*panicFraction > len(p.targets) {
+		soonest.ejectedTo = now
+		soonest.readmitted = now
+	}
+}
+
+// ended takes in the end of an attempt and returns the grants that follow.
+func (p *pool) ended(now time.Time, t *target, workspace string, fate Fate, ratio float64, spent time.Duration) []grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.ended(now, fate, ratio)
+	if fate == FateDone {
+		p.drained.Add(now, drainHalfLife, 1)
+		p.retries.Earn(p.tuning.RetryRatio)
+		p.hedges.Earn(p.tuning.HedgeRatio)
+	}
+	if spent > 0 {
+		p.usage.add(workspace, now, spent, true)
+	}
+	return p.drain(now)
+}
+
+// hangRatio is the multiple of the expected time from which an abandoned attempt counts against its target.
+const hangRatio = 4
+
+// dropped takes in that an attempt was abandoned.
+func (p *pool) dropped(now time.Time, a *attempt, workspace string, spent time.Duration) []grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.target.inflight = max(0, a.target.inflight-1)
+	a.target.record(now)
+	if ratio := spent.Seconds() / a.expected; ratio > hangRatio {
+		a.target.slowness.Add(ratio)
+		a.target.failed(now)
+	}
+	p.usage.add(workspace, now, spent, true)
+	return p.drain(now)
+}
+
+// giveBack frees the slot of a grant that nobody wanted any more.
+func (p *pool) giveBack(now time.Time, unused *target) []grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	unused.inflight = max(0, unused.inflight-1)
+	unused.record(now)
+	return p.drain(now)
+}
+
+// slow takes in that an attempt has already taken a multiple of its expected time.
+func (p *pool) slow(t *target, ratio float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.slowness.Add(ratio)
+}
+
+func (p *pool) report(now time.Time, load proto.Load) []grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t := p.byName[load.Target]; t != nil {
+		t.report(load)
+	}
+	return p.drain(now)
+}
+
+// poll expires what cannot be in time and grants what became open without an event, such as an ejection that ended.
+func (p *pool) poll(now time.Time) (expired []*Ticket, grants []grant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.swept) > usageSweepTime {
+		p.swept = now
+		p.usage.forget(now)
+	}
+	if p.queue.Len() == 0 {
+		return nil, nil
+	}
+	expired = p.queue.Expire(func(t *Ticket) bool {
+		return t.withdrawn || p.tuning.Admission && t.hopeless(now)
+	})
+	return expired, p.drain(now)
+}
+
+func (p *pool) takeRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retries.Take()
+}
+
+// takeHedge takes a hedge if the budget has one and nobody waits, since a hedge must not delay a first attempt.
+func (p *pool) takeHedge() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.Len() == 0 && p.hedges.Take()
+}
+
+func (p *pool) cacheEvent(event proto.CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	holders := p.cached[event.Prefix]
+	if !event.Present {
+		delete(holders, event.Target)
+		return
+	}
+	if holders == nil {
+		holders = map[string]bool{}
+		p.remember(event.Prefix, holders)
+	}
+	holders[event.Target] = true
+}
+
+func (p *pool) remember(prefix string, holders map[string]bool) {
+	if len(p.order) >= maxPrefixes {
+		delete(p.cached, p.order[0])
+		p.order = p.order[1:]
+	}
+	p.cached[prefix] = holders
+	p.order = append(p.order, prefix)
+}
--- /dev/null
+++ b/core/queue.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"time"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// Ticket is a request that waits for a target of a pool.
+type Ticket struct {
+	Request   proto.RequestID
+	Workspace string
+	Weight    float64
+	Deadline  time.Time
+	// Remaining is the expected time from a free target to the end of the request.
+	Remaining time.Duration
+	Need      Need
+	Since     time.Time
+	sequence  uint64
+	withdrawn bool
+}
+
+// hopelessPart is the part of the expected work that must still fit before the deadline; some requests beat the mean.
+const hopelessPart = 0.6
+
+// hopeless tells whether the ticket can no longer be in time.
+func (t *Ticket) hopeless(now time.Time) bool {
+	return t.Deadline.Sub(now) < time.Duration(hopelessPart*float64(t.Remaining))
+}
+
+// Queue orders the tickets that wait for a pool.
+type Queue interface {
+	Push(ticket *Ticket)
+	// Next returns the ticket that ranks first, and leaves it in the queue.
+	Next(now time.Time) *Ticket
+	// Remove takes out a ticket that Next returned.
+	Remove(ticket *Ticket)
+	Len() int
+	// Ahead returns how many tickets would rank before a new one of the workspace.
+	Ahead(workspace string, now time.Time) int
+	// Expire removes and returns the tickets that drop picks.
+	Expire(drop func(*Ticket) bool) []*Ticket
+}
+
+// arrivalQueue is first in, first out.
+type arrivalQueue struct{ heap *state.Heap[*Ticket] }
+
+func newArrivalQueue() *arrivalQueue {
+	return &arrivalQueue{heap: state.NewHeap(func(a, b *Ticket) bool { return a.sequence < b.sequence })}
+}
+
+func (q *arrivalQueue) Push(t *Ticket) { q.heap.Push(t) }
+
+func (q *arrivalQueue) Next(time.Time) *Ticket {
+	t, _ := q.heap.Peek()
+	return t
+}
+
+func (q *arrivalQueue) Remove(*Ticket) { q.heap.Pop() }
+
+func (q *arrivalQueue) Len() int { return q.heap.Len() }
+
+func (q *arrivalQueue) Ahead(string, time.Time) int { return q.heap.Len() }
+
+func (q *arrivalQueue) Expire(drop func(*Ticket) bool) []*Ticket { return expire(q.heap, drop) }
+
+func expire(heap *state.Heap[*Ticket], drop func(*Ticket) bool) []*Ticket {
+	var dropped []*Ticket
+	heap.RemoveIf(func(t *Ticket) bool {
+		if !drop(t) {
+			return false
+		}
+		dropped = append(dropped, t)
+		return true
+	})
+	return dropped
+}
+
+// fairQueue ranks workspaces within their fair share by deadline, and those over it by how far over they are.
+type fairQueue struct {
+	usage *usage
+	slack float64
+	lanes map[string]*state.Heap[*Ticket]
+	count int
+}
+
+func newFairQueue(u *usage, slack float64) *fairQueue {
+	return &fairQueue{usage: u, slack: slack, lanes: map[string]*state.Heap[*Ticket]{}}
+}
+
+func (q *fairQueue) Push(t *Ticket) {
+	lane := q.lanes[t.Workspace]
+	if lane == nil {
+		lane = state.NewHeap(earlierSlack)
+		q.lanes[t.Workspace] = lane
+	}
+	lane.Push(t)
+	q.count++
+}
+
+func earlierSlack(a, b *Ticket) bool {
+	x, y := a.Deadline.Add(-a.Remaining), b.Deadline.Add(-b.Remaining)
+	if x.Equal(y) {
+		return a.sequence < b.sequence
+	}
+	return x.Before(y)
+}
+
+func (q *fairQueue) Next(now time.Time) *Ticket {
+	mean := q.meanUse(now)
+	var best *Ticket
+	bestOver := 0.0
+	for workspace, lane := range q.lanes {
+		ticket, _ := lane.Peek()
+		over := q.over(workspace, ticket.Weight, mean, now)
+		if best == nil || over < bestOver || over == bestOver && earlierSlack(ticket, best) {
+			best, bestOver = ticket, over
+		}
+	}
+	return best
+}
+
+// over is 0 within the fair share, and the use relative to the mean above it.
+func (q *fairQueue) over(workspace string, weight, mean float64, now time.Time) float64 {
+	use := q.usage.of(workspace, now) / weight
+	if mean == 0 || use <= mean*q.slack {
+		return 0
+	}
+	return use / mean
+}
+
+// The mean is over the workspaces that wait, because a share that nobody waits for is there to be used.
+func (q *fairQueue) meanUse(now time.Time) float64 {
+	spent, weights := 0.0, 0.0
+	for workspace, lane := range q.lanes {
+		ticket, _ := lane.Peek()
+		spent += q.usage.of(workspace, now)
+		weights += ticket.Weight
+	}
+	if weights == 0 {
+		return 0
+	}
+	return spent / weights
+}
+
+func (q *fairQueue) Remove(t *Ticket) {
+	lane := q.lanes[t.Workspace]
+	lane.Pop()
+	q.count--
+	if lane.Len() == 0 {
+		delete(q.lanes, t.Workspace)
+	}
+}
+
+func (q *fairQueue) Len() int { return q.count }
+
+// Ahead counts the workspace's own tickets and an equal part of the others', which is what the ranking comes to.
+func (q *fairQueue) Ahead(workspace string, _ time.Time) int {
+	own := 0
+	if lane := q.lanes[workspace]; lane != nil {
+		own = lane.Len()
+	}
+	ahead := own
+	for other, lane := range q.lanes {
+		if other != workspace {
+			ahead += min(lane.Len(), own+1)
+		}
+	}
+	return ahead
+}
+
+func (q *fairQueue) Expire(drop func(*Ticket) bool) []*Ticket {
+	var dropped []*Ticket
+	for workspace, lane := range q.lanes {
+		dropped = append(dropped, expire(lane, drop)...)
+		if lane.Len() == 0 {
+			delete(q.lanes, workspace)
+		}
+	}
+	q.count -= len(dropped)
+	return dropped
+}
--- /dev/null
+++ b/core/request.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"time"
+
+	"emberlead/proto"
+)
+
+type claimState int
+
+const (
+	claimNone claimState = iota
+	claimAsked
+	claimHeld
+	claimSettled
+)
+
+// attempt is one attempt in progress at a target.
+type attempt struct {
+	id       proto.AttemptID
+	pool     *pool
+	target   *target
+	began    time.Time
+	expected float64 // seconds, at an idle target
+}
+
+// request is the state of one request; the lock of its shard guards it.
+type request struct {
+	id         proto.RequestID
+	workspace  string
+	weight     float64
+	service    *proto.Service
+	objective  proto.Objective
+	generation proto.Generation
+	key        proto.Key
+	keyed      bool
+	repeatable bool
+	arrived    time.Time
+	deadline   time.Time
+	prefix     string
+	input      []byte
+	wantStream bool
+
+	stage   int
+	tries   int
+	numbers int
+	live    map[int]*attempt
+	ticket  *Ticket
+	pools   []*pool
+	claim   claimState
+	// claimedAt is when the claim was asked for.
+	claimedAt time.Time
+	// possible counts the attempts that may have started at a target.
+	possible int
+	// unsafe counts those of them at a stage that may run only once.
+	unsafe int
+	done   bool
+	// ran says that some stage is known to have run.
+	ran      bool
+	hedged   bool
+	exclude  string
+	offset   int
+	text     []byte
+	lastFate Fate
+	reason   string
+}
+
+func (r *request) spec() *proto.Stage { return &r.service.Stages[r.stage] }
+
+func (r *request) pool() *pool { return r.pools[r.stage] }
+
+func (r *request) mayRepeat() bool {
+	return r.spec().MayRepeat(r.pool().kind, r.repeatable)
+}
+
+func (r *request) last() bool { return r.stage == len(r.service.Stages)-1 }
+
+// outcome is what is certain about a request that ends without an answer.
+func (r *request) outcome() proto.Outcome {
+	switch {
+	case r.possible == 0:
+		return proto.OutcomeNotRun
+	case r.ran && r.stage == len(r.service.Stages)-1 && r.lastFate == FateFailed:
+		return proto.OutcomeRan
+	}
+	return proto.OutcomeMayHaveRun
+}
+
+func forgetDone(items map[proto.RequestID]*request, r *request) {
+	if r.done {
+		delete(items, r.id)
+	}
+}
+
+// remaining is the expected time from a free target at a stage to the end, without queueing.
+func (e *Engine) remaining(r *request, from int) time.Duration {
+	sum := 0.0
+	for i := from; i < len(r.service.Stages); i++ {
+		mean, _, known := e.estimates.of(r.service.Name, r.service.Stages[i].Name)
+		if known {
+			sum += mean
+		}
+	}
+	return seconds(sum)
+}
+
+// queueing is the expected wait in the queues of the stages from one on.
+func (e *Engine) queueing(now time.Time, r *request, from int) time.Duration {
+	longest := time.Duration(0)
+	for i := from; i < len(r.pools); i++ {
+		longest = max(longest, r.pools[i].wait(now, r.workspace))
+	}
+	return longest
+}
--- /dev/null
+++ b/core/stats.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"emberlead/proto"
+)
+
+const (
+	histogramLeast  = int64(time.Microsecond)
+	histogramMost   = int64(10 * time.Minute)
+	histogramDigits = 2
+)
+
+// WorkspaceStats counts how the requests of a workspace ended.
+type WorkspaceStats struct {
+	Asked         int64 `json:"asked"`
+	Delivered     int64 `json:"delivered"`
+	OnTime        int64 `json:"onTime"`
+	RefusedNotRun int64 `json:"refusedNotRun"`
+	Unknown       int64 `json:"unknown"`
+	CallerLeft    int64 `json:"callerLeft"`
+}
+
+// Attainment is the part of all requests asked that was delivered within the deadline.
+func (w *WorkspaceStats) Attainment() float64 {
+	if w.Asked == 0 {
+		return 1
+	}
+	return float64(w.OnTime) / float64(w.Asked)
+}
+
+// StageStats is the cost of one stage of one service.
+type StageStats struct {
+	Busy     proto.Duration `json:"busy"`
+	Tokens   int64          `json:"tokens"`
+	Attempts int64          `json:"attempts"`
+	Wasted   int64          `json:"wasted"`
+	Retries  int64          `json:"retries"`
+	Hedges   int64          `json:"hedges"`
+}
+
+// DropStats counts answers that were not delivered because they matched no attempt in progress.
+type DropStats struct {
+	Late       int64 `json:"late"`
+	Duplicates int64 `json:"duplicates"`
+	Gaps       int64 `json:"gaps"`
+}
+
+// Stats are the measures of one engine.
+type Stats struct {
+	mu         sync.Mutex
+	workspaces map[string]*WorkspaceStats
+	stages     map[string]*StageStats
+	drops      DropStats
+	latency    *hdrhistogram.Histogram
+	first      *hdrhistogram.Histogram
+}
+
+func newStats() *Stats {
+	return &Stats{
+		workspaces: map[string]*WorkspaceStats{},
+		stages:     map[string]*StageStats{},
+		latency:    hdrhistogram.New(histogramLeast, histogramMost, histogramDigits),
+		first:      hdrhistogram.New(histogramLeast, histogramMost, histogramDigits),
+	}
+}
+
+func (s *Stats) workspace(name string) *WorkspaceStats {
+	w := s.workspaces[name]
+	if w == nil {
+		w = &WorkspaceStats{}
+		s.workspaces[name] = w
+	}
+	return w
+}
+
+func (s *Stats) stage(service, stage string) *StageStats {
+	name := service + "/" + stage
+	st := s.stages[name]
+	if st == nil {
+		st = &StageStats{}
+		s.stages[name] = st
+	}
+	return st
+}
+
+func (s *Stats) change(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
+func (s *Stats) asked(workspace string) { s.change(func() { s.workspace(workspace).Asked++ }) }
+
+func (s *Stats) attempt(service, stage string) {
+	s.change(func() { s.stage(service, stage).Attempts++ })
+}
+
+func (s *Stats) retry(service, stage string) {
+	s.change(func() { s.stage(service, stage).Retries++ })
+}
+
+func (s *Stats) hedge(service, stage string) {
+	s.change(func() { s.stage(service, stage).Hedges++ })
+}
+
+func (s *Stats) late(time.Duration) { s.change(func() { s.drops.Late++ }) }
+
+func (s *Stats) duplicate() { s.change(func() { s.drops.Duplicates++ }) }
+
+func (s *Stats) gap() { s.change(func() { s.drops.Gaps++ }) }
+
+func (s *Stats) firstToken(_ string, took time.Duration) {
+	s.change(func() { _ = s.first.RecordValue(int64(took)) })
+}
+
+func (s *Stats) wasted(service, stage string, spent time.Duration) {
+	s.change(func() {
+		st := s.stage(service, stage)
+		st.Wasted++
+		st.Busy += proto.Duration(spent)
+	})
+}
+
+func (s *Stats) spent(service, stage string, spent time.Duration, tokens int, fate Fate) {
+	s.change(func() {
+		st := s.stage(service, stage)
+		st.Busy += proto.Duration(spent)
+		st.Tokens += int64(tokens)
+		if fate != FateDone {
+			st.Wasted++
+		}
+	})
+}
+
+func (s *Stats) ended(r *request, now time.Time, failure *proto.Failure) {
+	s.change(func() {
+		w := s.workspace(r.workspace)
+		switch {
+		case failure == nil:
+			w.Delivered++
+			if !now.After(r.deadline) {
+				w.OnTime++
+			}
+			_ = s.latency.RecordValue(int64(now.Sub(r.arrived)))
+		case failure.Kind == proto.FailureCallerLeft || failure.Kind == proto.FailureSlowCaller:
+			w.CallerLeft++
+		case failure.Outcome == proto.OutcomeNotRun:
+			w.RefusedNotRun++
+		default:
+			w.Unknown++
+		}
+	})
+}
+
+// LatencySummary gives quantiles of the time from arrival to the whole answer.
+type LatencySummary struct {
+	P50 proto.Duration `json:"p50"`
+	P95 proto.Duration `json:"p95"`
+	P99 proto.Duration `json:"p99"`
+}
+
+// Summarize returns the quantiles of a histogram of nanoseconds.
+func Summarize(h *hdrhistogram.Histogram) LatencySummary {
+	return LatencySummary{
+		P50: proto.Duration(h.ValueAtQuantile(50)),
+		P95: proto.Duration(h.ValueAtQuantile(95)),
+		P99: proto.Duration(h.ValueAtQuantile(99)),
+	}
+}
+
+// Report is a copy of the measures of an engine.
+type Report struct {
+	Workspaces map[string]WorkspaceStats `json:"workspaces"`
+	Attainment map[string]float64        `json:"attainment"`
+	Stages     map[string]StageStats     `json:"costByStage"`
+	Drops      DropStats                 `json:"drops"`
+	Latency    LatencySummary            `json:"latency"`
+	FirstToken LatencySummary            `json:"firstToken"`
+}
+
+// Report returns a copy of the measures.
+func (s *Stats) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Report{
+		Workspaces: map[string]WorkspaceStats{},
+		Attainment: map[string]float64{},
+		Stages:     map[string]StageStats{},
+		Drops:      s.drops,
+		Latency:    Summarize(s.latency),
+		FirstToken: Summarize(s.first),
+	}
+	for name, w := range s.workspaces {
+		r.Workspaces[name] = *w
+		r.Attainment[name] = w.Attainment()
+	}
+	for name, st := range s.stages {
+		r.Stages[name] = *st
+	}
+	return r
+}
+
+// MergeStages adds the costs of one report to another.
+func MergeStages(into, from map[string]StageStats) {
+	for name := range maps.Keys(from) {
+		a, b := into[name], from[name]
+		a.Busy += b.Busy
+		a.Tokens += b.Tokens
+		a.Attempts += b.Attempts
+		a.Wasted += b.Wasted
+		a.Retries += b.Retries
+		a.Hedges += b.Hedges
+		into[name] = a
+	}
+}
--- /dev/null
+++ b/core/usage.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"emberlead/state"
+)
+
+// usage is the time that each workspace spent at a pool lately, over all daemons that report.
+type usage struct {
+	mu       sync.Mutex
+	halfLife time.Duration
+	spent    map[string]*state.Decay
+	unsent   map[string]time.Duration
+}
+
+func newUsage(halfLife time.Duration) *usage {
+	return &usage{
+		halfLife: halfLife,
+		spent:    map[string]*state.Decay{},
+		unsent:   map[string]time.Duration{},
+	}
+}
+
+func (u *usage) of(workspace string, now time.Time) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	d := u.spent[workspace]
+	if d == nil {
+		return 0
+	}
+	return d.Value(now, u.halfLife)
+}
+
+func (u *usage) add(workspace string, now time.Time, spent time.Duration, own bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	d := u.spent[workspace]
+	if d == nil {
+		d = &state.Decay{}
+		u.spent[workspace] = d
+	}
+	d.Add(now, u.halfLife, spent.Seconds())
+	if own {
+		u.unsent[workspace] += spent
+	}
+}
+
+// take returns what this daemon spent since the last call, by workspace.
+func (u *usage) take() map[string]time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.unsent) == 0 {
+		return nil
+	}
+	taken := u.unsent
+	u.unsent = make(map[string]time.Duration, len(taken))
+	return taken
+}
+
+const forgottenUse = 1e-4
+
+// forget drops the workspaces that spent next to nothing lately, so that memory follows the active ones.
+func (u *usage) forget(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for workspace, d := range u.spent {
+		if d.Value(now, u.halfLife) < forgottenUse {
+			delete(u.spent, workspace)
+		}
+	}
+}
--- /dev/null
+++ b/demo/world.go
@@ -0,0 +1,241 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"emberlead/coord"
+	"emberlead/fakes"
+	"emberlead/proto"
+	"emberlead/serve"
+)
+
+const (
+	readyWait    = 10 * time.Second
+	balancerPoll = 200 * time.Millisecond
+)
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// entry is one daemon of the world with the gate that holds it up.
+type entry struct {
+	vm     proto.VM
+	daemon *serve.Daemon
+	gate   *gate
+	cancel context.CancelFunc
+	done   chan struct{}
+	dead   atomic.Bool
+}
+
+// gate lets events through, holds them up for a time, or for good.
+type gate struct {
+	mu sync.RWMutex
+}
+
+func (g *gate) pass() {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+}
+
+func (g *gate) hold(length time.Duration) {
+	g.mu.Lock()
+	time.AfterFunc(length, g.mu.Unlock)
+}
+
+// world is a deployment with its stand-ins.
+type world struct {
+	log      hclog.Logger
+	file     *proto.File
+	targets  *fakes.Targets
+	store    *fakes.Store
+	platform *fakes.Server
+	entries  []*entry
+	zones    []proto.Zone
+}
+
+func newWorld(file *proto.File, entries int, seed uint64, log hclog.Logger) (*world, error) {
+	targets, err := fakes.StartTargets(file, seed, true)
+	if err != nil {
+		return nil, err
+	}
+	w := &world{log: log, file: file, targets: targets, store: fakes.NewStore()}
+	w.zones = zonesOf(file)
+	w.platform, err = fakes.Serve(anyPort, fakes.NewPlatform(w.store).Handler())
+	if err != nil {
+		w.close()
+		return nil, err
+	}
+	for i := range entries {
+		if err := w.addEntry(i); err != nil {
+			w.close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func zonesOf(file *proto.File) []proto.Zone {
+	var zones []proto.Zone
+	seen := map[proto.Zone]bool{}
+	for _, pool := range file.Pools {
+		for _, target := range pool.Targets {
+			if !seen[target.Zone] {
+				seen[target.Zone] = true
+				zones = append(zones, target.Zone)
+			}
+		}
+	}
+	return zones
+}
+
+func (w *world) addEntry(i int) error {
+	e := &entry{vm: proto.VM(fmt.Sprintf("entry-%d", i+1)), gate: &gate{}, done: make(chan struct{})}
+	s := serve.DefaultSettings()
+	s.VM, s.Zone = e.vm, w.zones[i%len(w.zones)]
+	s.Callers.Listen, s.Peers.Listen, s.Operators.Listen = anyPort, anyPort, anyPort
+	s.Peers.SharedKey = "demo"
+	s.Platform.Address = "http://" + w.platform.Address.String()
+	if err := s.Check(); err != nil {
+		return err
+	}
+	daemon, err := serve.New(s, serve.WithLog(w.log.With("vm", e.vm)), serve.WithGate(e.gate.pass))
+	if err != nil {
+		return err
+	}
+	e.daemon = daemon
+	w.store.SetVM(proto.VMEntry{VM: e.vm, Zone: s.Zone, Peer: daemon.Peers(), Entry: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go func() {
+		defer close(e.done)
+		if err := daemon.Run(ctx); err != nil {
+			w.log.Debug("daemon ended", "vm", e.vm, "error", err)
+		}
+	}()
+	w.entries = append(w.entries, e)
+	return nil
+}
+
+// ready waits until every daemon has the first configuration in force and keeps its part of the claims.
+func (w *world) ready(ctx context.Context) error {
+	body, err := w.targets.Body()
+	if err != nil {
+		return err
+	}
+	first := w.entries[0].daemon.Node()
+	applied, err := first.Store.Apply(ctx, first.Changes, coord.ApplyRequest{Body: body, By: "demo"})
+	if err != nil {
+		return err
+	}
+	if len(applied.Faults) > 0 {
+		return fault("apply", proto.KindInvalid, "%v", applied.Faults)
+	}
+	deadline := time.Now().Add(readyWait)
+	for time.Now().Before(deadline) {
+		if w.allReady(applied.Generation) {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fault("start", proto.KindUnavailable, "the daemons were not ready within %s", readyWait)
+}
+
+func (w *world) allReady(generation proto.Generation) bool {
+	for _, e := range w.entries {
+		ok, _ := e.daemon.Ready()
+		claims := e.daemon.Node().Replica.Counts()
+		members := e.daemon.Node().Members.Counts()
+		if !ok || e.daemon.Node().Changes.Generation() < generation || claims.Epoch == 0 || claims.Ready < claims.Slots || members.Known < len(w.entries) {
+			return false
+		}
+	}
+	return true
+}
+
+// kill ends a daemon as a crash would: nothing is handed over and every connection breaks.
+func (w *world) kill(e *entry) {
+	e.dead.Store(true)
+	e.gate.mu.Lock()
+	e.daemon.Kill()
+}
+
+func (w *world) close() {
+	for _, e := range w.entries {
+		if !e.dead.Load() {
+			e.cancel()
+		}
+	}
+	for _, e := range w.entries {
+		if !e.dead.Load() {
+			<-e.done
+		}
+	}
+	if w.platform != nil {
+		w.platform.Close()
+	}
+	w.targets.Close()
+}
+
+// balancer stands in for the platform's: it sends to daemons whose /readyz answers, in turn.
+type balancer struct {
+	world *world
+	mu    sync.Mutex
+	ready []netip.AddrPort
+	next  int
+}
+
+func newBalancer(w *world) *balancer {
+	b := &balancer{world: w}
+	for _, e := range w.entries {
+		b.ready = append(b.ready, e.daemon.Callers())
+	}
+	return b
+}
+
+func (b *balancer) pick() netip.AddrPort {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.ready[b.next%len(b.ready)]
+}
+
+func (b *balancer) watch(ctx context.Context) {
+	client := &http.Client{Timeout: balancerPoll}
+	ticker := time.NewTicker(balancerPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.poll(client)
+		}
+	}
+}
+
+func (b *balancer) poll(client *http.Client) {
+	var ready []netip.AddrPort
+	for _, e := range b.world.entries {
+		resp, err := client.Get("http://" + e.daemon.Callers().String() + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			ready = append(ready, e.daemon.Callers())
+		}
+	}
+	if len(ready) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
--- /dev/null
+++ b/entry/app.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"emberlead/proto"
+	"emberlead/serve"
+)
+
+// Exit codes of every command.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitUnknown  = 4
+)
+
+// exitError carries an exit code; an empty message prints nothing.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func exit(code int, err error) error { return &exitError{code: code, err: err} }
+
+func usage(format string, args ...any) error {
+	return exit(ExitUsage, fault("usage", proto.KindInvalid, format, args...))
+}
+
+// errSilent ends a command whose output has said everything.
+var errSilent = errors.New("")
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	app := newApp(stdout, stderr)
+	return codeOf(app.Run(ctx, args), stderr)
+}
+
+func codeOf(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitDone
+	}
+	if text := err.Error(); text != "" {
+		fmt.Fprintln(stderr, "emberlead:", text)
+	}
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	switch proto.KindOf(err) {
+	case proto.KindInvalid:
+		return ExitUsage
+	case proto.KindConflict:
+		return ExitConflict
+	case proto.KindUnknown:
+		return ExitUnknown
+	case "":
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func newApp(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "emberlead",
+		Usage:                 "serve multi-stage model pipelines that are declared in files",
+		Version:               serve.Version,
+		Writer:                stdout,
+		ErrWriter:             stderr,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return exit(ExitUsage, err)
+		},
+		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
+			fmt.Fprintf(stderr, "no command is named %q\n", name)
+		},
+		Commands: []*cli.Command{
+			serveCommand(), checkCommand(), applyCommand(), configCommand(), stopCommand(), statusCommand(),
+			callCommand(), demoCommand(), fakeCommand(), docsCommand(),
+		},
+	}
+}
+
+func logger(level string, asJSON bool, out io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: "emberlead", Level: hclog.LevelFromString(level), JSONFormat: asJSON, Output: out})
+}
--- /dev/null
+++ b/entry/client.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"emberlead/proto"
+	"emberlead/wire"
+)
+
+const clientWait = 30 * time.Second
+
+func serverFlags(extra ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "server", Value: "http://127.0.0.1:7003", Sources: cli.EnvVars("EMBERLEAD_SERVER"), Usage: "`URL` of a daemon's operators' listener"},
+		&cli.StringFlag{Name: "key", Sources: cli.EnvVars("EMBERLEAD_OPERATOR_KEY"), Usage: "operators' `KEY`"},
+		outputFlag(),
+	}, extra...)
+}
+
+// operatorCall sends a request to the operators' listener and decodes its answer; other statuses than those accepted are errors.
+func operatorCall(ctx context.Context, c *cli.Command, method, path string, body []byte, into any, accepted ...int) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.String("server")+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, usage("%v", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if key := c.String("key"); key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, unreachable(method, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, unreachable(method, err)
+	}
+	for _, status := range append(accepted, http.StatusOK) {
+		if resp.StatusCode == status {
+			return status, json.Unmarshal(data, into)
+		}
+	}
+	return resp.StatusCode, refused(resp.StatusCode, data)
+}
+
+// unreachable says that a change may have been made if its answer was lost.
+func unreachable(method string, err error) error {
+	code := ExitFailed
+	kind := proto.KindUnavailable
+	if method == http.MethodPost {
+		code, kind = ExitUnknown, proto.KindUnknown
+	}
+	return exit(code, &Error{Op: "call daemon", Kind: kind, Err: err})
+}
+
+func refused(status int, data []byte) error {
+	var answer wire.OperatorError
+	if json.Unmarshal(data, &answer) != nil || answer.Error == "" {
+		answer = wire.OperatorError{Kind: proto.KindUnavailable, Error: http.StatusText(status)}
+	}
+	code := ExitFailed
+	if answer.Kind == proto.KindUnknown {
+		code = ExitUnknown
+	}
+	return exit(code, fault("call daemon", answer.Kind, "%s", answer.Error))
+}
--- /dev/null
+++ b/entry/fake.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"emberlead/fakes"
+	"emberlead/proto"
+)
+
+func fakeCommand() *cli.Command {
+	return &cli.Command{
+		Name: "fake", Usage: "run stand-ins for trials by hand",
+		Commands: []*cli.Command{
+			{
+				Name: "platform", Usage: "stand in for the platform's table service, object store, VM list and weight store",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "loopback `ADDRESS`"},
+					&cli.StringFlag{Name: "write-address", Usage: "`FILE` to write the address to"},
+					&cli.StringSliceFlag{Name: "vm", Usage: "`NAME=PEER-ADDRESS@ZONE` of an entry VM on the list, may be repeated"},
+				},
+				Action: fakePlatform,
+			},
+			{
+				Name: "targets", Usage: "stand in for every target of a configuration file", ArgsUsage: "FILE",
+				Flags: []cli.Flag{
+					&cli.BoolFlag{Name: "any-port", Usage: "listen on free ports instead of the file's"},
+					&cli.StringFlag{Name: "write-file", Usage: "`FILE` to write the configuration with the addresses in use to"},
+					&cli.Uint64Flag{Name: "seed", Value: 1},
+				},
+				Action: fakeTargets,
+			},
+		},
+	}
+}
+
+func loopback(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || !address.Addr().IsLoopback() {
+		return address, usage("%q is not a loopback address with a port", text)
+	}
+	return address, nil
+}
+
+// parseVM reads NAME=PEER@ZONE.
+func parseVM(text string) (proto.VMEntry, error) {
+	name, rest, ok := strings.Cut(text, "=")
+	peer, zone, okZone := strings.Cut(rest, "@")
+	address, err := netip.ParseAddrPort(peer)
+	if !ok || !okZone || err != nil {
+		return proto.VMEntry{}, usage("%q is not NAME=PEER-ADDRESS@ZONE", text)
+	}
+	return proto.VMEntry{VM: proto.VM(name), Zone: proto.Zone(zone), Peer: address, Entry: true}, nil
+}
+
+func fakePlatform(ctx context.Context, c *cli.Command) error {
+	address, err := loopback(c.String("listen"))
+	if err != nil {
+		return err
+	}
+	store := fakes.NewStore()
+	for _, text := range c.StringSlice("vm") {
+		entry, err := parseVM(text)
+		if err != nil {
+			return err
+		}
+		store.SetVM(entry)
+	}
+	server, err := fakes.Serve(address, fakes.NewPlatform(store).Handler())
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	if err := writeFile(c.String("write-address"), []byte("http://"+server.Address.String())); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.Root().Writer, "platform on", server.Address)
+	<-ctx.Done()
+	return nil
+}
+
+func fakeTargets(ctx context.Context, c *cli.Command) error {
+	_, data, err := fileArgument(c)
+	if err != nil {
+		return err
+	}
+	file, faults := proto.ReadFile(data)
+	if len(faults) > 0 {
+		return exit(ExitFailed, fault("read file", proto.KindInvalid, "%v", faults))
+	}
+	targets, err := fakes.StartTargets(file, c.Uint64("seed"), c.Bool("any-port"))
+	if err != nil {
+		return err
+	}
+	defer targets.Close()
+	body, err := targets.Body()
+	if err != nil {
+		return err
+	}
+	if err := writeFile(c.String("write-file"), body); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.Root().Writer, len(targets.Targets), "targets are up")
+	<-ctx.Done()
+	return nil
+}
+
+// writeFile writes beside the file and renames, so that a reader never sees half of it.
+func writeFile(path string, data []byte) error {
+	if path == "" {
+		return nil
+	}
+	half := path + ".part"
+	if err := os.WriteFile(half, data, 0o600); err != nil {
+		return &Error{Op: "write file", Kind: proto.KindUnavailable, Err: err}
+	}
+	if err := os.Rename(half, path); err != nil {
+		return &Error{Op: "write file", Kind: proto.KindUnavailable, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"emberlead/serve"
+	"emberlead/wire"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one entry daemon until it is stopped",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` of settings, see docs/Settings.md"},
+		},
+		Action: runServe,
+	}
+}
+
+func runServe(ctx context.Context, c *cli.Command) error {
+	settings, err := serve.LoadSettings(c.String("settings"))
+	if err != nil {
+		return exit(ExitUsage, err)
+	}
+	t := settings.Traces
+	provider, err := wire.Tracing(ctx, t.Exporter, t.Endpoint, t.Fraction)
+	if err != nil {
+		return exit(ExitUsage, err)
+	}
+	wire.SetTracing(provider)
+	defer func() { _ = provider.Shutdown(context.WithoutCancel(ctx)) }()
+	log := logger(settings.Log.Level, settings.Log.JSON, c.Root().ErrWriter).With("vm", settings.VM)
+	daemon, err := serve.New(settings, serve.WithLog(log))
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
--- /dev/null
+++ b/fakes/platform.go
@@ -0,0 +1,165 @@
+package fakes
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
+
+	"emberlead/proto"
+)
+
+const (
+	weightsPerSecond = 20
+	weightBurst      = 5
+	maxBody          = 8 << 20
+	// HeaderClient names the caller to the fake platform, so that a test can cut it off.
+	HeaderClient = "Emberlead-Client"
+)
+
+// Platform serves a Store by HTTP, with a rate-limited weight store and switches for faults.
+type Platform struct {
+	store   *Store
+	weights *rate.Limiter
+}
+
+// NewPlatform returns the HTTP face of a store.
+func NewPlatform(store *Store) *Platform {
+	return &Platform{store: store, weights: rate.NewLimiter(weightsPerSecond, weightBurst)}
+}
+
+// Handler returns the platform's routes.
+func (p *Platform) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET(proto.PathRows, p.rows)
+	e.POST(proto.PathTransact, p.transact)
+	e.PUT(proto.PathObjects+"/:hash", p.put)
+	e.GET(proto.PathObjects+"/:hash", p.get)
+	e.GET(proto.PathVMs, p.vms)
+	e.PUT(proto.PathVMs, p.setVM)
+	e.DELETE(proto.PathVMs+"/:vm", p.removeVM)
+	e.GET(proto.PathWeights+"/:model", p.weight)
+	e.POST("/fault", p.fault)
+	return e
+}
+
+func (p *Platform) client(c echo.Context) *Client {
+	return p.store.For(c.Request().Header.Get(HeaderClient))
+}
+
+// dropConnection closes the connection without an answer, as a lost answer looks to the client.
+func dropConnection(c echo.Context) error {
+	conn, _, err := http.NewResponseController(c.Response()).Hijack()
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func (p *Platform) answer(c echo.Context, value any, err error) error {
+	switch proto.KindOf(err) {
+	case "":
+		return c.JSON(http.StatusOK, value)
+	case proto.KindConflict:
+		return c.String(http.StatusConflict, err.Error())
+	case proto.KindNotFound:
+		return c.String(http.StatusNotFound, err.Error())
+	case proto.KindUnknown:
+		return dropConnection(c)
+	}
+	return c.String(http.StatusServiceUnavailable, err.Error())
+}
+
+func (p *Platform) rows(c echo.Context) error {
+	if key := c.QueryParam("key"); key != "" {
+		row, err := p.client(c).Read(c.Request().Context(), key)
+		return p.answer(c, row, err)
+	}
+	limit, err := strconv.Atoi(c.QueryParam("limit"))
+	if err != nil || limit < 1 {
+		return c.String(http.StatusBadRequest, "limit must be a positive number")
+	}
+	list, listErr := p.client(c).List(c.Request().Context(), c.QueryParam("prefix"), c.QueryParam("after"), limit)
+	return p.answer(c, list, listErr)
+}
+
+func (p *Platform) transact(c echo.Context) error {
+	var tx proto.Transaction
+	if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxBody)).Decode(&tx); err != nil {
+		return c.String(http.StatusBadRequest, err.Error())
+	}
+	return p.answer(c, struct{}{}, p.client(c).Transact(c.Request().Context(), tx))
+}
+
+func (p *Platform) put(c echo.Context) error {
+	data, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody))
+	if err != nil {
+		return err
+	}
+	return p.answer(c, struct{}{}, p.client(c).Put(c.Request().Context(), c.Param("hash"), data))
+}
+
+func (p *Platform) get(c echo.Context) error {
+	data, err := p.client(c).Get(c.Request().Context(), c.Param("hash"))
+	if err != nil {
+		return p.answer(c, nil, err)
+	}
+	return c.Blob(http.StatusOK, "application/octet-stream", data)
+}
+
+func (p *Platform) vms(c echo.Context) error {
+	list, err := p.client(c).VMs(c.Request().Context())
+	return p.answer(c, list, err)
+}
+
+func (p *Platform) setVM(c echo.Context) error {
+	var entry proto.VMEntry
+	if err := c.Bind(&entry); err != nil {
+		return err
+	}
+	p.store.SetVM(entry)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) removeVM(c echo.Context) error {
+	p.store.RemoveVM(proto.VM(c.Param("vm")))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (p *Platform) weight(c echo.Context) error {
+	if !p.weights.Allow() {
+		c.Response().Header().Set("Retry-After", "1")
+		return c.String(http.StatusTooManyRequests, "the weight store's rate is spent")
+	}
+	return c.JSON(http.StatusOK, map[string]string{"model": c.Param("model")})
+}
+
+// PlatformFault is a change of the platform's faults.
+type PlatformFault struct {
+	Down        *bool           `json:"down,omitempty"`
+	LoseAnswers int             `json:"loseAnswers,omitempty"`
+	DownFor     *proto.Duration `json:"downFor,omitempty"`
+}
+
+func (p *Platform) fault(c echo.Context) error {
+	var f PlatformFault
+	if err := c.Bind(&f); err != nil {
+		return err
+	}
+	if f.Down != nil {
+		p.store.SetDown(*f.Down)
+	}
+	if f.LoseAnswers > 0 {
+		p.store.LoseAnswers(f.LoseAnswers)
+	}
+	if f.DownFor != nil {
+		p.store.SetDown(true)
+		time.AfterFunc(f.DownFor.Std(), func() { p.store.SetDown(false) })
+	}
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/fakes/target.go
@@ -0,0 +1,338 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/proto"
+)
+
+// Profile is how a kind of target behaves.
+type Profile struct {
+	Slots    int
+	Base     time.Duration // time of one run or of a prompt without cached prefix
+	PerToken time.Duration
+	Crowd    float64 // part of the base time that each further running request adds
+	Cache    int     // prefixes that the cache holds
+	Most     int     // requests that may wait
+}
+
+// ProfileOf returns the behaviour of a kind of pool.
+func ProfileOf(kind proto.PoolKind) Profile {
+	switch kind {
+	case proto.PoolEncoder:
+		return Profile{Slots: 8, Base: 6 * time.Millisecond, Crowd: 0.05, Most: 32}
+	case proto.PoolRetriever:
+		return Profile{Slots: 8, Base: 12 * time.Millisecond, Crowd: 0.05, Most: 32}
+	case proto.PoolReranker:
+		return Profile{Slots: 4, Base: 15 * time.Millisecond, Crowd: 0.08, Most: 16}
+	case proto.PoolEngine:
+		return Profile{Slots: 8, Base: 60 * time.Millisecond, PerToken: 4 * time.Millisecond, Crowd: 0.05, Cache: 24, Most: 16}
+	default:
+		return Profile{Slots: 16, Base: 5 * time.Millisecond, Crowd: 0.02, Most: 64}
+	}
+}
+
+const (
+	prefixSaving  = 0.6
+	chunkTokens   = 4
+	defaultTokens = 32
+	cacheLog      = 256
+)
+
+type waiter struct {
+	priority int
+	turn     chan struct{}
+}
+
+// Target stands in for an encoder, retriever, reranker, engine or plain service.
+type Target struct {
+	mu      sync.Mutex
+	spec    proto.Target
+	kind    proto.PoolKind
+	profile Profile
+	random  *rand.Rand
+
+	running int
+	waiting []*waiter
+	cache   []string
+	events  []proto.CacheEvent
+	count   uint64
+	cancels map[string]context.CancelFunc
+	runs    map[string]int // by stage and nonce
+	started int
+	epochs  map[string]uint64
+	models  []string
+	role    string
+	report  proto.Load
+
+	slow    float64
+	failing float64
+	hanging bool
+}
+
+// NewTarget returns a stand-in for a target of a pool.
+func NewTarget(spec proto.Target, pool *proto.Pool, seed uint64) *Target {
+	profile := ProfileOf(pool.Kind)
+	if spec.Slots > 0 {
+		profile.Slots = spec.Slots
+	}
+	return &Target{
+		spec:    spec,
+		kind:    pool.Kind,
+		profile: profile,
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		cancels: map[string]context.CancelFunc{},
+		runs:    map[string]int{},
+		epochs:  map[string]uint64{},
+		models:  slices.Clone(pool.Models),
+		slow:    1,
+	}
+}
+
+// TargetFault is a change of a target's faults.
+type TargetFault struct {
+	Slow    float64 `json:"slow,omitempty"`
+	Failing float64 `json:"failing,omitempty"`
+	Hanging bool    `json:"hanging,omitempty"`
+}
+
+// SetFault replaces the target's faults; a zero value ends them.
+func (t *Target) SetFault(f TargetFault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slow = max(1, f.Slow)
+	t.failing = f.Failing
+	t.hanging = f.Hanging
+}
+
+// Runs returns how often each stage ran for each nonce, as "stage nonce".
+func (t *Target) Runs() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	copied := make(map[string]int, len(t.runs))
+	for key, n := range t.runs {
+		copied[key] = n
+	}
+	return copied
+}
+
+// Running returns the requests in progress, waiting ones included.
+func (t *Target) Running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running + len(t.waiting)
+}
+
+// Load returns the target's load now.
+func (t *Target) Load(now time.Time) proto.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return proto.Load{
+		Target: t.spec.Name, Running: t.running, Waiting: len(t.waiting), Slots: t.profile.Slots,
+		At: now, Models: slices.Clone(t.models), Role: t.role,
+	}
+}
+
+// admit waits for a slot in order of priority; it returns false if too many wait or the caller gives up.
+func (t *Target) admit(ctx context.Context, priority int) bool {
+	t.mu.Lock()
+	if t.running < t.profile.Slots && len(t.waiting) == 0 {
+		t.running++
+		t.mu.Unlock()
+		return true
+	}
+	if len(t.waiting) >= t.profile.Most {
+		t.mu.Unlock()
+		return false
+	}
+	w := &waiter{priority: priority, turn: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(t.waiting, w, func(a, b *waiter) int {
+		if a.priority <= b.priority {
+			return -1
+		}
+		return 1
+	})
+	t.waiting = slices.Insert(t.waiting, at, w)
+	t.mu.Unlock()
+	select {
+	case <-w.turn:
+		return true
+	case <-ctx.Done():
+		return t.leaveQueue(w)
+	}
+}
+
+func (t *Target) leaveQueue(w *waiter) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := slices.Index(t.waiting, w); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+		return false
+	}
+	t.releaseLocked()
+	return false
+}
+
+func (t *Target) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.releaseLocked()
+}
+
+func (t *Target) releaseLocked() {
+	if len(t.waiting) > 0 {
+		next := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		close(next.turn)
+		return
+	}
+	t.running--
+}
+
+// stretch is the factor that crowding and faults put on a time.
+func (t *Target) stretch() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	jitter := 0.9 + 0.2*t.random.Float64()
+	return t.slow * jitter * (1 + t.profile.Crowd*float64(t.running-1))
+}
+
+func (t *Target) fails() (fail, hang bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.random.Float64() < t.failing, t.hanging
+}
+
+// prefill looks a prefix up in the cache and takes it in; it returns whether it was there.
+func (t *Target) prefill(prefix string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if prefix == "" || t.profile.Cache == 0 {
+		return false
+	}
+	if i := slices.Index(t.cache, prefix); i >= 0 {
+		t.cache = append(slices.Delete(t.cache, i, i+1), prefix)
+		return true
+	}
+	if len(t.cache) >= t.profile.Cache {
+		t.cacheEvent(t.cache[0], false)
+		t.cache = t.cache[1:]
+	}
+	t.cache = append(t.cache, prefix)
+	t.cacheEvent(prefix, true)
+	return false
+}
+
+func (t *Target) cacheEvent(prefix string, present bool) {
+	t.count++
+	t.events = append(t.events, proto.CacheEvent{Target: t.spec.Name, Sequence: t.count, Prefix: prefix, Present: present})
+	if len(t.events) > cacheLog {
+		t.events = t.events[1:]
+	}
+}
+
+// CacheEvents returns the kept events after a sequence number; older ones are gone.
+func (t *Target) CacheEvents(after uint64) []proto.CacheEvent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var events []proto.CacheEvent
+	for _, event := range t.events {
+		if event.Sequence > after {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
+// nonced is the part of an input that the fakes carry from stage to stage.
+type nonced struct {
+	Nonce string   `json:"nonce"`
+	Trail []string `json:"trail,omitempty"`
+}
+
+// Text returns the text that an engine generates for a nonce, from one token to another.
+func Text(nonce string, from, to int) string {
+	text := ""
+	for i := from; i < to; i++ {
+		text += fmt.Sprintf("%s:%d ", nonce, i)
+	}
+	return text
+}
+
+func (t *Target) note(stage, nonce string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs[stage+" "+nonce]++
+	t.started++
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run is one attempt after its admission; emit is nil unless the answer is streamed.
+func (t *Target) run(ctx context.Context, req *proto.RunRequest, emit func(proto.RunChunk) bool) (proto.RunAnswer, bool) {
+	var in nonced
+	_ = json.Unmarshal(req.Input, &in)
+	t.note(req.Service+"/"+req.Stage, in.Nonce)
+	began := time.Now()
+	base := t.profile.Base
+	hit := t.prefill(req.Prefix)
+	if hit {
+		base = time.Duration(float64(base) * (1 - prefixSaving))
+	}
+	if !sleep(ctx, time.Duration(float64(base)*t.stretch())) {
+		return proto.RunAnswer{}, false
+	}
+	answer := proto.RunAnswer{Attempt: req.Attempt, CacheHit: hit}
+	if t.kind == proto.PoolEngine {
+		if !t.generate(ctx, req, in.Nonce, emit, &answer) {
+			return answer, false
+		}
+	} else {
+		answer.Output, _ = json.Marshal(nonced{Nonce: in.Nonce, Trail: append(in.Trail, req.Stage)})
+	}
+	answer.Busy = proto.Duration(time.Since(began))
+	return answer, true
+}
+
+func (t *Target) generate(ctx context.Context, req *proto.RunRequest, nonce string, emit func(proto.RunChunk) bool, answer *proto.RunAnswer) bool {
+	total := req.MaxTokens
+	if total == 0 {
+		total = defaultTokens
+	}
+	for from := req.Offset; from < total; from += chunkTokens {
+		to := min(total, from+chunkTokens)
+		if !sleep(ctx, time.Duration(float64(t.profile.PerToken)*float64(to-from)*t.stretch())) {
+			return false
+		}
+		if emit != nil && !emit(proto.RunChunk{Attempt: req.Attempt, Offset: from, Text: Text(nonce, from, to), Tokens: to - from}) {
+			return false
+		}
+	}
+	answer.Tokens = total
+	if emit == nil {
+		answer.Output, _ = json.Marshal(nonced{Nonce: nonce, Trail: []string{req.Stage}})
+	}
+	return true
+}
+
+// Started returns how many runs the target has started.
+func (t *Target) Started() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.started
+}
--- /dev/null
+++ b/fakes/targethttp.go
@@ -0,0 +1,178 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"emberlead/proto"
+)
+
+// loadLag is how old the load is that a target reports.
+const loadLag = 200 * time.Millisecond
+
+// Handler returns the routes of the target.
+func (t *Target) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.POST(proto.PathRun, t.serveRun)
+	e.POST(proto.PathCancel, t.serveCancel)
+	e.GET(proto.PathLoad, t.serveLoad)
+	e.GET(proto.PathCaches, t.serveCaches)
+	e.POST(proto.PathOrder, t.serveOrder)
+	e.GET("/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, t.Runs()) })
+	e.POST("/fault", t.serveFault)
+	return e
+}
+
+func refuse(c echo.Context, reason string) error {
+	return c.JSON(http.StatusServiceUnavailable, proto.RunRefusal{Outcome: proto.OutcomeNotRun, Reason: reason})
+}
+
+func (t *Target) serveRun(c echo.Context) error {
+	var req proto.RunRequest
+	if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxBody)).Decode(&req); err != nil {
+		return c.JSON(http.StatusBadRequest, proto.RunRefusal{Outcome: proto.OutcomeNotRun, Reason: err.Error()})
+	}
+	ctx, cancel := context.WithDeadline(c.Request().Context(), req.Deadline)
+	defer cancel()
+	t.track(req.Attempt, cancel)
+	defer t.untrack(req.Attempt)
+	if !t.admit(ctx, req.Priority) {
+		return refuse(c, "too many requests wait")
+	}
+	defer t.release()
+	fail, hang := t.fails()
+	if hang {
+		<-ctx.Done()
+		return dropConnection(c)
+	}
+	if fail {
+		return c.JSON(http.StatusInternalServerError, proto.RunRefusal{Outcome: proto.OutcomeRan, Reason: "failed on purpose"})
+	}
+	if req.Stream {
+		return t.serveStream(ctx, c, &req)
+	}
+	answer, ok := t.run(ctx, &req, nil)
+	if !ok {
+		return dropConnection(c)
+	}
+	load := t.Load(time.Now())
+	answer.Load = &load
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (t *Target) serveStream(ctx context.Context, c echo.Context, req *proto.RunRequest) error {
+	w := c.Response()
+	w.Header().Set(echo.HeaderContentType, "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	emit := func(chunk proto.RunChunk) bool {
+		return writeEvent(w, "chunk", chunk) == nil
+	}
+	answer, ok := t.run(ctx, req, emit)
+	if !ok {
+		return dropConnection(c)
+	}
+	load := t.Load(time.Now())
+	answer.Load = &load
+	return writeEvent(w, "done", answer)
+}
+
+func writeEvent(w *echo.Response, name string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if _, err = io.WriteString(w, "event: "+name+"\ndata: "+string(data)+"\n\n"); err != nil {
+		return err
+	}
+	w.Flush()
+	return nil
+}
+
+func (t *Target) track(attempt string, cancel context.CancelFunc) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cancels[attempt] = cancel
+}
+
+func (t *Target) untrack(attempt string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.cancels, attempt)
+}
+
+func (t *Target) serveCancel(c echo.Context) error {
+	attempt := c.QueryParam("attempt")
+	t.mu.Lock()
+	cancel := t.cancels[attempt]
+	t.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// serveLoad answers with the load of a moment ago, since real targets report late.
+func (t *Target) serveLoad(c echo.Context) error {
+	now := time.Now()
+	t.mu.Lock()
+	last := t.report
+	t.mu.Unlock()
+	if now.Sub(last.At) > loadLag {
+		fresh := t.Load(now)
+		t.mu.Lock()
+		t.report = fresh
+		t.mu.Unlock()
+		if last.At.IsZero() {
+			last = fresh
+		}
+	}
+	return c.JSON(http.StatusOK, last)
+}
+
+func (t *Target) serveCaches(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	return c.JSON(http.StatusOK, t.CacheEvents(after))
+}
+
+// Obey takes an order; a target that checks refuses an epoch lower than one seen for the lease.
+func (t *Target) Obey(order proto.Order) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.spec.ChecksOrders && order.Epoch < t.epochs[order.Lease] {
+		return false
+	}
+	t.epochs[order.Lease] = max(order.Epoch, t.epochs[order.Lease])
+	t.models = order.Models
+	t.role = order.Role
+	return true
+}
+
+func (t *Target) serveOrder(c echo.Context) error {
+	var order proto.Order
+	if err := c.Bind(&order); err != nil {
+		return err
+	}
+	if !t.Obey(order) {
+		return c.String(http.StatusConflict, "the epoch is older than one seen")
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (t *Target) serveFault(c echo.Context) error {
+	var f TargetFault
+	if err := c.Bind(&f); err != nil {
+		return err
+	}
+	t.SetFault(f)
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/fakes/world.go
@@ -0,0 +1,94 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"emberlead/proto"
+)
+
+// Server serves a handler on a loopback port.
+type Server struct {
+	Address netip.AddrPort
+	server  *http.Server
+}
+
+const headerWait = 5 * time.Second
+
+// Serve starts to serve a handler on an address; port 0 takes any free one. It fails with KindUnavailable.
+func Serve(address netip.AddrPort, handler http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &Error{Op: "serve", Kind: proto.KindUnavailable, Err: err}
+	}
+	s := &Server{
+		Address: netip.MustParseAddrPort(l.Addr().String()),
+		server:  &http.Server{Handler: handler, ReadHeaderTimeout: headerWait},
+	}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Close ends the server and its connections at once.
+func (s *Server) Close() { _ = s.server.Close() }
+
+// Targets are the stand-ins for all targets of a file.
+type Targets struct {
+	File    *proto.File
+	Targets map[string]*Target
+	servers map[string]*Server
+}
+
+// StartTargets starts a stand-in for every target of a file; with anyPort set the file's addresses are replaced by free ones.
+func StartTargets(file *proto.File, seed uint64, anyPort bool) (*Targets, error) {
+	all := &Targets{File: file, Targets: map[string]*Target{}, servers: map[string]*Server{}}
+	for i := range file.Pools {
+		pool := &file.Pools[i]
+		for j := range pool.Targets {
+			spec := &pool.Targets[j]
+			if anyPort {
+				spec.Address = netip.AddrPortFrom(spec.Address.Addr(), 0)
+			}
+			target := NewTarget(*spec, pool, seed+uint64(i*1000+j))
+			server, err := Serve(spec.Address, target.Handler())
+			if err != nil {
+				all.Close()
+				return nil, err
+			}
+			spec.Address = server.Address
+			all.Targets[spec.Name] = target
+			all.servers[spec.Name] = server
+		}
+	}
+	return all, nil
+}
+
+// Body returns the file with the addresses that the stand-ins listen on.
+func (t *Targets) Body() ([]byte, error) {
+	body, err := json.MarshalIndent(t.File, "", "  ")
+	if err != nil {
+		return nil, &Error{Op: "encode file", Kind: proto.KindInvalid, Err: err}
+	}
+	return body, nil
+}
+
+// Close ends all stand-ins.
+func (t *Targets) Close() {
+	for _, server := range t.servers {
+		server.Close()
+	}
+}
+
+// Runs returns how often each stage ran for each nonce over all targets, as "service/stage nonce".
+func (t *Targets) Runs() map[string]int {
+	sum := map[string]int{}
+	for _, target := range t.Targets {
+		for key, n := range target.Runs() {
+			sum[key] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/proto/peer.go
@@ -0,0 +1,385 @@
+package proto
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Incarnation tells the runs of one VM's daemon apart; it grows with each start.
+type Incarnation uint64
+
+// Epoch numbers the versions of the roster and of leases.
+type Epoch uint64
+
+// Message is what daemons send each other.
+type Message interface{ messageKind() MessageKind }
+
+// MessageKind names the type of a message on the wire.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	MessageHeartbeat MessageKind = iota + 1
+	MessageAlive
+	MessageAlarm
+	MessageChangesAsk
+	MessageChangesAnswer
+	MessageRosterAsk
+	MessageRosterAnswer
+	MessageClaimAsk
+	MessageClaimAnswer
+	MessageSettle
+	MessageTransferAsk
+	MessageTransferAnswer
+	MessageUsage
+	MessageLoads
+	MessageListed
+	MessageDone
+	MessageSlotReady
+)
+
+// Heartbeat says that the sender is alive and what it has.
+type Heartbeat struct {
+	Incarnation Incarnation `cbor:"1,keyasint"`
+	Generation  Generation  `cbor:"2,keyasint"`
+	Roster      Epoch       `cbor:"3,keyasint"`
+	Stopping    bool        `cbor:"4,keyasint,omitempty"`
+	Sequence    uint64      `cbor:"5,keyasint"`
+	// Echo is the highest sequence that the sender has from the receiver.
+	Echo uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Alive announces a daemon, or refutes an alarm about it by a higher count.
+type Alive struct {
+	VM          VM             `cbor:"1,keyasint"`
+	Zone        Zone           `cbor:"2,keyasint"`
+	Peer        netip.AddrPort `cbor:"3,keyasint"`
+	Incarnation Incarnation    `cbor:"4,keyasint"`
+	Count       uint64         `cbor:"5,keyasint"`
+	Stopping    bool           `cbor:"6,keyasint,omitempty"`
+}
+
+// Alarm says that a daemon which links to another has not heard from it, or has again.
+type Alarm struct {
+	About       VM          `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	By          VM          `cbor:"3,keyasint"`
+	Count       uint64      `cbor:"4,keyasint"`
+	Silent      bool        `cbor:"5,keyasint,omitempty"`
+}
+
+// ChangeKind tells what an accepted change is about.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	ChangeFile ChangeKind = "file"
+	ChangeStop ChangeKind = "stop"
+)
+
+// Change is one accepted change of configuration.
+type Change struct {
+	Generation Generation `json:"generation" cbor:"1,keyasint"`
+	Kind       ChangeKind `json:"kind" cbor:"2,keyasint"`
+	Name       string     `json:"name,omitempty" cbor:"3,keyasint,omitempty"`
+	Hash       string     `json:"hash,omitempty" cbor:"4,keyasint,omitempty"`
+	ApplyID    string     `json:"applyId" cbor:"5,keyasint,omitempty"`
+	By         string     `json:"by,omitempty" cbor:"6,keyasint,omitempty"`
+	At         time.Time  `json:"at" cbor:"7,keyasint"`
+	Stop       *StopPlan  `json:"stop,omitempty" cbor:"8,keyasint,omitempty"`
+	// Body is the file itself; only messages between daemons carry it.
+	Body []byte `json:"-" cbor:"9,keyasint,omitempty"`
+}
+
+// ChangesAsk asks for the changes after a generation.
+type ChangesAsk struct {
+	After Generation `cbor:"1,keyasint"`
+}
+
+// ChangesAnswer holds changes in order; with Whole set they are the whole state as of Generation.
+type ChangesAnswer struct {
+	Generation Generation `cbor:"1,keyasint"`
+	Changes    []Change   `cbor:"2,keyasint,omitempty"`
+	Whole      bool       `cbor:"3,keyasint,omitempty"`
+}
+
+// RosterMember is one run of a daemon that keeps claims.
+type RosterMember struct {
+	VM          VM          `json:"vm" cbor:"1,keyasint"`
+	Zone        Zone        `json:"zone" cbor:"2,keyasint"`
+	Incarnation Incarnation `json:"incarnation" cbor:"3,keyasint"`
+}
+
+// Slot is a part of the key space with the replicas that keep its claims.
+type Slot struct {
+	Group []RosterMember `json:"group" cbor:"1,keyasint"`
+	// Since is the roster epoch at which the group came to be.
+	Since Epoch `json:"since" cbor:"2,keyasint"`
+	// Previous is the group that the claims are to be read from; empty once that is done.
+	Previous      []RosterMember `json:"previous,omitempty" cbor:"3,keyasint,omitempty"`
+	PreviousSince Epoch          `json:"previousSince,omitempty" cbor:"4,keyasint,omitempty"`
+	// Forced says that too few of the previous group were left to read all claims.
+	Forced bool `json:"forced,omitempty" cbor:"5,keyasint,omitempty"`
+	// ForgottenBefore is the time of the newest key whose claim may have been lost.
+	ForgottenBefore time.Time `json:"forgottenBefore,omitzero" cbor:"6,keyasint,omitempty"`
+}
+
+// Roster says which daemons keep the claims of which slots; it changes by conditional writes to one row.
+type Roster struct {
+	Epoch Epoch  `json:"epoch" cbor:"1,keyasint"`
+	Slots []Slot `json:"slots" cbor:"2,keyasint"`
+}
+
+// RosterAsk asks for the roster.
+type RosterAsk struct{}
+
+// RosterAnswer holds the roster as the sender knows it.
+type RosterAnswer struct {
+	Roster Roster `cbor:"1,keyasint"`
+}
+
+// ClaimID tells the claims on one key apart.
+type ClaimID struct {
+	Holder      VM          `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	Request     RequestID   `cbor:"3,keyasint"`
+	// Try tells a request's claims apart, since one that was released is never granted again.
+	Try int `cbor:"4,keyasint,omitempty"`
+}
+
+// ClaimAsk asks a replica to grant a key to a request.
+type ClaimAsk struct {
+	Slot        int     `cbor:"1,keyasint"`
+	Since       Epoch   `cbor:"2,keyasint"`
+	Key         Key     `cbor:"3,keyasint"`
+	Fingerprint uint64  `cbor:"4,keyasint"`
+	Claim       ClaimID `cbor:"5,keyasint"`
+}
+
+// ClaimResult is a replica's word on a claim.
+type ClaimResult uint8
+
+// Results of claims.
+const (
+	ClaimGranted ClaimResult = iota + 1
+	ClaimTaken
+	ClaimDone
+	ClaimMismatch
+	ClaimTooOld
+	// ClaimTooNew means that the key's time is ahead of the replica's clock by more than the allowed skew.
+	ClaimTooNew
+	// ClaimNotReady means that the replica cannot speak for the slot, or not yet.
+	ClaimNotReady
+	// ClaimStale means that the asker's roster is older than the replica's.
+	ClaimStale
+)
+
+// ClaimAnswer answers a ClaimAsk.
+type ClaimAnswer struct {
+	Result ClaimResult `cbor:"1,keyasint"`
+	Since  Epoch       `cbor:"2,keyasint"`
+	Answer []byte      `cbor:"3,keyasint,omitempty"`
+	Roster Epoch       `cbor:"4,keyasint,omitempty"`
+}
+
+// Settle tells a replica how a claim ended.
+type Settle struct {
+	Slot     int     `cbor:"1,keyasint"`
+	Key      Key     `cbor:"2,keyasint"`
+	Claim    ClaimID `cbor:"3,keyasint"`
+	Released bool    `cbor:"4,keyasint,omitempty"`
+	Answer   []byte  `cbor:"5,keyasint,omitempty"`
+}
+
+// ClaimState is how far a claim has come.
+type ClaimState uint8
+
+// States of claims.
+const (
+	ClaimStateHeld ClaimState = iota + 1
+	ClaimStateReleased
+	ClaimStateDone
+)
+
+// ClaimRecord is one remembered claim.
+type ClaimRecord struct {
+	Key         Key        `cbor:"1,keyasint"`
+	Claim       ClaimID    `cbor:"2,keyasint"`
+	Fingerprint uint64     `cbor:"3,keyasint"`
+	State       ClaimState `cbor:"4,keyasint"`
+	Answer      []byte     `cbor:"5,keyasint,omitempty"`
+}
+
+// TransferAsk asks a member of the previous group to stop granting and to hand over a slot's claims.
+type TransferAsk struct {
+	Slot  int   `cbor:"1,keyasint"`
+	Since Epoch `cbor:"2,keyasint"` // of the new group
+	Old   Epoch `cbor:"3,keyasint"` // of the previous group
+	After Key   `cbor:"4,keyasint"`
+}
+
+// TransferAnswer holds a page of a slot's claims in key order.
+type TransferAnswer struct {
+	Ready           bool          `cbor:"1,keyasint"`
+	Records         []ClaimRecord `cbor:"2,keyasint,omitempty"`
+	More            bool          `cbor:"3,keyasint,omitempty"`
+	ForgottenBefore time.Time     `cbor:"4,keyasint,omitempty"`
+}
+
+// SlotReady says that a replica has read all claims of a slot.
+type SlotReady struct {
+	Slot  int   `cbor:"1,keyasint"`
+	Since Epoch `cbor:"2,keyasint"`
+}
+
+// UsageRow is what was spent for a workspace at a pool.
+type UsageRow struct {
+	Pool      string        `cbor:"1,keyasint"`
+	Workspace string        `cbor:"2,keyasint"`
+	Spent     time.Duration `cbor:"3,keyasint"`
+}
+
+// Usage carries usage to a collector, or with Totals set what the others spent back from it.
+type Usage struct {
+	Rows   []UsageRow `cbor:"1,keyasint"`
+	Totals bool       `cbor:"2,keyasint,omitempty"`
+}
+
+// LoadRow is a target's load in few bytes.
+type LoadRow struct {
+	Pool    string   `cbor:"1,keyasint"`
+	Target  string   `cbor:"2,keyasint"`
+	Running uint16   `cbor:"3,keyasint"`
+	Waiting uint16   `cbor:"4,keyasint,omitempty"`
+	Slots   uint16   `cbor:"5,keyasint,omitempty"`
+	Models  []string `cbor:"6,keyasint,omitempty"`
+	// Age is how long before the sending the target reported.
+	Age time.Duration `cbor:"7,keyasint"`
+}
+
+// Loads carries the loads of targets from the daemon that reads them.
+type Loads struct {
+	Rows   []LoadRow    `cbor:"1,keyasint,omitempty"`
+	Caches []CacheEvent `cbor:"2,keyasint,omitempty"`
+	Pools  []string     `cbor:"3,keyasint,omitempty"`
+}
+
+// Listed carries the platform's VM list from a daemon that polls it.
+type Listed struct {
+	Version uint64    `cbor:"1,keyasint"`
+	By      VM        `cbor:"2,keyasint"`
+	VMs     []VMEntry `cbor:"3,keyasint"`
+}
+
+// Done answers a call that needs no other answer.
+type Done struct{}
+
+func (Heartbeat) messageKind() MessageKind      { return MessageHeartbeat }
+func (Alive) messageKind() MessageKind          { return MessageAlive }
+func (Alarm) messageKind() MessageKind          { return MessageAlarm }
+func (ChangesAsk) messageKind() MessageKind     { return MessageChangesAsk }
+func (ChangesAnswer) messageKind() MessageKind  { return MessageChangesAnswer }
+func (RosterAsk) messageKind() MessageKind      { return MessageRosterAsk }
+func (RosterAnswer) messageKind() MessageKind   { return MessageRosterAnswer }
+func (ClaimAsk) messageKind() MessageKind       { return MessageClaimAsk }
+func (ClaimAnswer) messageKind() MessageKind    { return MessageClaimAnswer }
+func (Settle) messageKind() MessageKind         { return MessageSettle }
+func (TransferAsk) messageKind() MessageKind    { return MessageTransferAsk }
+func (TransferAnswer) messageKind() MessageKind { return MessageTransferAnswer }
+func (Usage) messageKind() MessageKind          { return MessageUsage }
+func (Loads) messageKind() MessageKind          { return MessageLoads }
+func (Listed) messageKind() MessageKind         { return MessageListed }
+func (Done) messageKind() MessageKind           { return MessageDone }
+func (SlotReady) messageKind() MessageKind      { return MessageSlotReady }
+
+// Envelope frames one message; Call is not 0 for a call and for its answer.
+type Envelope struct {
+	Kind   MessageKind     `cbor:"1,keyasint"`
+	Call   uint64          `cbor:"2,keyasint,omitempty"`
+	Answer bool            `cbor:"3,keyasint,omitempty"`
+	Body   cbor.RawMessage `cbor:"4,keyasint"`
+	Trace  string          `cbor:"5,keyasint,omitempty"`
+}
+
+// Limits of messages between daemons.
+const (
+	MaxMessage  = 16 << 20
+	maxElements = 1 << 17
+)
+
+var (
+	encoding = must(cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode())
+	decoding = mustDecode(cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode())
+)
+
+func must(mode cbor.EncMode, err error) cbor.EncMode {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecode(mode cbor.DecMode, err error) cbor.DecMode {
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode frames a message as CBOR; it fails with KindInvalid.
+func Encode(m Message, call uint64, answer bool, trace string) ([]byte, error) {
+	body, err := encoding.Marshal(m)
+	if err != nil {
+		return nil, &Error{Op: "encode message", Kind: KindInvalid, Err: err}
+	}
+	data, err := encoding.Marshal(Envelope{Kind: m.messageKind(), Call: call, Answer: answer, Body: body, Trace: trace})
+	if err != nil {
+		return nil, &Error{Op: "encode message", Kind: KindInvalid, Err: err}
+	}
+	return data, nil
+}
+
+// Decode reads what Encode wrote; it fails with KindInvalid.
+func Decode(data []byte) (Envelope, Message, error) {
+	var env Envelope
+	if err := decoding.Unmarshal(data, &env); err != nil {
+		return env, nil, &Error{Op: "decode envelope", Kind: KindInvalid, Err: err}
+	}
+	read, ok := readers[env.Kind]
+	if !ok {
+		return env, nil, fault("decode message", KindInvalid, "no message is of kind %d", env.Kind)
+	}
+	m, err := read(env.Body)
+	if err != nil {
+		return env, nil, &Error{Op: "decode message", Kind: KindInvalid, Err: err}
+	}
+	return env, m, nil
+}
+
+func reader[M Message](body []byte) (Message, error) {
+	var m M
+	err := decoding.Unmarshal(body, &m)
+	return m, err
+}
+
+var readers = map[MessageKind]func([]byte) (Message, error){
+	MessageHeartbeat:      reader[Heartbeat],
+	MessageAlive:          reader[Alive],
+	MessageAlarm:          reader[Alarm],
+	MessageChangesAsk:     reader[ChangesAsk],
+	MessageChangesAnswer:  reader[ChangesAnswer],
+	MessageRosterAsk:      reader[RosterAsk],
+	MessageRosterAnswer:   reader[RosterAnswer],
+	MessageClaimAsk:       reader[ClaimAsk],
+	MessageClaimAnswer:    reader[ClaimAnswer],
+	MessageSettle:         reader[Settle],
+	MessageTransferAsk:    reader[TransferAsk],
+	MessageTransferAnswer: reader[TransferAnswer],
+	MessageUsage:          reader[Usage],
+	MessageLoads:          reader[Loads],
+	MessageListed:         reader[Listed],
+	MessageDone:           reader[Done],
+	MessageSlotReady:      reader[SlotReady],
+}
--- /dev/null
+++ b/proto/snapshot.go
@@ -0,0 +1,200 @@
+package proto
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Generation numbers the accepted changes of configuration; it never goes down.
+type Generation uint64
+
+// Snapshot is every accepted file and stop plan as of one generation; it is not changed once built.
+type Snapshot struct {
+	Generation Generation
+	Files      map[string]*File
+	Stops      map[VM]StopPlan
+	Workspaces map[string]*Workspace
+	Pools      map[string]*Pool
+	Services   map[string]*Service
+	Objectives map[string]Objective
+	KeyOwners  map[string]string
+}
+
+// EmptySnapshot returns the snapshot of generation 0.
+func EmptySnapshot() *Snapshot {
+	return buildSnapshot(0, map[string]*File{}, map[VM]StopPlan{})
+}
+
+// Snapshots are rebuilt from pointers to the unchanged files, so that the cost of a change is in names, not in bytes.
+func buildSnapshot(generation Generation, files map[string]*File, stops map[VM]StopPlan) *Snapshot {
+	s := &Snapshot{
+		Generation: generation,
+		Files:      files,
+		Stops:      stops,
+		Workspaces: map[string]*Workspace{},
+		Pools:      map[string]*Pool{},
+		Services:   map[string]*Service{},
+		Objectives: map[string]Objective{},
+		KeyOwners:  map[string]string{},
+	}
+	for _, file := range files {
+		s.index(file)
+	}
+	return s
+}
+
+func (s *Snapshot) index(file *File) {
+	for i := range file.Workspaces {
+		w := &file.Workspaces[i]
+		s.Workspaces[w.Name] = w
+		for _, hash := range w.KeyHashes {
+			s.KeyOwners[hash] = w.Name
+		}
+	}
+	for i := range file.Pools {
+		s.Pools[file.Pools[i].Name] = &file.Pools[i]
+	}
+	for i := range file.Services {
+		s.Services[file.Services[i].Name] = &file.Services[i]
+		s.Objectives[file.Services[i].Name] = file.Objective
+	}
+}
+
+// WithFile returns the snapshot after a file replaced the one of its name.
+func (s *Snapshot) WithFile(generation Generation, file *File) *Snapshot {
+	files := make(map[string]*File, len(s.Files)+1)
+	for name, old := range s.Files {
+		files[name] = old
+	}
+	files[file.Name] = file
+	return buildSnapshot(generation, files, s.Stops)
+}
+
+// WithStop returns the snapshot after a stop was planned or, with a zero time, cancelled.
+func (s *Snapshot) WithStop(generation Generation, plan StopPlan) *Snapshot {
+	stops := make(map[VM]StopPlan, len(s.Stops)+1)
+	for vm, old := range s.Stops {
+		stops[vm] = old
+	}
+	if plan.At.IsZero() {
+		delete(stops, plan.VM)
+	} else {
+		stops[plan.VM] = plan
+	}
+	next := *s
+	next.Generation = generation
+	next.Stops = stops
+	return &next
+}
+
+// CheckFile returns the faults that a file has beside the files that are in force.
+func (s *Snapshot) CheckFile(file *File) []Fault {
+	c := &checker{}
+	others := make(map[string]*File, len(s.Files))
+	for name, other := range s.Files {
+		if name != file.Name {
+			others[name] = other
+		}
+	}
+	rest := buildSnapshot(s.Generation, others, s.Stops)
+	c.against(rest, file)
+	c.references(rest.WithFile(s.Generation, file))
+	return c.faults
+}
+
+func (c *checker) against(rest *Snapshot, file *File) {
+	for i, w := range file.Workspaces {
+		if rest.Workspaces[w.Name] != nil {
+			c.add(fmt.Sprintf("$.workspaces[%d].name", i), "%q is declared by another file", w.Name)
+		}
+	}
+	for i, p := range file.Pools {
+		if rest.Pools[p.Name] != nil {
+			c.add(fmt.Sprintf("$.pools[%d].name", i), "%q is declared by another file", p.Name)
+		}
+	}
+	for i, s := range file.Services {
+		if rest.Services[s.Name] != nil {
+			c.add(fmt.Sprintf("$.services[%d].name", i), "%q is declared by another file", s.Name)
+		}
+	}
+}
+
+// Every reference of every file is checked, because removing a pool breaks the files that refer to it.
+func (c *checker) references(all *Snapshot) {
+	names := make([]string, 0, len(all.Files))
+	for name := range all.Files {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		for i, service := range all.Files[name].Services {
+			c.service(all, fmt.Sprintf("%s $.services[%d]", name, i), service)
+		}
+	}
+}
+
+func (c *checker) service(all *Snapshot, path string, service Service) {
+	for i, w := range service.Workspaces {
+		if all.Workspaces[w] == nil {
+			c.add(fmt.Sprintf("%s.workspaces[%d]", path, i), "no workspace is named %q", w)
+		}
+	}
+	for i, stage := range service.Stages {
+		at := fmt.Sprintf("%s.stages[%d]", path, i)
+		pool := all.Pools[stage.Pool]
+		if pool == nil {
+			c.add(at+".pool", "no pool is named %q", stage.Pool)
+			continue
+		}
+		if stage.Model != "" && !contains(pool.Models, stage.Model) {
+			c.add(at+".model", "pool %q has no model %q", stage.Pool, stage.Model)
+		}
+		if stage.Stream && pool.Kind != PoolEngine {
+			c.add(at+".stream", "pool %q is of kind %s, only engines stream", stage.Pool, pool.Kind)
+		}
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// CheckStop returns the pools that would have no target left once the VM and all others with a plan are stopped.
+func (s *Snapshot) CheckStop(plan StopPlan) []string {
+	var empty []string
+	for name, pool := range s.Pools {
+		if s.poolEmptied(pool, plan.VM) {
+			empty = append(empty, name)
+		}
+	}
+	sort.Strings(empty)
+	return empty
+}
+
+func (s *Snapshot) poolEmptied(pool *Pool, vm VM) bool {
+	hit := false
+	for i := range pool.Targets {
+		target := &pool.Targets[i]
+		if target.VM == vm {
+			hit = true
+			continue
+		}
+		if _, planned := s.Stops[target.VM]; !planned {
+			return false
+		}
+	}
+	return hit
+}
+
+// Leaving tells whether the VM has a planned stop that starts within the lead time.
+func (s *Snapshot) Leaving(vm VM, now time.Time, lead time.Duration) bool {
+	plan, ok := s.Stops[vm]
+	return ok && !now.Before(plan.At.Add(-lead))
+}
--- /dev/null
+++ b/serve/daemon.go
@@ -0,0 +1,389 @@
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/run"
+
+	"emberlead/coord"
+	"emberlead/core"
+	"emberlead/proto"
+	"emberlead/wire"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	settings Settings
+	clock    clockwork.Clock
+	log      hclog.Logger
+	gate     func()
+
+	engine   *core.Engine
+	node     *coord.Node
+	links    *wire.Links
+	targets  *wire.Targets
+	platform *wire.Platform
+	driver   *wire.Driver
+	front    *wire.Front
+	loads    *loadReader
+
+	callers   net.Listener
+	peers     net.Listener
+	operators net.Listener
+	servers   []*http.Server
+
+	unready  atomic.Bool
+	refusing atomic.Bool
+	stopOnce sync.Once
+	stop     chan struct{}
+}
+
+// Option changes a Daemon at construction.
+type Option func(*Daemon)
+
+// WithLog sets the logger.
+func WithLog(log hclog.Logger) Option { return func(d *Daemon) { d.log = log } }
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option { return func(d *Daemon) { d.clock = clock } }
+
+// WithGate sets what runs before each message and event, so that a test can hold a daemon up.
+func WithGate(gate func()) Option { return func(d *Daemon) { d.gate = gate } }
+
+// New returns a daemon whose listeners are open; it fails with KindInvalid or KindUnavailable.
+func New(settings Settings, options ...Option) (*Daemon, error) {
+	d := &Daemon{settings: settings, clock: clockwork.NewRealClock(), log: hclog.NewNullLogger(), gate: func() {}, stop: make(chan struct{})}
+	for _, option := range options {
+		option(d)
+	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	return d, d.assemble()
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callers, err = openListener(d.settings.Callers.Listen); err != nil {
+		return err
+	}
+	if d.peers, err = openListener(d.settings.Peers.Listen); err != nil {
+		return err
+	}
+	d.operators, err = openListener(d.settings.Operators.Listen)
+	return err
+}
+
+func openListener(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
+	}
+	return l, nil
+}
+
+func addrOf(l net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Callers returns the address of the callers' listener.
+func (d *Daemon) Callers() netip.AddrPort { return addrOf(d.callers) }
+
+// Peers returns the address of the peers' listener.
+func (d *Daemon) Peers() netip.AddrPort { return addrOf(d.peers) }
+
+// Operators returns the address of the operators' listener.
+func (d *Daemon) Operators() netip.AddrPort { return addrOf(d.operators) }
+
+// Node returns the daemon's part in acting together with the others.
+func (d *Daemon) Node() *coord.Node { return d.node }
+
+// Engine returns the daemon's decisions.
+func (d *Daemon) Engine() *core.Engine { return d.engine }
+
+// Links returns the daemon's links.
+func (d *Daemon) Links() *wire.Links { return d.links }
+
+// Platform returns the daemon's client of the platform.
+func (d *Daemon) Platform() *wire.Platform { return d.platform }
+
+func (d *Daemon) assemble() error {
+	s := &d.settings
+	peerTLS, err := s.Peers.TLS.config(true)
+	if err != nil {
+		return err
+	}
+	seed := xxhash.Sum64String(string(s.VM))
+	advertised := s.advertised()
+	if advertised.Port() == 0 {
+		advertised = d.Peers()
+	}
+	d.engine = core.New(core.WithZone(s.Zone), core.WithSeed(seed))
+	d.targets = wire.NewTargets()
+	d.platform = wire.NewPlatform(s.Platform.Address, string(s.VM), wire.PlatformLimits{
+		Reads: s.Platform.Reads, Writes: s.Platform.Writes, Burst: platformBurst, Wait: s.Platform.Wait.Std(),
+	})
+	d.links = wire.NewLinks(wire.LinksConfig{
+		Self: s.VM, Key: s.Peers.SharedKey, TLS: peerTLS, Log: d.log.Named("links"), Gate: d.gate,
+		Resolve: func(vm proto.VM) (proto.Alive, bool) { return d.node.Members.Address(vm) },
+		Handle: func(ctx context.Context, from proto.VM, m proto.Message) proto.Message {
+			return d.node.Handle(ctx, from, m)
+		},
+	})
+	self := proto.Alive{
+		VM: s.VM, Zone: s.Zone, Peer: advertised,
+		Incarnation: proto.Incarnation(d.clock.Now().UnixMilli()), Count: 1,
+	}
+	d.node = coord.NewNode(
+		coord.Deps{Self: self, Clock: d.clock, Log: d.log.Named("node"), Platform: d.platform, Peers: d.links},
+		d.nodeOptions()...)
+	d.driver = wire.NewDriver(d.engine, d.clock, d.targets, d.node.Claimer, d.log.Named("driver"), s.Limits.BufferedBytes, d.gate)
+	d.front = wire.NewFront(d.driver, d.engine, d.clock, d.log.Named("front"), wire.FrontLimits{
+		Body: s.Limits.BodyBytes, Header: s.Limits.HeaderBytes, Open: s.Limits.OpenRequests, Buffered: s.Limits.BufferedBytes,
+		ReadWait: s.Limits.ReadWait.Std(), WriteWait: s.Limits.WriteWait.Std(),
+	}, d, seed)
+	d.loads = newLoadReader(d)
+	return nil
+}
+
+const platformBurst = 40
+
+func (d *Daemon) nodeOptions() []coord.NodeOption {
+	t := &d.settings.Timing
+	member := coord.DefaultMemberTiming()
+	member.Heartbeat, member.Silence = t.Heartbeat.Std(), t.Silence.Std()
+	claim := coord.DefaultClaimTiming()
+	claim.Retention = t.Retention.Std()
+	node := coord.DefaultNodeTiming()
+	node.Poll, node.Revise = t.PollStore.Std(), t.ReviseWait.Std()
+	return []coord.NodeOption{
+		coord.WithMemberTiming(member), coord.WithClaimTiming(claim), coord.WithNodeTiming(node),
+		coord.WithAdopted(d.adopted),
+		coord.WithReports(
+			func(rows []proto.UsageRow) { d.takeUsage(rows) },
+			func(loads proto.Loads) { d.loads.take(loads) },
+		),
+	}
+}
+
+// adopted puts a snapshot in force here, with the targets that this daemon uses.
+func (d *Daemon) adopted(s *proto.Snapshot) {
+	mine := *s
+	mine.Pools = make(map[string]*proto.Pool, len(s.Pools))
+	for name, pool := range s.Pools {
+		own := *pool
+		own.Targets = coord.Subset(d.settings.VM, d.settings.Zone, pool.Targets, d.settings.Limits.Subset)
+		mine.Pools[name] = &own
+	}
+	if d.engine.Configure(&mine, d.clock.Now(), d.settings.Timing.StopLead.Std()) {
+		d.log.Info("configuration is in force", "generation", s.Generation)
+	}
+}
+
+func (d *Daemon) takeUsage(rows []proto.UsageRow) {
+	for _, row := range rows {
+		d.driver.Do(core.UsageReported{Pool: row.Pool, Workspace: row.Workspace, Spent: row.Spent})
+	}
+}
+
+// Ready tells the platform's balancer whether to send requests here.
+func (d *Daemon) Ready() (bool, string) {
+	if d.unready.Load() {
+		return false, "stopping"
+	}
+	return d.node.Ready(d.clock.Now())
+}
+
+// Accepts refuses requests that come before the daemon knows its configuration, while it is cut off, or after it stopped.
+func (d *Daemon) Accepts() *proto.Failure {
+	now := d.clock.Now()
+	failure := &proto.Failure{Outcome: proto.OutcomeNotRun, RetryAfter: time.Second}
+	switch {
+	case d.refusing.Load():
+		failure.Kind, failure.Detail = proto.FailureStopping, "the daemon is stopping"
+	case !d.node.Changes.Known():
+		failure.Kind, failure.Detail = proto.FailureIsolated, "the daemon does not know its configuration yet"
+	case d.node.Isolated(now):
+		failure.Kind, failure.Detail = proto.FailureIsolated, "the daemon can reach neither the store nor another daemon"
+	default:
+		return nil
+	}
+	return failure
+}
+
+// Stop starts a stop in order; Run returns once it is over.
+func (d *Daemon) Stop() { d.stopOnce.Do(func() { close(d.stop) }) }
+
+// Kill ends the daemon at once, as a crash would; Run need not return after it.
+func (d *Daemon) Kill() {
+	for _, l := range []net.Listener{d.callers, d.peers, d.operators} {
+		_ = l.Close()
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	d.links.Close()
+	d.targets.Abort()
+}
+
+// Run serves until Stop is called or the context ends, and then stops in order.
+func (d *Daemon) Run(ctx context.Context) error {
+	var g run.Group
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.publish()
+	if err := d.addServers(&g); err != nil {
+		return err
+	}
+	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
+	d.addLoops(&g, work)
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-d.stop:
+		}
+		d.drain(work)
+		return nil
+	}, func(error) { cancel() })
+	d.node.Start(d.seeds())
+	d.log.Info("serving", "callers", d.Callers(), "peers", d.Peers(), "operators", d.Operators(), "version", Version)
+	err := g.Run()
+	d.links.Close()
+	d.log.Info("stopped")
+	return err
+}
+
+func (d *Daemon) seeds() []proto.Alive {
+	var seeds []proto.Alive
+	for _, s := range d.settings.Peers.Seeds {
+		seeds = append(seeds, proto.Alive{VM: s.VM, Zone: s.Zone, Peer: s.Address})
+	}
+	return seeds
+}
+
+// drain stops in order: /readyz fails, others take over what the daemon owns, then new requests are refused and those in progress end.
+func (d *Daemon) drain(work context.Context) {
+	d.log.Info("stopping")
+	d.unready.Store(true)
+	d.node.Stop()
+	d.wait(work, d.settings.Timing.Unready.Std())
+	d.refusing.Store(true)
+	ctx, cancel := context.WithTimeout(work, d.settings.Timing.Drain.Std())
+	defer cancel()
+	if err := d.front.WaitIdle(ctx); err != nil {
+		d.log.Warn("stopping with requests in progress", "error", err)
+	}
+	d.handOver(work)
+}
+
+const handOverMost = 6 * time.Second
+
+// handOver waits until others keep the claims that this daemon kept; with the store out that cannot be, and most of each group remains.
+func (d *Daemon) handOver(work context.Context) {
+	deadline := d.clock.Now().Add(handOverMost)
+	for d.clock.Now().Before(deadline) && d.node.KeepsClaims() {
+		d.wait(work, 100*time.Millisecond)
+	}
+}
+
+func (d *Daemon) wait(ctx context.Context, length time.Duration) {
+	select {
+	case <-d.clock.After(length):
+	case <-ctx.Done():
+	}
+}
+
+func (d *Daemon) addServers(g *run.Group) error {
+	callerTLS, err := d.settings.Callers.TLS.config(false)
+	if err != nil {
+		return err
+	}
+	peerTLS, err := d.settings.Peers.TLS.config(true)
+	if err != nil {
+		return err
+	}
+	operatorTLS, err := d.settings.Operators.TLS.config(false)
+	if err != nil {
+		return err
+	}
+	operator := wire.NewOperator(d.node, d.settings.Operators.Key, d.log.Named("operator"), d.status)
+	for _, s := range []struct {
+		listener net.Listener
+		server   *http.Server
+	}{
+		{d.callers, &http.Server{Handler: d.front.Handler(), TLSConfig: callerTLS, MaxHeaderBytes: d.settings.Limits.HeaderBytes}},
+		{d.peers, &http.Server{Handler: d.links.Handler(), TLSConfig: peerTLS}},
+		{d.operators, &http.Server{Handler: operator.Handler(), TLSConfig: operatorTLS}},
+	} {
+		d.addServer(g, s.listener, s.server)
+	}
+	return nil
+}
+
+const shutdownWait = 2 * time.Second
+
+func (d *Daemon) addServer(g *run.Group, l net.Listener, s *http.Server) {
+	s.ReadHeaderTimeout = d.settings.Limits.ReadWait.Std()
+	d.servers = append(d.servers, s)
+	s.ErrorLog = d.log.StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true})
+	g.Add(func() error {
+		if s.TLSConfig != nil {
+			return s.ServeTLS(l, "", "")
+		}
+		return s.Serve(l)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownWait)
+		defer cancel()
+		wire.Shutdown(ctx, s)
+	})
+}
+
+func (d *Daemon) status() wire.Status {
+	now := d.clock.Now()
+	ready, reason := d.Ready()
+	s := wire.Status{
+		VM: d.settings.VM, Zone: d.settings.Zone, Version: Version, Ready: ready, Reason: reason,
+		Generation: d.node.Changes.Generation(), Open: d.front.Open(), StoreSeen: d.node.StoreSeen(),
+		Members: d.node.Members.Counts(), Claims: d.node.Replica.Counts(), Links: d.links.Counts(), Pools: d.engine.Pools(now),
+	}
+	for _, alive := range d.node.Members.Live() {
+		s.Daemons = append(s.Daemons, wire.DaemonStatus{VM: alive.VM, Zone: alive.Zone, Peer: alive.Peer.String(), Stopping: alive.Stopping})
+	}
+	return s
+}
+
+// Vars are the measures of a daemon at /debug/vars.
+type Vars struct {
+	core.Report
+	Generation     proto.Generation    `json:"generation"`
+	Open           int64               `json:"openRequests"`
+	Members        coord.MemberCounts  `json:"members"`
+	Claims         coord.ReplicaCounts `json:"claims"`
+	Links          wire.LinkCounts     `json:"links"`
+	PlatformReads  int64               `json:"platformReads"`
+	PlatformWrites int64               `json:"platformWrites"`
+}
+
+func (d *Daemon) publish() {
+	wire.PublishVars(string(d.settings.VM), func() any {
+		reads, writes := d.platform.Counts()
+		return Vars{
+			Report: d.engine.Stats().Report(), Generation: d.node.Changes.Generation(), Open: d.front.Open(),
+			Members: d.node.Members.Counts(), Claims: d.node.Replica.Counts(), Links: d.links.Counts(),
+			PlatformReads: reads, PlatformWrites: writes,
+		}
+	})
+}
--- /dev/null
+++ b/state/decay.go
@@ -0,0 +1,78 @@
+package state
+
+import (
+	"math"
+	"time"
+)
+
+// Decay is a sum that loses half of its value in each half-life.
+type Decay struct {
+	value float64
+	at    time.Time
+}
+
+// Add decays the sum to the given instant and adds an amount.
+func (d *Decay) Add(now time.Time, halfLife time.Duration, amount float64) {
+	d.value = d.Value(now, halfLife) + amount
+	if now.After(d.at) {
+		d.at = now
+	}
+}
+
+// Value returns the sum as of the given instant; an instant before the last addition counts as that one.
+func (d *Decay) Value(now time.Time, halfLife time.Duration) float64 {
+	if d.value == 0 || !now.After(d.at) {
+		return d.value
+	}
+	return d.value * math.Exp2(-float64(now.Sub(d.at))/float64(halfLife))
+}
+
+// Mean is an exponentially weighted mean with its mean absolute deviation.
+type Mean struct {
+	count     int
+	mean      float64
+	deviation float64
+}
+
+const meanWindow = 32
+
+// Add takes in one sample; the first samples count in equal parts.
+func (m *Mean) Add(sample float64) {
+	m.count++
+	weight := 1 / float64(min(m.count, meanWindow))
+	m.deviation += weight * (math.Abs(sample-m.mean) - m.deviation)
+	m.mean += weight * (sample - m.mean)
+	if m.count == 1 {
+		m.deviation = sample / 2
+	}
+}
+
+// Count returns the number of samples taken in.
+func (m *Mean) Count() int { return m.count }
+
+// Mean returns the weighted mean.
+func (m *Mean) Mean() float64 { return m.mean }
+
+// Deviation returns the weighted mean absolute deviation.
+func (m *Mean) Deviation() float64 { return m.deviation }
+
+// Bucket is a token bucket that is filled by events instead of by time.
+type Bucket struct {
+	tokens float64
+	most   float64
+}
+
+// NewBucket returns a full bucket of the given capacity.
+func NewBucket(most float64) Bucket { return Bucket{tokens: most, most: most} }
+
+// Earn adds a part of a token.
+func (b *Bucket) Earn(part float64) { b.tokens = min(b.most, b.tokens+part) }
+
+// Take removes one token if there is one.
+func (b *Bucket) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/wire/driver.go
@@ -0,0 +1,242 @@
+package wire
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/coord"
+	"emberlead/core"
+	"emberlead/proto"
+)
+
+// Claims claims idempotency keys.
+type Claims interface {
+	Claim(ctx context.Context, key proto.Key, fingerprint uint64, request proto.RequestID) (coord.Decision, []byte)
+	Settle(key proto.Key, request proto.RequestID, released bool, answer []byte)
+}
+
+// Driver carries out an engine's actions and feeds back what comes of them.
+type Driver struct {
+	engine  *core.Engine
+	clock   clockwork.Clock
+	targets *Targets
+	claims  Claims
+	log     hclog.Logger
+	gate    func()
+	most    int
+
+	mu       sync.Mutex
+	waiters  map[proto.RequestID]*Waiter
+	attempts map[proto.AttemptID]*running
+}
+
+type running struct {
+	cancel context.CancelFunc
+	target proto.Target
+}
+
+// NewDriver returns a driver; mostBuffered bounds the bytes that wait for one slow caller, and gate runs before each event.
+func NewDriver(engine *core.Engine, clock clockwork.Clock, targets *Targets, claims Claims, log hclog.Logger, mostBuffered int, gate func()) *Driver {
+	if gate == nil {
+		gate = func() {}
+	}
+	return &Driver{
+		engine: engine, clock: clock, targets: targets, claims: claims, log: log, most: mostBuffered, gate: gate,
+		waiters: map[proto.RequestID]*Waiter{}, attempts: map[proto.AttemptID]*running{},
+	}
+}
+
+// Waiter holds what a caller is to be sent next.
+type Waiter struct {
+	ctx         context.Context
+	fingerprint uint64
+	wake        chan struct{}
+
+	mu     sync.Mutex
+	chunks []core.Chunk
+	next   int // offset of the next chunk in order
+	early  map[int]core.Chunk
+	size   int
+	most   int
+	slow   bool
+	finish *core.Finish
+}
+
+// Wake is signalled when there is something to take.
+func (w *Waiter) Wake() <-chan struct{} { return w.wake }
+
+// Take returns the chunks that came since the last call and, once it is there, the end.
+func (w *Waiter) Take() ([]core.Chunk, *core.Finish) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	chunks := w.chunks
+	w.chunks = nil
+	w.size = 0
+	return chunks, w.finish
+}
+
+// chunk puts chunks in order of offset, since actions of two events may be carried out at once.
+func (w *Waiter) chunk(c core.Chunk) (slow bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.early[c.Offset] = c
+	for {
+		c, ok := w.early[w.next]
+		if !ok {
+			break
+		}
+		delete(w.early, w.next)
+		w.next += c.Tokens
+		w.size += len(c.Text)
+		w.chunks = append(w.chunks, c)
+	}
+	w.signal()
+	if w.size > w.most && !w.slow {
+		w.slow = true
+		return true
+	}
+	return false
+}
+
+func (w *Waiter) end(f core.Finish) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.finish = &f
+	w.signal()
+}
+
+func (w *Waiter) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Submit hands a request to the engine; spans of its attempts belong to the context's.
+func (d *Driver) Submit(ctx context.Context, a core.Arrival) *Waiter {
+	w := &Waiter{
+		ctx: context.WithoutCancel(ctx), wake: make(chan struct{}, 1), early: map[int]core.Chunk{}, most: d.most,
+		fingerprint: xxhash.Sum64String(a.Workspace+"\x00"+a.Service+"\x00") ^ xxhash.Sum64(a.Input),
+	}
+	d.mu.Lock()
+	d.waiters[a.ID] = w
+	d.mu.Unlock()
+	d.Do(a)
+	return w
+}
+
+// Do feeds an event to the engine and carries out what follows.
+func (d *Driver) Do(event core.Event) {
+	d.gate()
+	for _, action := range d.engine.Handle(d.clock.Now(), event) {
+		d.carry(action)
+	}
+}
+
+func (d *Driver) waiter(id proto.RequestID) *Waiter {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiters[id]
+}
+
+func (d *Driver) carry(action core.Action) {
+	switch a := action.(type) {
+	case core.Start:
+		d.start(a)
+	case core.Cancel:
+		d.cancel(a.Attempt)
+	case core.Claim:
+		go d.claim(a)
+	case core.Settle:
+		d.claims.Settle(a.Key, a.Request, a.Released, a.Answer)
+	case core.Chunk:
+		if w := d.waiter(a.Request); w != nil && w.chunk(a) {
+			go d.Do(core.CallerLeft{Request: a.Request, Slow: true})
+		}
+	case core.Finish:
+		d.mu.Lock()
+		w := d.waiters[a.Request]
+		delete(d.waiters, a.Request)
+		d.mu.Unlock()
+		if w != nil {
+			w.end(a)
+		}
+	}
+}
+
+func (d *Driver) start(a core.Start) {
+	parent := context.Background()
+	if w := d.waiter(a.ID.Request); w != nil {
+		parent = w.ctx
+	}
+	ctx, cancel := context.WithCancel(parent)
+	d.mu.Lock()
+	d.attempts[a.ID] = &running{cancel: cancel, target: a.Target}
+	d.mu.Unlock()
+	go func() {
+		defer d.forget(a.ID, cancel)
+		d.targets.Run(ctx, &a, a.MayRepeat, d.Do)
+	}()
+}
+
+func (d *Driver) forget(id proto.AttemptID, cancel context.CancelFunc) {
+	cancel()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.attempts, id)
+}
+
+// cancel breaks the connection, and tells the target besides, which may not see the break at once.
+func (d *Driver) cancel(id proto.AttemptID) {
+	d.mu.Lock()
+	r := d.attempts[id]
+	d.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.cancel()
+	go d.targets.Cancel(context.Background(), r.target.Address, id)
+}
+
+func (d *Driver) claim(a core.Claim) {
+	answered := core.ClaimAnswered{Request: a.Request, Verdict: core.VerdictUnreachable}
+	if w := d.waiter(a.Request); w != nil {
+		decision, answer := d.claims.Claim(w.ctx, a.Key, w.fingerprint, a.Request)
+		answered.Verdict, answered.Answer = verdicts[decision], answer
+	}
+	d.Do(answered)
+	if _, _, open := d.engine.Generation(a.Request); !open && answered.Verdict == core.VerdictGranted {
+		// The request ended while its key was being claimed, so nothing of the stage ran.
+		d.claims.Settle(a.Key, a.Request, true, nil)
+	}
+}
+
+var verdicts = map[coord.Decision]core.Verdict{
+	coord.DecisionGranted:     core.VerdictGranted,
+	coord.DecisionTaken:       core.VerdictTaken,
+	coord.DecisionDone:        core.VerdictDone,
+	coord.DecisionMismatch:    core.VerdictMismatch,
+	coord.DecisionTooOld:      core.VerdictTooOld,
+	coord.DecisionTooNew:      core.VerdictTooNew,
+	coord.DecisionStale:       core.VerdictUnreachable,
+	coord.DecisionUnreachable: core.VerdictUnreachable,
+}
+
+// Run ticks the engine until the context ends.
+func (d *Driver) Run(ctx context.Context, every time.Duration) {
+	ticker := d.clock.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			d.Do(core.Tick{})
+		}
+	}
+}
--- /dev/null
+++ b/wire/front.go
@@ -0,0 +1,340 @@
+package wire
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"emberlead/core"
+	"emberlead/proto"
+)
+
+const (
+	pathRequests  = "/v1/workspaces/:workspace/services/:service/requests"
+	mimeProblem   = "application/problem+json"
+	mimeEvents    = "text/event-stream"
+	prefixMostLen = 256
+)
+
+// FrontLimits bound what callers can ask for.
+type FrontLimits struct {
+	Body     int64 // bytes
+	Header   int   // bytes
+	Open     int64 // requests in progress
+	Buffered int   // bytes that wait for one slow caller
+	ReadWait time.Duration
+	// WriteWait is how long one write to a caller may take.
+	WriteWait time.Duration
+}
+
+// Gatekeeper tells whether a daemon takes requests.
+type Gatekeeper interface {
+	// Ready tells the platform's balancer whether to send requests, and else why not.
+	Ready() (ok bool, reason string)
+	// Accepts returns nil, or why a request that came all the same is refused.
+	Accepts() *proto.Failure
+}
+
+// Front serves callers by HTTP.
+type Front struct {
+	driver *Driver
+	engine *core.Engine
+	clock  clockwork.Clock
+	log    hclog.Logger
+	limits FrontLimits
+	keeper Gatekeeper
+	open   atomic.Int64
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// NewFront returns the callers' side of a daemon; seed makes the identifiers of its requests differ from other daemons'.
+func NewFront(driver *Driver, engine *core.Engine, clock clockwork.Clock, log hclog.Logger, limits FrontLimits, keeper Gatekeeper, seed uint64) *Front {
+	return &Front{
+		driver: driver, engine: engine, clock: clock, log: log, limits: limits, keeper: keeper,
+		random: rand.New(rand.NewPCG(seed, uint64(clock.Now().UnixNano()))),
+	}
+}
+
+// Handler returns the callers' routes and those that the platform's balancer asks.
+func (f *Front) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = f.httpError
+	e.POST(pathRequests, f.request)
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "live\n") })
+	e.GET("/readyz", f.readyz)
+	return e
+}
+
+func (f *Front) readyz(c echo.Context) error {
+	if ok, reason := f.keeper.Ready(); !ok {
+		return c.String(http.StatusServiceUnavailable, reason+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// Open returns the number of callers' requests in progress.
+func (f *Front) Open() int64 { return f.open.Load() }
+
+func (f *Front) httpError(err error, c echo.Context) {
+	failure := &proto.Failure{Kind: proto.FailureBadRequest, Outcome: proto.OutcomeNotRun, Detail: err.Error()}
+	var httpErr *echo.HTTPError
+	if errors.As(err, &httpErr) && (httpErr.Code == http.StatusNotFound || httpErr.Code == http.StatusMethodNotAllowed) {
+		failure.Kind = proto.FailureNotFound
+		failure.Detail = "no such path or method"
+	}
+	if !c.Response().Committed {
+		_ = f.problem(c, failure, "")
+	}
+}
+
+func (f *Front) problem(c echo.Context, failure *proto.Failure, id string) error {
+	if failure.RetryAfter > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
+	c.Response().Header().Set(echo.HeaderContentType, mimeProblem)
+	c.Response().WriteHeader(failure.Status())
+	return json.NewEncoder(c.Response()).Encode(proto.NewProblem(failure, id))
+}
+
+func refusal(kind proto.FailureKind, detail string) *proto.Failure {
+	return &proto.Failure{Kind: kind, Outcome: proto.OutcomeNotRun, Detail: detail}
+}
+
+func (f *Front) request(c echo.Context) error {
+	if f.open.Add(1) > f.limits.Open {
+		f.open.Add(-1)
+		failure := refusal(proto.FailureOverloaded, "too many requests are in progress")
+		failure.RetryAfter = time.Second
+		return f.problem(c, failure, "")
+	}
+	defer f.open.Add(-1)
+	arrival, failure := f.read(c)
+	if failure != nil {
+		return f.problem(c, failure, "")
+	}
+	ctx, s := span(extract(c.Request().Context(), c.Request().Header), "request", trace.SpanKindServer,
+		attribute.String("emberlead.request", arrival.ID.String()),
+		attribute.String("emberlead.workspace", arrival.Workspace),
+		attribute.String("emberlead.service", arrival.Service))
+	defer s.End()
+	c.Response().Header().Set(proto.HeaderRequestID, arrival.ID.String())
+	w := f.driver.Submit(ctx, *arrival)
+	if generation, _, ok := f.engine.Generation(arrival.ID); ok {
+		c.Response().Header().Set(proto.HeaderGeneration, strconv.FormatUint(uint64(generation), 10))
+	} else {
+		c.Response().Header().Set(proto.HeaderGeneration, strconv.FormatUint(uint64(f.engine.Snapshot().Generation), 10))
+	}
+	failure = f.answer(c, w, arrival)
+	if failure != nil {
+		f.log.Info("request ended without answer", "request", arrival.ID, "workspace", arrival.Workspace, "service", arrival.Service, "kind", failure.Kind, "outcome", failure.Outcome, "detail", failure.Detail)
+	}
+	return nil
+}
+
+// read checks everything about a request that can be checked before it is run.
+func (f *Front) read(c echo.Context) (*core.Arrival, *proto.Failure) {
+	workspace := c.Param("workspace")
+	if !f.authentic(c.Request(), workspace) {
+		return nil, refusal(proto.FailureForbidden, "the bearer key is not one of the workspace's")
+	}
+	if failure := f.keeper.Accepts(); failure != nil {
+		return nil, failure
+	}
+	a := &core.Arrival{
+		ID: f.newID(), Workspace: workspace, Service: c.Param("service"), Repeatable: true,
+		Stream: strings.Contains(c.Request().Header.Get("Accept"), mimeEvents),
+	}
+	if failure := readHeaders(c.Request().Header, a); failure != nil {
+		return nil, failure
+	}
+	if failure := f.readBody(c, a); failure != nil {
+		return nil, failure
+	}
+	return a, nil
+}
+
+func (f *Front) newID() proto.RequestID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return core.NewRequestID(f.clock.Now(), f.random)
+}
+
+// authentic looks the key up by its hash; the comparison of the workspace takes the same time whatever it is.
+func (f *Front) authentic(r *http.Request, workspace string) bool {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return false
+	}
+	sum := sha256.Sum256([]byte(key))
+	owner := f.engine.Snapshot().KeyOwners[hex.EncodeToString(sum[:])]
+	return subtle.ConstantTimeCompare([]byte(owner), []byte(workspace)) == 1
+}
+
+func readHeaders(h http.Header, a *core.Arrival) *proto.Failure {
+	if text := h.Get(proto.HeaderKey); text != "" {
+		key, err := proto.ParseKey(text)
+		if err != nil {
+			return refusal(proto.FailureKeyInvalid, "Idempotency-Key must be a UUID of version 7, whose time tells new keys from old ones")
+		}
+		a.Key = key
+	}
+	if text := h.Get(proto.HeaderTimeout); text != "" {
+		timeout, err := time.ParseDuration(text)
+		if err != nil || timeout <= 0 {
+			return refusal(proto.FailureBadRequest, "Emberlead-Timeout must be a positive duration such as 1.5s")
+		}
+		a.Timeout = timeout
+	}
+	switch h.Get(proto.HeaderRepeatable) {
+	case "", "true":
+	case "false":
+		a.Repeatable = false
+	default:
+		return refusal(proto.FailureBadRequest, "Emberlead-Repeatable must be true or false")
+	}
+	return nil
+}
+
+func (f *Front) readBody(c echo.Context, a *core.Arrival) *proto.Failure {
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(f.clock.Now().Add(f.limits.ReadWait))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, f.limits.Body))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal(proto.FailureTooLarge, "the body is larger than "+strconv.FormatInt(f.limits.Body, 10)+" bytes")
+	}
+	if err != nil {
+		return refusal(proto.FailureBadRequest, "the body did not arrive in time or broke off")
+	}
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	if !json.Valid(body) {
+		return refusal(proto.FailureBadRequest, "the body is not JSON")
+	}
+	a.Input = body
+	a.Prefix = prefixOf(body)
+	return nil
+}
+
+// prefixOf returns what names the shared beginning of a prompt: the member prefix, if the input has one.
+func prefixOf(body []byte) string {
+	var input struct {
+		Prefix string `json:"prefix"`
+	}
+	if json.Unmarshal(body, &input) != nil {
+		return ""
+	}
+	return input.Prefix[:min(len(input.Prefix), prefixMostLen)]
+}
+
+// answer passes on what comes until the request ends or the caller leaves.
+func (f *Front) answer(c echo.Context, w *Waiter, a *core.Arrival) *proto.Failure {
+	gone := c.Request().Context().Done()
+	for {
+		select {
+		case <-w.Wake():
+		case <-gone:
+			f.driver.Do(core.CallerLeft{Request: a.ID})
+			gone = nil
+			continue
+		}
+		chunks, end := w.Take()
+		for _, chunk := range chunks {
+			if err := f.event(c, "chunk", chunk.Offset, streamChunk{Offset: chunk.Offset, Text: chunk.Text, Tokens: chunk.Tokens}); err != nil {
+				f.driver.Do(core.CallerLeft{Request: a.ID, Slow: true})
+			}
+		}
+		if end == nil {
+			continue
+		}
+		f.end(c, a, end)
+		return end.Failure
+	}
+}
+
+// streamChunk is one event of a streamed answer.
+type streamChunk struct {
+	Offset int    `json:"offset"`
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+}
+
+func (f *Front) end(c echo.Context, a *core.Arrival, end *core.Finish) {
+	switch {
+	case end.Failure != nil && c.Response().Committed:
+		_ = f.event(c, "error", -1, proto.NewProblem(end.Failure, a.ID.String()))
+	case end.Failure != nil:
+		_ = f.problem(c, end.Failure, a.ID.String())
+	case a.Stream:
+		_ = f.event(c, "done", -1, json.RawMessage(end.Output))
+	default:
+		_ = f.write(c, func() error { return c.JSONBlob(http.StatusOK, end.Output) })
+	}
+}
+
+func (f *Front) event(c echo.Context, name string, id int, value any) error {
+	return f.write(c, func() error {
+		w := c.Response()
+		if !w.Committed {
+			w.Header().Set(echo.HeaderContentType, mimeEvents)
+			w.Header().Set("Cache-Control", "no-store")
+			w.WriteHeader(http.StatusOK)
+		}
+		return writeEvent(w, name, id, value)
+	})
+}
+
+// write bounds how long a caller that does not read can hold the handler.
+func (f *Front) write(c echo.Context, fn func() error) error {
+	_ = http.NewResponseController(c.Response()).SetWriteDeadline(f.clock.Now().Add(f.limits.WriteWait))
+	return fn()
+}
+
+func writeEvent(w *echo.Response, name string, id int, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return &Error{Op: "write event", Kind: proto.KindInvalid, Err: err}
+	}
+	text := "event: " + name + "\n"
+	if id >= 0 {
+		text += "id: " + strconv.Itoa(id) + "\n"
+	}
+	if _, err := io.WriteString(w, text+"data: "+string(data)+"\n\n"); err != nil {
+		return &Error{Op: "write event", Kind: proto.KindUnavailable, Err: err}
+	}
+	w.Flush()
+	return nil
+}
+
+// WaitIdle waits until no caller's request is in progress; it fails with KindUnavailable when the context ends.
+func (f *Front) WaitIdle(ctx context.Context) error {
+	ticker := f.clock.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for f.open.Load() > 0 {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return fault("wait", proto.KindUnavailable, "%d requests are still in progress", f.open.Load())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/links.go
@@ -0,0 +1,402 @@
+package wire
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"emberlead/proto"
+)
+
+const (
+	pathPeer    = "/peer"
+	headerVM    = "Emberlead-Vm"
+	outboxSize  = 512
+	linkIdle    = time.Minute
+	redialAfter = 500 * time.Millisecond
+	writeWait   = 5 * time.Second
+)
+
+// LinkCounts are the totals of all links since the start.
+type LinkCounts struct {
+	Links    int   `json:"links"`
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
+	BytesOut int64 `json:"bytesOut"`
+	BytesIn  int64 `json:"bytesIn"`
+	Dropped  int64 `json:"dropped"`
+}
+
+// Links carries messages to other daemons over WebSocket. Each daemon dials for what it sends; answers come back on the same connection.
+type Links struct {
+	self    proto.VM
+	key     string
+	tls     *tls.Config
+	log     hclog.Logger
+	client  *http.Client
+	resolve func(proto.VM) (proto.Alive, bool)
+	handle  func(context.Context, proto.VM, proto.Message) proto.Message
+	gate    func()
+
+	mu     sync.Mutex
+	links  map[proto.VM]*link
+	cut    map[proto.VM]bool
+	closed bool
+	calls  atomic.Uint64
+
+	sent, received, bytesOut, bytesIn, dropped atomic.Int64
+}
+
+// LinksConfig is what Links are made from.
+type LinksConfig struct {
+	Self proto.VM
+	// Key is the shared key that daemons on loopback authenticate with.
+	Key string
+	// TLS holds the certificate and the authority for mutual authentication, if set.
+	TLS     *tls.Config
+	Log     hclog.Logger
+	Resolve func(proto.VM) (proto.Alive, bool)
+	Handle  func(context.Context, proto.VM, proto.Message) proto.Message
+	// Gate runs before each message is taken in.
+	Gate func()
+}
+
+// NewLinks returns links that dial when something is sent.
+func NewLinks(c LinksConfig) *Links {
+	l := &Links{
+		self: c.Self, key: c.Key, tls: c.TLS, log: c.Log, resolve: c.Resolve, handle: c.Handle, gate: c.Gate,
+		links: map[proto.VM]*link{}, cut: map[proto.VM]bool{},
+	}
+	if l.gate == nil {
+		l.gate = func() {}
+	}
+	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: c.TLS}}
+	return l
+}
+
+// Counts returns the totals.
+func (l *Links) Counts() LinkCounts {
+	l.mu.Lock()
+	n := len(l.links)
+	l.mu.Unlock()
+	return LinkCounts{
+		Links: n, Sent: l.sent.Load(), Received: l.received.Load(),
+		BytesOut: l.bytesOut.Load(), BytesIn: l.bytesIn.Load(), Dropped: l.dropped.Load(),
+	}
+}
+
+// Cut drops everything to and from a daemon, or stops doing so; tests use it.
+func (l *Links) Cut(vm proto.VM, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[vm] = cut
+}
+
+func (l *Links) isCut(vm proto.VM) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut[vm]
+}
+
+// Close ends all links.
+func (l *Links) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, lk := range l.links {
+		lk.cancel()
+	}
+}
+
+type link struct {
+	owner  *Links
+	to     proto.VM
+	outbox chan []byte
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	calls  map[uint64]chan proto.Message
+}
+
+func (l *Links) link(to proto.VM) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.cut[to] {
+		return nil
+	}
+	lk := l.links[to]
+	if lk != nil {
+		return lk
+	}
+	lk = &link{owner: l, to: to, outbox: make(chan []byte, outboxSize), calls: map[uint64]chan proto.Message{}}
+	lk.ctx, lk.cancel = context.WithCancel(context.Background())
+	l.links[to] = lk
+	go lk.run()
+	return lk
+}
+
+func (l *Links) drop(lk *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links[lk.to] == lk {
+		delete(l.links, lk.to)
+	}
+	lk.cancel()
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	for id, waiting := range lk.calls {
+		close(waiting)
+		delete(lk.calls, id)
+	}
+}
+
+// Send queues a message and returns at once; when the queue is full the message is dropped and counted.
+func (l *Links) Send(to proto.VM, m proto.Message) {
+	data, err := proto.Encode(m, 0, false, "")
+	if err != nil {
+		l.log.Error("a message cannot be encoded", "error", err)
+		return
+	}
+	if lk := l.link(to); lk != nil {
+		lk.queue(data)
+	}
+}
+
+func (lk *link) queue(data []byte) bool {
+	select {
+	case lk.outbox <- data:
+		return true
+	default:
+		lk.owner.dropped.Add(1)
+		return false
+	}
+}
+
+// Call sends a message and waits for its answer; it fails with KindUnavailable.
+func (l *Links) Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
+	ctx, s := span(ctx, "peer", trace.SpanKindClient, attribute.String("emberlead.peer", string(to)))
+	answer, err := l.call(ctx, to, m)
+	endSpan(s, err)
+	return answer, err
+}
+
+func (l *Links) call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
+	id := l.calls.Add(1)
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	data, err := proto.Encode(m, id, false, carrier.Get("traceparent"))
+	if err != nil {
+		return nil, err
+	}
+	lk := l.link(to)
+	if lk == nil {
+		return nil, fault("call", proto.KindUnavailable, "no link to %s", to)
+	}
+	waiting := make(chan proto.Message, 1)
+	lk.mu.Lock()
+	lk.calls[id] = waiting
+	lk.mu.Unlock()
+	defer func() {
+		lk.mu.Lock()
+		delete(lk.calls, id)
+		lk.mu.Unlock()
+	}()
+	if !lk.queue(data) {
+		return nil, fault("call", proto.KindUnavailable, "the queue to %s is full", to)
+	}
+	select {
+	case answer, ok := <-waiting:
+		if !ok {
+			return nil, fault("call", proto.KindUnavailable, "the link to %s broke", to)
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return nil, &Error{Op: "call", Kind: proto.KindUnavailable, Err: ctx.Err()}
+	}
+}
+
+func (lk *link) run() {
+	l := lk.owner
+	defer l.drop(lk)
+	conn, err := lk.dial()
+	if err != nil {
+		l.log.Trace("a link cannot be made", "to", lk.to, "error", err)
+		// Messages of the next moments are dropped with this link instead of dialling for each.
+		select {
+		case <-time.After(redialAfter):
+		case <-lk.ctx.Done():
+		}
+		return
+	}
+	defer conn.CloseNow()
+	go lk.read(conn)
+	lk.write(conn)
+}
+
+func (lk *link) dial() (*websocket.Conn, error) {
+	l := lk.owner
+	alive, ok := l.resolve(lk.to)
+	if !ok || !alive.Peer.IsValid() {
+		return nil, fault("dial", proto.KindNotFound, "%s has no known address", lk.to)
+	}
+	scheme := "ws"
+	if l.tls != nil {
+		scheme = "wss"
+	}
+	header := http.Header{headerVM: {string(l.self)}}
+	if l.key != "" {
+		header.Set("Authorization", "Bearer "+l.key)
+	}
+	ctx, cancel := context.WithTimeout(lk.ctx, dialTimeout)
+	defer cancel()
+	conn, resp, err := websocket.Dial(ctx, scheme+"://"+alive.Peer.String()+pathPeer, &websocket.DialOptions{
+		HTTPClient: l.client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: proto.KindUnavailable, Err: err}
+	}
+	if resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	conn.SetReadLimit(proto.MaxMessage)
+	return conn, nil
+}
+
+func (lk *link) write(conn *websocket.Conn) {
+	idle := time.NewTimer(linkIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case data := <-lk.outbox:
+			if lk.owner.isCut(lk.to) {
+				return
+			}
+			ctx, cancel := context.WithTimeout(lk.ctx, writeWait)
+			err := conn.Write(ctx, websocket.MessageBinary, data)
+			cancel()
+			if err != nil {
+				return
+			}
+			lk.owner.sent.Add(1)
+			lk.owner.bytesOut.Add(int64(len(data)))
+			idle.Reset(linkIdle)
+		case <-idle.C:
+			return
+		case <-lk.ctx.Done():
+			return
+		}
+	}
+}
+
+func (lk *link) read(conn *websocket.Conn) {
+	defer lk.cancel()
+	for {
+		_, data, err := conn.Read(lk.ctx)
+		if err != nil {
+			return
+		}
+		lk.owner.received.Add(1)
+		lk.owner.bytesIn.Add(int64(len(data)))
+		env, m, err := proto.Decode(data)
+		if err != nil || !env.Answer || lk.owner.isCut(lk.to) {
+			continue
+		}
+		lk.owner.gate()
+		lk.mu.Lock()
+		waiting := lk.calls[env.Call]
+		delete(lk.calls, env.Call)
+		lk.mu.Unlock()
+		if waiting != nil {
+			waiting <- m
+		}
+	}
+}
+
+// Handler returns the route that other daemons dial.
+func (l *Links) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathPeer, l.accept)
+	return mux
+}
+
+func (l *Links) accept(w http.ResponseWriter, r *http.Request) {
+	from := proto.VM(r.Header.Get(headerVM))
+	if !l.authentic(r, from) {
+		http.Error(w, "a peer must authenticate", http.StatusUnauthorized)
+		return
+	}
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(proto.MaxMessage)
+	l.serve(r.Context(), conn, from)
+}
+
+// authentic checks the shared key, and with TLS that the certificate is for the VM that the peer says it is.
+func (l *Links) authentic(r *http.Request, from proto.VM) bool {
+	if from == "" {
+		return false
+	}
+	if l.tls != nil {
+		return r.TLS != nil && len(r.TLS.PeerCertificates) > 0 && r.TLS.PeerCertificates[0].Subject.CommonName == string(from)
+	}
+	given := r.Header.Get("Authorization")
+	return subtle.ConstantTimeCompare([]byte(given), []byte("Bearer "+l.key)) == 1
+}
+
+func (l *Links) serve(ctx context.Context, conn *websocket.Conn, from proto.VM) {
+	var writing sync.Mutex
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		l.received.Add(1)
+		l.bytesIn.Add(int64(len(data)))
+		env, m, err := proto.Decode(data)
+		if err != nil {
+			l.log.Warn("a message cannot be decoded", "from", from, "error", err)
+			return
+		}
+		if l.isCut(from) {
+			return
+		}
+		l.gate()
+		if env.Call == 0 {
+			l.handle(ctx, from, m)
+			continue
+		}
+		go l.answer(ctx, conn, &writing, from, env, m)
+	}
+}
+
+func (l *Links) answer(ctx context.Context, conn *websocket.Conn, writing *sync.Mutex, from proto.VM, env proto.Envelope, m proto.Message) {
+	ctx = propagator.Extract(ctx, propagation.MapCarrier{"traceparent": env.Trace})
+	ctx, s := span(ctx, "peer call", trace.SpanKindServer, attribute.String("emberlead.peer", string(from)))
+	defer s.End()
+	data, err := proto.Encode(l.handle(ctx, from, m), env.Call, true, "")
+	if err != nil {
+		l.log.Error("an answer cannot be encoded", "error", err)
+		return
+	}
+	writing.Lock()
+	defer writing.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, writeWait)
+	defer cancel()
+	if conn.Write(ctx, websocket.MessageBinary, data) == nil {
+		l.sent.Add(1)
+		l.bytesOut.Add(int64(len(data)))
+	}
+}
