--- /dev/null
+++ b/wire/operator.go
@@ -0,0 +1,218 @@
+package wire
+
+import (
+	"context"
+	"crypto/subtle"
+	"expvar"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+
+	"emberlead/coord"
+	"emberlead/core"
+	"emberlead/proto"
+)
+
+// Paths of the operators' listener.
+const (
+	PathStatus = "/v1/status"
+	PathConfig = "/v1/config"
+	PathCheck  = "/v1/check"
+	PathApply  = "/v1/apply"
+	PathStops  = "/v1/stops"
+	PathVars   = "/debug/vars"
+)
+
+// Status is what a daemon tells operators about itself.
+type Status struct {
+	VM         proto.VM            `json:"vm"`
+	Zone       proto.Zone          `json:"zone"`
+	Version    string              `json:"version"`
+	Ready      bool                `json:"ready"`
+	Reason     string              `json:"reason,omitempty"`
+	Generation proto.Generation    `json:"generation"`
+	Open       int64               `json:"openRequests"`
+	StoreSeen  time.Time           `json:"storeSeen"`
+	Daemons    []DaemonStatus      `json:"daemons"`
+	Members    coord.MemberCounts  `json:"members"`
+	Claims     coord.ReplicaCounts `json:"claims"`
+	Links      LinkCounts          `json:"links"`
+	Pools      []core.PoolStatus   `json:"pools"`
+}
+
+// DaemonStatus is how a daemon sees another.
+type DaemonStatus struct {
+	VM       proto.VM   `json:"vm"`
+	Zone     proto.Zone `json:"zone"`
+	Peer     string     `json:"peer"`
+	Stopping bool       `json:"stopping,omitempty"`
+}
+
+// FileStatus is one accepted file.
+type FileStatus struct {
+	Name       string           `json:"name"`
+	Generation proto.Generation `json:"generation"`
+	Hash       string           `json:"hash"`
+	By         string           `json:"by"`
+	At         time.Time        `json:"at"`
+}
+
+// ConfigStatus is the configuration in force at a daemon.
+type ConfigStatus struct {
+	Generation proto.Generation `json:"generation"`
+	Files      []FileStatus     `json:"files"`
+	Stops      []proto.StopPlan `json:"stops"`
+}
+
+// OperatorError is the body of an error answer to operators.
+type OperatorError struct {
+	Kind  proto.Kind `json:"kind"`
+	Error string     `json:"error"`
+}
+
+// Operator serves operators by HTTP.
+type Operator struct {
+	node   *coord.Node
+	key    string
+	log    hclog.Logger
+	status func() Status
+}
+
+// NewOperator returns the operators' side of a daemon.
+func NewOperator(node *coord.Node, key string, log hclog.Logger, status func() Status) *Operator {
+	return &Operator{node: node, key: key, log: log, status: status}
+}
+
+// Handler returns the operators' routes.
+func (o *Operator) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.Use(o.authenticate)
+	e.GET(PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, o.status()) })
+	e.GET(PathConfig, o.config)
+	e.POST(PathCheck, o.check)
+	e.POST(PathApply, o.apply)
+	e.GET(PathStops, o.config)
+	e.POST(PathStops, o.planStop)
+	e.GET(PathVars, echo.WrapHandler(expvar.Handler()))
+	return e
+}
+
+func (o *Operator) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		given := c.Request().Header.Get("Authorization")
+		if o.key != "" && subtle.ConstantTimeCompare([]byte(given), []byte("Bearer "+o.key)) != 1 {
+			return c.JSON(http.StatusUnauthorized, OperatorError{Kind: proto.KindDenied, Error: "the operators' key is missing or wrong"})
+		}
+		return next(c)
+	}
+}
+
+func (o *Operator) config(c echo.Context) error {
+	snapshot := o.node.Changes.Snapshot()
+	s := ConfigStatus{Generation: snapshot.Generation, Files: []FileStatus{}, Stops: []proto.StopPlan{}}
+	for _, change := range o.node.Changes.Files() {
+		s.Files = append(s.Files, FileStatus{Name: change.Name, Generation: change.Generation, Hash: change.Hash, By: change.By, At: change.At})
+	}
+	for _, plan := range snapshot.Stops {
+		s.Stops = append(s.Stops, plan)
+	}
+	return c.JSON(http.StatusOK, s)
+}
+
+func readFileBody(c echo.Context) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, proto.MaxFileSize+1))
+}
+
+func (o *Operator) check(c echo.Context) error {
+	body, err := readFileBody(c)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, OperatorError{Kind: proto.KindTooLarge, Error: err.Error()})
+	}
+	file, faults := proto.ReadFile(body)
+	if len(faults) == 0 {
+		faults = o.node.Changes.Snapshot().CheckFile(file)
+	}
+	return c.JSON(http.StatusOK, coord.Applied{Faults: faults})
+}
+
+func (o *Operator) apply(c echo.Context) error {
+	body, err := readFileBody(c)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, OperatorError{Kind: proto.KindTooLarge, Error: err.Error()})
+	}
+	req := coord.ApplyRequest{Body: body, ApplyID: c.QueryParam("applyId"), By: c.QueryParam("by")}
+	if text := c.QueryParam("base"); text != "" {
+		base, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return c.JSON(http.StatusBadRequest, OperatorError{Kind: proto.KindInvalid, Error: "base is not a generation"})
+		}
+		generation := proto.Generation(base)
+		req.Base = &generation
+	}
+	applied, err := o.node.Store.Apply(c.Request().Context(), o.node.Changes, req)
+	return o.answer(c, applied, err)
+}
+
+func (o *Operator) planStop(c echo.Context) error {
+	var plan proto.StopPlan
+	if err := c.Bind(&plan); err != nil || plan.VM == "" {
+		return c.JSON(http.StatusBadRequest, OperatorError{Kind: proto.KindInvalid, Error: "a stop plan needs a VM"})
+	}
+	applied, err := o.node.Store.PlanStop(c.Request().Context(), o.node.Changes, plan, c.QueryParam("by"))
+	return o.answer(c, applied, err)
+}
+
+func (o *Operator) answer(c echo.Context, applied coord.Applied, err error) error {
+	if err != nil {
+		status := http.StatusServiceUnavailable
+		if proto.KindOf(err) == proto.KindUnknown {
+			status = http.StatusGatewayTimeout
+		}
+		o.log.Warn("a change was not applied", "error", err)
+		return c.JSON(status, OperatorError{Kind: proto.KindOf(err), Error: err.Error()})
+	}
+	switch {
+	case applied.Conflict != nil:
+		return c.JSON(http.StatusConflict, applied)
+	case len(applied.Faults) > 0:
+		return c.JSON(http.StatusUnprocessableEntity, applied)
+	}
+	o.node.Members.Beat(time.Now())
+	o.log.Info("a change was applied", "generation", applied.Generation, "applyId", applied.ApplyID)
+	return c.JSON(http.StatusOK, applied)
+}
+
+var (
+	varsMu sync.Mutex
+	vars   = map[string]func() any{}
+)
+
+// PublishVars publishes a daemon's measures under its name; a later daemon of the same name in the process takes the name over.
+func PublishVars(name string, fn func() any) {
+	varsMu.Lock()
+	defer varsMu.Unlock()
+	_, known := vars[name]
+	vars[name] = fn
+	if known {
+		return
+	}
+	expvar.Publish("emberlead."+name, expvar.Func(func() any {
+		varsMu.Lock()
+		current := vars[name]
+		varsMu.Unlock()
+		return current()
+	}))
+}
+
+// Shutdown stops a server once its requests are done, and closes it when the context ends first.
+func Shutdown(ctx context.Context, s *http.Server) {
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/wire/platform.go
@@ -0,0 +1,211 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
+
+	"emberlead/proto"
+)
+
+// PlatformLimits bound what one daemon asks of the platform.
+type PlatformLimits struct {
+	Reads  float64 // a second
+	Writes float64 // a second
+	Burst  int
+	Wait   time.Duration // the longest that one call may take, retries included
+}
+
+// DefaultPlatformLimits returns limits under which eight daemons stay far below the platform's own.
+func DefaultPlatformLimits() PlatformLimits {
+	return PlatformLimits{Reads: 20, Writes: 5, Burst: 20, Wait: 2 * time.Second}
+}
+
+// Platform is a client of the platform's table service, object store and VM list.
+type Platform struct {
+	base    string
+	name    string
+	client  *http.Client
+	limits  PlatformLimits
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	asked   atomic.Int64
+	written atomic.Int64
+}
+
+// NewPlatform returns a client; name identifies the daemon to the platform.
+func NewPlatform(base, name string, limits PlatformLimits) *Platform {
+	return &Platform{
+		base:   base,
+		name:   name,
+		client: &http.Client{},
+		limits: limits,
+		reads:  rate.NewLimiter(rate.Limit(limits.Reads), limits.Burst),
+		writes: rate.NewLimiter(rate.Limit(limits.Writes), limits.Burst),
+	}
+}
+
+// Counts returns the reads and writes sent so far.
+func (p *Platform) Counts() (reads, writes int64) { return p.asked.Load(), p.written.Load() }
+
+type platformCall struct {
+	op     string
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	write  bool
+}
+
+// do sends a call. Reads, and writes that were certainly not sent, are tried again with jitter until the wait is over.
+func (p *Platform) do(ctx context.Context, call platformCall) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.limits.Wait)
+	defer cancel()
+	ctx, s := span(ctx, "platform", trace.SpanKindClient, attribute.String("emberlead.op", call.op))
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = 50 * time.Millisecond
+	policy.MaxInterval = 500 * time.Millisecond
+	var last error
+	data, err := backoff.Retry(ctx, func() ([]byte, error) {
+		data, err := p.once(ctx, call)
+		if err != nil {
+			last = err
+		}
+		if err != nil && proto.KindOf(err) != proto.KindUnavailable {
+			return nil, backoff.Permanent(err)
+		}
+		return data, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(p.limits.Wait))
+	if err != nil && last != nil {
+		err = last
+	}
+	if err != nil && proto.KindOf(err) == "" {
+		err = &Error{Op: call.op, Kind: proto.KindUnavailable, Err: err}
+	}
+	endSpan(s, err)
+	return data, err
+}
+
+func (p *Platform) once(ctx context.Context, call platformCall) ([]byte, error) {
+	limiter, counter := p.reads, &p.asked
+	if call.write {
+		limiter, counter = p.writes, &p.written
+	}
+	if err := limiter.Wait(ctx); err != nil {
+		return nil, &Error{Op: call.op, Kind: proto.KindUnavailable, Err: err}
+	}
+	counter.Add(1)
+	sent := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	u := p.base + call.path
+	if len(call.query) > 0 {
+		u += "?" + call.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(traced, call.method, u, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, &Error{Op: call.op, Kind: proto.KindInvalid, Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Emberlead-Client", p.name)
+	inject(ctx, req.Header)
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, &Error{Op: call.op, Kind: lostKind(call.write && sent), Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, &Error{Op: call.op, Kind: lostKind(call.write), Err: err}
+	}
+	return data, statusError(call.op, resp.StatusCode, data)
+}
+
+// lostKind tells a write that may have taken effect from a call that can be made again.
+func lostKind(maybeWritten bool) proto.Kind {
+	if maybeWritten {
+		return proto.KindUnknown
+	}
+	return proto.KindUnavailable
+}
+
+func statusError(op string, status int, data []byte) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusConflict:
+		return fault(op, proto.KindConflict, "%s", data)
+	case status == http.StatusNotFound:
+		return fault(op, proto.KindNotFound, "%s", data)
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return fault(op, proto.KindUnavailable, "%s", data)
+	case status >= http.StatusInternalServerError:
+		return fault(op, proto.KindUnknown, "%s", data)
+	}
+	return fault(op, proto.KindInvalid, "status %d: %s", status, data)
+}
+
+func decode[T any](op string, data []byte, err error) (T, error) {
+	var value T
+	if err != nil {
+		return value, err
+	}
+	if err := json.Unmarshal(data, &value); err != nil {
+		return value, &Error{Op: op, Kind: proto.KindInvalid, Err: err}
+	}
+	return value, nil
+}
+
+// Read returns a row; one that does not exist has version 0. It fails with KindUnavailable.
+func (p *Platform) Read(ctx context.Context, key string) (proto.Row, error) {
+	data, err := p.do(ctx, platformCall{op: "read row", method: http.MethodGet, path: proto.PathRows, query: url.Values{"key": {key}}})
+	return decode[proto.Row]("read row", data, err)
+}
+
+// List returns a page of rows in key order. It fails with KindUnavailable.
+func (p *Platform) List(ctx context.Context, prefix, after string, limit int) (proto.RowList, error) {
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	data, err := p.do(ctx, platformCall{op: "list rows", method: http.MethodGet, path: proto.PathRows, query: query})
+	return decode[proto.RowList]("list rows", data, err)
+}
+
+// Transact carries out a transaction; it fails with KindConflict, KindUnavailable, or KindUnknown if the answer was lost.
+func (p *Platform) Transact(ctx context.Context, tx proto.Transaction) error {
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return &Error{Op: "transact", Kind: proto.KindInvalid, Err: err}
+	}
+	_, err = p.do(ctx, platformCall{op: "transact", method: http.MethodPost, path: proto.PathTransact, body: body, write: true})
+	return err
+}
+
+// Put stores an object under its hash; storing it twice is harmless, so a lost answer is tried again.
+func (p *Platform) Put(ctx context.Context, hash string, data []byte) error {
+	_, err := p.do(ctx, platformCall{op: "put object", method: http.MethodPut, path: proto.PathObjects + "/" + hash, body: data, write: true})
+	if proto.KindOf(err) == proto.KindUnknown {
+		_, err = p.do(ctx, platformCall{op: "put object", method: http.MethodPut, path: proto.PathObjects + "/" + hash, body: data, write: true})
+	}
+	return err
+}
+
+// Get returns the object with the hash; it fails with KindNotFound or KindUnavailable.
+func (p *Platform) Get(ctx context.Context, hash string) ([]byte, error) {
+	return p.do(ctx, platformCall{op: "get object", method: http.MethodGet, path: proto.PathObjects + "/" + hash})
+}
+
+// VMs returns the platform's VM list, which is late. It fails with KindUnavailable.
+func (p *Platform) VMs(ctx context.Context) (proto.VMList, error) {
+	data, err := p.do(ctx, platformCall{op: "list vms", method: http.MethodGet, path: proto.PathVMs})
+	return decode[proto.VMList]("list vms", data, err)
+}
--- /dev/null
+++ b/wire/targets.go
@@ -0,0 +1,347 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"emberlead/core"
+	"emberlead/proto"
+)
+
+const (
+	dialTimeout      = 2 * time.Second
+	idlePerTarget    = 32
+	idleTimeout      = 30 * time.Second
+	maxAnswer        = 8 << 20
+	maxEventLine     = 1 << 20
+	controlTimeout   = 2 * time.Second
+	attemptAllowance = 50 * time.Millisecond
+)
+
+// countingConn counts the bytes written, because a refusal is only certain while there were none.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// Targets runs attempts at targets by HTTP.
+type Targets struct {
+	reused *http.Client
+	fresh  *http.Client
+	life   context.Context
+	abort  context.CancelFunc
+}
+
+// NewTargets returns a client of targets.
+func NewTargets() *Targets {
+	t := &Targets{reused: targetClient(false), fresh: targetClient(true)}
+	t.life, t.abort = context.WithCancel(context.Background())
+	return t
+}
+
+// Abort breaks all connections to targets, as the end of the process would.
+func (t *Targets) Abort() { t.abort() }
+
+func targetClient(fresh bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countingConn{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:   fresh,
+		DisableCompression:  true,
+	}
+	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}}
+}
+
+// sentWatch tells whether any byte of a request was written to a connection.
+type sentWatch struct {
+	conn   atomic.Pointer[countingConn]
+	before atomic.Int64
+}
+
+func (w *sentWatch) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*countingConn); ok {
+			w.before.Store(conn.written.Load())
+			w.conn.Store(conn)
+		}
+	}})
+}
+
+func (w *sentWatch) sent() bool {
+	conn := w.conn.Load()
+	return conn != nil && conn.written.Load() > w.before.Load()
+}
+
+// Run carries out an attempt and feeds chunks and its end to emit; the end is the last event.
+func (t *Targets) Run(ctx context.Context, start *core.Start, mayRepeat bool, emit func(core.Event)) {
+	ctx, s := span(ctx, "attempt", trace.SpanKindClient,
+		attribute.String("emberlead.stage", start.Stage.Name),
+		attribute.String("emberlead.target", start.Target.Name),
+		attribute.Int("emberlead.attempt", start.ID.Number))
+	ended := t.run(ctx, start, mayRepeat, emit)
+	ended.Attempt = start.ID
+	var spanErr error
+	if ended.Fate != core.FateDone {
+		spanErr = fault("run", proto.KindUnknown, "%s", ended.Reason)
+	}
+	endSpan(s, spanErr)
+	emit(ended)
+}
+
+func (t *Targets) run(ctx context.Context, start *core.Start, mayRepeat bool, emit func(core.Event)) core.AttemptEnded {
+	ctx, cancel := context.WithDeadline(ctx, start.Deadline.Add(attemptAllowance))
+	defer cancel()
+	defer context.AfterFunc(t.life, cancel)()
+	watch := &sentWatch{}
+	req, err := newRun(watch.trace(ctx), start)
+	if err != nil {
+		return core.AttemptEnded{Fate: core.FateNotStarted, Reason: err.Error()}
+	}
+	// A reused connection may have been closed unseen, which leaves a written request in doubt.
+	client := t.reused
+	if !mayRepeat {
+		client = t.fresh
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		fate := core.FateUnknown
+		if !watch.sent() {
+			fate = core.FateNotStarted
+		}
+		return core.AttemptEnded{Fate: fate, Reason: err.Error()}
+	}
+	defer resp.Body.Close()
+	return t.read(resp, start, emit)
+}
+
+func newRun(ctx context.Context, start *core.Start) (*http.Request, error) {
+	body, err := json.Marshal(proto.RunRequest{
+		Attempt: start.ID.String(), Workspace: start.Workspace, Service: start.Service, Stage: start.Stage.Name,
+		Model: start.Stage.Model, Input: start.Input, Prefix: start.Prefix, Priority: start.Priority,
+		Deadline: start.Deadline, Stream: start.Stream, MaxTokens: start.Stage.MaxTokens,
+		Offset: start.Offset, Delivered: delivered(start.Delivered),
+	})
+	if err != nil {
+		return nil, &Error{Op: "encode attempt", Kind: proto.KindInvalid, Err: err}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, targetURL(start.Target.Address, proto.PathRun), bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Op: "encode attempt", Kind: proto.KindInvalid, Err: err}
+	}
+	// Without GetBody the transport cannot send the body again by itself.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(proto.HeaderAttempt, start.ID.String())
+	inject(ctx, req.Header)
+	return req, nil
+}
+
+func delivered(text string) json.RawMessage {
+	if text == "" {
+		return nil
+	}
+	data, err := json.Marshal(text)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func targetURL(address netip.AddrPort, path string) string {
+	return (&url.URL{Scheme: "http", Host: address.String(), Path: path}).String()
+}
+
+func (t *Targets) read(resp *http.Response, start *core.Start, emit func(core.Event)) core.AttemptEnded {
+	if resp.StatusCode != http.StatusOK {
+		return readRefusal(resp)
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return readStream(resp.Body, start, emit)
+	}
+	var answer proto.RunAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer); err != nil {
+		return core.AttemptEnded{Fate: core.FateUnknown, Reason: err.Error()}
+	}
+	return answered(&answer, start, emit)
+}
+
+// readRefusal believes a target that says it never started; any other error means that it may have run.
+func readRefusal(resp *http.Response) core.AttemptEnded {
+	var refusal proto.RunRefusal
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxEventLine)).Decode(&refusal)
+	reason := resp.Status + " " + refusal.Reason
+	switch {
+	case err == nil && refusal.Outcome == proto.OutcomeNotRun:
+		return core.AttemptEnded{Fate: core.FateNotStarted, Reason: reason}
+	case err == nil && refusal.Outcome == proto.OutcomeRan:
+		return core.AttemptEnded{Fate: core.FateFailed, Reason: reason}
+	}
+	return core.AttemptEnded{Fate: core.FateUnknown, Reason: reason}
+}
+
+func answered(answer *proto.RunAnswer, start *core.Start, emit func(core.Event)) core.AttemptEnded {
+	if answer.Attempt != start.ID.String() {
+		return core.AttemptEnded{Fate: core.FateUnknown, Reason: "the answer is to attempt " + answer.Attempt}
+	}
+	if answer.Load != nil {
+		emit(core.LoadReported{Pool: start.Pool, Load: *answer.Load})
+	}
+	return core.AttemptEnded{
+		Fate: core.FateDone, Output: answer.Output, Tokens: answer.Tokens,
+		Busy: answer.Busy.Std(), CacheHit: answer.CacheHit,
+	}
+}
+
+func readStream(body io.Reader, start *core.Start, emit func(core.Event)) core.AttemptEnded {
+	events := newEventReader(body)
+	for {
+		name, data, err := events.next()
+		if err != nil {
+			return core.AttemptEnded{Fate: core.FateUnknown, Reason: "the stream broke off: " + err.Error()}
+		}
+		if name == "done" {
+			var answer proto.RunAnswer
+			if err := json.Unmarshal(data, &answer); err != nil {
+				return core.AttemptEnded{Fate: core.FateUnknown, Reason: err.Error()}
+			}
+			return answered(&answer, start, emit)
+		}
+		var chunk proto.RunChunk
+		if err := json.Unmarshal(data, &chunk); err != nil || chunk.Attempt != start.ID.String() {
+			return core.AttemptEnded{Fate: core.FateUnknown, Reason: "the stream holds a chunk that is not of this attempt"}
+		}
+		emit(core.AttemptChunk{Attempt: start.ID, Offset: chunk.Offset, Text: chunk.Text, Tokens: chunk.Tokens})
+	}
+}
+
+// eventReader reads server-sent events.
+type eventReader struct{ scanner *bufio.Scanner }
+
+func newEventReader(body io.Reader) *eventReader {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventLine)
+	return &eventReader{scanner: scanner}
+}
+
+func (r *eventReader) next() (name string, data []byte, err error) {
+	for r.scanner.Scan() {
+		line := r.scanner.Text()
+		switch {
+		case line == "" && data != nil:
+			return name, data, nil
+		case strings.HasPrefix(line, "event: "):
+			name = line[len("event: "):]
+		case strings.HasPrefix(line, "data: "):
+			data = append(data, line[len("data: "):]...)
+		}
+	}
+	if err := r.scanner.Err(); err != nil {
+		return "", nil, err
+	}
+	return "", nil, io.ErrUnexpectedEOF
+}
+
+// Cancel tells a target that an attempt is no longer wanted; a failure is of no consequence, since its answer is dropped anyway.
+func (t *Targets) Cancel(ctx context.Context, address netip.AddrPort, attempt proto.AttemptID) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	u := targetURL(address, proto.PathCancel) + "?attempt=" + url.QueryEscape(attempt.String())
+	_, _ = t.control(ctx, http.MethodPost, u, nil)
+}
+
+// Load reads a target's load report; it fails with KindUnavailable.
+func (t *Targets) Load(ctx context.Context, address netip.AddrPort) (proto.Load, error) {
+	var load proto.Load
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	data, err := t.control(ctx, http.MethodGet, targetURL(address, proto.PathLoad), nil)
+	if err != nil {
+		return load, err
+	}
+	if err := json.Unmarshal(data, &load); err != nil {
+		return load, &Error{Op: "read load", Kind: proto.KindInvalid, Err: err}
+	}
+	return load, nil
+}
+
+// CacheEvents reads a target's cache events after a sequence number; it fails with KindUnavailable.
+func (t *Targets) CacheEvents(ctx context.Context, address netip.AddrPort, after uint64) ([]proto.CacheEvent, error) {
+	var events []proto.CacheEvent
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	data, err := t.control(ctx, http.MethodGet, targetURL(address, proto.PathCaches)+"?after="+strconv.FormatUint(after, 10), nil)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(data, &events); err != nil {
+		return nil, &Error{Op: "read cache events", Kind: proto.KindInvalid, Err: err}
+	}
+	return events, nil
+}
+
+// Order sends a fenced order; it fails with KindDenied if the target has seen a newer epoch.
+func (t *Targets) Order(ctx context.Context, address netip.AddrPort, order proto.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	body, err := json.Marshal(order)
+	if err != nil {
+		return &Error{Op: "encode order", Kind: proto.KindInvalid, Err: err}
+	}
+	_, err = t.control(ctx, http.MethodPost, targetURL(address, proto.PathOrder), body)
+	return err
+}
+
+func (t *Targets) control(ctx context.Context, method, u string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Op: "control", Kind: proto.KindInvalid, Err: err}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	inject(ctx, req.Header)
+	resp, err := t.reused.Do(req)
+	if err != nil {
+		return nil, &Error{Op: "control", Kind: proto.KindUnavailable, Err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, &Error{Op: "control", Kind: proto.KindUnavailable, Err: err}
+	}
+	if resp.StatusCode == http.StatusConflict {
+		return nil, fault("control", proto.KindDenied, "%s", bytes.TrimSpace(data))
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return nil, fault("control", proto.KindUnavailable, "%s", resp.Status)
+	}
+	return data, nil
+}
