Compare policies under a virtual clock; route by prefix; leases, orders and placement

Cause: the router ignored what it knew of prefix caches, and nothing measured policies. Change: trial/ drives real engines through models of targets; a prefix has two homes by rendezvous hashing, and a target thought to hold it is ranked by the learnt saving. Leases count from before the write; orders carry their epoch.

--- a/coord/claim.go
+++ b/coord/claim.go
@@ -75,7 +75,7 @@
 		return DecisionTooOld
 	case r.count(proto.ClaimTooNew) > 0:
 		return DecisionTooNew
-	case len(r.answers)+r.failures < r.size:
+	case r.count(proto.ClaimGranted)+r.size-len(r.answers)-r.failures >= majority:
 		return DecisionOpen
 	case r.count(proto.ClaimStale) > 0:
 		return DecisionStale
@@ -127,6 +127,7 @@
 	random *rand.Rand
 	tries  int
 	groups map[proto.RequestID]claimed
+	failed map[int]time.Time // when a slot's group last gave no answer
 }
 
 type claimed struct {
@@ -140,7 +141,7 @@
 	return &Claimer{
 		self: self, roster: local.Roster, local: local, peers: peers, clock: clock, timing: timing, refresh: refresh, dead: dead,
 		random: rand.New(rand.NewPCG(xxhash.Sum64String(string(self.VM)), uint64(self.Incarnation))),
-		groups: map[proto.RequestID]claimed{},
+		groups: map[proto.RequestID]claimed{}, failed: map[int]time.Time{},
 	}
 }
 
@@ -201,6 +202,7 @@
 		}
 	}
 	decision := r.Decide()
+	c.note(index, decision)
 	if decision == DecisionGranted {
 		c.mu.Lock()
 		c.groups[request] = claimed{slot: index, group: slot.Group, claim: ask.Claim}
@@ -230,6 +232,10 @@
 		replies <- reply{from: member.VM, answer: c.local.Claim(c.clock.Now(), ask)}
 		return
 	}
+	if c.dead(member.VM, member.Incarnation) {
+		replies <- reply{from: member.VM, err: fault("claim", proto.KindUnavailable, "%s looks dead", member.VM)}
+		return
+	}
 	m, err := c.peers.Call(ctx, member.VM, ask)
 	answer, ok := m.(proto.ClaimAnswer)
 	if err == nil && !ok {
@@ -253,13 +259,36 @@
 	}
 }
 
+// failedFor is how long a slot whose group gave no answer counts as unreachable before it is tried again.
+const failedFor = time.Second
+
+func (c *Claimer) failedLately(slot int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.Since(c.failed[slot]) < failedFor
+}
+
+func (c *Claimer) note(slot int, decision Decision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if decision == DecisionUnreachable {
+		c.failed[slot] = c.clock.Now()
+		return
+	}
+	delete(c.failed, slot)
+}
+
 // Reachable tells whether, as far as this daemon sees, most of the key's group is live.
 func (c *Claimer) Reachable(key proto.Key) bool {
 	roster := c.roster()
 	if len(roster.Slots) == 0 {
 		return false
 	}
-	group := roster.Slots[SlotOf(key, len(roster.Slots))].Group
+	index := SlotOf(key, len(roster.Slots))
+	if c.failedLately(index) {
+		return false
+	}
+	group := roster.Slots[index].Group
 	live := 0
 	for _, member := range group {
 		if member == c.self || !c.dead(member.VM, member.Incarnation) {
--- a/coord/node.go
+++ b/coord/node.go
@@ -66,6 +66,7 @@
 	nextSweep time.Time
 	onUsage   func([]proto.UsageRow)
 	onLoads   func(proto.Loads)
+	onDemand  func([]proto.DemandRow)
 }
 
 // NodeOption changes a Node at construction.
@@ -80,6 +81,7 @@
 	adopted func(*proto.Snapshot)
 	usage   func([]proto.UsageRow)
 	loads   func(proto.Loads)
+	demand  func([]proto.DemandRow)
 }
 
 // WithNodeTiming sets the intervals of the node's own work.
@@ -104,17 +106,22 @@
 	return func(c *nodeConfig) { c.usage, c.loads = usage, loads }
 }
 
+// WithDemand sets what is told of other daemons' demand for models.
+func WithDemand(fn func([]proto.DemandRow)) NodeOption {
+	return func(c *nodeConfig) { c.demand = fn }
+}
+
 // NewNode returns a node that knows only itself.
 func NewNode(deps Deps, options ...NodeOption) *Node {
 	c := nodeConfig{
 		node: DefaultNodeTiming(), member: DefaultMemberTiming(), claim: DefaultClaimTiming(),
 		rings: DefaultRings(), roster: DefaultRosterPlan(),
-		usage: func([]proto.UsageRow) {}, loads: func(proto.Loads) {},
+		usage: func([]proto.UsageRow) {}, loads: func(proto.Loads) {}, demand: func([]proto.DemandRow) {},
 	}
 	for _, option := range options {
 		option(&c)
 	}
-	n := &Node{deps: deps, started: deps.Clock.Now(), timing: c.node, onUsage: c.usage, onLoads: c.loads, Sums: NewUsageSums()}
+	n := &Node{deps: deps, started: deps.Clock.Now(), timing: c.node, onUsage: c.usage, onLoads: c.loads, onDemand: c.demand, Sums: NewUsageSums()}
 	self := proto.RosterMember{VM: deps.Self.VM, Zone: deps.Self.Zone, Incarnation: deps.Self.Incarnation}
 	n.Changes = NewChanges(func(s *proto.Snapshot) {
 		if c.adopted != nil {
@@ -184,6 +191,8 @@
 		return n.Replica.Transfer(msg)
 	case proto.SlotReady:
 		n.Roster.Report(from, msg)
+	case proto.Demand:
+		n.onDemand(msg.Rows)
 	case proto.Usage:
 		n.takeUsage(now, from, msg)
 	case proto.Loads:
@@ -279,6 +288,9 @@
 	}
 }
 
+// Stopping tells whether the daemon has announced that it is stopping.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
 // Tick does what is due by time and needs no store; it comes every NodeTiming.Tick.
 func (n *Node) Tick(now time.Time) {
 	n.Members.Tick(now)
--- a/core/engine.go
+++ b/core/engine.go
@@ -203,6 +203,17 @@
 	return reports
 }
 
+// TakeDemand returns what this daemon spent by pool and model since the last call.
+func (e *Engine) TakeDemand() []proto.DemandRow {
+	var rows []proto.DemandRow
+	for _, p := range e.allPools() {
+		for model, spent := range p.usage.takeModels() {
+			rows = append(rows, proto.DemandRow{Pool: p.name, Model: model, Spent: spent})
+		}
+	}
+	return rows
+}
+
 // turn collects what one event leads to.
 type turn struct {
 	now     time.Time
--- a/core/flow.go
+++ b/core/flow.go
@@ -57,7 +57,7 @@
 	e.requests.With(r.id, func(items map[proto.RequestID]*request) {
 		items[r.id] = r
 		e.arm(r.deadline, r.id, 0)
-		e.enterStage(t, r)
+		e.begin(t, r)
 		forgetDone(items, r)
 	})
 }
@@ -105,9 +105,9 @@
 	return min(retryCeiling, max(retryFloor, queueing))
 }
 
-// enterStage claims the key if the stage may run only once, and queues the request for the stage's pool.
-func (e *Engine) enterStage(t *turn, r *request) {
-	if r.keyed && r.claim == claimNone && !r.mayRepeat() {
+// begin claims the key first if some stage may run only once, so that a refusal is known before anything runs.
+func (e *Engine) begin(t *turn, r *request) {
+	if r.keyed && r.runsOnce() {
 		r.claim = claimAsked
 		t.act(Claim{Request: r.id, Key: r.key})
 		return
@@ -171,6 +171,7 @@
 		target:   g.target,
 		began:    t.now,
 		expected: g.ticket.Need.Service,
+		prefix:   g.ticket.Need.Prefix,
 	}
 	r.live[r.numbers] = a
 	r.possible++
--- /dev/null
+++ b/core/placement.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// PlacementTuning holds the constants of placement.
+type PlacementTuning struct {
+	// HalfLife is that of the demand which placement follows.
+	HalfLife time.Duration
+	// Lead is by how many targets' worth a model must be short before a target is changed.
+	Lead float64
+	// Dwell is how long a target keeps its model at least.
+	Dwell time.Duration
+	// Rate is how many targets may change in a second over all pools, which the weight store bounds.
+	Rate float64
+	// Burst is how many targets may change at once.
+	Burst float64
+}
+
+// DefaultPlacementTuning returns constants under which a change of load is followed within a minute and a spike is not.
+func DefaultPlacementTuning() PlacementTuning {
+	return PlacementTuning{HalfLife: 20 * time.Second, Lead: 0.6, Dwell: time.Minute, Rate: 0.2, Burst: 2}
+}
+
+// Placement moves targets between models as their demand shifts, with hysteresis.
+type Placement struct {
+	tuning  PlacementTuning
+	demand  map[string]map[string]*state.Decay
+	changed map[string]time.Time
+	tokens  float64
+	filled  time.Time
+}
+
+// NewPlacement returns a placement that has seen no demand.
+func NewPlacement(tuning PlacementTuning) *Placement {
+	return &Placement{tuning: tuning, demand: map[string]map[string]*state.Decay{}, changed: map[string]time.Time{}, tokens: tuning.Burst}
+}
+
+func (p *Placement) take(now time.Time, pool string, demand map[string]time.Duration) map[string]float64 {
+	known := p.demand[pool]
+	if known == nil {
+		known = map[string]*state.Decay{}
+		p.demand[pool] = known
+	}
+	for model, spent := range demand {
+		if known[model] == nil {
+			known[model] = &state.Decay{}
+		}
+		known[model].Add(now, p.tuning.HalfLife, spent.Seconds())
+	}
+	levels := map[string]float64{}
+	for model, d := range known {
+		levels[model] = d.Value(now, p.tuning.HalfLife)
+	}
+	return levels
+}
+
+// Place returns the targets to give another model. Every model of the pool keeps at least one target.
+func (p *Placement) Place(now time.Time, pool *proto.Pool, demand map[string]time.Duration, current map[string][]string) map[string][]string {
+	levels := p.take(now, pool.Name, demand)
+	p.fill(now)
+	changes := map[string][]string{}
+	have := p.assigned(pool, current, changes)
+	total := 0.0
+	for _, model := range pool.Models {
+		total += levels[model]
+	}
+	if total == 0 {
+		return changes
+	}
+	share := func(model string) float64 {
+		return max(1, levels[model]/total*float64(len(current)))
+	}
+	for p.tokens >= 1 {
+		short, surplus := p.extremes(pool.Models, have, share)
+		if short == "" || surplus == "" || share(short)-float64(len(have[short])) < p.tuning.Lead {
+			return changes
+		}
+		target := p.movable(now, have[surplus])
+		if target == "" {
+			return changes
+		}
+		p.move(now, target, short, surplus, have, changes)
+	}
+	return changes
+}
+
+func (p *Placement) fill(now time.Time) {
+	if !p.filled.IsZero() {
+		p.tokens = min(p.tuning.Burst, p.tokens+p.tuning.Rate*now.Sub(p.filled).Seconds())
+	}
+	p.filled = now
+}
+
+// assigned sorts the targets by their model; one that holds several or none is given one at once, in turn.
+func (p *Placement) assigned(pool *proto.Pool, current map[string][]string, changes map[string][]string) map[string][]string {
+	have := map[string][]string{}
+	for _, name := range slices.Sorted(maps.Keys(current)) {
+		models := current[name]
+		if len(models) == 1 && slices.Contains(pool.Models, models[0]) {
+			have[models[0]] = append(have[models[0]], name)
+			continue
+		}
+		least := slices.MinFunc(pool.Models, func(a, b string) int { return cmp.Compare(len(have[a]), len(have[b])) })
+		have[least] = append(have[least], name)
+		changes[name] = []string{least}
+	}
+	return have
+}
+
+// extremes returns the model that is short of most targets and the one that has most to spare.
+func (p *Placement) extremes(models []string, have map[string][]string, share func(string) float64) (short, surplus string) {
+	lack, spare := 0.0, 0.0
+	for _, model := range models {
+		gap := share(model) - float64(len(have[model]))
+		if gap > lack {
+			short, lack = model, gap
+		}
+		if -gap > spare && len(have[model]) > 1 {
+			surplus, spare = model, -gap
+		}
+	}
+	return short, surplus
+}
+
+func (p *Placement) movable(now time.Time, targets []string) string {
+	for _, target := range targets {
+		if at, ok := p.changed[target]; !ok || now.Sub(at) >= p.tuning.Dwell {
+			return target
+		}
+	}
+	return ""
+}
+
+func (p *Placement) move(now time.Time, target, to, from string, have map[string][]string, changes map[string][]string) {
+	p.tokens--
+	p.changed[target] = now
+	have[from] = slices.DeleteFunc(have[from], func(name string) bool { return name == target })
+	have[to] = append(have[to], target)
+	changes[target] = []string{to}
+}
--- a/core/policy.go
+++ b/core/policy.go
@@ -15,6 +15,9 @@
 	Model   string
 	Service float64 // expected seconds at an idle target
 	Exclude string
+
+	entry  *prefixEntry
+	saving float64
 }
 
 // Candidate is what a Chooser ranks.
@@ -95,11 +98,13 @@
 	for k := range candidates {
 		i := (from + k) % len(candidates)
 		candidate := candidates[i]
-		if seen >= e.Sample && (need.Prefix == "" || !candidate.Preferred(need)) {
-			if need.Prefix == "" {
+		if seen >= e.Sample {
+			if need.entry == nil {
 				break
 			}
-			continue
+			if !candidate.Preferred(need) {
+				continue
+			}
 		}
 		if !candidate.Open(need) {
 			continue
--- a/core/pool.go
+++ b/core/pool.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	maxPrefixes    = 4096
 	drainHalfLife  = 2 * time.Second
 	openTarget     = -1
 	panicFraction  = 2 // at most one in this many targets stays ejected
@@ -35,25 +34,25 @@
 	queue    Queue
 	chooser  Chooser[*target]
 	usage    *usage
-	cached   map[string]map[string]bool // prefix to names of targets
-	order    []string                   // prefixes in the order they came
+	prefixes *prefixes
 	drained  state.Decay
 	retries  state.Bucket
 	hedges   state.Bucket
 	sequence uint64
+	numbered int
 	swept    time.Time
 }
 
 func newPool(name string, tuning Tuning, chooser Chooser[*target]) *pool {
 	p := &pool{
-		name:    name,
-		tuning:  tuning,
-		byName:  map[string]*target{},
-		chooser: chooser,
-		usage:   newUsage(tuning.UsageHalfLife),
-		cached:  map[string]map[string]bool{},
-		retries: state.NewBucket(retryBurst),
-		hedges:  state.NewBucket(retryBurst),
+		name:     name,
+		tuning:   tuning,
+		byName:   map[string]*target{},
+		chooser:  chooser,
+		usage:    newUsage(tuning.UsageHalfLife),
+		prefixes: newPrefixes(),
+		retries:  state.NewBucket(retryBurst),
+		hedges:   state.NewBucket(retryBurst),
 	}
 	p.queue = newArrivalQueue()
 	if tuning.Fair {
@@ -83,6 +82,20 @@
 	}
 	clear(p.targets[len(kept):])
 	p.targets = kept
+	p.number()
+}
+
+// number gives the targets their indexes; what is known by index is forgotten if one changed.
+func (p *pool) number() {
+	changed := false
+	for i, t := range p.targets {
+		changed = changed || t.index != i
+		t.index = i
+	}
+	if changed || len(p.targets) != p.numbered {
+		p.numbered = len(p.targets)
+		p.prefixes.reset()
+	}
 }
 
 func (p *pool) upsert(spec proto.Target) *target {
@@ -162,6 +175,10 @@
 		}
 		p.queue.Remove(ticket)
 		p.targets[chosen].started(now)
+		if ticket.Need.entry != nil {
+			// The target will hold the prefix from now on; an event corrects that if it does not.
+			ticket.Need.entry.holders.set(chosen, true)
+		}
 		grants = append(grants, grant{pool: p, ticket: ticket, target: p.targets[chosen]})
 	}
 }
@@ -169,6 +186,11 @@
 func (p *pool) choose(now time.Time, ticket *Ticket) int {
 	need := &ticket.Need
 	need.Now = now
+	need.entry = nil
+	if need.Prefix != "" {
+		need.entry = p.prefixes.entry(need.Prefix, p.targets)
+		need.saving = p.prefixes.saving()
+	}
 	chosen := p.chooser.Choose(p.targets, need)
 	if chosen != openTarget {
 		return chosen
@@ -201,11 +223,15 @@
 }
 
 // ended takes in the end of an attempt and returns the grants that follow.
-func (p *pool) ended(now time.Time, t *target, workspace string, fate Fate, ratio float64, spent time.Duration) []grant {
+func (p *pool) ended(now time.Time, a *attempt, workspace string, fate Fate, took time.Duration, spent time.Duration, hit bool) []grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t.ended(now, fate, ratio)
+	ratio := took.Seconds() / a.expected
+	a.target.ended(now, fate, ratio)
 	if fate == FateDone {
+		if a.prefix != "" {
+			p.prefixes.learn(hit, ratio)
+		}
 		p.drained.Add(now, drainHalfLife, 1)
 		p.retries.Earn(p.tuning.RetryRatio)
 		p.hedges.Earn(p.tuning.HedgeRatio)
@@ -291,23 +317,7 @@
 func (p *pool) cacheEvent(event proto.CacheEvent) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	holders := p.cached[event.Prefix]
-	if !event.Present {
-		delete(holders, event.Target)
-		return
-	}
-	if holders == nil {
-		holders = map[string]bool{}
-		p.remember(event.Prefix, holders)
-	}
-	holders[event.Target] = true
-}
-
-func (p *pool) remember(prefix string, holders map[string]bool) {
-	if len(p.order) >= maxPrefixes {
-		delete(p.cached, p.order[0])
-		p.order = p.order[1:]
+	if t := p.byName[event.Target]; t != nil {
+		p.prefixes.event(event, p.targets, t.index)
 	}
-	p.cached[prefix] = holders
-	p.order = append(p.order, prefix)
 }
--- a/core/request.go
+++ b/core/request.go
@@ -21,7 +21,8 @@
 	pool     *pool
 	target   *target
 	began    time.Time
-	expected float64 // seconds, at an idle target
+	expected float64 // seconds, on average
+	prefix   string
 }
 
 // request is the state of one request; the lock of its shard guards it.
--- a/core/result.go
+++ b/core/result.go
@@ -22,7 +22,10 @@
 	if fate == FateUnknown {
 		spent = took
 	}
-	t.grants = append(t.grants, a.pool.ended(t.now, a.target, r.workspace, fate, took.Seconds()/a.expected, spent)...)
+	t.grants = append(t.grants, a.pool.ended(t.now, a, r.workspace, fate, took, spent, ev.CacheHit)...)
+	if model := r.spec().Model; model != "" && spent > 0 {
+		a.pool.usage.addModel(model, spent)
+	}
 	e.stats.spent(r.service.Name, r.spec().Name, spent, ev.Tokens, fate)
 	switch fate {
 	case FateDone:
@@ -69,7 +72,7 @@
 	r.hedged = false
 	r.exclude = ""
 	r.reason = ""
-	e.enterStage(t, r)
+	e.enqueue(t, r)
 }
 
 func (e *Engine) notStarted(t *turn, r *request, a *attempt) {
--- a/core/target.go
+++ b/core/target.go
@@ -12,26 +12,25 @@
 )
 
 const (
-	historySlots   = 32
-	historyStep    = 100 * time.Millisecond
-	defaultSlots   = 4
-	minLimit       = 1.0
-	staleReport    = 2 * time.Second
-	staleHalfLife  = 2 * time.Second
-	zoneCost       = 0.002 // seconds, both ways to another zone
-	regionCost     = 0.060 // seconds, both ways to another region
-	preferredCount = 2
-	maxEjections   = 6
-	limitGrowth    = 0.05
-	limitCut       = 0.85
-	modelMiss      = 1.0 // seconds that loading a model costs a request
-	prefixHitGain  = 0.5 // part of the service time that a prefix hit saves, until it is learnt
+	historySlots  = 32
+	historyStep   = 100 * time.Millisecond
+	defaultSlots  = 4
+	minLimit      = 1.0
+	staleReport   = 2 * time.Second
+	staleHalfLife = 2 * time.Second
+	zoneCost      = 0.002 // seconds, both ways to another zone
+	regionCost    = 0.060 // seconds, both ways to another region
+	maxEjections  = 6
+	limitGrowth   = 0.05
+	limitCut      = 0.85
+	modelMiss     = 1.0 // seconds that loading a model costs a request
 )
 
 // target is one candidate of a pool, as this daemon sees it; the pool's lock guards it.
 type target struct {
 	spec     proto.Target
 	hash     uint64
+	index    int
 	leaving  bool
 	removed  bool
 	inflight int
@@ -115,6 +114,7 @@
 	if t.slowness.Count() > 0 {
 		service *= max(0.25, t.slowness.Mean())
 	}
+	service *= t.prefixFactor(need)
 	load := t.expected(need.Now) / float64(t.capacity())
 	finish := service * (1 + load*load)
 	if load >= 1 {
@@ -140,19 +140,22 @@
 	return modelMiss
 }
 
-// Preferred tells whether the prefix hashes to the target, the same on every daemon without a message.
+// Preferred tells whether the target is thought to hold the prefix, or is one of its homes.
 func (t *target) Preferred(need *Need) bool {
-	return mix(xxhash.Sum64String(need.Prefix)^t.hash)%preferredSpread < preferredCount
+	e := need.entry
+	return e != nil && (e.holders.has(t.index) || e.homes.has(t.index))
 }
 
-// preferredSpread makes about one in four targets a home of any one prefix.
-const preferredSpread = 8
-
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+func (t *target) prefixFactor(need *Need) float64 {
+	switch e := need.entry; {
+	case e == nil:
+		return 1
+	case e.holders.has(t.index):
+		return 1 - need.saving
+	case e.homes.has(t.index):
+		return 1 - homeBonus*need.saving
+	}
+	return 1
 }
 
 func (t *target) started(now time.Time) {
--- a/core/usage.go
+++ b/core/usage.go
@@ -13,6 +13,7 @@
 	halfLife time.Duration
 	spent    map[string]*state.Decay
 	unsent   map[string]time.Duration
+	models   map[string]time.Duration // by model, since it was last taken
 }
 
 func newUsage(halfLife time.Duration) *usage {
@@ -20,6 +21,7 @@
 		halfLife: halfLife,
 		spent:    map[string]*state.Decay{},
 		unsent:   map[string]time.Duration{},
+		models:   map[string]time.Duration{},
 	}
 }
 
@@ -59,6 +61,20 @@
 	return taken
 }
 
+func (u *usage) addModel(model string, spent time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.models[model] += spent
+}
+
+func (u *usage) takeModels() map[string]time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	taken := u.models
+	u.models = map[string]time.Duration{}
+	return taken
+}
+
 const forgottenUse = 1e-4
 
 // forget drops the workspaces that spent next to nothing lately, so that memory follows the active ones.
--- a/entry/app.go
+++ b/entry/app.go
@@ -92,7 +92,7 @@
 		},
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), applyCommand(), configCommand(), stopCommand(), statusCommand(),
-			callCommand(), demoCommand(), fakeCommand(), docsCommand(),
+			callCommand(), demoCommand(), fakeCommand(), trialCommand(), docsCommand(),
 		},
 	}
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -38,6 +38,7 @@
 	MessageListed
 	MessageDone
 	MessageSlotReady
+	MessageDemand
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -270,6 +271,18 @@
 	VMs     []VMEntry `cbor:"3,keyasint"`
 }
 
+// DemandRow is what a daemon spent with a model at a pool lately.
+type DemandRow struct {
+	Pool  string        `cbor:"1,keyasint"`
+	Model string        `cbor:"2,keyasint"`
+	Spent time.Duration `cbor:"3,keyasint"`
+}
+
+// Demand tells the daemon that orders models for a pool what the sender spent since its last one.
+type Demand struct {
+	Rows []DemandRow `cbor:"1,keyasint"`
+}
+
 // Done answers a call that needs no other answer.
 type Done struct{}
 
@@ -289,6 +302,7 @@
 func (Loads) messageKind() MessageKind          { return MessageLoads }
 func (Listed) messageKind() MessageKind         { return MessageListed }
 func (Done) messageKind() MessageKind           { return MessageDone }
+func (Demand) messageKind() MessageKind         { return MessageDemand }
 func (SlotReady) messageKind() MessageKind      { return MessageSlotReady }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
@@ -379,4 +393,5 @@
 	MessageListed:         reader[Listed],
 	MessageDone:           reader[Done],
 	MessageSlotReady:      reader[SlotReady],
+	MessageDemand:         reader[Demand],
 }
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -38,6 +38,7 @@
 	driver   *wire.Driver
 	front    *wire.Front
 	loads    *loadReader
+	orders   *coord.Orders
 
 	callers   net.Listener
 	peers     net.Listener
@@ -146,9 +147,9 @@
 		VM: s.VM, Zone: s.Zone, Peer: advertised,
 		Incarnation: proto.Incarnation(d.clock.Now().UnixMilli()), Count: 1,
 	}
-	d.node = coord.NewNode(
-		coord.Deps{Self: self, Clock: d.clock, Log: d.log.Named("node"), Platform: d.platform, Peers: d.links},
-		d.nodeOptions()...)
+	deps := coord.Deps{Self: self, Clock: d.clock, Log: d.log.Named("node"), Platform: d.platform, Peers: d.links}
+	d.node = coord.NewNode(deps, d.nodeOptions()...)
+	d.orders = coord.NewOrders(deps, d.node, d.targets, core.NewPlacement(core.DefaultPlacementTuning()), coord.DefaultLeaseTiming())
 	d.driver = wire.NewDriver(d.engine, d.clock, d.targets, d.node.Claimer, d.log.Named("driver"), s.Limits.BufferedBytes, d.gate)
 	d.front = wire.NewFront(d.driver, d.engine, d.clock, d.log.Named("front"), wire.FrontLimits{
 		Body: s.Limits.BodyBytes, Header: s.Limits.HeaderBytes, Open: s.Limits.OpenRequests, Buffered: s.Limits.BufferedBytes,
@@ -175,6 +176,7 @@
 			func(rows []proto.UsageRow) { d.takeUsage(rows) },
 			func(loads proto.Loads) { d.loads.take(loads) },
 		),
+		coord.WithDemand(func(rows []proto.DemandRow) { d.orders.AddDemand(rows) }),
 	}
 }
 
@@ -373,6 +375,7 @@
 	Members        coord.MemberCounts  `json:"members"`
 	Claims         coord.ReplicaCounts `json:"claims"`
 	Links          wire.LinkCounts     `json:"links"`
+	Orders         coord.OrderCounts   `json:"orders"`
 	PlatformReads  int64               `json:"platformReads"`
 	PlatformWrites int64               `json:"platformWrites"`
 }
@@ -383,7 +386,7 @@
 		return Vars{
 			Report: d.engine.Stats().Report(), Generation: d.node.Changes.Generation(), Open: d.front.Open(),
 			Members: d.node.Members.Counts(), Claims: d.node.Replica.Counts(), Links: d.links.Counts(),
-			PlatformReads: reads, PlatformWrites: writes,
+			Orders: d.orders.Counts(), PlatformReads: reads, PlatformWrites: writes,
 		}
 	})
 }
--- a/serve/loops.go
+++ b/serve/loops.go
@@ -12,6 +12,9 @@
 	"emberlead/proto"
 )
 
+// orderEvery is how often models are placed and leases looked at.
+const orderEvery = 2 * time.Second
+
 func (d *Daemon) addLoops(ctx context.Context, g *run.Group) {
 	t := &d.settings.Timing
 	node := coord.DefaultNodeTiming()
@@ -33,6 +36,11 @@
 		d.gate()
 		d.node.Revise(ctx)
 	})
+	d.addLoop(ctx, g, orderEvery, func(ctx context.Context) {
+		d.gate()
+		d.orders.ShareDemand(d.engine.TakeDemand())
+		d.orders.Step(ctx, d.node.Stopping())
+	})
 	d.addLoop(ctx, g, t.Load.Std(), func(ctx context.Context) {
 		d.gate()
 		d.shareUsage()
--- a/state/ledger.go
+++ b/state/ledger.go
@@ -55,12 +55,13 @@
 	case record == nil:
 		l.add(&proto.ClaimRecord{Key: key, Claim: claim, Fingerprint: fingerprint, State: proto.ClaimStateHeld})
 		return proto.ClaimGranted, nil
-	case record.Fingerprint != fingerprint:
+	case record.State != proto.ClaimStateReleased && record.Fingerprint != fingerprint:
 		return proto.ClaimMismatch, nil
 	case record.State == proto.ClaimStateDone:
 		return proto.ClaimDone, record.Answer
 	case record.State == proto.ClaimStateReleased && record.Claim != claim:
 		record.Claim = claim
+		record.Fingerprint = fingerprint
 		record.State = proto.ClaimStateHeld
 		return proto.ClaimGranted, nil
 	case record.State == proto.ClaimStateHeld && record.Claim == claim:
--- /dev/null
+++ b/trial/result.go
@@ -0,0 +1,112 @@
+package trial
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// WorkspaceResult counts how the requests of a workspace ended.
+type WorkspaceResult struct {
+	Asked, OnTime, Late, NotRun, Failed int
+}
+
+// StageResult is the cost of a stage.
+type StageResult struct {
+	Busy   time.Duration
+	Wasted time.Duration
+}
+
+// Result is what one run came to, or several runs together.
+type Result struct {
+	Workspaces    map[string]*WorkspaceResult
+	Stages        map[string]*StageResult
+	P50, P95, P99 time.Duration
+	runs          int
+}
+
+func (r *Result) workspace(name string) *WorkspaceResult {
+	w := r.Workspaces[name]
+	if w == nil {
+		w = &WorkspaceResult{}
+		r.Workspaces[name] = w
+	}
+	return w
+}
+
+func (r *Result) spent(service, stage string, busy time.Duration, wasted bool) {
+	if r.Stages == nil {
+		r.Stages = map[string]*StageResult{}
+	}
+	name := service + "/" + stage
+	st := r.Stages[name]
+	if st == nil {
+		st = &StageResult{}
+		r.Stages[name] = st
+	}
+	st.Busy += busy
+	if wasted {
+		st.Wasted += busy
+	}
+}
+
+// Attainment returns the worst workspace's, that of all requests together, and the number asked.
+func (r *Result) Attainment() (worst, mean float64, asked int) {
+	worst = 1
+	onTime := 0
+	for _, w := range r.Workspaces {
+		asked += w.Asked
+		onTime += w.OnTime
+		if w.Asked > 0 {
+			worst = min(worst, float64(w.OnTime)/float64(w.Asked))
+		}
+	}
+	return worst, float64(onTime) / float64(max(1, asked)), asked
+}
+
+// OnTime returns the number of requests delivered in time.
+func (r *Result) OnTime() int {
+	n := 0
+	for _, w := range r.Workspaces {
+		n += w.OnTime
+	}
+	return n
+}
+
+// Cost returns the busy time of all stages, and the part of it that was wasted.
+func (r *Result) Cost() (busy, wasted time.Duration) {
+	for _, st := range r.Stages {
+		busy += st.Busy
+		wasted += st.Wasted
+	}
+	return busy, wasted
+}
+
+// add takes in another run; quantiles are averaged over the runs.
+func (r *Result) add(other Result) {
+	for _, name := range slices.Sorted(maps.Keys(other.Workspaces)) {
+		w, o := r.workspace(name), other.Workspaces[name]
+		w.Asked += o.Asked
+		w.OnTime += o.OnTime
+		w.Late += o.Late
+		w.NotRun += o.NotRun
+		w.Failed += o.Failed
+	}
+	if r.Stages == nil {
+		r.Stages = map[string]*StageResult{}
+	}
+	for name, o := range other.Stages {
+		st := r.Stages[name]
+		if st == nil {
+			st = &StageResult{}
+			r.Stages[name] = st
+		}
+		st.Busy += o.Busy
+		st.Wasted += o.Wasted
+	}
+	n := time.Duration(r.runs)
+	r.P50 = (r.P50*n + other.P50) / (n + 1)
+	r.P95 = (r.P95*n + other.P95) / (n + 1)
+	r.P99 = (r.P99*n + other.P99) / (n + 1)
+	r.runs++
+}
--- /dev/null
+++ b/trial/run.go
@@ -0,0 +1,150 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/examples"
+	"emberlead/proto"
+)
+
+// Seeds are those of a comparison.
+var Seeds = []uint64{1, 2, 3}
+
+const entries = 4
+
+// LoadExample returns an example deployment; it fails with proto.KindInvalid.
+func LoadExample(name string) (*proto.File, error) {
+	data, err := examples.Files.ReadFile(name + ".json")
+	if err != nil {
+		return nil, &Error{Op: "load example", Kind: proto.KindNotFound, Err: err}
+	}
+	file, faults := proto.ReadFile(data)
+	if len(faults) > 0 {
+		return nil, fault("load example", proto.KindInvalid, "%v", faults)
+	}
+	return file, nil
+}
+
+// Run plays one case with one variant over all seeds.
+func Run(file *proto.File, c *Case, v Variant, seeds []uint64) (Result, Bound) {
+	total := Result{Workspaces: map[string]*WorkspaceResult{}}
+	b := Bound{}
+	for _, seed := range seeds {
+		s := newSim(file, c, v, seed, entries)
+		total.add(s.run())
+		b.add(s)
+	}
+	return total, b
+}
+
+// Bound is what an omniscient scheduler could have delivered at most.
+type Bound struct {
+	Asked int
+	Most  int
+}
+
+func (b *Bound) add(s *sim) {
+	asked := map[string]int{}
+	longest := time.Duration(0)
+	for _, r := range s.requests {
+		if r.counted {
+			asked[r.service.Name]++
+			b.Asked++
+		}
+		longest = max(longest, r.service.Deadline.Std())
+	}
+	b.Most += bound(s.file, asked, runLength+longest)
+}
+
+type cell struct {
+	result Result
+	bound  Bound
+}
+
+// Compare plays every case of a deployment with every variant and writes a table for each case.
+func Compare(w io.Writer, deployment string, seeds []uint64) error {
+	file, err := LoadExample(deployment)
+	if err != nil {
+		return err
+	}
+	cases, variants := Cases(deployment), Variants()
+	cells := playAll(file, cases, variants, seeds)
+	fmt.Fprintf(w, "## %s\n\n%d daemons, %d seeds, %.0f requests a second at full use of the tightest pool.\n", deployment, entries, len(seeds), capacity(file))
+	for i, c := range cases {
+		writeCase(w, file, c, variants, cells[i])
+	}
+	return nil
+}
+
+func playAll(file *proto.File, cases []*Case, variants []Variant, seeds []uint64) [][]cell {
+	cells := make([][]cell, len(cases))
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	var group sync.WaitGroup
+	for i, c := range cases {
+		cells[i] = make([]cell, len(variants))
+		for j, v := range variants {
+			group.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				cells[i][j].result, cells[i][j].bound = Run(file, c, v, seeds)
+			})
+		}
+	}
+	group.Wait()
+	return cells
+}
+
+func writeCase(w io.Writer, file *proto.File, c *Case, variants []Variant, row []cell) {
+	_, _, asked := row[0].result.Attainment()
+	fmt.Fprintf(w, "\n### %s\n\n", c.Name)
+	fmt.Fprintf(w, "Use %.1f, reports %s late, %d asked; at most %.4f could be delivered in time.\n\n", c.Use, c.Lag, asked, float64(row[0].bound.Most)/float64(max(1, row[0].bound.Asked)))
+	fmt.Fprintln(w, "| policy | worst workspace | all |", workspaceHead(file), "busy s | wasted s | p50 | p95 | p99 |")
+	fmt.Fprintln(w, "| --- | ---: | ---: |", workspaceRule(file), "---: | ---: | ---: | ---: | ---: |")
+	for j, v := range variants {
+		r := &row[j].result
+		worst, mean, _ := r.Attainment()
+		busy, wasted := r.Cost()
+		fmt.Fprintf(w, "| %s | %.4f | %.4f | %s %.1f | %.1f | %s | %s | %s |\n", v.Name, worst, mean, workspaceCells(file, r),
+			busy.Seconds(), wasted.Seconds(), ms(r.P50), ms(r.P95), ms(r.P99))
+	}
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%d ms", d.Milliseconds()) }
+
+func names(file *proto.File) []string {
+	var all []string
+	for _, w := range file.Workspaces {
+		all = append(all, w.Name)
+	}
+	return slices.Clip(all)
+}
+
+func workspaceHead(file *proto.File) string {
+	head := ""
+	for _, name := range names(file) {
+		head += name + " | "
+	}
+	return head
+}
+
+func workspaceRule(file *proto.File) string {
+	rule := ""
+	for range names(file) {
+		rule += "---: | "
+	}
+	return rule
+}
+
+func workspaceCells(file *proto.File, r *Result) string {
+	cells := ""
+	for _, name := range names(file) {
+		w := r.workspace(name)
+		cells += fmt.Sprintf("%.3f | ", float64(w.OnTime)/float64(max(1, w.Asked)))
+	}
+	return cells
+}
--- /dev/null
+++ b/trial/target.go
@@ -0,0 +1,136 @@
+package trial
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"emberlead/core"
+	"emberlead/proto"
+)
+
+// profile is how a kind of target behaves in the model.
+type profile struct {
+	slots    int
+	base     time.Duration
+	perToken time.Duration
+	crowd    float64
+	cache    int
+	most     int
+}
+
+func profileOf(kind proto.PoolKind) profile {
+	switch kind {
+	case proto.PoolEncoder:
+		return profile{slots: 4, base: 8 * time.Millisecond, crowd: 0.05, most: 64}
+	case proto.PoolRetriever:
+		return profile{slots: 4, base: 14 * time.Millisecond, crowd: 0.05, most: 64}
+	case proto.PoolReranker:
+		return profile{slots: 4, base: 16 * time.Millisecond, crowd: 0.08, most: 64}
+	case proto.PoolEngine:
+		return profile{slots: 8, base: 80 * time.Millisecond, perToken: 4 * time.Millisecond, crowd: 0.06, cache: 24, most: 64}
+	default:
+		return profile{slots: 8, base: 6 * time.Millisecond, crowd: 0.02, most: 128}
+	}
+}
+
+const (
+	prefixSaving  = 0.6
+	defaultTokens = 32
+)
+
+// full is the time of a run when all slots are taken.
+func (p profile) full(tokens int, hit bool) time.Duration {
+	return time.Duration(float64(p.idle(tokens, hit)) * (1 + p.crowd*float64(p.slots-1)))
+}
+
+func (p profile) idle(tokens int, hit bool) time.Duration {
+	base := p.base
+	if hit {
+		base = time.Duration(float64(base) * (1 - prefixSaving))
+	}
+	return base + time.Duration(tokens)*p.perToken
+}
+
+// job is an attempt at a target.
+type job struct {
+	start   core.Start
+	entry   int
+	began   time.Time
+	running bool
+	gone    bool
+	hit     bool
+}
+
+// target models slots, a queue ordered by priority, crowding, a prefix cache and faults.
+type target struct {
+	spec    proto.Target
+	pool    string
+	kind    proto.PoolKind
+	profile profile
+	random  *rand.Rand
+	running int
+	queue   []*job
+	cache   []string
+	events  []proto.CacheEvent
+	slow    float64
+	failing bool
+	dead    bool
+}
+
+func tokensOf(kind proto.PoolKind, stage *proto.Stage) int {
+	if kind != proto.PoolEngine {
+		return 0
+	}
+	if stage.MaxTokens == 0 {
+		return defaultTokens
+	}
+	return stage.MaxTokens
+}
+
+// lookUp takes a prefix into the cache and returns whether it was there.
+func (t *target) lookUp(prefix string) bool {
+	if prefix == "" || t.profile.cache == 0 {
+		return false
+	}
+	i := slices.Index(t.cache, prefix)
+	if i >= 0 {
+		t.cache = slices.Delete(t.cache, i, i+1)
+	} else if len(t.cache) >= t.profile.cache {
+		t.note(t.cache[0], false)
+		t.cache = t.cache[1:]
+	}
+	if i < 0 {
+		t.note(prefix, true)
+	}
+	t.cache = append(t.cache, prefix)
+	return i >= 0
+}
+
+// note keeps a cache event for the next report; one in ten is lost.
+func (t *target) note(prefix string, present bool) {
+	if t.random.IntN(10) > 0 {
+		t.events = append(t.events, proto.CacheEvent{Target: t.spec.Name, Prefix: prefix, Present: present})
+	}
+}
+
+func (t *target) serviceTime(j *job) time.Duration {
+	j.hit = t.lookUp(j.start.Prefix)
+	idle := t.profile.idle(tokensOf(t.kind, &j.start.Stage), j.hit)
+	jitter := 0.85 + 0.3*t.random.Float64()
+	return time.Duration(float64(idle) * t.slow * jitter * (1 + t.profile.crowd*float64(t.running-1)))
+}
+
+func (t *target) enqueue(j *job) {
+	at, _ := slices.BinarySearchFunc(t.queue, j, func(a, b *job) int {
+		if a.start.Priority <= b.start.Priority {
+			return -1
+		}
+		return 1
+	})
+	t.queue = slices.Insert(t.queue, at, j)
+}
+
+func (t *target) load(now time.Time) proto.Load {
+	return proto.Load{Target: t.spec.Name, Running: t.running, Waiting: len(t.queue), Slots: t.profile.slots, At: now}
+}
