Refuse at admission what needs most of an overloaded pool

Cause: under overload a request was admitted by the wait of all, so cheap ones with short deadlines were refused and costly ones with long deadlines taken; others expired after earlier stages had run. Change: work counts from admission on; the waiting time up to which a request is taken shrinks with its work and its workspace's use over its share. A freed slot may go to a waiting ticket whose prefix the target holds.

--- a/core/engine.go
+++ b/core/engine.go
@@ -123,11 +123,11 @@
 	e.snapshot.Store(s)
 	leaving := e.leavingFunc(s, now, lead)
 	for name, spec := range s.Pools {
-		e.poolLocked(name, s).configure(spec, leaving)
+		e.poolLocked(name, s).configure(spec, s.Workspaces, leaving)
 	}
 	for name, p := range e.pools {
 		if s.Pools[name] == nil {
-			p.configure(&proto.Pool{Name: name, Kind: p.kind}, leaving)
+			p.configure(&proto.Pool{Name: name, Kind: p.kind}, s.Workspaces, leaving)
 		}
 	}
 	return true
--- a/core/flow.go
+++ b/core/flow.go
@@ -88,7 +88,7 @@
 	queueing := e.queueing(t.now, r, 0)
 	work := e.remaining(r, 0)
 	if t.now.Add(queueing + work).Before(r.deadline) {
-		return nil
+		return e.afford(t, r, queueing)
 	}
 	kind := proto.FailureOverloaded
 	if queueing == 0 {
@@ -101,6 +101,22 @@
 	}
 }
 
+// afford refuses what needs more of an overloaded pool than others that wait for it.
+func (e *Engine) afford(t *turn, r *request, queueing time.Duration) *proto.Failure {
+	works := e.works(r)
+	for i, p := range r.pools {
+		if !p.takes(t.now, r.workspace, works[i]) {
+			return &proto.Failure{
+				Kind: proto.FailureOverloaded, Outcome: proto.OutcomeNotRun,
+				Detail:     fmt.Sprintf("pool %s is overloaded and others need less of it", p.name),
+				RetryAfter: retryAfter(queueing + backlogLimit),
+			}
+		}
+	}
+	r.promise(works)
+	return nil
+}
+
 func retryAfter(queueing time.Duration) time.Duration {
 	return min(retryCeiling, max(retryFloor, queueing))
 }
@@ -158,7 +174,7 @@
 		e.start(t, r, g)
 	}, nil)
 	if !taken {
-		t.grants = append(t.grants, g.pool.giveBack(t.now, g.target)...)
+		t.grants = append(t.grants, g.pool.giveBack(t.now, g.target, g.ticket.Need.Service)...)
 	}
 }
 
@@ -309,6 +325,9 @@
 	}
 	r.done = true
 	e.dropWork(t, r)
+	for stage := range r.pools {
+		r.settle(stage)
+	}
 	if r.claim == claimHeld {
 		r.claim = claimSettled
 		t.act(Settle{Request: r.id, Key: r.key, Released: r.unsafe == 0, Answer: output})
--- a/core/pool.go
+++ b/core/pool.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -35,6 +36,7 @@
 	chooser  Chooser[*target]
 	usage    *usage
 	prefixes *prefixes
+	backlog  backlog
 	drained  state.Decay
 	retries  state.Bucket
 	hedges   state.Bucket
@@ -62,10 +64,11 @@
 }
 
 // configure takes over the targets of a new generation; those left out get no new work and go once they are idle.
-func (p *pool) configure(spec *proto.Pool, leaving func(proto.VM) bool) {
+func (p *pool) configure(spec *proto.Pool, workspaces map[string]*proto.Workspace, leaving func(proto.VM) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.kind = spec.Kind
+	p.usage.setWeights(workspaces)
 	wanted := make(map[string]bool, len(spec.Targets))
 	for _, t := range spec.Targets {
 		wanted[t.Name] = true
@@ -142,19 +145,57 @@
 	return p.drain(now)
 }
 
-// wait estimates how long a new ticket of a workspace would queue.
-func (p *pool) wait(now time.Time, workspace string) time.Duration {
+// wait estimates how long a new ticket of a workspace with the given latest start would queue.
+func (p *pool) wait(now time.Time, workspace string, latest time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ahead := p.queue.Ahead(workspace, now)
-	if ahead == 0 {
+	return p.drainTime(now, p.queue.Ahead(workspace, latest))
+}
+
+// drainTime is how long the pool takes to start so many waiting requests at its rate of late.
+func (p *pool) drainTime(now time.Time, waiting int) time.Duration {
+	if waiting == 0 {
 		return 0
 	}
-	rate := p.drained.Value(now, drainHalfLife) * 0.693 / drainHalfLife.Seconds()
+	rate := p.drained.Value(now, drainHalfLife) * math.Ln2 / drainHalfLife.Seconds()
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / rate * float64(time.Second))
+	return seconds(float64(waiting) / rate)
+}
+
+// slots is the number of requests that the pool's open targets run at once.
+func (p *pool) slots(now time.Time) float64 {
+	sum := 0
+	for _, t := range p.targets {
+		if !t.leaving && !t.removed && !now.Before(t.ejectedTo) {
+			sum += t.capacity()
+		}
+	}
+	return float64(sum)
+}
+
+// takes tells whether a request of so much work is taken while others wait for the pool.
+func (p *pool) takes(now time.Time, workspace string, work float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	relative := 1.0
+	if p.tuning.Fair {
+		relative = p.usage.relative(workspace, now)
+	}
+	return p.backlog.takes(p.slots(now), work, relative)
+}
+
+func (p *pool) promise(work float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backlog.promise(work)
+}
+
+func (p *pool) settle(work float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backlog.settle(work)
 }
 
 // drain grants waiting tickets in rank order while targets are open.
@@ -173,8 +214,10 @@
 		if chosen == openTarget {
 			return grants
 		}
+		ticket, chosen = p.better(now, ticket, chosen)
 		p.queue.Remove(ticket)
 		p.targets[chosen].started(now)
+		p.backlog.begin(ticket.Need.Service)
 		if ticket.Need.entry != nil {
 			// The target will hold the prefix from now on; an event corrects that if it does not.
 			ticket.Need.entry.holders.set(chosen, true)
@@ -183,6 +226,28 @@
 	}
 }
 
+// urgentPart is the slack, in parts of the work left, below which a ticket does not let another one go first.
+const urgentPart = 1.0
+
+// better looks for a waiting ticket whose prefix an open target holds, if the first one's is held by none and it
+// can wait a little: a hit frees the slot earlier for all.
+func (p *pool) better(now time.Time, ticket *Ticket, chosen int) (*Ticket, int) {
+	e := ticket.Need.entry
+	if e == nil || e.holders.has(chosen) || ticket.latest().Sub(now) < seconds(urgentPart*ticket.Remaining.Seconds()) {
+		return ticket, chosen
+	}
+	other := p.queue.Beside(ticket, func(t *Ticket) bool {
+		return !t.withdrawn && t.Need.Prefix != "" && p.prefixes.entry(t.Need.Prefix, p.targets).holders.has(chosen)
+	})
+	if other == nil {
+		return ticket, chosen
+	}
+	if at := p.choose(now, other); at != openTarget {
+		return other, at
+	}
+	return ticket, chosen
+}
+
 func (p *pool) choose(now time.Time, ticket *Ticket) int {
 	need := &ticket.Need
 	need.Now = now
@@ -227,6 +292,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ratio := took.Seconds() / a.expected
+	p.backlog.end(a.expected)
 	a.target.ended(now, fate, ratio)
 	if fate == FateDone {
 		if a.prefix != "" {
@@ -251,6 +317,7 @@
 	defer p.mu.Unlock()
 	a.target.inflight = max(0, a.target.inflight-1)
 	a.target.record(now)
+	p.backlog.end(a.expected)
 	if ratio := spent.Seconds() / a.expected; ratio > hangRatio {
 		a.target.slowness.Add(ratio)
 		a.target.failed(now)
@@ -260,9 +327,10 @@
 }
 
 // giveBack frees the slot of a grant that nobody wanted any more.
-func (p *pool) giveBack(now time.Time, unused *target) []grant {
+func (p *pool) giveBack(now time.Time, unused *target, work float64) []grant {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.backlog.end(work)
 	unused.inflight = max(0, unused.inflight-1)
 	unused.record(now)
 	return p.drain(now)
@@ -292,6 +360,7 @@
 		p.swept = now
 		p.usage.forget(now)
 	}
+	p.updateShare(now)
 	if p.queue.Len() == 0 {
 		return nil, nil
 	}
@@ -301,6 +370,15 @@
 	return expired, p.drain(now)
 }
 
+func (p *pool) updateShare(now time.Time) {
+	own, all := 0.0, 0.0
+	for _, t := range p.targets {
+		own += float64(t.inflight)
+		all += float64(t.inflight) + t.others
+	}
+	p.backlog.updateShare(now, own, all)
+}
+
 func (p *pool) takeRetry() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/queue.go
+++ b/core/queue.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"emberlead/proto"
@@ -21,6 +23,9 @@
 	withdrawn bool
 }
 
+// latest is when the ticket has to get a target to be in time.
+func (t *Ticket) latest() time.Time { return t.Deadline.Add(-t.Remaining) }
+
 // hopelessPart is the part of the expected work that must still fit before the deadline; some requests beat the mean.
 const hopelessPart = 0.6
 
@@ -34,11 +39,13 @@
 	Push(ticket *Ticket)
 	// Next returns the ticket that ranks first, and leaves it in the queue.
 	Next(now time.Time) *Ticket
-	// Remove takes out a ticket that Next returned.
+	// Beside returns a ticket that may go before the given one and that pick picks, or nil.
+	Beside(ticket *Ticket, pick func(*Ticket) bool) *Ticket
+	// Remove takes out a ticket that Next or Beside returned.
 	Remove(ticket *Ticket)
 	Len() int
-	// Ahead returns how many tickets would rank before a new one of the workspace.
-	Ahead(workspace string, now time.Time) int
+	// Ahead returns how many tickets would rank before a new one of the workspace with the given latest start.
+	Ahead(workspace string, latest time.Time) int
 	// Expire removes and returns the tickets that drop picks.
 	Expire(drop func(*Ticket) bool) []*Ticket
 }
@@ -57,7 +64,28 @@
 	return t
 }
 
-func (q *arrivalQueue) Remove(*Ticket) { q.heap.Pop() }
+func (q *arrivalQueue) Beside(_ *Ticket, pick func(*Ticket) bool) *Ticket {
+	return beside(q.heap, pick)
+}
+
+func (q *arrivalQueue) Remove(t *Ticket) { remove(q.heap, t) }
+
+// besideMost is how many tickets are looked through for one that fits an open target better.
+const besideMost = 16
+
+func beside(heap *state.Heap[*Ticket], pick func(*Ticket) bool) *Ticket {
+	i := heap.Find(besideMost, pick)
+	if i < 0 {
+		return nil
+	}
+	return heap.At(i)
+}
+
+func remove(heap *state.Heap[*Ticket], t *Ticket) {
+	if i := heap.Find(heap.Len(), func(other *Ticket) bool { return other == t }); i >= 0 {
+		heap.RemoveAt(i)
+	}
+}
 
 func (q *arrivalQueue) Len() int { return q.heap.Len() }
 
@@ -100,7 +128,7 @@
 }
 
 func earlierSlack(a, b *Ticket) bool {
-	x, y := a.Deadline.Add(-a.Remaining), b.Deadline.Add(-b.Remaining)
+	x, y := a.latest(), b.latest()
 	if x.Equal(y) {
 		return a.sequence < b.sequence
 	}
@@ -144,9 +172,32 @@
 	return spent / weights
 }
 
+// Beside looks in the lane of the same workspace first, and then in those that were spent less for.
+func (q *fairQueue) Beside(t *Ticket, pick func(*Ticket) bool) *Ticket {
+	if other := beside(q.lanes[t.Workspace], pick); other != nil {
+		return other
+	}
+	now := t.Need.Now
+	own := q.usage.of(t.Workspace, now) / t.Weight
+	for _, workspace := range q.sorted() {
+		lane := q.lanes[workspace]
+		first, _ := lane.Peek()
+		if workspace == t.Workspace || q.usage.of(workspace, now)/first.Weight > max(own, q.meanUse(now))*q.slack {
+			continue
+		}
+		if other := beside(lane, pick); other != nil {
+			return other
+		}
+	}
+	return nil
+}
+
+// sorted returns the waiting workspaces in order of name, so that two runs of a trial come out alike.
+func (q *fairQueue) sorted() []string { return slices.Sorted(maps.Keys(q.lanes)) }
+
 func (q *fairQueue) Remove(t *Ticket) {
 	lane := q.lanes[t.Workspace]
-	lane.Pop()
+	remove(lane, t)
 	q.count--
 	if lane.Len() == 0 {
 		delete(q.lanes, t.Workspace)
@@ -155,11 +206,16 @@
 
 func (q *fairQueue) Len() int { return q.count }
 
-// Ahead counts the workspace's own tickets and an equal part of the others', which is what the ranking comes to.
-func (q *fairQueue) Ahead(workspace string, _ time.Time) int {
+// Ahead counts the workspace's own tickets that must start earlier, and an equal part of the others', which is
+// what the ranking comes to.
+func (q *fairQueue) Ahead(workspace string, latest time.Time) int {
 	own := 0
 	if lane := q.lanes[workspace]; lane != nil {
-		own = lane.Len()
+		lane.Each(func(t *Ticket) {
+			if t.latest().Before(latest) {
+				own++
+			}
+		})
 	}
 	ahead := own
 	for other, lane := range q.lanes {
--- a/core/request.go
+++ b/core/request.go
@@ -54,6 +54,8 @@
 	// unsafe counts those of them at a stage that may run only once.
 	unsafe int
 	done   bool
+	// promised is the work that each stage's pool still counts for this request.
+	promised []float64
 	// ran says that some stage is known to have run.
 	ran      bool
 	hedged   bool
@@ -113,11 +115,38 @@
 	return seconds(sum)
 }
 
+// works returns the slot time in seconds that each stage takes on average, 0 where that is not learnt yet.
+func (e *Engine) works(r *request) []float64 {
+	works := make([]float64, len(r.pools))
+	for i := range r.pools {
+		if mean, _, known := e.estimates.of(r.service.Name, r.service.Stages[i].Name); known {
+			works[i] = mean
+		}
+	}
+	return works
+}
+
+// promise notes the request's work with the pools; settle takes off what a stage was promised.
+func (r *request) promise(works []float64) {
+	r.promised = works
+	for i, work := range works {
+		r.pools[i].promise(work)
+	}
+}
+
+func (r *request) settle(stage int) {
+	if r.promised != nil && r.promised[stage] > 0 {
+		r.pools[stage].settle(r.promised[stage])
+		r.promised[stage] = 0
+	}
+}
+
 // queueing is the expected wait in the queues of the stages from one on.
 func (e *Engine) queueing(now time.Time, r *request, from int) time.Duration {
 	longest := time.Duration(0)
 	for i := from; i < len(r.pools); i++ {
-		longest = max(longest, r.pools[i].wait(now, r.workspace))
+		latest := r.deadline.Add(-e.remaining(r, i))
+		longest = max(longest, r.pools[i].wait(now, r.workspace, latest))
 	}
 	return longest
 }
--- a/core/usage.go
+++ b/core/usage.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"emberlead/proto"
 	"emberlead/state"
 )
 
@@ -12,6 +13,8 @@
 	mu       sync.Mutex
 	halfLife time.Duration
 	spent    map[string]*state.Decay
+	total    state.Decay
+	weights  map[string]*proto.Workspace
 	unsent   map[string]time.Duration
 	models   map[string]time.Duration // by model, since it was last taken
 }
@@ -44,11 +47,42 @@
 		u.spent[workspace] = d
 	}
 	d.Add(now, u.halfLife, spent.Seconds())
+	u.total.Add(now, u.halfLife, spent.Seconds())
 	if own {
 		u.unsent[workspace] += spent
 	}
 }
 
+// setWeights takes over the workspaces of a new configuration.
+func (u *usage) setWeights(workspaces map[string]*proto.Workspace) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.weights = workspaces
+}
+
+func (u *usage) weight(workspace string) float64 {
+	if w := u.weights[workspace]; w != nil {
+		return w.Weight
+	}
+	return 1
+}
+
+// relative is a workspace's use for its weight over that of all active workspaces together; 1 is a fair share.
+func (u *usage) relative(workspace string, now time.Time) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	weights := 0.0
+	for active := range u.spent {
+		weights += u.weight(active)
+	}
+	total := u.total.Value(now, u.halfLife)
+	d := u.spent[workspace]
+	if d == nil || total <= 0 {
+		return 0
+	}
+	return d.Value(now, u.halfLife) / u.weight(workspace) / (total / weights)
+}
+
 // take returns what this daemon spent since the last call, by workspace.
 func (u *usage) take() map[string]time.Duration {
 	u.mu.Lock()
--- a/state/heap.go
+++ b/state/heap.go
@@ -21,6 +21,13 @@
 	return h.items[0], true
 }
 
+// Each runs a function on every item, in no order.
+func (h *Heap[T]) Each(fn func(T)) {
+	for _, item := range h.items {
+		fn(item)
+	}
+}
+
 // Push adds an item.
 func (h *Heap[T]) Push(item T) {
 	h.items = append(h.items, item)
@@ -50,6 +57,38 @@
 	return top, true
 }
 
+// Find returns the index of the first of the leading items that a function picks, or -1. The leading items are
+// near the least ones, but not in order.
+func (h *Heap[T]) Find(limit int, pick func(T) bool) int {
+	for i, item := range h.items[:min(limit, len(h.items))] {
+		if pick(item) {
+			return i
+		}
+	}
+	return -1
+}
+
+// At returns the item at an index that Find returned.
+func (h *Heap[T]) At(i int) T { return h.items[i] }
+
+// RemoveAt removes the item at an index.
+func (h *Heap[T]) RemoveAt(i int) {
+	var zero T
+	last := len(h.items) - 1
+	h.items[i] = h.items[last]
+	h.items[last] = zero
+	h.items = h.items[:last]
+	if i == last {
+		return
+	}
+	h.down(i)
+	for i > 0 && h.less(h.items[i], h.items[(i-1)/2]) {
+		parent := (i - 1) / 2
+		h.items[i], h.items[parent] = h.items[parent], h.items[i]
+		i = parent
+	}
+}
+
 // RemoveIf removes the items that a function picks and returns how many those were.
 func (h *Heap[T]) RemoveIf(drop func(T) bool) int {
 	kept := h.items[:0]
--- a/trial/cases.go
+++ b/trial/cases.go
@@ -39,7 +39,8 @@
 	}
 	cases := []*Case{
 		{Name: "steady", Use: 0.6},
-		{Name: "overload", Use: 1.4},
+		{Name: "overload by half", Use: 1.5},
+		{Name: "overload threefold", Use: 3},
 		burst,
 		{Name: "flood by one workspace", Use: 0.5, Flood: 12},
 		{Name: "one stage slow by 5x", Use: 0.5, Slow: 5},
