--- a/core/flow.go
+++ b/core/flow.go
@@ -105,15 +105,15 @@
 func (e *Engine) afford(t *turn, r *request, queueing time.Duration) *proto.Failure {
 	works := e.works(r)
 	for i, p := range r.pools {
-		if !p.takes(t.now, r.workspace, works[i]) {
+		if !p.takes(t.now, r.deadline.Add(-e.remaining(r, i)), r.workspace, works[i]) {
 			return &proto.Failure{
 				Kind: proto.FailureOverloaded, Outcome: proto.OutcomeNotRun,
 				Detail:     fmt.Sprintf("pool %s is overloaded and others need less of it", p.name),
-				RetryAfter: retryAfter(queueing + backlogLimit),
+				RetryAfter: retryAfter(queueing + backlogStep),
 			}
 		}
 	}
-	r.promise(works)
+	e.promise(t.now, r, works)
 	return nil
 }
 
@@ -190,6 +190,7 @@
 		prefix:   g.ticket.Need.Prefix,
 	}
 	r.live[r.numbers] = a
+	r.settle(t.now, r.stage)
 	r.possible++
 	if !r.mayRepeat() {
 		r.unsafe++
@@ -326,7 +327,7 @@
 	r.done = true
 	e.dropWork(t, r)
 	for stage := range r.pools {
-		r.settle(stage)
+		r.settle(t.now, stage)
 	}
 	if r.claim == claimHeld {
 		r.claim = claimSettled
--- a/core/pool.go
+++ b/core/pool.go
@@ -176,26 +176,26 @@
 }
 
 // takes tells whether a request of so much work is taken while others wait for the pool.
-func (p *pool) takes(now time.Time, workspace string, work float64) bool {
+func (p *pool) takes(now, latest time.Time, workspace string, work float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	relative := 1.0
 	if p.tuning.Fair {
 		relative = p.usage.relative(workspace, now)
 	}
-	return p.backlog.takes(p.slots(now), work, relative)
+	return p.backlog.takes(now, latest, p.slots(now), work, relative)
 }
 
-func (p *pool) promise(work float64) {
+func (p *pool) promise(now, latest time.Time, work float64) promised {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backlog.promise(work)
+	return p.backlog.promise(now, latest, work)
 }
 
-func (p *pool) settle(work float64) {
+func (p *pool) settle(now time.Time, done promised) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backlog.settle(work)
+	p.backlog.settle(now, done)
 }
 
 // drain grants waiting tickets in rank order while targets are open.
--- a/core/request.go
+++ b/core/request.go
@@ -55,7 +55,7 @@
 	unsafe int
 	done   bool
 	// promised is the work that each stage's pool still counts for this request.
-	promised []float64
+	promised []promised
 	// ran says that some stage is known to have run.
 	ran      bool
 	hedged   bool
@@ -127,17 +127,19 @@
 }
 
 // promise notes the request's work with the pools; settle takes off what a stage was promised.
-func (r *request) promise(works []float64) {
-	r.promised = works
+func (e *Engine) promise(now time.Time, r *request, works []float64) {
+	r.promised = make([]promised, len(works))
 	for i, work := range works {
-		r.pools[i].promise(work)
+		if work > 0 {
+			r.promised[i] = r.pools[i].promise(now, r.deadline.Add(-e.remaining(r, i)), work)
+		}
 	}
 }
 
-func (r *request) settle(stage int) {
-	if r.promised != nil && r.promised[stage] > 0 {
-		r.pools[stage].settle(r.promised[stage])
-		r.promised[stage] = 0
+func (r *request) settle(now time.Time, stage int) {
+	if r.promised != nil && r.promised[stage].work > 0 {
+		r.pools[stage].settle(now, r.promised[stage])
+		r.promised[stage].work = 0
 	}
 }
 
--- a/core/result.go
+++ b/core/result.go
@@ -66,7 +66,6 @@
 		e.finish(t, r, output, nil)
 		return
 	}
-	r.settle(r.stage)
 	r.input = output
 	r.stage++
 	r.tries = 0
--- a/trial/bound.go
+++ b/trial/bound.go
@@ -7,16 +7,6 @@
 	"emberlead/proto"
 )
 
-// poolOf finds a pool of a file.
-func poolOf(file *proto.File, name string) *proto.Pool {
-	for i := range file.Pools {
-		if file.Pools[i].Name == name {
-			return &file.Pools[i]
-		}
-	}
-	return nil
-}
-
 // work is the slot time that a request of a service takes at a pool whose slots are all taken.
 func work(service *proto.Service, pool *proto.Pool, hit bool) time.Duration {
 	sum := time.Duration(0)
--- a/trial/run.go
+++ b/trial/run.go
@@ -67,12 +67,16 @@
 }
 
 // Compare plays every case of a deployment with every variant and writes a table for each case.
-func Compare(w io.Writer, deployment string, seeds []uint64) error {
+// If only is not empty, the other cases are left out.
+func Compare(w io.Writer, deployment string, seeds []uint64, only []string) error {
 	file, err := LoadExample(deployment)
 	if err != nil {
 		return err
 	}
 	cases, variants := Cases(deployment), Variants()
+	if len(only) > 0 {
+		cases = slices.DeleteFunc(cases, func(c *Case) bool { return !slices.Contains(only, c.Name) })
+	}
 	cells := playAll(file, cases, variants, seeds)
 	fmt.Fprintf(w, "## %s\n\n%d daemons, %d seeds, %.0f requests a second at full use of the tightest pool.\n", deployment, entries, len(seeds), capacity(file))
 	for i, c := range cases {
