Send nothing to a target that stops before the request's deadline, and move what would be cut off

Cause: a fixed lead would cut off requests with longer deadlines at a planned stop. Change: a target with a planned stop takes only requests whose deadline lies before it; streams move by exported KV cache, other repeatable work starts anew.

--- a/coord/apply.go
+++ b/coord/apply.go
@@ -242,6 +242,9 @@
 			}
 			return nil
 		}
+		if longest := snapshot.LongestDeadline(plan.VM); plan.At.Before(s.clock.Now().Add(longest)) && !plan.Force {
+			return &Applied{Faults: []proto.Fault{{Path: "at", Reason: fmt.Sprintf("is sooner than %s from now, the longest deadline of requests that may be in progress there", longest)}}}
+		}
 		if empty := snapshot.CheckStop(plan); len(empty) > 0 && !plan.Force {
 			return &Applied{Faults: []proto.Fault{{Path: "vm", Reason: "the stop would leave no target in pools " + strings.Join(empty, ", ")}}}
 		}
--- a/core/engine.go
+++ b/core/engine.go
@@ -159,20 +159,13 @@
 // SetListed takes over the VMs that the platform lists as leaving.
 func (e *Engine) SetListed(vms map[proto.VM]bool) { e.listed.Store(&vms) }
 
-func (e *Engine) leavingFunc(s *proto.Snapshot, now time.Time, lead time.Duration) func(proto.VM) bool {
-	return func(vm proto.VM) bool {
+func (e *Engine) leavingFunc(s *proto.Snapshot, now time.Time, lead time.Duration) leavingFunc {
+	return func(vm proto.VM) (bool, time.Time) {
+		stopAt, _ := s.StopOf(vm)
 		if listed := e.listed.Load(); listed != nil && (*listed)[vm] {
-			return true
+			return true, stopAt
 		}
-		return s.Leaving(vm, now, lead)
-	}
-}
-
-// RefreshLeaving marks the targets on VMs whose stop is listed or has come near.
-func (e *Engine) RefreshLeaving(now time.Time, lead time.Duration) {
-	leaving := e.leavingFunc(e.snapshot.Load(), now, lead)
-	for _, p := range e.allPools() {
-		p.setLeaving(leaving)
+		return s.Leaving(vm, now, lead), stopAt
 	}
 }
 
@@ -249,6 +242,10 @@
 		if p := e.poolOf(ev.Pool); p != nil {
 			p.usage.add(ev.Workspace, now, ev.Spent, false)
 		}
+	case StopsDue:
+		e.stopsDue(t, ev.Lead)
+	case Exported:
+		e.withRequest(ev.Attempt.Request, func(r *request) { e.exported(t, r, &ev) }, nil)
 	case Tick:
 		e.tick(t)
 	}
--- a/core/events.go
+++ b/core/events.go
@@ -111,6 +111,18 @@
 	Spent     time.Duration
 }
 
+// StopsDue lets the engine look at stops of VMs, listed and planned; it comes several times a second.
+type StopsDue struct {
+	// Lead is how long before its planned stop a VM gets no new work, and its work is moved.
+	Lead time.Duration
+}
+
+// Exported is the answer to an Export action; the handle is empty if the target could not export.
+type Exported struct {
+	Attempt proto.AttemptID
+	Handle  string
+}
+
 // Tick lets the engine act on what is due; it comes at least every few milliseconds while requests are open.
 type Tick struct{}
 
@@ -122,6 +134,8 @@
 func (LoadReported) event()  {}
 func (CacheReported) event() {}
 func (UsageReported) event() {}
+func (StopsDue) event()      {}
+func (Exported) event()      {}
 func (Tick) event()          {}
 
 // Action is one output of an Engine.
@@ -142,10 +156,18 @@
 	Stream    bool
 	Offset    int
 	Delivered string
+	// CacheHandle names the KV cache to import.
+	CacheHandle string
 	// MayRepeat is false for a stage that may run only once.
 	MayRepeat bool
 }
 
+// Export asks the driver to export the KV cache of an attempt whose target is about to stop.
+type Export struct {
+	Attempt proto.AttemptID
+	Target  proto.Target
+}
+
 // Cancel asks the driver to cancel an attempt at its target.
 type Cancel struct{ Attempt proto.AttemptID }
 
@@ -184,6 +206,7 @@
 }
 
 func (Start) action()  {}
+func (Export) action() {}
 func (Cancel) action() {}
 func (Claim) action()  {}
 func (Settle) action() {}
--- a/core/flow.go
+++ b/core/flow.go
@@ -148,7 +148,7 @@
 			Zone:    e.zone,
 			Model:   spec.Model,
 			Service: mean,
-			Exclude: r.exclude,
+			Exclude: r.exclude, Deadline: r.deadline,
 		},
 	}
 	t.grants = append(t.grants, r.pool().offer(t.now, r.ticket)...)
@@ -190,6 +190,7 @@
 		prefix:   g.ticket.Need.Prefix,
 	}
 	r.live[r.numbers] = a
+	defer func() { r.handle = "" }()
 	r.settle(t.now, r.stage)
 	r.possible++
 	if !r.mayRepeat() {
@@ -202,7 +203,7 @@
 	t.act(Start{
 		ID: a.id, Pool: g.pool.name, Target: g.target.spec, Workspace: r.workspace, Service: r.service.Name,
 		Stage: *spec, Input: r.input, Prefix: g.ticket.Need.Prefix, Priority: priority(r.deadline.Sub(t.now)),
-		Deadline: r.deadline, Stream: spec.Stream, Offset: r.offset, Delivered: string(r.text), MayRepeat: r.mayRepeat(),
+		Deadline: r.deadline, Stream: spec.Stream, Offset: r.offset, Delivered: string(r.text), CacheHandle: r.handle, MayRepeat: r.mayRepeat(),
 	})
 }
 
--- a/core/policy.go
+++ b/core/policy.go
@@ -15,6 +15,8 @@
 	Model   string
 	Service float64 // expected seconds at an idle target
 	Exclude string
+	// Deadline is that of the request: it is not sent to a target that stops before it.
+	Deadline time.Time
 
 	entry  *prefixEntry
 	saving float64
--- a/core/pool.go
+++ b/core/pool.go
@@ -64,7 +64,7 @@
 }
 
 // configure takes over the targets of a new generation; those left out get no new work and go once they are idle.
-func (p *pool) configure(spec *proto.Pool, workspaces map[string]*proto.Workspace, leaving func(proto.VM) bool) {
+func (p *pool) configure(spec *proto.Pool, workspaces map[string]*proto.Workspace, leaving leavingFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.kind = spec.Kind
@@ -72,7 +72,8 @@
 	wanted := make(map[string]bool, len(spec.Targets))
 	for _, t := range spec.Targets {
 		wanted[t.Name] = true
-		p.upsert(t).leaving = leaving(t.VM)
+		own := p.upsert(t)
+		own.leaving, own.stopAt = leaving(t.VM)
 	}
 	kept := p.targets[:0]
 	for _, t := range p.targets {
@@ -126,12 +127,26 @@
 	p.targets = append(p.targets, fresh)
 }
 
-func (p *pool) setLeaving(leaving func(proto.VM) bool) {
+// leavingFunc tells whether a VM gets no new work, and when it is planned to stop.
+type leavingFunc func(proto.VM) (leaving bool, stopAt time.Time)
+
+// setLeaving returns whether any target has a planned stop.
+func (p *pool) setLeaving(leaving leavingFunc) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	planned := false
 	for _, t := range p.targets {
-		t.leaving = leaving(t.spec.VM)
+		t.leaving, t.stopAt = leaving(t.spec.VM)
+		planned = planned || !t.stopAt.IsZero()
 	}
+	return planned
+}
+
+// stopOf returns when a target is planned to stop.
+func (p *pool) stopOf(t *target) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return t.stopAt
 }
 
 // offer queues a ticket and returns the grants that follow.
--- a/core/request.go
+++ b/core/request.go
@@ -23,6 +23,7 @@
 	began    time.Time
 	expected float64 // seconds, on average
 	prefix   string
+	moving   bool
 }
 
 // request is the state of one request; the lock of its shard guards it.
@@ -62,6 +63,7 @@
 	exclude  string
 	offset   int
 	text     []byte
+	handle   string // of the KV cache that the next attempt imports
 	lastFate Fate
 	reason   string
 }
--- a/core/stats.go
+++ b/core/stats.go
@@ -49,6 +49,8 @@
 	Late       int64 `json:"late"`
 	Duplicates int64 `json:"duplicates"`
 	Gaps       int64 `json:"gaps"`
+	// Moved counts attempts that went on at another target because of a planned stop.
+	Moved int64 `json:"moved"`
 }
 
 // Stats are the measures of one engine.
@@ -115,6 +117,8 @@
 
 func (s *Stats) gap() { s.change(func() { s.drops.Gaps++ }) }
 
+func (s *Stats) moved() { s.change(func() { s.drops.Moved++ }) }
+
 func (s *Stats) firstToken(_ string, took time.Duration) {
 	s.change(func() { _ = s.first.RecordValue(int64(took)) })
 }
--- a/core/target.go
+++ b/core/target.go
@@ -32,6 +32,7 @@
 	hash     uint64
 	index    int
 	leaving  bool
+	stopAt   time.Time // of a planned stop, or zero
 	removed  bool
 	inflight int
 
@@ -96,7 +97,7 @@
 
 // Open tells whether the target may take one more request.
 func (t *target) Open(need *Need) bool {
-	if t.leaving || t.removed || need.Now.Before(t.ejectedTo) || t.spec.Name == need.Exclude {
+	if t.leaving || t.removed || !t.stopAt.IsZero() && need.Deadline.After(t.stopAt) || need.Now.Before(t.ejectedTo) || t.spec.Name == need.Exclude {
 		return false
 	}
 	if !t.tuning.Limits {
--- a/fakes/target.go
+++ b/fakes/target.go
@@ -290,7 +290,7 @@
 	t.note(req.Service+"/"+req.Stage, in.Nonce)
 	began := time.Now()
 	base := t.profile.Base
-	hit := t.prefill(req.Prefix)
+	hit := t.prefill(req.Prefix) || req.CacheHandle != ""
 	if hit {
 		base = time.Duration(float64(base) * (1 - prefixSaving))
 	}
--- a/fakes/targethttp.go
+++ b/fakes/targethttp.go
@@ -25,6 +25,7 @@
 	e.GET(proto.PathLoad, t.serveLoad)
 	e.GET(proto.PathCaches, t.serveCaches)
 	e.POST(proto.PathOrder, t.serveOrder)
+	e.POST(proto.PathExport, t.serveExport)
 	e.GET("/runs", func(c echo.Context) error { return c.JSON(http.StatusOK, t.Runs()) })
 	e.POST("/fault", t.serveFault)
 	return e
@@ -144,6 +145,17 @@
 	return c.JSON(http.StatusOK, t.CacheEvents(after))
 }
 
+func (t *Target) serveExport(c echo.Context) error {
+	attempt := c.QueryParam("attempt")
+	t.mu.Lock()
+	_, running := t.cancels[attempt]
+	t.mu.Unlock()
+	if !t.spec.ExportsCache || !running {
+		return c.String(http.StatusNotFound, "nothing to export")
+	}
+	return c.JSON(http.StatusOK, proto.ExportAnswer{Handle: t.spec.Name + "/" + attempt})
+}
+
 // Obey takes an order; a target that checks refuses an epoch lower than one seen for the lease.
 func (t *Target) Obey(order proto.Order) bool {
 	t.mu.Lock()
--- a/proto/snapshot.go
+++ b/proto/snapshot.go
@@ -195,6 +195,34 @@
 
 // Leaving tells whether the VM has a planned stop that starts within the lead time.
 func (s *Snapshot) Leaving(vm VM, now time.Time, lead time.Duration) bool {
+	at, ok := s.StopOf(vm)
+	return ok && !now.Before(at.Add(-lead))
+}
+
+// StopOf returns when the VM is planned to stop.
+func (s *Snapshot) StopOf(vm VM) (time.Time, bool) {
 	plan, ok := s.Stops[vm]
-	return ok && !now.Before(plan.At.Add(-lead))
+	return plan.At, ok
+}
+
+// LongestDeadline is that of the services with a stage on a pool that has a target on the VM.
+func (s *Snapshot) LongestDeadline(vm VM) time.Duration {
+	longest := time.Duration(0)
+	for _, service := range s.Services {
+		for _, stage := range service.Stages {
+			if pool := s.Pools[stage.Pool]; pool != nil && pool.on(vm) {
+				longest = max(longest, service.Deadline.Std())
+			}
+		}
+	}
+	return longest
+}
+
+func (p *Pool) on(vm VM) bool {
+	for i := range p.Targets {
+		if p.Targets[i].VM == vm {
+			return true
+		}
+	}
+	return false
 }
--- a/proto/target.go
+++ b/proto/target.go
@@ -88,6 +88,11 @@
 	Present  bool   `json:"present"`
 }
 
+// ExportAnswer names an exported KV cache, which any engine of the pool can import.
+type ExportAnswer struct {
+	Handle string `json:"handle"`
+}
+
 // Order tells a target which models and role it should have; targets that check refuse an epoch lower than one seen.
 type Order struct {
 	Lease  string   `json:"lease"`
--- a/serve/loops.go
+++ b/serve/loops.go
@@ -74,7 +74,7 @@
 	now := d.clock.Now()
 	leaving := d.node.Members.Leaving()
 	d.engine.SetListed(leaving)
-	d.engine.RefreshLeaving(now, d.settings.Timing.StopLead.Std())
+	d.driver.Do(core.StopsDue{Lead: d.settings.Timing.StopLead.Std()})
 	if leaving[d.settings.VM] || d.node.Changes.Snapshot().Leaving(d.settings.VM, now, 0) {
 		d.Stop()
 	}
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -125,7 +125,7 @@
 		Timing: Timing{
 			Tick: proto.Duration(10 * time.Millisecond), Load: proto.Duration(500 * time.Millisecond),
 			Heartbeat: proto.Duration(time.Second), Silence: proto.Duration(3 * time.Second),
-			StopLead: proto.Duration(2 * time.Second), Drain: proto.Duration(30 * time.Second),
+			StopLead: proto.Duration(2 * time.Second), Drain: proto.Duration(time.Minute),
 			Unready: proto.Duration(time.Second), Retention: proto.Duration(time.Hour),
 			PollStore: proto.Duration(time.Second), ReviseWait: proto.Duration(time.Second),
 		},
--- a/wire/driver.go
+++ b/wire/driver.go
@@ -150,6 +150,8 @@
 	switch a := action.(type) {
 	case core.Start:
 		d.start(a)
+	case core.Export:
+		go d.export(a)
 	case core.Cancel:
 		d.cancel(a.Attempt)
 	case core.Claim:
@@ -205,6 +207,14 @@
 	go d.targets.Cancel(context.Background(), r.target.Address, id)
 }
 
+func (d *Driver) export(a core.Export) {
+	handle, err := d.targets.Export(context.Background(), a.Target.Address, a.Attempt)
+	if err != nil {
+		d.log.Warn("a KV cache could not be exported", "target", a.Target.Name, "attempt", a.Attempt, "error", err)
+	}
+	d.Do(core.Exported{Attempt: a.Attempt, Handle: handle})
+}
+
 func (d *Driver) claim(a core.Claim) {
 	answered := core.ClaimAnswered{Request: a.Request, Verdict: core.VerdictUnreachable}
 	if w := d.waiter(a.Request); w != nil {
--- a/wire/targets.go
+++ b/wire/targets.go
@@ -149,7 +149,7 @@
 		Attempt: start.ID.String(), Workspace: start.Workspace, Service: start.Service, Stage: start.Stage.Name,
 		Model: start.Stage.Model, Input: start.Input, Prefix: start.Prefix, Priority: start.Priority,
 		Deadline: start.Deadline, Stream: start.Stream, MaxTokens: start.Stage.MaxTokens,
-		Offset: start.Offset, Delivered: delivered(start.Delivered),
+		Offset: start.Offset, Delivered: delivered(start.Delivered), CacheHandle: start.CacheHandle,
 	})
 	if err != nil {
 		return nil, &Error{Op: "encode attempt", Kind: proto.KindInvalid, Err: err}
@@ -309,6 +309,21 @@
 	return events, nil
 }
 
+// Export asks a target to export the KV cache of an attempt and returns its handle; it fails with KindUnavailable.
+func (t *Targets) Export(ctx context.Context, address netip.AddrPort, attempt proto.AttemptID) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	data, err := t.control(ctx, http.MethodPost, targetURL(address, proto.PathExport)+"?attempt="+url.QueryEscape(attempt.String()), nil)
+	if err != nil {
+		return "", err
+	}
+	var answer proto.ExportAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return "", &Error{Op: "export", Kind: proto.KindInvalid, Err: err}
+	}
+	return answer.Handle, nil
+}
+
 // Order sends a fenced order; it fails with KindDenied if the target has seen a newer epoch.
 func (t *Targets) Order(ctx context.Context, address netip.AddrPort, order proto.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
