--- /dev/null
+++ b/coord/changes_test.go
@@ -0,0 +1,221 @@
+package coord
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"emberlead/fakes"
+	"emberlead/proto"
+)
+
+func fileBody(name string, deadline int) []byte {
+	return fmt.Appendf(nil, `{"kind":"deployment","name":%q,
+"workspaces":[{"name":"w-%s","weight":1,"keyHashes":["%064x"]}],
+"pools":[{"name":"p-%s","kind":"encoder","targets":[{"name":"t-%s","address":"127.0.0.1:%d","zone":"r/a","vm":"v"}]}],
+"services":[{"name":"s-%s","deadline":"%dms","stages":[{"name":"one","pool":"p-%s"}]}]}`,
+		name, name, len(name)*1000+int(name[0]), name, name, 1000+int(name[0]), name, 100+deadline, name)
+}
+
+// configSim has daemons that apply files at once, a store that is out or loses answers, and copies that hear of changes late.
+type configSim struct {
+	random   *rand.Rand
+	clock    *clockwork.FakeClock
+	fake     *fakes.Store
+	stores   []*Store
+	copies   []*Changes
+	highest  []proto.Generation
+	accepted map[proto.Generation]string // by apply id
+	content  map[string]string           // hash by file, as of the last accepted change
+	contentG map[string]proto.Generation
+	bad      []string
+}
+
+func newConfigSim(seed uint64) *configSim {
+	s := &configSim{
+		random: rand.New(rand.NewPCG(seed, 4)), clock: clockwork.NewFakeClockAt(time.Unix(1_700_000_000, 0)), fake: fakes.NewStore(),
+		accepted: map[proto.Generation]string{}, content: map[string]string{}, contentG: map[string]proto.Generation{},
+	}
+	for i := range 3 {
+		s.stores = append(s.stores, NewStore(s.fake.For(fmt.Sprint(i)), s.clock))
+		s.copies = append(s.copies, nil)
+		s.highest = append(s.highest, 0)
+		s.restart(i)
+	}
+	return s
+}
+
+func (s *configSim) restart(i int) {
+	s.highest[i] = 0
+	s.copies[i] = NewChanges(func(snapshot *proto.Snapshot) {
+		if snapshot.Generation <= s.highest[i] {
+			s.bad = append(s.bad, fmt.Sprintf("generation %d came into force after %d", snapshot.Generation, s.highest[i]))
+		}
+		s.highest[i] = snapshot.Generation
+	})
+}
+
+func (s *configSim) apply() {
+	i := s.random.IntN(3)
+	name := []string{"a", "b"}[s.random.IntN(2)]
+	body := fileBody(name, s.random.IntN(50))
+	req := ApplyRequest{Body: body, ApplyID: fmt.Sprint(s.random.Uint64())}
+	if s.random.IntN(2) == 0 {
+		known := s.contentG[name]
+		req.Base = &known
+	}
+	if s.random.IntN(3) == 0 {
+		s.fake.LoseAnswers(1 + s.random.IntN(2))
+	}
+	applied, err := s.stores[i].Apply(context.Background(), s.copies[i], req)
+	s.fake.LoseAnswers(0)
+	switch {
+	case err != nil && proto.KindOf(err) == proto.KindUnknown:
+		// The operator asks again with the same id once the store answers.
+		s.fake.SetDown(false)
+		applied, err = s.stores[i].Apply(context.Background(), s.copies[i], ApplyRequest{Body: body, ApplyID: req.ApplyID})
+		if err != nil {
+			s.bad = append(s.bad, "asking again: "+err.Error())
+			return
+		}
+	case err != nil:
+		return
+	}
+	if len(applied.Faults) > 0 {
+		s.bad = append(s.bad, fmt.Sprint(applied.Faults))
+	}
+	if applied.Conflict != nil || applied.Unchanged {
+		return
+	}
+	if other, ok := s.accepted[applied.Generation]; ok && other != applied.ApplyID {
+		s.bad = append(s.bad, fmt.Sprintf("generation %d was accepted twice", applied.Generation))
+	}
+	s.accepted[applied.Generation] = applied.ApplyID
+	if applied.Generation > s.contentG[name] {
+		s.content[name], s.contentG[name] = HashOf(body), applied.Generation
+	}
+}
+
+func (s *configSim) step() {
+	i, j := s.random.IntN(3), s.random.IntN(3)
+	switch s.random.IntN(10) {
+	case 0, 1, 2:
+		s.apply()
+	case 3, 4:
+		_ = s.stores[i].CatchUp(context.Background(), s.copies[i])
+	case 5, 6:
+		// A peer's answer, sometimes of long ago.
+		answer := s.copies[j].After(s.copies[i].Generation() / proto.Generation(1+s.random.IntN(2)))
+		if answer.Whole {
+			s.copies[i].TakeWhole(answer.Generation, answer.Changes)
+		} else {
+			s.copies[i].Take(answer.Changes)
+		}
+	case 7:
+		s.fake.SetDown(s.random.IntN(2) == 0)
+	case 8:
+		if s.random.IntN(5) == 0 {
+			s.restart(i)
+		}
+	default:
+		s.fake.Cut(fmt.Sprint(i), s.random.IntN(2) == 0)
+	}
+}
+
+// end lets every copy catch up, and compares them with what was accepted.
+func (s *configSim) end() {
+	s.fake.SetDown(false)
+	for i := range s.copies {
+		s.fake.Cut(fmt.Sprint(i), false)
+		if err := s.stores[i].CatchUp(context.Background(), s.copies[i]); err != nil {
+			s.bad = append(s.bad, err.Error())
+		}
+		for name, hash := range s.content {
+			if change, _ := s.copies[i].File(name); change.Hash != hash {
+				s.bad = append(s.bad, fmt.Sprintf("copy %d has %s at generation %d, not at %d", i, name, change.Generation, s.contentG[name]))
+			}
+		}
+	}
+}
+
+func TestAcceptedFilesStayInForce(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(9)
+	parameters.MinSuccessfulTests = histories(150)
+	accepted := 0
+	properties := gopter.NewProperties(parameters)
+	properties.Property("accepted once, in force everywhere, never reverted", prop.ForAll(func(seed uint64) string {
+		s := newConfigSim(seed)
+		for range 150 {
+			s.step()
+		}
+		s.end()
+		accepted += len(s.accepted)
+		if len(s.bad) > 0 {
+			return s.bad[0]
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+	if accepted < 1000 {
+		t.Fatalf("only %d changes were accepted", accepted)
+	}
+}
+
+func TestConflictNamesTheDifference(t *testing.T) {
+	fake := fakes.NewStore()
+	clock := clockwork.NewFakeClock()
+	one, two := NewStore(fake.For("1"), clock), NewStore(fake.For("2"), clock)
+	c1, c2 := NewChanges(nil), NewChanges(nil)
+	ctx := context.Background()
+	first, err := one.Apply(ctx, c1, ApplyRequest{Body: fileBody("a", 1), By: "ada"})
+	if err != nil || first.Generation != 1 {
+		t.Fatalf("%+v %v", first, err)
+	}
+	if _, err := one.Apply(ctx, c1, ApplyRequest{Body: fileBody("a", 2), Base: &first.Generation, By: "ada"}); err != nil {
+		t.Fatal(err)
+	}
+	lost, err := two.Apply(ctx, c2, ApplyRequest{Body: fileBody("a", 3), Base: &first.Generation, By: "bob"})
+	if err != nil || lost.Conflict == nil {
+		t.Fatalf("%+v %v", lost, err)
+	}
+	if c := lost.Conflict; c.By != "ada" || c.Now != 2 || len(c.Diff) != 2 {
+		t.Fatalf("%+v", c)
+	}
+}
+
+// A write whose answer was lost must not take effect after the operator was told that it did not.
+func TestLateWriteIsFenced(t *testing.T) {
+	fake := fakes.NewStore()
+	store := NewStore(&delayed{Client: fake.For("1")}, clockwork.NewFakeClock())
+	c := NewChanges(nil)
+	_, err := store.Apply(context.Background(), c, ApplyRequest{Body: fileBody("a", 1)})
+	if proto.KindOf(err) != proto.KindUnavailable {
+		t.Fatalf("told %v", err)
+	}
+	late := store.platform.(*delayed)
+	if err := late.Client.Transact(context.Background(), late.held); proto.KindOf(err) != proto.KindConflict {
+		t.Fatalf("the late write ended with %v, want a conflict", err)
+	}
+}
+
+// delayed holds the first write back and says that its answer was lost.
+type delayed struct {
+	*fakes.Client
+	held  proto.Transaction
+	taken bool
+}
+
+func (d *delayed) Transact(ctx context.Context, tx proto.Transaction) error {
+	if !d.taken {
+		d.held, d.taken = tx, true
+		return fault("transact", proto.KindUnknown, "the answer was lost")
+	}
+	return d.Client.Transact(ctx, tx)
+}
--- a/coord/members.go
+++ b/coord/members.go
@@ -70,19 +70,30 @@
 		members: map[proto.VM]*member{}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
 	}
 	m.members[self.VM] = &member{alive: self, known: true, alarms: map[proto.VM]proto.Alarm{}}
-	m.rebuild()
 	return m
 }
 
-func (m *Members) rebuild() {
+// changed marks the links as to be worked out anew, which is done when they are next asked for.
+func (m *Members) changed() {
+	m.graph = nil
+	m.version++
+}
+
+func (m *Members) ring() *graph {
+	if m.graph == nil {
+		m.graph = m.rings.graph(m.seats())
+	}
+	return m.graph
+}
+
+func (m *Members) seats() []seat {
 	seats := make([]seat, 0, len(m.members))
 	for vm, mem := range m.members {
 		if !mem.dead {
 			seats = append(seats, seat{vm: vm, region: mem.alive.Zone.Region()})
 		}
 	}
-	m.graph = m.rings.graph(seats)
-	m.version++
+	return seats
 }
 
 // Version changes whenever the view does.
@@ -247,7 +258,7 @@
 	}
 	m.leaving = leaving
 	if changed {
-		m.rebuild()
+		m.changed()
 		m.announce()
 	}
 	for _, vm := range m.links() {
@@ -274,6 +285,9 @@
 		return
 	}
 	restarted := a.Incarnation != mem.alive.Incarnation
+	if isNew || mem.dead || a.Zone != mem.alive.Zone {
+		m.changed()
+	}
 	mem.alive = a
 	mem.known = true
 	if restarted || mem.dead {
@@ -281,7 +295,6 @@
 		mem.alarming = false
 		mem.heard = now
 		mem.alarms = map[proto.VM]proto.Alarm{}
-		m.rebuild()
 	}
 	for _, vm := range m.links() {
 		if vm != from && vm != a.VM {
@@ -318,7 +331,7 @@
 }
 
 func (m *Members) links() []proto.VM {
-	return m.graph.links(m.self.VM)
+	return m.ring().links(m.self.VM)
 }
 
 func (m *Members) sendBeats(now time.Time) {
@@ -393,13 +406,13 @@
 		mem.deadAt = now
 		m.deaths++
 	}
-	m.rebuild()
+	m.changed()
 }
 
 // monitors are the regional links that the daemon has, or would have if it were alive.
 func (m *Members) monitors(mem *member) []proto.VM {
 	if !mem.dead {
-		return m.graph.regional[mem.alive.VM]
+		return m.ring().regional[mem.alive.VM]
 	}
 	monitors := make([]proto.VM, 0, len(mem.alarms))
 	for vm := range mem.alarms {
@@ -463,6 +476,7 @@
 	for vm, mem := range m.members {
 		if mem.dead && !mem.listed && now.Sub(mem.deadAt) > m.timing.Forget {
 			delete(m.members, vm)
+			m.changed()
 			delete(m.lastListed, vm)
 		}
 	}
--- /dev/null
+++ b/coord/members_test.go
@@ -0,0 +1,242 @@
+package coord
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+// meshSim delivers messages between Members at the next tick, unless a daemon is dead, paused or cut off.
+type meshSim struct {
+	now     time.Time
+	members map[proto.VM]*Members
+	order   []proto.VM
+	zone    map[proto.VM]proto.Zone
+	queue   []meshMessage
+	dead    map[proto.VM]bool
+	paused  map[proto.VM]bool
+	cut     func(a, b proto.VM) bool
+	sent    int
+}
+
+type meshMessage struct {
+	from, to proto.VM
+	m        proto.Message
+}
+
+type meshPeers struct {
+	sim  *meshSim
+	self proto.VM
+}
+
+func (p meshPeers) Send(to proto.VM, m proto.Message) {
+	p.sim.sent++
+	p.sim.queue = append(p.sim.queue, meshMessage{p.self, to, m})
+}
+
+func (p meshPeers) Call(context.Context, proto.VM, proto.Message) (proto.Message, error) {
+	return nil, fault("call", proto.KindUnavailable, "not in this test")
+}
+
+func newMesh(n, regions, zones int) *meshSim {
+	s := &meshSim{
+		now: time.Unix(1_700_000_000, 0), members: map[proto.VM]*Members{}, zone: map[proto.VM]proto.Zone{},
+		dead: map[proto.VM]bool{}, paused: map[proto.VM]bool{}, cut: func(proto.VM, proto.VM) bool { return false },
+	}
+	list := proto.Listed{Version: 1}
+	for i := range n {
+		vm := proto.VM(fmt.Sprintf("vm-%d", i))
+		s.order = append(s.order, vm)
+		s.zone[vm] = proto.Zone(fmt.Sprintf("region-%d/zone-%d", i%regions, i/regions%zones))
+		list.VMs = append(list.VMs, proto.VMEntry{VM: vm, Zone: s.zone[vm], Entry: true})
+	}
+	for _, vm := range s.order {
+		s.start(vm, 1)
+		// The list is taken in before anyone listens, as a daemon that starts does.
+		s.members[vm].Listed(s.now, list, vm)
+	}
+	s.queue = nil
+	for _, vm := range s.order {
+		for _, other := range s.order {
+			s.members[vm].Alive(s.now, proto.Alive{VM: other, Zone: s.zone[other], Incarnation: 1, Count: 9}, vm)
+		}
+	}
+	s.queue = nil
+	return s
+}
+
+func (s *meshSim) start(vm proto.VM, run proto.Incarnation) {
+	self := proto.Alive{VM: vm, Zone: s.zone[vm], Incarnation: run, Count: 10}
+	s.members[vm] = NewMembers(self, DefaultMemberTiming(), DefaultRings(), meshPeers{s, vm}, func() proto.Heartbeat {
+		return proto.Heartbeat{Incarnation: run}
+	})
+}
+
+func (s *meshSim) gone(vm proto.VM) bool { return s.dead[vm] || s.paused[vm] }
+
+func (s *meshSim) tick(d time.Duration) {
+	s.now = s.now.Add(d)
+	batch := s.queue
+	s.queue = nil
+	for _, msg := range batch {
+		if s.gone(msg.to) || s.gone(msg.from) || s.cut(msg.from, msg.to) {
+			continue
+		}
+		to := s.members[msg.to]
+		switch m := msg.m.(type) {
+		case proto.Heartbeat:
+			to.Heartbeat(s.now, msg.from, m)
+		case proto.Alive:
+			to.Alive(s.now, m, msg.from)
+		case proto.Alarm:
+			to.Alarm(s.now, m, msg.from)
+		case proto.Listed:
+			to.Listed(s.now, m, msg.from)
+		}
+	}
+	for _, vm := range s.order {
+		if !s.gone(vm) {
+			s.members[vm].Tick(s.now)
+		}
+	}
+}
+
+func (s *meshSim) run(length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); {
+		s.tick(200 * time.Millisecond)
+	}
+}
+
+// holdDead returns how many of the live daemons hold one to be dead.
+func (s *meshSim) holdDead(vm proto.VM) (dead, live int) {
+	for _, other := range s.order {
+		if s.gone(other) || other == vm {
+			continue
+		}
+		live++
+		if s.members[other].Dead(vm, 1) {
+			dead++
+		}
+	}
+	return dead, live
+}
+
+func TestMembership(t *testing.T) {
+	scenarios := []struct {
+		name                string
+		daemons, regions, z int
+		kill                int
+	}{
+		{"the venture's four halls", 8, 1, 4, 1},
+		{"a zone of four", 8, 1, 4, 2},
+		{"sixty in two regions", 60, 2, 4, 3},
+		{"two hundred in four regions", 200, 4, 4, 6},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := newMesh(scenario.daemons, scenario.regions, scenario.z)
+			s.run(10 * time.Second)
+			for _, vm := range s.order {
+				if dead, _ := s.holdDead(vm); dead > 0 {
+					t.Fatalf("%s is held dead by %d and is not", vm, dead)
+				}
+				if links := len(s.members[vm].Links()); links > 10 {
+					t.Fatalf("%s has %d links", vm, links)
+				}
+			}
+			for i := range scenario.kill {
+				s.dead[s.order[i*7%scenario.daemons]] = true
+			}
+			s.run(6 * time.Second)
+			for vm := range s.dead {
+				// Only its own region judges a daemon, but the word goes everywhere.
+				if dead, live := s.holdDead(vm); dead < live {
+					t.Errorf("%s is dead, and %d of %d know", vm, dead, live)
+				}
+			}
+		})
+	}
+}
+
+func TestPauseIsForgiven(t *testing.T) {
+	s := newMesh(8, 1, 4)
+	s.run(5 * time.Second)
+	s.paused["vm-3"] = true
+	s.run(2 * time.Second)
+	s.paused["vm-3"] = false
+	s.run(10 * time.Second)
+	for _, vm := range s.order {
+		if counts := s.members[vm].Counts(); counts.Deaths > 0 {
+			t.Fatalf("a pause of 2 s made %s hold %d daemons dead", vm, counts.Deaths)
+		}
+	}
+	s.paused["vm-3"] = true
+	s.run(20 * time.Second)
+	if dead, live := s.holdDead("vm-3"); dead < live {
+		t.Fatalf("%d of %d know of a pause of 20 s", dead, live)
+	}
+	s.paused["vm-3"] = false
+	s.run(5 * time.Second)
+	if dead, _ := s.holdDead("vm-3"); dead > 0 {
+		t.Fatalf("%d still hold the daemon dead that woke", dead)
+	}
+	if counts := s.members["vm-3"].Counts(); counts.Deaths > 0 {
+		t.Fatalf("the daemon that woke holds %d others dead", counts.Deaths)
+	}
+}
+
+func TestRegionsLoseEachOther(t *testing.T) {
+	s := newMesh(60, 2, 4)
+	s.run(5 * time.Second)
+	s.cut = func(a, b proto.VM) bool { return s.zone[a].Region() != s.zone[b].Region() }
+	s.run(60 * time.Second)
+	for _, vm := range s.order {
+		if counts := s.members[vm].Counts(); counts.Deaths > 0 {
+			t.Fatalf("%s holds %d daemons dead while regions are apart", vm, counts.Deaths)
+		}
+	}
+	// A death inside a region is noticed there all the same, and elsewhere once the regions are joined again.
+	s.dead["vm-10"] = true
+	s.run(6 * time.Second)
+	dead, _ := s.holdDead("vm-10")
+	if dead != 29 {
+		t.Fatalf("%d of its own region's 29 know", dead)
+	}
+}
+
+func TestRingsLinkAll(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{1, 2, 9, 10, 100, 2000} {
+		seats := make([]seat, n)
+		for i := range seats {
+			seats[i] = seat{vm: proto.VM(fmt.Sprintf("vm-%d-%d", i, random.IntN(1e6))), region: fmt.Sprint(i % 4)}
+		}
+		g := DefaultRings().graph(seats)
+		reached := map[proto.VM]bool{seats[0].vm: true}
+		front := []proto.VM{seats[0].vm}
+		hops := 0
+		for len(front) > 0 {
+			var next []proto.VM
+			for _, vm := range front {
+				for _, other := range g.links(vm) {
+					if !reached[other] {
+						reached[other] = true
+						next = append(next, other)
+					}
+				}
+			}
+			front = next
+			hops++
+		}
+		if len(reached) != n {
+			t.Errorf("%d of %d are reached", len(reached), n)
+		}
+		if hops > 9 {
+			t.Errorf("news takes %d hops among %d", hops, n)
+		}
+	}
+}
