End-to-end scenarios with real processes; learn a run from its heartbeat

Cause: the scenarios, with daemons that start one after another, found daemons that never came to keep claims: an announcement sent before the other side listened was lost, and nothing repeated it. Ruled out: the roster's plan (it saw one live daemon). Change: a heartbeat of an unknown run counts as its announcement, and daemons announce themselves again every five heartbeats. Leases are checked for one holder an epoch; a gap in changes and a spoilt body are refused.

--- a/coord/changes_test.go
+++ b/coord/changes_test.go
@@ -219,3 +219,23 @@
 	}
 	return d.Client.Transact(ctx, tx)
 }
+
+// Changes that do not follow the own generation are left alone until those between have come.
+func TestGapInChangesIsNotAdopted(t *testing.T) {
+	change := func(g proto.Generation) proto.Change {
+		body := fileBody("a", int(g))
+		return proto.Change{Generation: g, Kind: proto.ChangeFile, Name: "a", Hash: HashOf(body), Body: body}
+	}
+	c := NewChanges(nil)
+	if c.Take([]proto.Change{change(2)}) || c.Generation() != 0 {
+		t.Fatalf("generation %d after a gap", c.Generation())
+	}
+	spoilt := change(1)
+	spoilt.Body = append(spoilt.Body, ' ')
+	if c.Take([]proto.Change{spoilt}) || c.Generation() != 0 {
+		t.Fatal("a body that does not match its hash was adopted")
+	}
+	if !c.Take([]proto.Change{change(1), change(2)}) || c.Generation() != 2 {
+		t.Fatalf("generation %d, want 2", c.Generation())
+	}
+}
--- a/coord/lease_test.go
+++ b/coord/lease_test.go
@@ -23,9 +23,10 @@
 	leases  []*Lease
 	offsets []time.Duration
 	// epochs are the highest that a checking target has seen; orders is how many it took.
-	epoch  proto.Epoch
-	orders int
-	bad    []string
+	epoch   proto.Epoch
+	holders map[proto.Epoch]int
+	orders  int
+	bad     []string
 }
 
 // slowTable makes every call take time, in which the caller may be paused.
@@ -55,7 +56,7 @@
 }
 
 func newLeaseSim(seed uint64) *leaseSim {
-	s := &leaseSim{random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_700_000_000, 0), store: fakes.NewStore()}
+	s := &leaseSim{random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_700_000_000, 0), store: fakes.NewStore(), holders: map[proto.Epoch]int{}}
 	for i := range 3 {
 		vm := proto.VM(fmt.Sprintf("vm-%d", i))
 		s.leases = append(s.leases, NewLease(slowTable{s.store.For(string(vm)), s}, "x", vm, 1, DefaultLeaseTiming()))
@@ -103,6 +104,10 @@
 	if epoch < s.epoch {
 		s.bad = append(s.bad, fmt.Sprintf("an order of epoch %d after one of %d", epoch, s.epoch))
 	}
+	if other, ok := s.holders[epoch]; ok && other != i {
+		s.bad = append(s.bad, fmt.Sprintf("epoch %d has two holders", epoch))
+	}
+	s.holders[epoch] = i
 	s.epoch = epoch
 	s.orders++
 }
--- a/coord/members.go
+++ b/coord/members.go
@@ -26,6 +26,9 @@
 	return MemberTiming{Heartbeat: time.Second, Silence: 3 * time.Second, Pause: 1500 * time.Millisecond, Lag: 30 * time.Second, Forget: 10 * time.Minute}
 }
 
+// announceEvery is after how many heartbeats a daemon announces itself again, in case that was lost.
+const announceEvery = 5
+
 type member struct {
 	alive    proto.Alive
 	known    bool // announced by itself, not only listed
@@ -59,6 +62,7 @@
 	firstList  time.Time
 	lastList   time.Time
 	lastListed map[proto.VM]time.Time
+	beats      uint64
 	alarms     int64
 	deaths     int64
 }
@@ -272,6 +276,10 @@
 func (m *Members) Alive(now time.Time, a proto.Alive, from proto.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.alive(now, a, from)
+}
+
+func (m *Members) alive(now time.Time, a proto.Alive, from proto.VM) {
 	if a.VM == m.self.VM {
 		return
 	}
@@ -323,6 +331,12 @@
 	if mem == nil || beat.Incarnation < mem.alive.Incarnation {
 		return
 	}
+	if beat.Incarnation > mem.alive.Incarnation {
+		// The announcement was lost, or went out before this daemon listened.
+		fresh := mem.alive
+		fresh.Incarnation, fresh.Count, fresh.Stopping = beat.Incarnation, 0, beat.Stopping
+		m.alive(now, fresh, from)
+	}
 	mem.heard = now
 	if mem.alarming {
 		mem.alarming = false
@@ -337,8 +351,12 @@
 func (m *Members) sendBeats(now time.Time) {
 	m.lastBeat = now
 	beat := m.beat()
+	m.beats++
 	for _, vm := range m.links() {
 		m.peers.Send(vm, beat)
+		if m.beats%announceEvery == 0 {
+			m.peers.Send(vm, m.self)
+		}
 	}
 }
 
--- a/coord/members_test.go
+++ b/coord/members_test.go
@@ -184,8 +184,8 @@
 	if dead, _ := s.holdDead("vm-3"); dead > 0 {
 		t.Fatalf("%d still hold the daemon dead that woke", dead)
 	}
-	if counts := s.members["vm-3"].Counts(); counts.Deaths > 0 {
-		t.Fatalf("the daemon that woke holds %d others dead", counts.Deaths)
+	if counts := s.members["vm-3"].Counts(); counts.Deaths > 0 || counts.Alarms > 0 {
+		t.Fatalf("the daemon that woke holds %d others dead and raised %d alarms", counts.Deaths, counts.Alarms)
 	}
 }
 
@@ -240,3 +240,27 @@
 		}
 	}
 }
+
+// A daemon whose announcement was lost is known by its heartbeats.
+func TestLostAnnouncementIsMadeUpFor(t *testing.T) {
+	s := newMesh(3, 1, 3)
+	s.start("vm-1", 2)
+	list := proto.Listed{Version: 2}
+	for _, vm := range s.order {
+		list.VMs = append(list.VMs, proto.VMEntry{VM: vm, Zone: s.zone[vm], Entry: true})
+	}
+	s.members["vm-1"].Listed(s.now, list, "vm-1")
+	s.queue = nil
+	s.run(3 * time.Second)
+	for _, vm := range s.order {
+		for _, alive := range s.members[vm].Live() {
+			want := proto.Incarnation(1)
+			if alive.VM == "vm-1" {
+				want = 2
+			}
+			if alive.Incarnation != want {
+				t.Errorf("%s knows run %d of %s, not %d", vm, alive.Incarnation, alive.VM, want)
+			}
+		}
+	}
+}
--- a/entry/fake.go
+++ b/entry/fake.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
+	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"emberlead/fakes"
 	"emberlead/proto"
+	"emberlead/wire"
 )
 
 func fakeCommand() *cli.Command {
@@ -35,6 +40,12 @@
 				},
 				Action: fakeTargets,
 			},
+			{
+				Name: "fault", Usage: "change the faults of a stand-in", ArgsUsage: "FILE TARGET",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "set", Value: "{}", Usage: "`JSON` such as {\"slow\":5}, {\"failing\":0.3} or {\"hanging\":true}"}},
+				Action: fakeFault,
+			},
+			{Name: "runs", Usage: "show how often each stage ran at a stand-in", ArgsUsage: "FILE TARGET", Action: fakeRuns},
 		},
 	}
 }
@@ -110,6 +121,49 @@
 	return nil
 }
 
+// targetCall sends a request to the stand-in for a target of a file.
+func targetCall(ctx context.Context, c *cli.Command, method, path string, body []byte) ([]byte, error) {
+	if c.Args().Len() != 2 {
+		return nil, usage("%s takes a file and a target", c.Name)
+	}
+	data, err := os.ReadFile(c.Args().Get(0))
+	if err != nil {
+		return nil, exit(ExitUsage, &Error{Op: "read file", Kind: proto.KindNotFound, Err: err})
+	}
+	file, faults := proto.ReadFile(data)
+	if len(faults) > 0 {
+		return nil, exit(ExitFailed, fault("read file", proto.KindInvalid, "%v", faults))
+	}
+	for _, pool := range file.Pools {
+		for _, target := range pool.Targets {
+			if target.Name == c.Args().Get(1) {
+				return wire.NewTargets().Ask(ctx, method, target.Address, path, body)
+			}
+		}
+	}
+	return nil, usage("the file has no target %q", c.Args().Get(1))
+}
+
+func fakeFault(ctx context.Context, c *cli.Command) error {
+	_, err := targetCall(ctx, c, http.MethodPost, "/fault", []byte(c.String("set")))
+	return err
+}
+
+func fakeRuns(ctx context.Context, c *cli.Command) error {
+	data, err := targetCall(ctx, c, http.MethodGet, "/runs", nil)
+	if err != nil {
+		return err
+	}
+	var runs map[string]int
+	if err := json.Unmarshal(data, &runs); err != nil {
+		return err
+	}
+	for _, key := range slices.Sorted(maps.Keys(runs)) {
+		fmt.Fprintln(c.Root().Writer, key, runs[key])
+	}
+	return nil
+}
+
 // writeFile writes beside the file and renames, so that a reader never sees half of it.
 func writeFile(path string, data []byte) error {
 	if path == "" {
--- /dev/null
+++ b/entry/helpers_test.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const untilMost = 15 * time.Second
+
+// runUntil repeats a command until its output contains a text: until TEXT COMMAND [ARG ...].
+func runUntil() {
+	text := os.Args[1]
+	var out []byte
+	for end := time.Now().Add(untilMost); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		out, _ = exec.Command(os.Args[2], os.Args[3:]...).CombinedOutput()
+		if strings.Contains(string(out), text) {
+			fmt.Print(string(out))
+			return
+		}
+	}
+	fmt.Printf("%q never came; last output: %s\n", text, out)
+	os.Exit(1)
+}
+
+// runSignal sends a signal to the daemon that wrote a file with its process id: signal NAME FILE.
+func runSignal() {
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	data, err := os.ReadFile(os.Args[2])
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
+	if err == nil {
+		err = syscall.Kill(pid, signals[os.Args[1]])
+	}
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+}
--- a/wire/targets.go
+++ b/wire/targets.go
@@ -336,6 +336,13 @@
 	return err
 }
 
+// Ask sends a request outside the targets' protocol, as trials by hand do; it fails with KindUnavailable.
+func (t *Targets) Ask(ctx context.Context, method string, address netip.AddrPort, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return t.control(ctx, method, targetURL(address, path), body)
+}
+
 func (t *Targets) control(ctx context.Context, method, u string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
