Work out capacity from measured slopes; pass loads on as eight-byte digests

Cause: rows of loads with names took 38 bytes and 4.4 KB/s at the target's size, of 2 KB/s for all control. Change: a digest names a target by hash, in eight bytes; benchmarks over four sizes each, a command that fits them and rewrites docs/CAPACITY.md. Conclusion: processor and memory hold, bytes do not yet; the page names the lines.

--- /dev/null
+++ b/proto/digest.go
@@ -0,0 +1,57 @@
+package proto
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	digestRow  = 8 // bytes: hash of the target, running, waiting, slots, age
+	digestStep = 50 * time.Millisecond
+	digestMost = 255
+)
+
+// LoadRow is a target's load as the daemon that reads it passes it on.
+type LoadRow struct {
+	Pool    string
+	Target  string
+	Running int
+	Waiting int
+	Slots   int
+	Models  []string
+	// Age is how long before the sending the target reported.
+	Age time.Duration
+}
+
+// DigestOf returns the hash by which a digest names a target.
+func DigestOf(target string) uint32 { return uint32(xxhash.Sum64String(target)) }
+
+func small(n int) byte { return byte(min(digestMost, max(0, n))) }
+
+// PackLoads writes eight bytes for each row; counts above 255 and ages above 12.75 s are cut to that.
+func PackLoads(rows []LoadRow) []byte {
+	digest := make([]byte, 0, digestRow*len(rows))
+	for i := range rows {
+		row := &rows[i]
+		digest = binary.BigEndian.AppendUint32(digest, DigestOf(row.Target))
+		digest = append(digest, small(row.Running), small(row.Waiting), small(row.Slots), small(int(row.Age/digestStep)))
+	}
+	return digest
+}
+
+// UnpackLoads reads what PackLoads wrote; rows of targets that are not in names are left out.
+func UnpackLoads(digest []byte, names map[uint32]LoadRow) []LoadRow {
+	rows := make([]LoadRow, 0, len(digest)/digestRow)
+	for ; len(digest) >= digestRow; digest = digest[digestRow:] {
+		row, ok := names[binary.BigEndian.Uint32(digest)]
+		if !ok {
+			continue
+		}
+		row.Running, row.Waiting, row.Slots = int(digest[4]), int(digest[5]), int(digest[6])
+		row.Age = time.Duration(digest[7]) * digestStep
+		rows = append(rows, row)
+	}
+	return rows
+}
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -245,21 +245,16 @@
 	Totals bool       `cbor:"2,keyasint,omitempty"`
 }
 
-// LoadRow is a target's load in few bytes.
-type LoadRow struct {
-	Pool    string   `cbor:"1,keyasint"`
-	Target  string   `cbor:"2,keyasint"`
-	Running uint16   `cbor:"3,keyasint"`
-	Waiting uint16   `cbor:"4,keyasint,omitempty"`
-	Slots   uint16   `cbor:"5,keyasint,omitempty"`
-	Models  []string `cbor:"6,keyasint,omitempty"`
-	// Age is how long before the sending the target reported.
-	Age time.Duration `cbor:"7,keyasint"`
-}
-
-// Loads carries the loads of targets from the daemon that reads them.
+// ModelRow is which models a target of a pool with several has.
+type ModelRow struct {
+	Target string   `cbor:"1,keyasint"`
+	Models []string `cbor:"2,keyasint"`
+}
+
+// Loads carries the loads of targets from the daemon that reads them; Digest is what PackLoads returns.
 type Loads struct {
-	Rows   []LoadRow    `cbor:"1,keyasint,omitempty"`
+	Digest []byte       `cbor:"1,keyasint,omitempty"`
+	Models []ModelRow   `cbor:"4,keyasint,omitempty"`
 	Caches []CacheEvent `cbor:"2,keyasint,omitempty"`
 	Pools  []string     `cbor:"3,keyasint,omitempty"`
 }
--- /dev/null
+++ b/tools/tables.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Overheads that are counted on top of what is encoded: WebSocket, TCP and IP headers of a small message.
+const frameBytes = 6 + 40
+
+const (
+	heartbeatsPerSecond = 0.5 // one a second today
+	ticksPerSecond      = 100.0
+	loadInterval        = 8.0 // seconds at the target's size; half a second today
+	usageInterval       = 4.0 // seconds at the target's size; half a second today
+)
+
+func tables(all series) string {
+	fits := map[string]slope{}
+	last := map[string]float64{}
+	for key, points := range all {
+		fits[key] = fit(points)
+		last[key] = points[len(points)-1].y
+	}
+	var b strings.Builder
+	writeSlopes(&b, fits)
+	writeControl(&b, fits, last)
+	writeData(&b, fits)
+	writePlatform(&b)
+	return b.String()
+}
+
+func writeSlopes(b *strings.Builder, fits map[string]slope) {
+	b.WriteString("### Measured slopes\n\nFitted over the sizes of each benchmark; the residual is the largest relative distance of a point.\n\n")
+	b.WriteString("| benchmark and unit | sizes | at 0 | for each | residual |\n| --- | ---: | ---: | ---: | ---: |\n")
+	for _, key := range slices.Sorted(maps.Keys(fits)) {
+		s := fits[key]
+		fmt.Fprintf(b, "| %s | %d | %.4g | %.4g | %.0f%% |\n", key, s.points, s.base, s.per, 100*s.residual)
+	}
+	b.WriteString("\n")
+}
+
+type cost struct {
+	role, state, messages, from, mechanism string
+	cpu, memory, bytes                     float64 // nanoseconds a second, bytes, bytes a second both ways
+}
+
+// control works out what one daemon spends besides relaying requests.
+func control(f map[string]slope, last map[string]float64) []cost {
+	links := last["Members links"]
+	beat := f["Members beatBytes"].base + frameBytes
+	perSecond := size.changes / 86400
+	change := f["Change changeBytes"].at(size.workspaces)
+	claims := size.requests * size.keyed
+	replicaRate := claims * size.replicas / size.rosterMembers
+	claimBytes := f["Claim askBytes"].base + f["Claim answerBytes"].base + f["Claim settleBytes"].base + 3*frameBytes
+	keys := claims * size.retention * size.replicas / size.rosterMembers
+	active := min(30, size.requests/size.daemons)
+	targets := size.subset * 10
+	return []cost{
+		{
+			role: "membership", state: "2,000 daemons", messages: fmt.Sprintf("%.1f heartbeats/s each way", links*heartbeatsPerSecond),
+			cpu:    f["Members ns/op"].at(size.daemons) + f["Ring ns/op"].at(size.daemons)*2*size.events/86400,
+			memory: f["MembersHeap heapBytes"].at(size.daemons), bytes: 2 * links * heartbeatsPerSecond * beat,
+			from: "Members, MembersHeap, Ring", mechanism: "rings of fixed degree in each region and one over all",
+		},
+		{
+			role: "configuration", state: "6,600 files of one workspace", messages: fmt.Sprintf("%.2f changes/s, pulled once", perSecond),
+			cpu:    f["Change ns/op"].at(size.workspaces) * perSecond,
+			memory: f["FilesHeap heapBytes"].at(size.workspaces), bytes: perSecond * (2*change + 2*links*beat),
+			from: "Change, FilesHeap", mechanism: "generation in heartbeats, pulled from the first link that has it",
+		},
+		{
+			role: "owner of keys (256 of the daemons)", state: fmt.Sprintf("%.0f claims for 30 min", keys), messages: fmt.Sprintf("%.0f claims/s", replicaRate),
+			cpu:    replicaRate * f["Claim ns/op"].at(keys/12),
+			memory: f["ClaimHeap heapBytes"].at(keys), bytes: replicaRate * claimBytes,
+			from: "Claim, ClaimHeap", mechanism: "slots with groups of three; the roster's size is a setting",
+		},
+		{
+			role: "claimer of keys", state: "its own requests", messages: fmt.Sprintf("%.0f claims/s to 3 replicas", claims/size.daemons),
+			cpu:    3 * claims / size.daemons * f["Claim ns/op"].base,
+			memory: 0, bytes: 3 * claims / size.daemons * claimBytes,
+			from: "Claim", mechanism: "one round, majority of three",
+		},
+		{
+			role: "router and load view", state: fmt.Sprintf("%.0f targets in subsets", targets), messages: fmt.Sprintf("%.0f rows each %.0f s", targets, loadInterval),
+			cpu:    targets / loadInterval * (f["LoadRow ns/op"].per + 400),
+			memory: f["TargetHeap heapBytes"].at(targets), bytes: targets / loadInterval * f["LoadRow rowBytes"].at(60),
+			from: "TargetHeap, LoadRow", mechanism: "collectors by rendezvous, subsets, loads in answers",
+		},
+		{
+			role: "fairness exchange", state: fmt.Sprintf("%.0f active workspaces", active), messages: fmt.Sprintf("%.0f rows each %.0f s and totals back", active, usageInterval),
+			cpu:    2 * active / usageInterval * f["UsageRow ns/op"].at(active),
+			memory: f["UsageHeap heapBytes"].at(active) * size.pools / 4, bytes: 2 * active / usageInterval * (f["UsageRow rowBytes"].at(600) + frameBytes),
+			from: "UsageRow, UsageHeap", mechanism: "collectors by workspace in each region",
+		},
+		{
+			role: "deadlines and queues", state: "60 pools", messages: "none",
+			cpu:    ticksPerSecond * f["Tick ns/op"].at(size.pools),
+			memory: 0, bytes: 0, from: "Tick", mechanism: "one look each 10 ms",
+		},
+	}
+}
+
+func writeControl(b *strings.Builder, f map[string]slope, last map[string]float64) {
+	b.WriteString("### Control, for one daemon at the target's size\n\n")
+	b.WriteString("Budget: 1.8% of a core, 64 MB, 2 KB/s. Bytes count both directions and the headers of each message.\n\n")
+	b.WriteString("| role | state | messages | processor | memory | bytes/s | from | mechanism |\n| --- | --- | --- | ---: | ---: | ---: | --- | --- |\n")
+	var cpu, memory, sum float64
+	var keyCPU, keyMemory, keyBytes float64
+	for _, c := range control(f, last) {
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", c.role, c.state, c.messages, pct(c.cpu), bytesOf(c.memory), bytesOf(c.bytes), c.from, c.mechanism)
+		if strings.HasPrefix(c.role, "owner") {
+			keyCPU, keyMemory, keyBytes = c.cpu, c.memory, c.bytes
+			continue
+		}
+		cpu += c.cpu
+		memory += c.memory
+		sum += c.bytes
+	}
+	fmt.Fprintf(b, "| **a daemon that owns no keys** | | | **%s** | **%s** | **%s** | | |\n", pct(cpu), bytesOf(memory), bytesOf(sum))
+	fmt.Fprintf(b, "| **one of the 256 that do** | | | **%s** | **%s** | **%s** | | |\n\n", pct(cpu+keyCPU), bytesOf(memory+keyMemory), bytesOf(sum+keyBytes))
+}
+
+func writeData(b *strings.Builder, f map[string]slope) {
+	perToken := f["Relay ns/op"].per
+	perRequest := f["Relay ns/op"].base + size.stages*f["Request ns/op"].at(size.subset)/2
+	tokens := size.tokens / size.daemons
+	requests := size.requests / size.daemons
+	share := tokens*perToken + requests*(perRequest+(size.stages-1)*f["Relay ns/op"].base)
+	b.WriteString("### Data path, for one of 2,000 daemons\n\n")
+	b.WriteString("Measured with caller, daemon and target in one process, so a daemon's own part is below these.\n\n")
+	b.WriteString("| what | figure |\n| --- | ---: |\n")
+	fmt.Fprintf(b, "| tokens a second | %.0f |\n| requests a second | %.0f |\n", tokens, requests)
+	fmt.Fprintf(b, "| nanoseconds a token, one token a chunk | %.0f |\n| nanoseconds a request of one stage without its tokens | %.0f |\n", perToken, f["Relay ns/op"].base)
+	fmt.Fprintf(b, "| bytes a token towards the caller | %.0f |\n", f["Relay callerBytes"].per)
+	fmt.Fprintf(b, "| processor of one daemon | %s |\n", pct(share))
+	fmt.Fprintf(b, "| the same with four tokens a chunk | %s |\n", pct(share-tokens*perToken*3/4))
+	fmt.Fprintf(b, "| bytes a second towards callers | %s |\n", bytesOf(tokens*f["Relay callerBytes"].per))
+	fmt.Fprintf(b, "| cores for all daemons, one token a chunk | %.0f |\n\n", share*size.daemons/1e9)
+}
+
+func writePlatform(b *strings.Builder) {
+	zones, pollers := 16.0, 2.0
+	b.WriteString("### What lies in the platform\n\n")
+	b.WriteString("Budget: several hundred writes and about 2,000 reads a second each of table service and object store.\n\n")
+	b.WriteString("| what | rows or objects | writes/s | reads/s | mechanism |\n| --- | --- | ---: | ---: | --- |\n")
+	fmt.Fprintf(b, "| configuration | 6,600 file rows, 1,000 log rows, 1 head row; an object for each version | %.2f (and as many objects) | %.0f of the head, %.1f of log and objects | two pollers in each zone, all else from peers |\n", size.changes/86400, zones*pollers, 2*size.changes/86400*zones*pollers)
+	fmt.Fprintf(b, "| roster of keys | 1 row | %.4f | 1 by the keeper | one keeper by rendezvous, conditional writes |\n", 2*size.events*size.rosterMembers/size.daemons/86400)
+	b.WriteString("| leases | 4 rows | 0.8 | 0.8 | one for a share of the pools, renewed each 5 s, only the first by rendezvous tries |\n")
+	fmt.Fprintf(b, "| VM list | none of ours | 0 | %.0f | the same pollers, each 2 s, passed on over the links |\n\n", zones*pollers/2)
+}
--- /dev/null
+++ b/wire/bench_test.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/coord"
+	"emberlead/core"
+	"emberlead/proto"
+)
+
+// noClaims grants everything, for requests that have no key.
+type noClaims struct{}
+
+func (noClaims) Claim(context.Context, proto.Key, uint64, proto.RequestID) (coord.Decision, []byte) {
+	return coord.DecisionGranted, nil
+}
+func (noClaims) Settle(proto.Key, proto.RequestID, bool, []byte) {}
+func (noClaims) Reachable(proto.Key) bool                        { return true }
+
+type alwaysOpen struct{}
+
+func (alwaysOpen) Ready() (bool, string)   { return true, "" }
+func (alwaysOpen) Accepts() *proto.Failure { return nil }
+
+const benchToken = "token "
+
+// streamTarget answers every attempt with a stream of so many tokens, one a chunk.
+func streamTarget(tokens int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		attempt := r.Header.Get(proto.HeaderAttempt)
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", mimeEvents)
+		for i := range tokens {
+			fmt.Fprintf(w, "event: chunk\ndata: {\"attempt\":%q,\"offset\":%d,\"text\":%q,\"tokens\":1}\n\n", attempt, i, benchToken)
+			w.(http.Flusher).Flush()
+		}
+		fmt.Fprintf(w, "event: done\ndata: {\"attempt\":%q,\"tokens\":%d,\"busy\":\"1ms\"}\n\n", attempt, tokens)
+	})
+}
+
+// newBenchFront returns a daemon's front before one streaming target.
+func newBenchFront(tb testing.TB, tokens int) *httptest.Server {
+	tb.Helper()
+	target := httptest.NewServer(streamTarget(tokens))
+	tb.Cleanup(target.Close)
+	sum := sha256.Sum256([]byte("key"))
+	file := &proto.File{
+		Kind: proto.FileKindDeployment, Name: "bench",
+		Workspaces: []proto.Workspace{{Name: "w", Weight: 1, KeyHashes: []string{hex.EncodeToString(sum[:])}}},
+		Pools: []proto.Pool{{Name: "generate", Kind: proto.PoolEngine, Targets: []proto.Target{{
+			Name: "t", Zone: "r/a", VM: "v", Slots: 64, Address: netip.MustParseAddrPort(strings.TrimPrefix(target.URL, "http://")),
+		}}}},
+		Services: []proto.Service{{Name: "s", Deadline: proto.Duration(time.Minute), Stages: []proto.Stage{{Name: "generate", Pool: "generate", Stream: true, MaxTokens: tokens}}}},
+	}
+	engine := core.New()
+	engine.Configure(proto.EmptySnapshot().WithFile(1, file), time.Now(), 0)
+	log := hclog.NewNullLogger()
+	driver := NewDriver(engine, clockwork.NewRealClock(), NewTargets(), noClaims{}, log, 1<<20, nil)
+	limits := FrontLimits{Body: 1 << 20, Open: 1000, Buffered: 1 << 20, ReadWait: time.Minute, WriteWait: time.Minute}
+	front := httptest.NewServer(NewFront(driver, engine, clockwork.NewRealClock(), log, limits, alwaysOpen{}, 1).Handler())
+	tb.Cleanup(front.Close)
+	return front
+}
+
+func callBench(tb testing.TB, front *httptest.Server) int64 {
+	tb.Helper()
+	req, err := http.NewRequest(http.MethodPost, front.URL+"/v1/workspaces/w/services/s/requests", bytes.NewReader([]byte("{}")))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Accept", mimeEvents)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		tb.Fatal(resp.Status, err)
+	}
+	return n
+}
+
+// BenchmarkRelay is a whole streamed request over loopback, with caller, daemon and target in one process; the
+// slope over the tokens is what one token costs all three together.
+func BenchmarkRelay(b *testing.B) {
+	for _, tokens := range []int{1, 64, 256, 1024} {
+		b.Run(fmt.Sprintf("tokens=%d", tokens), func(b *testing.B) {
+			front := newBenchFront(b, tokens)
+			n := int64(0)
+			for b.Loop() {
+				n = callBench(b, front)
+			}
+			b.ReportMetric(float64(n), "callerBytes")
+		})
+	}
+}
