--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -36,7 +36,7 @@
 		for j := range perPool {
 			pool.Targets = append(pool.Targets, proto.Target{
 				Name: fmt.Sprintf("%s-%d", pool.Name, j), Zone: proto.Zone(fmt.Sprintf("r/%d", j%3)), VM: proto.VM(fmt.Sprintf("vm-%s-%d", pool.Name, j)),
-				Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000*i+j+1)), Slots: 2,
+				Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000*i+j+1)), Slots: 2, ExportsCache: kind == proto.PoolEngine,
 			})
 		}
 		f.Pools = append(f.Pools, pool)
--- /dev/null
+++ b/core/scenario_test.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"emberlead/proto"
+)
+
+// script runs decisions step by step; each file in testdata is a scenario and says at its head what it shows.
+type script struct {
+	engine *Engine
+	now    time.Time
+	ids    map[string]proto.RequestID
+	names  map[proto.RequestID]string
+	starts map[string]proto.AttemptID
+	out    strings.Builder
+}
+
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{now: time.Unix(1_700_000_000, 0), ids: map[string]proto.RequestID{}, names: map[proto.RequestID]string{}, starts: map[string]proto.AttemptID{}}
+		s.engine = New(WithSeed(1), WithZone("r/0"))
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
+	})
+}
+
+func arg(t *testing.T, d *datadriven.TestData, name, fallback string) string {
+	t.Helper()
+	value := fallback
+	if d.HasArg(name) {
+		d.ScanArgs(t, name, &value)
+	}
+	return value
+}
+
+func number(t *testing.T, d *datadriven.TestData, name string) int {
+	t.Helper()
+	n := 0
+	if d.HasArg(name) {
+		d.ScanArgs(t, name, &n)
+	}
+	return n
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	s.out.Reset()
+	switch d.Cmd {
+	case "config":
+		s.engine.Configure(proto.EmptySnapshot().WithFile(1, testFile(number(t, d, "targets"))), s.now, 0)
+	case "stop":
+		in, err := time.ParseDuration(arg(t, d, "in", "0s"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		snapshot := s.engine.Snapshot()
+		plan := proto.StopPlan{VM: proto.VM(arg(t, d, "vm", "")), At: s.now.Add(in)}
+		s.engine.Configure(snapshot.WithStop(snapshot.Generation+1, plan), s.now, 0)
+		s.feed(StopsDue{Lead: time.Second})
+	case "arrive":
+		s.arrive(t, d)
+	case "claim":
+		verdicts := map[string]Verdict{"granted": VerdictGranted, "taken": VerdictTaken, "tooOld": VerdictTooOld, "unreachable": VerdictUnreachable}
+		s.feed(ClaimAnswered{Request: s.ids[arg(t, d, "of", "")], Verdict: verdicts[arg(t, d, "verdict", "granted")]})
+	case "chunk":
+		s.feed(AttemptChunk{Attempt: s.starts[arg(t, d, "of", "")], Offset: number(t, d, "offset"), Text: arg(t, d, "text", ""), Tokens: number(t, d, "tokens")})
+	case "end":
+		fates := map[string]Fate{"done": FateDone, "notStarted": FateNotStarted, "failed": FateFailed, "unknown": FateUnknown}
+		s.feed(AttemptEnded{Attempt: s.starts[arg(t, d, "of", "")], Fate: fates[arg(t, d, "fate", "done")], Output: []byte(arg(t, d, "output", "{}")), Tokens: number(t, d, "tokens"), Busy: time.Millisecond})
+	case "exported":
+		s.feed(Exported{Attempt: s.starts[arg(t, d, "of", "")], Handle: arg(t, d, "handle", "")})
+	case "leave":
+		s.feed(CallerLeft{Request: s.ids[arg(t, d, "of", "")]})
+	case "wait":
+		length, err := time.ParseDuration(arg(t, d, "for", "0s"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.now = s.now.Add(length)
+		s.feed(StopsDue{Lead: time.Second})
+		s.feed(Tick{})
+	default:
+		t.Fatalf("no command %q", d.Cmd)
+	}
+	if s.out.Len() == 0 {
+		return "ok\n"
+	}
+	return s.out.String()
+}
+
+func (s *script) arrive(t *testing.T, d *datadriven.TestData) {
+	name := arg(t, d, "name", "")
+	var bits [10]byte
+	bits[9] = byte(len(s.ids) + 1)
+	id := proto.KeyAt(s.now, bits)
+	s.ids[name], s.names[id] = id, name
+	a := Arrival{ID: id, Workspace: "a", Service: arg(t, d, "service", "plain"), Repeatable: true, Stream: d.HasArg("stream")}
+	if d.HasArg("key") {
+		a.Key = id
+	}
+	s.feed(a)
+}
+
+func (s *script) feed(ev Event) {
+	for _, action := range s.engine.Handle(s.now, ev) {
+		switch a := action.(type) {
+		case Start:
+			name := fmt.Sprintf("%s.%s.%d", s.names[a.ID.Request], a.Stage.Name, a.ID.Number)
+			s.starts[name] = a.ID
+			fmt.Fprintf(&s.out, "start %s at %s offset %d handle %q\n", name, a.Target.Name, a.Offset, a.CacheHandle)
+		case Cancel:
+			fmt.Fprintf(&s.out, "cancel %s stage %d attempt %d\n", s.names[a.Attempt.Request], a.Attempt.Stage, a.Attempt.Number)
+		case Claim:
+			fmt.Fprintf(&s.out, "claim %s\n", s.names[a.Request])
+		case Settle:
+			fmt.Fprintf(&s.out, "settle %s released %t answer %s\n", s.names[a.Request], a.Released, a.Answer)
+		case Chunk:
+			fmt.Fprintf(&s.out, "chunk %s offset %d %q\n", s.names[a.Request], a.Offset, a.Text)
+		case Export:
+			fmt.Fprintf(&s.out, "export attempt %d at %s\n", a.Attempt.Number, a.Target.Name)
+		case Finish:
+			if a.Failure == nil {
+				fmt.Fprintf(&s.out, "finish %s with %s\n", s.names[a.Request], a.Output)
+				continue
+			}
+			fmt.Fprintf(&s.out, "finish %s: %s %s %d\n", s.names[a.Request], a.Failure.Kind, a.Failure.Outcome, a.Failure.Status())
+		}
+	}
+}
--- a/proto/outcome.go
+++ b/proto/outcome.go
@@ -26,7 +26,6 @@
 	FailureOverloaded  FailureKind = "overloaded"
 	FailureDeadline    FailureKind = "deadlineExceeded"
 	FailureTooLate     FailureKind = "deadlineCannotBeMet"
-	FailureNoTarget    FailureKind = "noTarget"
 	FailureTarget      FailureKind = "targetFailed"
 	FailureUnknown     FailureKind = "resultUnknown"
 	FailureKeyTaken    FailureKind = "keyAlreadyUsed"
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,202 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"emberlead/core"
+	"emberlead/fakes"
+	"emberlead/proto"
+)
+
+func addressOf(url string) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
+}
+
+// Whatever a caller sends, it gets a clear problem document, and nothing is run.
+func TestHostileCallers(t *testing.T) {
+	front := newBenchFront(t, 1)
+	old := uuid.MustParse("f47ac10b-58cc-4372-a567-0e02b2c3d479")
+	scenarios := []struct {
+		name, path, key, body string
+		header                map[string]string
+		status                int
+		kind                  proto.FailureKind
+	}{
+		{"no key", "w/services/s", "", "{}", nil, 401, proto.FailureForbidden},
+		{"wrong key", "w/services/s", "nope", "{}", nil, 401, proto.FailureForbidden},
+		{"another workspace", "x/services/s", "key", "{}", nil, 401, proto.FailureForbidden},
+		{"no such service", "w/services/none", "key", "{}", nil, 404, proto.FailureNotFound},
+		{"not JSON", "w/services/s", "key", "{", nil, 400, proto.FailureBadRequest},
+		{"too large", "w/services/s", "key", `"` + strings.Repeat("x", 1<<20) + `"`, nil, 413, proto.FailureTooLarge},
+		{"bad timeout", "w/services/s", "key", "{}", map[string]string{proto.HeaderTimeout: "-1s"}, 400, proto.FailureBadRequest},
+		{"bad mark", "w/services/s", "key", "{}", map[string]string{proto.HeaderRepeatable: "maybe"}, 400, proto.FailureBadRequest},
+		{"key without time", "w/services/s", "key", "{}", map[string]string{proto.HeaderKey: old.String()}, 400, proto.FailureKeyInvalid},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, front.URL+"/v1/workspaces/"+scenario.path+"/requests", strings.NewReader(scenario.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if scenario.key != "" {
+				req.Header.Set("Authorization", "Bearer "+scenario.key)
+			}
+			for name, value := range scenario.header {
+				req.Header.Set(name, value)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			var problem proto.Problem
+			if err := json.NewDecoder(resp.Body).Decode(&problem); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != scenario.status || problem.Kind != scenario.kind || problem.Outcome != proto.OutcomeNotRun {
+				t.Fatalf("%d %s %s, want %d %s notRun", resp.StatusCode, problem.Kind, problem.Outcome, scenario.status, scenario.kind)
+			}
+		})
+	}
+	if callBench(t, front) == 0 {
+		t.Fatal("a good caller got nothing afterwards")
+	}
+}
+
+func runOnce(address netip.AddrPort, mayRepeat bool) core.AttemptEnded {
+	var last core.AttemptEnded
+	start := &core.Start{ID: proto.AttemptID{Request: uuid.New(), Number: 1}, Target: proto.Target{Address: address}, Input: []byte("{}"), Deadline: time.Now().Add(2 * time.Second)}
+	NewTargets().Run(context.Background(), start, mayRepeat, func(ev core.Event) {
+		if ended, ok := ev.(core.AttemptEnded); ok {
+			last = ended
+		}
+	})
+	return last
+}
+
+// A refusal is certain only while no byte was written, or by the target's own word.
+func TestWhatIsCertainOfAnAttempt(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := netip.MustParseAddrPort(refused.Addr().String())
+	if err := refused.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := runOnce(closed, false).Fate; got != core.FateNotStarted {
+		t.Errorf("refused connection: fate %d", got)
+	}
+	scenarios := []struct {
+		name   string
+		answer http.HandlerFunc
+		want   core.Fate
+	}{
+		{"breaks off", func(w http.ResponseWriter, _ *http.Request) { hangUp(w) }, core.FateUnknown},
+		{"says notRun", func(w http.ResponseWriter, _ *http.Request) { refuseWith(w, proto.OutcomeNotRun) }, core.FateNotStarted},
+		{"says ran", func(w http.ResponseWriter, _ *http.Request) { refuseWith(w, proto.OutcomeRan) }, core.FateFailed},
+		{"says nothing", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, core.FateUnknown},
+		{"answers another attempt", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"attempt":"other"}`) }, core.FateUnknown},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			var calls atomic.Int64
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				_, _ = io.Copy(io.Discard, r.Body)
+				scenario.answer(w, r)
+			}))
+			defer target.Close()
+			for _, mayRepeat := range []bool{true, false} {
+				if got := runOnce(addressOf(target.URL), mayRepeat).Fate; got != scenario.want {
+					t.Errorf("fate %d, want %d", got, scenario.want)
+				}
+			}
+			if calls.Load() != 2 {
+				t.Errorf("the target was called %d times for 2 attempts", calls.Load())
+			}
+		})
+	}
+}
+
+func hangUp(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
+func refuseWith(w http.ResponseWriter, outcome proto.Outcome) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(proto.RunRefusal{Outcome: outcome})
+}
+
+// A write whose answer is lost is told apart from one that failed, and is not sent again.
+func TestPlatformClient(t *testing.T) {
+	store := fakes.NewStore()
+	server := httptest.NewServer(fakes.NewPlatform(store).Handler())
+	defer server.Close()
+	limits := DefaultPlatformLimits()
+	limits.Wait = 300 * time.Millisecond
+	p := NewPlatform(server.URL, "test", limits)
+	ctx := context.Background()
+	write := func(version uint64) error {
+		return p.Transact(ctx, proto.Transaction{
+			Conditions: []proto.Condition{{Key: "a", Version: version}},
+			Writes:     []proto.Write{{Key: "a", Value: []byte("x")}},
+		})
+	}
+	store.LoseAnswers(1)
+	if kind := proto.KindOf(write(0)); kind != proto.KindUnknown {
+		t.Fatalf("lost answer: %q", kind)
+	}
+	if kind := proto.KindOf(write(0)); kind != proto.KindConflict {
+		t.Fatalf("the lost write took effect, so this is a conflict, not %q", kind)
+	}
+	if _, writes := store.Counts(); writes != 2 {
+		t.Fatalf("%d writes were sent", writes)
+	}
+	store.SetDown(true)
+	if kind := proto.KindOf(write(1)); kind != proto.KindUnavailable {
+		t.Fatalf("store out: %q", kind)
+	}
+	store.SetDown(false)
+	row, err := p.Read(ctx, "a")
+	if err != nil || !bytes.Equal(row.Value, []byte("x")) {
+		t.Fatalf("%+v %v", row, err)
+	}
+}
+
+// Only a peer with the key is let in, and a call is answered over the connection that it came by.
+func TestPeersAuthenticate(t *testing.T) {
+	answer := func(_ context.Context, from proto.VM, _ proto.Message) proto.Message {
+		return proto.ChangesAnswer{Generation: proto.Generation(len(from))}
+	}
+	server := NewLinks(LinksConfig{Self: "b", Key: "right", Log: hclog.NewNullLogger(), Handle: answer})
+	listener := httptest.NewServer(server.Handler())
+	defer listener.Close()
+	resolve := func(proto.VM) (proto.Alive, bool) { return proto.Alive{Peer: addressOf(listener.URL)}, true }
+	for key, want := range map[string]bool{"right": true, "wrong": false, "": false} {
+		client := NewLinks(LinksConfig{Self: "abc", Key: key, Log: hclog.NewNullLogger(), Resolve: resolve, Handle: answer})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		m, err := client.Call(ctx, "b", proto.ChangesAsk{})
+		cancel()
+		client.Close()
+		if got, ok := m.(proto.ChangesAnswer); want != (err == nil && ok && got.Generation == 3) {
+			t.Errorf("key %q: %+v %v", key, m, err)
+		}
+	}
+}
