--- a/coord/members.go
+++ b/coord/members.go
@@ -169,38 +169,6 @@
 	return mem == nil && !m.started.IsZero() || mem != nil && (mem.dead || mem.alive.Incarnation > incarnation)
 }
 
-// Over tells whether a run of a daemon is certainly over: a later run has announced itself, or the platform no longer lists the VM.
-func (m *Members) Over(now time.Time, vm proto.VM, incarnation proto.Incarnation) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if mem := m.members[vm]; mem != nil && mem.alive.Incarnation > incarnation {
-		return true
-	}
-	if m.firstList.IsZero() || now.Sub(m.lastList) > m.timing.Lag {
-		return false
-	}
-	since := m.firstList
-	if seen := m.lastListed[vm]; seen.After(since) {
-		since = seen
-	}
-	return now.Sub(since) > m.timing.Lag
-}
-
-// IsListed tells whether the platform's last list showed the VM.
-func (m *Members) IsListed(vm proto.VM) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	mem := m.members[vm]
-	return mem != nil && mem.listed
-}
-
-// Leaving returns the VMs that the platform lists as leaving, targets' VMs included.
-func (m *Members) Leaving() map[proto.VM]bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.leaving
-}
-
 // Stop announces that this daemon is stopping.
 func (m *Members) Stop() {
 	m.mu.Lock()
@@ -224,54 +192,6 @@
 	}
 }
 
-// Listed takes in the platform's list; an older version than one seen is ignored.
-func (m *Members) Listed(now time.Time, list proto.Listed, from proto.VM) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if list.Version <= m.listedAt {
-		return
-	}
-	m.listedAt = list.Version
-	m.lastList = now
-	if m.firstList.IsZero() {
-		m.firstList = now
-	}
-	seen := map[proto.VM]bool{}
-	leaving := map[proto.VM]bool{}
-	changed := false
-	for _, entry := range list.VMs {
-		if entry.Leaving {
-			leaving[entry.VM] = true
-		}
-		if !entry.Entry {
-			continue
-		}
-		seen[entry.VM] = true
-		m.lastListed[entry.VM] = now
-		mem := m.members[entry.VM]
-		if mem == nil {
-			mem = &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
-			mem.alive = proto.Alive{VM: entry.VM, Zone: entry.Zone, Peer: entry.Peer}
-			m.members[entry.VM] = mem
-			changed = true
-		}
-		mem.listed, mem.leaving = true, entry.Leaving
-	}
-	for vm, mem := range m.members {
-		mem.listed = seen[vm]
-	}
-	m.leaving = leaving
-	if changed {
-		m.changed()
-		m.announce()
-	}
-	for _, vm := range m.links() {
-		if vm != from {
-			m.peers.Send(vm, list)
-		}
-	}
-}
-
 // Alive takes in an announcement and passes it on if it is news.
 func (m *Members) Alive(now time.Time, a proto.Alive, from proto.VM) {
 	m.mu.Lock()
@@ -360,85 +280,6 @@
 	}
 }
 
-// raise tells the links that a daemon has fallen silent, or is heard again.
-func (m *Members) raise(now time.Time, mem *member, silent bool) {
-	m.counts++
-	alarm := proto.Alarm{About: mem.alive.VM, Incarnation: mem.alive.Incarnation, By: m.self.VM, Count: m.counts, Silent: silent}
-	mem.alarms[m.self.VM] = alarm
-	if silent {
-		m.alarms++
-	}
-	m.pass(alarm, m.self.VM)
-	m.judge(now, mem)
-}
-
-func (m *Members) pass(a proto.Alarm, from proto.VM) {
-	for _, vm := range m.links() {
-		if vm != from && vm != a.By {
-			m.peers.Send(vm, a)
-		}
-	}
-}
-
-// Alarm takes in another daemon's word on a silent link and passes it on if it is news.
-func (m *Members) Alarm(now time.Time, a proto.Alarm, from proto.VM) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if a.About == m.self.VM {
-		if a.Silent && a.Incarnation == m.self.Incarnation {
-			m.announce()
-		}
-		return
-	}
-	mem := m.members[a.About]
-	if mem == nil || a.Incarnation != mem.alive.Incarnation {
-		return
-	}
-	if old, ok := mem.alarms[a.By]; ok && old.Count >= a.Count {
-		return
-	}
-	mem.alarms[a.By] = a
-	m.pass(a, from)
-	m.judge(now, mem)
-}
-
-// judge holds a daemon to be dead once more than half of those that link to it in its region, and at least two where there are two, are alarmed.
-func (m *Members) judge(now time.Time, mem *member) {
-	monitors, alarmed := 0, 0
-	for _, vm := range m.monitors(mem) {
-		other := m.members[vm]
-		if other == nil || other.dead {
-			continue
-		}
-		monitors++
-		if a, ok := mem.alarms[vm]; ok && a.Silent {
-			alarmed++
-		}
-	}
-	dead := monitors > 0 && 2*alarmed > monitors && alarmed >= min(2, monitors)
-	if dead == mem.dead {
-		return
-	}
-	mem.dead = dead
-	if dead {
-		mem.deadAt = now
-		m.deaths++
-	}
-	m.changed()
-}
-
-// monitors are the regional links that the daemon has, or would have if it were alive.
-func (m *Members) monitors(mem *member) []proto.VM {
-	if !mem.dead {
-		return m.ring().regional[mem.alive.VM]
-	}
-	monitors := make([]proto.VM, 0, len(mem.alarms))
-	for vm := range mem.alarms {
-		monitors = append(monitors, vm)
-	}
-	return monitors
-}
-
 // Beat sends heartbeats at once, because there is news in them.
 func (m *Members) Beat(now time.Time) {
 	m.mu.Lock()
@@ -466,30 +307,6 @@
 	m.forget(now)
 }
 
-func (m *Members) checkLink(now time.Time, mem *member) {
-	if mem == nil || mem.alarming || !mem.known {
-		return
-	}
-	if mem.heard.IsZero() {
-		mem.heard = now
-	}
-	if now.Sub(mem.heard) > m.timing.Silence {
-		mem.alarming = true
-		m.raise(now, mem, true)
-	}
-}
-
-// forgive starts all links afresh after a pause of this daemon, which was silent itself and heard nothing.
-func (m *Members) forgive(now time.Time) {
-	m.pausedAt = now
-	for _, mem := range m.members {
-		if !mem.alarming {
-			mem.heard = now
-		}
-	}
-	m.announce()
-}
-
 func (m *Members) forget(now time.Time) {
 	for vm, mem := range m.members {
 		if mem.dead && !mem.listed && now.Sub(mem.deadAt) > m.timing.Forget {
--- a/coord/node.go
+++ b/coord/node.go
@@ -216,49 +216,6 @@
 	}
 }
 
-const pullTimeout = 2 * time.Second
-
-// pullChanges asks a daemon with a higher generation until there is nothing newer, and passes the news on at once.
-func (n *Node) pullChanges(from proto.VM) {
-	defer n.pulling.Store(false)
-	for {
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-		m, err := n.deps.Peers.Call(ctx, from, proto.ChangesAsk{After: n.Changes.Generation()})
-		cancel()
-		answer, ok := m.(proto.ChangesAnswer)
-		if err != nil || !ok || answer.Generation <= n.Changes.Generation() {
-			break
-		}
-		if !n.take(answer) {
-			n.deps.Log.Warn("changes of a peer do not fit", "from", from, "generation", answer.Generation)
-			break
-		}
-		n.Changes.Learnt(answer.Generation)
-	}
-}
-
-func (n *Node) take(answer proto.ChangesAnswer) bool {
-	if answer.Whole {
-		return n.Changes.TakeWhole(answer.Generation, answer.Changes)
-	}
-	return n.Changes.Take(answer.Changes)
-}
-
-func (n *Node) pullRoster(ctx context.Context, from proto.VM) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	m, err := n.deps.Peers.Call(ctx, from, proto.RosterAsk{})
-	if answer, ok := m.(proto.RosterAnswer); ok && err == nil {
-		n.adoptRoster(answer.Roster)
-	}
-}
-
-func (n *Node) adoptRoster(roster proto.Roster) {
-	if n.Replica.Adopt(roster) {
-		n.Members.Beat(n.deps.Clock.Now())
-	}
-}
-
 func (n *Node) takeUsage(now time.Time, from proto.VM, msg proto.Usage) {
 	if msg.Totals {
 		n.onUsage(msg.Rows)
@@ -306,112 +263,8 @@
 	}
 }
 
-// Transfer reads the claims of slots that this daemon has come to keep, and reports those that it has.
-func (n *Node) Transfer(ctx context.Context) {
-	for _, pending := range n.Replica.Pending() {
-		for _, member := range pending.From {
-			n.transferFrom(ctx, pending, member)
-		}
-	}
-	ready := n.Replica.ReadySlots()
-	if len(ready) == 0 {
-		return
-	}
-	keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon))
-	if !ok {
-		return
-	}
-	for _, m := range ready {
-		if keeper == n.deps.Self.VM {
-			n.Roster.Report(keeper, m)
-			continue
-		}
-		n.deps.Peers.Send(keeper, m)
-	}
-}
-
 func anyDaemon(proto.Alive) bool { return true }
 
-func (n *Node) transferFrom(ctx context.Context, pending Pending, member proto.RosterMember) {
-	if n.Members.Dead(member.VM, member.Incarnation) {
-		return
-	}
-	ask := pending.Ask
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
-		m, err := n.deps.Peers.Call(callCtx, member.VM, ask)
-		cancel()
-		answer, ok := m.(proto.TransferAnswer)
-		if err != nil || !ok || !answer.Ready {
-			return
-		}
-		n.Replica.TakeTransfer(ask, member, answer)
-		if !answer.More {
-			return
-		}
-		ask.After = answer.Records[len(answer.Records)-1].Key
-	}
-}
-
-// Poll reads the store if this daemon is one of its zone's pollers, or knows nothing yet.
-func (n *Node) Poll(ctx context.Context) {
-	if !n.polls() && n.Changes.Known() {
-		return
-	}
-	now := n.deps.Clock.Now()
-	if err := n.Store.CatchUp(ctx, n.Changes); err != nil {
-		n.deps.Log.Debug("the store did not answer", "error", err)
-		return
-	}
-	n.storeSeen.Store(now.UnixNano())
-	n.pollList(ctx, now)
-}
-
-func (n *Node) pollList(ctx context.Context, now time.Time) {
-	if now.Before(n.nextList) {
-		return
-	}
-	n.nextList = now.Add(n.timing.List)
-	list, err := n.deps.Platform.VMs(ctx)
-	if err != nil {
-		n.deps.Log.Debug("the VM list did not answer", "error", err)
-		return
-	}
-	version := uint64(now.UnixNano())
-	n.Members.Listed(now, proto.Listed{Version: version, By: n.deps.Self.VM, VMs: list.VMs}, n.deps.Self.VM)
-}
-
-func (n *Node) polls() bool {
-	zone := n.deps.Self.Zone
-	vms := rank("poll", vmsOf(n.Members.Live(), func(a proto.Alive) bool { return a.Zone == zone }))
-	for i, vm := range vms {
-		if vm == n.deps.Self.VM {
-			return i < n.timing.Pollers
-		}
-	}
-	return true
-}
-
-// settleTime is how long a new daemon looks around before it writes the first roster.
-const settleTime = 1500 * time.Millisecond
-
-// Revise changes the roster if this daemon is the one to do so, and otherwise reads it while it has none.
-func (n *Node) Revise(ctx context.Context) {
-	keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon))
-	var err error
-	switch {
-	case n.Replica.Epoch() == 0 && n.deps.Clock.Since(n.started) < settleTime:
-		return
-	case ok && keeper == n.deps.Self.VM && !n.stopping.Load():
-		err = n.Roster.Revise(ctx, n.deps.Clock.Now())
-	case n.Replica.Epoch() == 0:
-		_, err = n.Roster.Read(ctx)
-	}
-	if err != nil {
-		n.deps.Log.Debug("the roster could not be revised", "error", err)
-	}
-}
-
 // KeepsClaims tells whether others can still take over claims that this run of the daemon keeps.
 func (n *Node) KeepsClaims() bool {
 	others := vmsOf(n.Members.Live(), func(a proto.Alive) bool { return a.VM != n.deps.Self.VM })
@@ -424,24 +277,3 @@
 	}
 	return false
 }
-
-// StoreSeen returns when this daemon last read the store.
-func (n *Node) StoreSeen() time.Time { return time.Unix(0, n.storeSeen.Load()) }
-
-// Isolated tells whether the daemon can reach neither the store nor any other daemon, so that it cannot know what is in force.
-func (n *Node) Isolated(now time.Time) bool {
-	return now.Sub(n.StoreSeen()) > n.timing.Alone && n.Members.Alone(now, n.timing.Alone)
-}
-
-// Ready tells whether the daemon knows what is in force and is neither isolated nor stopping.
-func (n *Node) Ready(now time.Time) (bool, string) {
-	switch {
-	case n.stopping.Load():
-		return false, "stopping"
-	case !n.Changes.Known():
-		return false, "what was accepted is not known yet"
-	case n.Isolated(now):
-		return false, "neither the store nor another daemon can be reached"
-	}
-	return true, ""
-}
--- /dev/null
+++ b/coord/poll.go
@@ -0,0 +1,88 @@
+package coord
+
+import (
+	"context"
+	"time"
+
+	"emberlead/proto"
+)
+
+// Poll reads the store if this daemon is one of its zone's pollers, or knows nothing yet.
+func (n *Node) Poll(ctx context.Context) {
+	if !n.polls() && n.Changes.Known() {
+		return
+	}
+	now := n.deps.Clock.Now()
+	if err := n.Store.CatchUp(ctx, n.Changes); err != nil {
+		n.deps.Log.Debug("the store did not answer", "error", err)
+		return
+	}
+	n.storeSeen.Store(now.UnixNano())
+	n.pollList(ctx, now)
+}
+
+func (n *Node) pollList(ctx context.Context, now time.Time) {
+	if now.Before(n.nextList) {
+		return
+	}
+	n.nextList = now.Add(n.timing.List)
+	list, err := n.deps.Platform.VMs(ctx)
+	if err != nil {
+		n.deps.Log.Debug("the VM list did not answer", "error", err)
+		return
+	}
+	version := uint64(now.UnixNano())
+	n.Members.Listed(now, proto.Listed{Version: version, By: n.deps.Self.VM, VMs: list.VMs}, n.deps.Self.VM)
+}
+
+func (n *Node) polls() bool {
+	zone := n.deps.Self.Zone
+	vms := rank("poll", vmsOf(n.Members.Live(), func(a proto.Alive) bool { return a.Zone == zone }))
+	for i, vm := range vms {
+		if vm == n.deps.Self.VM {
+			return i < n.timing.Pollers
+		}
+	}
+	return true
+}
+
+// settleTime is how long a new daemon looks around before it writes the first roster.
+const settleTime = 1500 * time.Millisecond
+
+// Revise changes the roster if this daemon is the one to do so, and otherwise reads it while it has none.
+func (n *Node) Revise(ctx context.Context) {
+	keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon))
+	var err error
+	switch {
+	case n.Replica.Epoch() == 0 && n.deps.Clock.Since(n.started) < settleTime:
+		return
+	case ok && keeper == n.deps.Self.VM && !n.stopping.Load():
+		err = n.Roster.Revise(ctx, n.deps.Clock.Now())
+	case n.Replica.Epoch() == 0:
+		_, err = n.Roster.Read(ctx)
+	}
+	if err != nil {
+		n.deps.Log.Debug("the roster could not be revised", "error", err)
+	}
+}
+
+// StoreSeen returns when this daemon last read the store.
+func (n *Node) StoreSeen() time.Time { return time.Unix(0, n.storeSeen.Load()) }
+
+// Isolated tells whether the daemon can reach neither the store nor any other daemon, so that it cannot know what is in force.
+func (n *Node) Isolated(now time.Time) bool {
+	return now.Sub(n.StoreSeen()) > n.timing.Alone && n.Members.Alone(now, n.timing.Alone)
+}
+
+// Ready tells whether the daemon knows what is in force and is neither isolated nor stopping.
+func (n *Node) Ready(now time.Time) (bool, string) {
+	switch {
+	case n.stopping.Load():
+		return false, "stopping"
+	case !n.Changes.Known():
+		return false, "what was accepted is not known yet"
+	case n.Isolated(now):
+		return false, "neither the store nor another daemon can be reached"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/coord/pull.go
@@ -0,0 +1,96 @@
+package coord
+
+import (
+	"context"
+	"time"
+
+	"emberlead/proto"
+)
+
+const pullTimeout = 2 * time.Second
+
+// pullChanges asks a daemon with a higher generation until there is nothing newer, and passes the news on at once.
+func (n *Node) pullChanges(from proto.VM) {
+	defer n.pulling.Store(false)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		m, err := n.deps.Peers.Call(ctx, from, proto.ChangesAsk{After: n.Changes.Generation()})
+		cancel()
+		answer, ok := m.(proto.ChangesAnswer)
+		if err != nil || !ok || answer.Generation <= n.Changes.Generation() {
+			break
+		}
+		if !n.take(answer) {
+			n.deps.Log.Warn("changes of a peer do not fit", "from", from, "generation", answer.Generation)
+			break
+		}
+		n.Changes.Learnt(answer.Generation)
+	}
+}
+
+func (n *Node) take(answer proto.ChangesAnswer) bool {
+	if answer.Whole {
+		return n.Changes.TakeWhole(answer.Generation, answer.Changes)
+	}
+	return n.Changes.Take(answer.Changes)
+}
+
+func (n *Node) pullRoster(ctx context.Context, from proto.VM) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	m, err := n.deps.Peers.Call(ctx, from, proto.RosterAsk{})
+	if answer, ok := m.(proto.RosterAnswer); ok && err == nil {
+		n.adoptRoster(answer.Roster)
+	}
+}
+
+func (n *Node) adoptRoster(roster proto.Roster) {
+	if n.Replica.Adopt(roster) {
+		n.Members.Beat(n.deps.Clock.Now())
+	}
+}
+
+// Transfer reads the claims of slots that this daemon has come to keep, and reports those that it has.
+func (n *Node) Transfer(ctx context.Context) {
+	for _, pending := range n.Replica.Pending() {
+		for _, member := range pending.From {
+			n.transferFrom(ctx, pending, member)
+		}
+	}
+	ready := n.Replica.ReadySlots()
+	if len(ready) == 0 {
+		return
+	}
+	keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon))
+	if !ok {
+		return
+	}
+	for _, m := range ready {
+		if keeper == n.deps.Self.VM {
+			n.Roster.Report(keeper, m)
+			continue
+		}
+		n.deps.Peers.Send(keeper, m)
+	}
+}
+
+func (n *Node) transferFrom(ctx context.Context, pending Pending, member proto.RosterMember) {
+	if n.Members.Dead(member.VM, member.Incarnation) {
+		return
+	}
+	ask := pending.Ask
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		m, err := n.deps.Peers.Call(callCtx, member.VM, ask)
+		cancel()
+		answer, ok := m.(proto.TransferAnswer)
+		if err != nil || !ok || !answer.Ready {
+			return
+		}
+		n.Replica.TakeTransfer(ask, member, answer)
+		if !answer.More {
+			return
+		}
+		ask.After = answer.Records[len(answer.Records)-1].Key
+	}
+}
--- a/core/backlog.go
+++ b/core/backlog.go
@@ -100,7 +100,7 @@
 // fill is the part of the time ahead that requests of so much work may fill.
 func (b *backlog) fill(work, relative float64) float64 {
 	relative = min(relativeMost, max(relativeLeast, relative))
-	return min(fillMost, fillMean*b.mean/work/relative)
+	return min(fillMost, fillMean*b.mean/(work*relative))
 }
 
 // takes tells whether everything promised and one request more can start in time.
