Start nothing late after a pause of the daemon

Change: a request read after a late tick, or within 250 ms of it, counts from the beginning of the pause; nothing starts after its deadline; what went through a pause teaches no service times and ejects no target. Lists are taken in again after a silence, whatever their number.

--- a/coord/listed.go
+++ b/coord/listed.go
@@ -38,11 +38,15 @@
 	return m.leaving
 }
 
+// listSilence is how long no newer list may come before the numbering starts afresh.
+const listSilence = 10 * time.Second
+
 // Listed takes in the platform's list; an older version than one seen is ignored.
 func (m *Members) Listed(now time.Time, list proto.Listed, from proto.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if list.Version <= m.listedAt {
+	// After a silence an older version is taken too, since the one who numbered the last list may have had a wrong clock.
+	if list.Version <= m.listedAt && now.Sub(m.lastList) < listSilence {
 		return
 	}
 	m.listedAt = list.Version
--- a/coord/members_test.go
+++ b/coord/members_test.go
@@ -264,3 +264,21 @@
 		}
 	}
 }
+
+// A poller whose clock was hours ahead must not keep later lists from being taken in.
+func TestListsAfterAWrongClock(t *testing.T) {
+	s := newMesh(3, 1, 3)
+	m := s.members["vm-0"]
+	list := func(version uint64, leaving bool) proto.Listed {
+		return proto.Listed{Version: version, VMs: []proto.VMEntry{{VM: "target", Leaving: leaving}}}
+	}
+	m.Listed(s.now, list(1_000_000, false), "vm-1")
+	m.Listed(s.now.Add(2*time.Second), list(10, true), "vm-2")
+	if m.Leaving()["target"] {
+		t.Fatal("an older list was taken in at once")
+	}
+	m.Listed(s.now.Add(12*time.Second), list(12, true), "vm-2")
+	if !m.Leaving()["target"] {
+		t.Fatal("lists are still refused after a silence")
+	}
+}
--- a/core/engine.go
+++ b/core/engine.go
@@ -29,6 +29,7 @@
 	pools   map[string]*pool
 	listed  atomic.Pointer[map[proto.VM]bool]
 
+	pauses   pauses
 	timersMu sync.Mutex
 	timers   *state.Heap[timer]
 }
@@ -288,6 +289,7 @@
 }
 
 func (e *Engine) tick(t *turn) {
+	e.pauses.tick(t.now)
 	for {
 		next, ok := e.due(t.now)
 		if !ok {
--- a/core/flow.go
+++ b/core/flow.go
@@ -39,7 +39,7 @@
 		keyed:      a.Key != proto.Key{},
 		repeatable: a.Repeatable && service.MayRepeat(),
 		arrived:    t.now,
-		deadline:   t.now.Add(deadline),
+		deadline:   e.pauses.arrived(t.now).Add(deadline),
 		prefix:     a.Prefix,
 		input:      a.Input,
 		wantStream: a.Stream,
@@ -76,6 +76,12 @@
 
 // admit refuses at once what could not be in time, because that costs nothing and the caller learns it early.
 func (e *Engine) admit(t *turn, r *request, keyLost bool) *proto.Failure {
+	if !t.now.Before(r.deadline) {
+		return &proto.Failure{
+			Kind: proto.FailureTooLate, Outcome: proto.OutcomeNotRun, RetryAfter: retryFloor,
+			Detail: "the daemon was paused, and the request may have waited beyond its deadline",
+		}
+	}
 	if keyLost && r.keyed && r.runsOnce() {
 		return &proto.Failure{
 			Kind: proto.FailureNoQuorum, Outcome: proto.OutcomeNotRun, RetryAfter: retryCeiling,
@@ -170,6 +176,10 @@
 			return
 		}
 		r.ticket = nil
+		if !t.now.Before(r.deadline) {
+			e.fail(t, r, proto.FailureDeadline, "the deadline has passed", 0)
+			return
+		}
 		taken = true
 		e.start(t, r, g)
 	}, nil)
@@ -235,6 +245,9 @@
 	if a == nil || a.id.Stage != r.stage {
 		return
 	}
+	if e.pauses.overlapped(a.began, t.now) {
+		return
+	}
 	a.pool.slow(a.target, t.now.Sub(a.began).Seconds()/a.expected)
 	if r.hedged || r.ticket != nil || !a.pool.takeHedge() {
 		return
@@ -353,6 +366,9 @@
 // abandon cancels an attempt whose result is no longer wanted; what it delivers later is dropped.
 func (e *Engine) abandon(t *turn, r *request, a *attempt) {
 	spent := t.now.Sub(a.began)
+	if e.pauses.overlapped(a.began, t.now) {
+		spent = seconds(a.expected)
+	}
 	t.act(Cancel{Attempt: a.id})
 	e.stats.wasted(r.service.Name, r.service.Stages[a.id.Stage].Name, spent)
 	t.grants = append(t.grants, a.pool.dropped(t.now, a, r.workspace, spent)...)
--- a/core/result.go
+++ b/core/result.go
@@ -18,6 +18,10 @@
 	r.lastFate = fate
 	r.reason = ev.Reason
 	took := t.now.Sub(a.began)
+	paused := e.pauses.overlapped(a.began, t.now)
+	if paused {
+		took = seconds(a.expected)
+	}
 	spent := ev.Busy
 	if fate == FateUnknown {
 		spent = took
@@ -29,7 +33,9 @@
 	e.stats.spent(r.service.Name, r.spec().Name, spent, ev.Tokens, fate)
 	switch fate {
 	case FateDone:
-		e.estimates.add(r.service.Name, r.spec().Name, took)
+		if !paused {
+			e.estimates.add(r.service.Name, r.spec().Name, took)
+		}
 		e.stageDone(t, r, ev)
 	case FateNotStarted:
 		e.notStarted(t, r, a)
--- a/core/scenario_test.go
+++ b/core/scenario_test.go
@@ -75,6 +75,12 @@
 		s.feed(Exported{Attempt: s.starts[arg(t, d, "of", "")], Handle: arg(t, d, "handle", "")})
 	case "leave":
 		s.feed(CallerLeft{Request: s.ids[arg(t, d, "of", "")]})
+	case "sleep":
+		length, err := time.ParseDuration(arg(t, d, "for", "0s"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.now = s.now.Add(length)
 	case "wait":
 		length, err := time.ParseDuration(arg(t, d, "for", "0s"))
 		if err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"emberlead/core"
 	"emberlead/fakes"
@@ -200,3 +202,35 @@
 		}
 	}
 }
+
+// Each hop has a span in the caller's trace, and the target is given the context.
+func TestTraceGoesThrough(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	SetTracing(sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(recorder)))
+	defer SetTracing(sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())))
+	front := newBenchFront(t, 1)
+	req, err := http.NewRequest(http.MethodPost, front.URL+"/v1/workspaces/w/services/s/requests", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("traceparent", "00-"+trace+"-00f067aa0ba902b7-01")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	// The spans end just after the answer was sent.
+	front.Close()
+	names := map[string]bool{}
+	for _, s := range recorder.Ended() {
+		if s.SpanContext().TraceID().String() == trace {
+			names[s.Name()] = true
+		}
+	}
+	if !names["request"] || !names["attempt"] {
+		t.Fatalf("spans in the caller's trace: %v", names)
+	}
+}
