--- a/wire/bench_test.go
+++ b/wire/bench_test.go
@@ -39,13 +39,13 @@
 const benchToken = "token "
 
 // streamTarget answers every attempt with a stream of so many tokens, one a chunk.
-func streamTarget(tokens int) http.Handler {
+func streamTarget(tokens int, token string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		attempt := r.Header.Get(proto.HeaderAttempt)
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Content-Type", mimeEvents)
 		for i := range tokens {
-			fmt.Fprintf(w, "event: chunk\ndata: {\"attempt\":%q,\"offset\":%d,\"text\":%q,\"tokens\":1}\n\n", attempt, i, benchToken)
+			fmt.Fprintf(w, "event: chunk\ndata: {\"attempt\":%q,\"offset\":%d,\"text\":%q,\"tokens\":1}\n\n", attempt, i, token)
 			w.(http.Flusher).Flush()
 		}
 		fmt.Fprintf(w, "event: done\ndata: {\"attempt\":%q,\"tokens\":%d,\"busy\":\"1ms\"}\n\n", attempt, tokens)
@@ -55,7 +55,13 @@
 // newBenchFront returns a daemon's front before one streaming target.
 func newBenchFront(tb testing.TB, tokens int) *httptest.Server {
 	tb.Helper()
-	target := httptest.NewServer(streamTarget(tokens))
+	front, _ := newFrontBefore(tb, streamTarget(tokens, benchToken), tokens, time.Minute)
+	return front
+}
+
+func newFrontBefore(tb testing.TB, handler http.Handler, tokens int, writeWait time.Duration) (*httptest.Server, *core.Engine) {
+	tb.Helper()
+	target := httptest.NewServer(handler)
 	tb.Cleanup(target.Close)
 	sum := sha256.Sum256([]byte("key"))
 	file := &proto.File{
@@ -70,10 +76,10 @@
 	engine.Configure(proto.EmptySnapshot().WithFile(1, file), time.Now(), 0)
 	log := hclog.NewNullLogger()
 	driver := NewDriver(engine, clockwork.NewRealClock(), NewTargets(), noClaims{}, log, 1<<20, nil)
-	limits := FrontLimits{Body: 1 << 20, Open: 1000, Buffered: 1 << 20, ReadWait: time.Minute, WriteWait: time.Minute}
+	limits := FrontLimits{Body: 1 << 20, Open: 1000, Buffered: 1 << 20, ReadWait: time.Minute, WriteWait: writeWait}
 	front := httptest.NewServer(NewFront(driver, engine, clockwork.NewRealClock(), log, limits, alwaysOpen{}, 1).Handler())
 	tb.Cleanup(front.Close)
-	return front
+	return front, engine
 }
 
 func callBench(tb testing.TB, front *httptest.Server) int64 {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -234,3 +234,25 @@
 		t.Fatalf("spans in the caller's trace: %v", names)
 	}
 }
+
+// A caller that does not read is given up once too much waits for it, and the target's stream is cancelled.
+func TestSlowCallerIsGivenUp(t *testing.T) {
+	const tokens = 4000
+	front, engine := newFrontBefore(t, streamTarget(tokens, strings.Repeat("x", 16<<10)), tokens, 200*time.Millisecond)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /v1/workspaces/w/services/s/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nAccept: text/event-stream\r\nContent-Length: 2\r\n\r\n{}")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 400 {
+		if w := engine.Stats().Report().Workspaces["w"]; w.CallerLeft == 1 && engine.Open() == 0 {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatalf("still open: %d; %+v", engine.Open(), engine.Stats().Report().Workspaces)
+}
