Pass the VM list on by change, not whole

Ruled out: loads (eight bytes a row). Change: a reader passes on only entries that changed, and one that lags does not contradict the others; the keeper of the roster reads the list itself, everyone else once a minute; a daemon that starts is told the list by its links.

--- a/coord/listed.go
+++ b/coord/listed.go
@@ -23,12 +23,12 @@
 	return now.Sub(since) > m.timing.Lag
 }
 
-// IsListed tells whether the platform's last list showed the VM.
+// IsListed tells whether the platform lists the VM, as far as this daemon knows.
 func (m *Members) IsListed(vm proto.VM) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mem := m.members[vm]
-	return mem != nil && mem.listed
+	_, ok := m.entries[vm]
+	return ok
 }
 
 // Leaving returns the VMs that the platform lists as leaving, targets' VMs included.
@@ -38,54 +38,98 @@
 	return m.leaving
 }
 
-// listSilence is how long no newer list may come before the numbering starts afresh.
-const listSilence = 10 * time.Second
+// holdFor is how long what was heard of the list is kept against an own read that does not show it: reads lag, some
+// more than others, and their readers must not contradict each other in turn.
+const holdFor = 10 * time.Second
 
-// Listed takes in the platform's list; an older version than one seen is ignored.
-func (m *Members) Listed(now time.Time, list proto.Listed, from proto.VM) {
+// Polled takes in an own read of the platform's list, and passes on what changed.
+func (m *Members) Polled(now time.Time, list proto.VMList) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	// After a silence an older version is taken too, since the one who numbered the last list may have had a wrong clock.
-	if list.Version <= m.listedAt && now.Sub(m.lastList) < listSilence {
-		return
-	}
-	m.listedAt = list.Version
 	m.lastList = now
 	if m.firstList.IsZero() {
 		m.firstList = now
 	}
-	seen := map[proto.VM]bool{}
-	leaving := map[proto.VM]bool{}
-	changed := false
+	seen := make(map[proto.VM]bool, len(list.VMs))
 	for _, entry := range list.VMs {
-		if entry.Leaving {
-			leaving[entry.VM] = true
+		seen[entry.VM] = true
+		m.lastListed[entry.VM] = now
+	}
+	change := proto.Listed{VMs: list.VMs}
+	for vm := range m.entries {
+		if !seen[vm] && now.Sub(m.entered[vm]) > holdFor && now.Sub(m.lastListed[vm]) > holdFor {
+			change.Removed = append(change.Removed, vm)
 		}
-		if !entry.Entry {
+	}
+	m.takeListed(now, change, m.self.VM, true)
+}
+
+// Listed takes in what another daemon read, and passes on what was news here.
+func (m *Members) Listed(now time.Time, change proto.Listed, from proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.takeListed(now, change, from, false)
+}
+
+func (m *Members) takeListed(now time.Time, change proto.Listed, from proto.VM, own bool) {
+	var news proto.Listed
+	for _, entry := range change.VMs {
+		old, known := m.entries[entry.VM]
+		// A VM that is leaving does not come back, so a late read that does not show it yet is not believed.
+		if known && (old == entry || own && old.Leaving && now.Sub(m.entered[entry.VM]) < holdFor) {
 			continue
 		}
-		seen[entry.VM] = true
-		m.lastListed[entry.VM] = now
-		mem := m.members[entry.VM]
-		if mem == nil {
-			mem = &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
-			mem.alive = proto.Alive{VM: entry.VM, Zone: entry.Zone, Peer: entry.Peer}
-			m.members[entry.VM] = mem
-			changed = true
+		m.entries[entry.VM] = entry
+		m.entered[entry.VM] = now
+		news.VMs = append(news.VMs, entry)
+	}
+	for _, vm := range change.Removed {
+		if _, known := m.entries[vm]; known {
+			delete(m.entries, vm)
+			delete(m.entered, vm)
+			news.Removed = append(news.Removed, vm)
+		}
+	}
+	if len(news.VMs) == 0 && len(news.Removed) == 0 {
+		return
+	}
+	m.adoptList(now, news)
+	for _, vm := range m.links() {
+		if vm != from {
+			m.peers.Send(vm, news)
+		}
+	}
+}
+
+func (m *Members) adoptList(now time.Time, news proto.Listed) {
+	joined := false
+	for _, entry := range news.VMs {
+		if !entry.Entry || m.members[entry.VM] != nil {
+			continue
 		}
-		mem.listed, mem.leaving = true, entry.Leaving
+		mem := &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
+		mem.alive = proto.Alive{VM: entry.VM, Zone: entry.Zone, Peer: entry.Peer}
+		m.members[entry.VM] = mem
+		joined = true
 	}
-	for vm, mem := range m.members {
-		mem.listed = seen[vm]
+	leaving := map[proto.VM]bool{}
+	for vm, entry := range m.entries {
+		if entry.Leaving {
+			leaving[vm] = true
+		}
 	}
 	m.leaving = leaving
-	if changed {
+	if joined {
 		m.changed()
 		m.announce()
 	}
-	for _, vm := range m.links() {
-		if vm != from {
-			m.peers.Send(vm, list)
-		}
+}
+
+// listed returns all that is known of the platform's list.
+func (m *Members) listed() proto.Listed {
+	all := proto.Listed{VMs: make([]proto.VMEntry, 0, len(m.entries))}
+	for _, entry := range m.entries {
+		all.VMs = append(all.VMs, entry)
 	}
+	return all
 }
--- a/coord/members.go
+++ b/coord/members.go
@@ -32,8 +32,6 @@
 type member struct {
 	alive    proto.Alive
 	known    bool // announced by itself, not only listed
-	listed   bool
-	leaving  bool
 	dead     bool
 	deadAt   time.Time
 	alarms   map[proto.VM]proto.Alarm
@@ -55,13 +53,14 @@
 	lastBeat   time.Time
 	pausedAt   time.Time
 	counts     uint64
-	listedAt   uint64
 	leaving    map[proto.VM]bool
 	version    uint64
 	beat       func() proto.Heartbeat
 	firstList  time.Time
 	lastList   time.Time
-	lastListed map[proto.VM]time.Time
+	lastListed map[proto.VM]time.Time // by own reads
+	entries    map[proto.VM]proto.VMEntry
+	entered    map[proto.VM]time.Time
 	beats      uint64
 	alarms     int64
 	deaths     int64
@@ -72,6 +71,7 @@
 	m := &Members{
 		self: self, timing: timing, rings: rings, peers: peers, beat: beat,
 		members: map[proto.VM]*member{}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
+		entries: map[proto.VM]proto.VMEntry{}, entered: map[proto.VM]time.Time{},
 	}
 	m.members[self.VM] = &member{alive: self, known: true, alarms: map[proto.VM]proto.Alarm{}}
 	return m
@@ -241,6 +241,7 @@
 			m.peers.Send(vm, mem.alive)
 		}
 	}
+	m.peers.Send(vm, m.listed())
 }
 
 // Heartbeat takes in a sign of life that came over a link.
@@ -309,7 +310,7 @@
 
 func (m *Members) forget(now time.Time) {
 	for vm, mem := range m.members {
-		if mem.dead && !mem.listed && now.Sub(mem.deadAt) > m.timing.Forget {
+		if _, listed := m.entries[vm]; mem.dead && !listed && now.Sub(mem.deadAt) > m.timing.Forget {
 			delete(m.members, vm)
 			m.changed()
 			delete(m.lastListed, vm)
--- a/coord/poll.go
+++ b/coord/poll.go
@@ -9,10 +9,14 @@
 
 // Poll reads the store if this daemon is one of its zone's pollers, or knows nothing yet.
 func (n *Node) Poll(ctx context.Context) {
+	now := n.deps.Clock.Now()
 	if !n.polls() && n.Changes.Known() {
+		// News of the list can be lost on the way, so everyone reads it now and then.
+		if now.Sub(n.nextList) > rareList {
+			n.pollList(ctx, now)
+		}
 		return
 	}
-	now := n.deps.Clock.Now()
 	if err := n.Store.CatchUp(ctx, n.Changes); err != nil {
 		n.deps.Log.Debug("the store did not answer", "error", err)
 		return
@@ -31,11 +35,17 @@
 		n.deps.Log.Debug("the VM list did not answer", "error", err)
 		return
 	}
-	version := uint64(now.UnixNano())
-	n.Members.Listed(now, proto.Listed{Version: version, By: n.deps.Self.VM, VMs: list.VMs}, n.deps.Self.VM)
+	n.Members.Polled(now, list)
 }
 
+// rareList is how often a daemon reads the VM list that need not.
+const rareList = time.Minute
+
+// polls tells whether this daemon is one that reads the store for its zone, or that writes the roster.
 func (n *Node) polls() bool {
+	if keeper, ok := first("roster", vmsOf(n.Members.Live(), anyDaemon)); ok && keeper == n.deps.Self.VM {
+		return true
+	}
 	zone := n.deps.Self.Zone
 	vms := rank("poll", vmsOf(n.Members.Live(), func(a proto.Alive) bool { return a.Zone == zone }))
 	for i, vm := range vms {
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -259,11 +259,10 @@
 	Pools  []string     `cbor:"3,keyasint,omitempty"`
 }
 
-// Listed carries the platform's VM list from a daemon that polls it.
+// Listed carries what changed in the platform's VM list, from a daemon that reads it.
 type Listed struct {
-	Version uint64    `cbor:"1,keyasint"`
-	By      VM        `cbor:"2,keyasint"`
-	VMs     []VMEntry `cbor:"3,keyasint"`
+	VMs     []VMEntry `cbor:"1,keyasint,omitempty"`
+	Removed []VM      `cbor:"2,keyasint,omitempty"`
 }
 
 // DemandRow is what a daemon spent with a model at a pool lately.
