--- a/tools/tables.go
+++ b/tools/tables.go
@@ -20,13 +20,15 @@
 func tables(all series) string {
 	fits := map[string]slope{}
 	last := map[string]float64{}
+	one := map[string]float64{}
 	for key, points := range all {
 		fits[key] = fit(points)
 		last[key] = points[len(points)-1].y
+		one[key] = points[0].y
 	}
 	var b strings.Builder
 	writeSlopes(&b, fits)
-	writeControl(&b, fits, last)
+	writeControl(&b, fits, last, one)
 	writeData(&b, fits)
 	writePlatform(&b)
 	return b.String()
@@ -48,7 +50,7 @@
 }
 
 // control works out what one daemon spends besides relaying requests.
-func control(f map[string]slope, last map[string]float64) []cost {
+func control(f map[string]slope, last, one map[string]float64) []cost {
 	links := last["Members links"]
 	beat := f["Members beatBytes"].base + frameBytes
 	perSecond := size.changes / 86400
@@ -85,9 +87,9 @@
 			from: "Claim", mechanism: "one round, majority of three",
 		},
 		{
-			role: "router and load view", state: fmt.Sprintf("%.0f targets in subsets", targets), messages: fmt.Sprintf("%.0f rows each %.0f s", targets, loadInterval),
+			role: "router and load view", state: fmt.Sprintf("%.0f targets in subsets", targets), messages: fmt.Sprintf("%.0f rows each %.0f s, one a message, in and out", targets, loadInterval),
 			cpu:    targets / loadInterval * (f["LoadRow ns/op"].per + 400),
-			memory: f["TargetHeap heapBytes"].at(targets), bytes: targets / loadInterval * f["LoadRow rowBytes"].at(60),
+			memory: f["TargetHeap heapBytes"].at(targets), bytes: 2 * targets / loadInterval * (one["LoadRow rowBytes"] + frameBytes),
 			from: "TargetHeap, LoadRow", mechanism: "collectors by rendezvous, subsets, loads in answers",
 		},
 		{
@@ -104,13 +106,13 @@
 	}
 }
 
-func writeControl(b *strings.Builder, f map[string]slope, last map[string]float64) {
+func writeControl(b *strings.Builder, f map[string]slope, last, one map[string]float64) {
 	b.WriteString("### Control, for one daemon at the target's size\n\n")
 	b.WriteString("Budget: 1.8% of a core, 64 MB, 2 KB/s. Bytes count both directions and the headers of each message.\n\n")
 	b.WriteString("| role | state | messages | processor | memory | bytes/s | from | mechanism |\n| --- | --- | --- | ---: | ---: | ---: | --- | --- |\n")
 	var cpu, memory, sum float64
 	var keyCPU, keyMemory, keyBytes float64
-	for _, c := range control(f, last) {
+	for _, c := range control(f, last, one) {
 		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s | %s | %s |\n", c.role, c.state, c.messages, pct(c.cpu), bytesOf(c.memory), bytesOf(c.bytes), c.from, c.mechanism)
 		if strings.HasPrefix(c.role, "owner") {
 			keyCPU, keyMemory, keyBytes = c.cpu, c.memory, c.bytes
