--- a/coord/changes.go
+++ b/coord/changes.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"sync"
-	"time"
 
 	"emberlead/proto"
 )
@@ -212,9 +211,3 @@
 	}
 	return answer
 }
-
-// EffectiveAt is a record of when a generation came into force here.
-type EffectiveAt struct {
-	Generation proto.Generation `json:"generation"`
-	At         time.Time        `json:"at"`
-}
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -134,7 +134,7 @@
 	d.engine = core.New(core.WithZone(s.Zone), core.WithSeed(seed))
 	d.targets = wire.NewTargets()
 	d.platform = wire.NewPlatform(s.Platform.Address, string(s.VM), wire.PlatformLimits{
-		Reads: s.Platform.Reads, Writes: s.Platform.Writes, Burst: platformBurst, Wait: s.Platform.Wait.Std(),
+		Reads: s.Platform.Reads, Writes: s.Platform.Writes, Burst: wire.DefaultPlatformLimits().Burst, Wait: s.Platform.Wait.Std(),
 	})
 	d.links = wire.NewLinks(wire.LinksConfig{
 		Self: s.VM, Key: s.Peers.SharedKey, TLS: peerTLS, Log: d.log.Named("links"), Gate: d.gate,
@@ -152,15 +152,13 @@
 	d.orders = coord.NewOrders(deps, d.node, d.targets, core.NewPlacement(core.DefaultPlacementTuning()), coord.DefaultLeaseTiming())
 	d.driver = wire.NewDriver(d.engine, d.clock, d.targets, d.node.Claimer, d.log.Named("driver"), s.Limits.BufferedBytes, d.gate)
 	d.front = wire.NewFront(d.driver, d.engine, d.clock, d.log.Named("front"), wire.FrontLimits{
-		Body: s.Limits.BodyBytes, Header: s.Limits.HeaderBytes, Open: s.Limits.OpenRequests, Buffered: s.Limits.BufferedBytes,
+		Body: s.Limits.BodyBytes, Open: s.Limits.OpenRequests, Buffered: s.Limits.BufferedBytes,
 		ReadWait: s.Limits.ReadWait.Std(), WriteWait: s.Limits.WriteWait.Std(),
 	}, d, seed)
 	d.loads = newLoadReader(d)
 	return nil
 }
 
-const platformBurst = 40
-
 func (d *Daemon) nodeOptions() []coord.NodeOption {
 	t := &d.settings.Timing
 	member := coord.DefaultMemberTiming()
--- a/serve/settings.go
+++ b/serve/settings.go
@@ -116,8 +116,9 @@
 
 // DefaultSettings returns the defaults; VM, zone, addresses and the platform have none.
 func DefaultSettings() Settings {
+	platform := wire.DefaultPlatformLimits()
 	return Settings{
-		Platform: Platform{Reads: 20, Writes: 5, Wait: proto.Duration(2 * time.Second)},
+		Platform: Platform{Reads: platform.Reads, Writes: platform.Writes, Wait: proto.Duration(platform.Wait)},
 		Limits: Limits{
 			BodyBytes: 1 << 20, HeaderBytes: 16 << 10, OpenRequests: 10_000, BufferedBytes: 256 << 10,
 			ReadWait: proto.Duration(5 * time.Second), WriteWait: proto.Duration(5 * time.Second), Subset: 48,
--- a/wire/front.go
+++ b/wire/front.go
@@ -37,7 +37,6 @@
 // FrontLimits bound what callers can ask for.
 type FrontLimits struct {
 	Body     int64 // bytes
-	Header   int   // bytes
 	Open     int64 // requests in progress
 	Buffered int   // bytes that wait for one slow caller
 	ReadWait time.Duration
--- a/wire/links.go
+++ b/wire/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"crypto/tls"
 	"net/http"
 	"sync"
@@ -321,82 +320,3 @@
 		}
 	}
 }
-
-// Handler returns the route that other daemons dial.
-func (l *Links) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(pathPeer, l.accept)
-	return mux
-}
-
-func (l *Links) accept(w http.ResponseWriter, r *http.Request) {
-	from := proto.VM(r.Header.Get(headerVM))
-	if !l.authentic(r, from) {
-		http.Error(w, "a peer must authenticate", http.StatusUnauthorized)
-		return
-	}
-	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
-	if err != nil {
-		return
-	}
-	defer conn.CloseNow()
-	conn.SetReadLimit(proto.MaxMessage)
-	l.serve(r.Context(), conn, from)
-}
-
-// authentic checks the shared key, and with TLS that the certificate is for the VM that the peer says it is.
-func (l *Links) authentic(r *http.Request, from proto.VM) bool {
-	if from == "" {
-		return false
-	}
-	if l.tls != nil {
-		return r.TLS != nil && len(r.TLS.PeerCertificates) > 0 && r.TLS.PeerCertificates[0].Subject.CommonName == string(from)
-	}
-	given := r.Header.Get("Authorization")
-	return subtle.ConstantTimeCompare([]byte(given), []byte("Bearer "+l.key)) == 1
-}
-
-func (l *Links) serve(ctx context.Context, conn *websocket.Conn, from proto.VM) {
-	var writing sync.Mutex
-	for {
-		_, data, err := conn.Read(ctx)
-		if err != nil {
-			return
-		}
-		l.received.Add(1)
-		l.bytesIn.Add(int64(len(data)))
-		env, m, err := proto.Decode(data)
-		if err != nil {
-			l.log.Warn("a message cannot be decoded", "from", from, "error", err)
-			return
-		}
-		if l.isCut(from) {
-			return
-		}
-		l.gate()
-		if env.Call == 0 {
-			l.handle(ctx, from, m)
-			continue
-		}
-		go l.answer(ctx, conn, &writing, from, env, m)
-	}
-}
-
-func (l *Links) answer(ctx context.Context, conn *websocket.Conn, writing *sync.Mutex, from proto.VM, env proto.Envelope, m proto.Message) {
-	ctx = propagator.Extract(ctx, propagation.MapCarrier{"traceparent": env.Trace})
-	ctx, s := span(ctx, "peer call", trace.SpanKindServer, attribute.String("emberlead.peer", string(from)))
-	defer s.End()
-	data, err := proto.Encode(l.handle(ctx, from, m), env.Call, true, "")
-	if err != nil {
-		l.log.Error("an answer cannot be encoded", "error", err)
-		return
-	}
-	writing.Lock()
-	defer writing.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, writeWait)
-	defer cancel()
-	if conn.Write(ctx, websocket.MessageBinary, data) == nil {
-		l.sent.Add(1)
-		l.bytesOut.Add(int64(len(data)))
-	}
-}
