--- a/core/placement.go
+++ b/core/placement.go
@@ -16,6 +16,8 @@
 	HalfLife time.Duration
 	// Lead is by how many targets' worth a model must be short before a target is changed.
 	Lead float64
+	// Hold is how long a model must have been short without a break.
+	Hold time.Duration
 	// Dwell is how long a target keeps its model at least.
 	Dwell time.Duration
 	// Rate is how many targets may change in a second over all pools, which the weight store bounds.
@@ -26,7 +28,7 @@
 
 // DefaultPlacementTuning returns constants under which a change of load is followed within a minute and a spike is not.
 func DefaultPlacementTuning() PlacementTuning {
-	return PlacementTuning{HalfLife: 20 * time.Second, Lead: 0.6, Dwell: time.Minute, Rate: 0.2, Burst: 2}
+	return PlacementTuning{HalfLife: 20 * time.Second, Lead: 0.6, Hold: 10 * time.Second, Dwell: time.Minute, Rate: 0.2, Burst: 2}
 }
 
 // Placement moves targets between models as their demand shifts, with hysteresis.
@@ -34,13 +36,20 @@
 	tuning  PlacementTuning
 	demand  map[string]map[string]*state.Decay
 	changed map[string]time.Time
+	short   map[string]shortage // by pool
 	tokens  float64
 	filled  time.Time
 }
 
+// shortage is which model a pool lacks most, and since when.
+type shortage struct {
+	model string
+	since time.Time
+}
+
 // NewPlacement returns a placement that has seen no demand.
 func NewPlacement(tuning PlacementTuning) *Placement {
-	return &Placement{tuning: tuning, demand: map[string]map[string]*state.Decay{}, changed: map[string]time.Time{}, tokens: tuning.Burst}
+	return &Placement{tuning: tuning, demand: map[string]map[string]*state.Decay{}, changed: map[string]time.Time{}, short: map[string]shortage{}, tokens: tuning.Burst}
 }
 
 func (p *Placement) take(now time.Time, pool string, demand map[string]time.Duration) map[string]float64 {
@@ -80,7 +89,8 @@
 	}
 	for p.tokens >= 1 {
 		short, surplus := p.extremes(pool.Models, have, share)
-		if short == "" || surplus == "" || share(short)-float64(len(have[short])) < p.tuning.Lead {
+		lacks := short != "" && surplus != "" && share(short)-float64(len(have[short])) >= p.tuning.Lead
+		if !p.lasts(now, pool.Name, short, lacks) {
 			return changes
 		}
 		target := p.movable(now, have[surplus])
@@ -92,6 +102,18 @@
 	return changes
 }
 
+// lasts tells whether the pool has lacked the same model for long enough.
+func (p *Placement) lasts(now time.Time, pool, model string, lacks bool) bool {
+	if !lacks {
+		delete(p.short, pool)
+		return false
+	}
+	if p.short[pool].model != model {
+		p.short[pool] = shortage{model: model, since: now}
+	}
+	return now.Sub(p.short[pool].since) >= p.tuning.Hold
+}
+
 func (p *Placement) fill(now time.Time) {
 	if !p.filled.IsZero() {
 		p.tokens = min(p.tuning.Burst, p.tokens+p.tuning.Rate*now.Sub(p.filled).Seconds())
--- /dev/null
+++ b/core/placement_test.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+// place plays rounds of placement, in which targets obey at once, and returns how many changed and what they have.
+func place(p *Placement, pool *proto.Pool, have map[string][]string, from time.Time, rounds int, demand func(round int) map[string]time.Duration) int {
+	moved := 0
+	for round := range rounds {
+		for target, models := range p.Place(from.Add(time.Duration(round)*2*time.Second), pool, demand(round), have) {
+			have[target] = models
+			moved++
+		}
+	}
+	return moved
+}
+
+func count(have map[string][]string, model string) int {
+	n := 0
+	for _, models := range have {
+		if len(models) == 1 && models[0] == model {
+			n++
+		}
+	}
+	return n
+}
+
+func TestPlacement(t *testing.T) {
+	pool := &proto.Pool{Name: "generate", Models: []string{"small", "large"}}
+	even := func(int) map[string]time.Duration {
+		return map[string]time.Duration{"small": time.Second, "large": time.Second}
+	}
+	shifted := func(int) map[string]time.Duration {
+		return map[string]time.Duration{"small": 100 * time.Millisecond, "large": 1900 * time.Millisecond}
+	}
+	spiky := func(round int) map[string]time.Duration {
+		if round%2 == 0 {
+			return map[string]time.Duration{"small": 2 * time.Second}
+		}
+		return map[string]time.Duration{"large": 2 * time.Second}
+	}
+	scenarios := []struct {
+		name              string
+		demand            func(int) map[string]time.Duration
+		rounds            int
+		leastLarge        int
+		mostLarge, mostMv int
+	}{
+		{"even demand moves nothing", even, 60, 4, 4, 0},
+		{"a shift is followed, and one target stays", shifted, 60, 7, 7, 3},
+		{"a shift is followed only once it has lasted", shifted, 5, 4, 4, 0},
+		{"and then at the weight store's rate", shifted, 6, 5, 6, 2},
+		{"demand that swings moves nothing to and fro", spiky, 60, 3, 5, 1},
+		{"no demand moves nothing", func(int) map[string]time.Duration { return nil }, 60, 4, 4, 0},
+	}
+	for _, scenario := range scenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			p := NewPlacement(DefaultPlacementTuning())
+			have := map[string][]string{}
+			for i := range 8 {
+				have[fmt.Sprintf("t-%d", i)] = []string{pool.Models[i%2]}
+			}
+			now := time.Unix(1_700_000_000, 0)
+			moved := place(p, pool, have, now, scenario.rounds, scenario.demand)
+			if n := count(have, "large"); n < scenario.leastLarge || n > scenario.mostLarge || moved > scenario.mostMv {
+				t.Fatalf("%d have the large model after %d moves", n, moved)
+			}
+		})
+	}
+}
+
+// Targets that hold several models or none are given one each, evenly.
+func TestPlacementOfNewTargets(t *testing.T) {
+	pool := &proto.Pool{Name: "generate", Models: []string{"a", "b"}}
+	have := map[string][]string{"t-1": {"a", "b"}, "t-2": {"a", "b"}, "t-3": nil, "t-4": {"other"}}
+	place(NewPlacement(DefaultPlacementTuning()), pool, have, time.Unix(1_700_000_000, 0), 1, func(int) map[string]time.Duration { return nil })
+	if count(have, "a") != 2 || count(have, "b") != 2 {
+		t.Fatalf("%v", have)
+	}
+}
