--- a/wire/links.go
+++ b/wire/links.go
@@ -123,6 +123,8 @@
 	outbox chan []byte
 	ctx    context.Context
 	cancel context.CancelFunc
+	// broken says that the other daemon could not be reached a moment ago, so that calls fail at once.
+	broken atomic.Bool
 	mu     sync.Mutex
 	calls  map[uint64]chan proto.Message
 }
@@ -151,8 +153,13 @@
 		delete(l.links, lk.to)
 	}
 	lk.cancel()
+	lk.failCalls()
+}
+
+func (lk *link) failCalls() {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
+	lk.broken.Store(true)
 	for id, waiting := range lk.calls {
 		close(waiting)
 		delete(lk.calls, id)
@@ -202,9 +209,9 @@
 		return nil, fault("call", proto.KindUnavailable, "no link to %s", to)
 	}
 	waiting := make(chan proto.Message, 1)
-	lk.mu.Lock()
-	lk.calls[id] = waiting
-	lk.mu.Unlock()
+	if !lk.expect(id, waiting) {
+		return nil, fault("call", proto.KindUnavailable, "%s could not be reached a moment ago", to)
+	}
 	defer func() {
 		lk.mu.Lock()
 		delete(lk.calls, id)
@@ -224,6 +231,17 @@
 	}
 }
 
+// expect registers a call, unless the link is broken.
+func (lk *link) expect(id uint64, waiting chan proto.Message) bool {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	if lk.broken.Load() {
+		return false
+	}
+	lk.calls[id] = waiting
+	return true
+}
+
 func (lk *link) run() {
 	l := lk.owner
 	defer l.drop(lk)
@@ -231,6 +249,7 @@
 	if err != nil {
 		l.log.Trace("a link cannot be made", "to", lk.to, "error", err)
 		// Messages of the next moments are dropped with this link instead of dialling for each.
+		lk.failCalls()
 		select {
 		case <-time.After(redialAfter):
 		case <-lk.ctx.Done():
