--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -59,13 +59,17 @@
 				}
 				time.Sleep(3 * time.Second)
 				before, began := linkSum(w), processTime(b)
+				reads, writes := w.store.Counts()
 				time.Sleep(length)
 				after, spent := linkSum(w), processTime(b)-began
+				readsAfter, writesAfter := w.store.Counts()
 				each := float64(n) * length.Seconds()
 				b.ReportMetric(float64(after.BytesOut-before.BytesOut)/each, "bytesOut/s")
 				b.ReportMetric(float64(after.Sent-before.Sent)/each, "messages/s")
 				b.ReportMetric(float64(after.Links)/float64(n), "links")
 				b.ReportMetric(100*spent.Seconds()/each, "corePercent")
+				b.ReportMetric(float64(readsAfter-reads)/length.Seconds(), "platformReads/s")
+				b.ReportMetric(float64(writesAfter-writes)/length.Seconds(), "platformWrites/s")
 				w.close()
 			}
 		})
