--- a/entry/fake.go
+++ b/entry/fake.go
@@ -45,6 +45,11 @@
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "set", Value: "{}", Usage: "`JSON` such as {\"slow\":5}, {\"failing\":0.3} or {\"hanging\":true}"}},
 				Action: fakeFault,
 			},
+			{
+				Name: "outage", Usage: "change the faults of the platform's stand-in", ArgsUsage: "URL",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "set", Value: "{}", Usage: "`JSON` such as {\"down\":true}, {\"downFor\":\"5s\"} or {\"loseAnswers\":2}"}},
+				Action: fakeOutage,
+			},
 			{Name: "runs", Usage: "show how often each stage ran at a stand-in", ArgsUsage: "FILE TARGET", Action: fakeRuns},
 		},
 	}
@@ -149,6 +154,18 @@
 	return err
 }
 
+func fakeOutage(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return usage("outage takes the platform's URL")
+	}
+	address, err := loopback(strings.TrimPrefix(c.Args().First(), "http://"))
+	if err != nil {
+		return err
+	}
+	_, err = wire.NewTargets().Ask(ctx, http.MethodPost, address, "/fault", []byte(c.String("set")))
+	return err
+}
+
 func fakeRuns(ctx context.Context, c *cli.Command) error {
 	data, err := targetCall(ctx, c, http.MethodGet, "/runs", nil)
 	if err != nil {
