--- a/core/pool.go
+++ b/core/pool.go
@@ -53,8 +53,8 @@
 		chooser:  chooser,
 		usage:    newUsage(tuning.UsageHalfLife),
 		prefixes: newPrefixes(),
-		retries:  state.NewBucket(retryBurst),
-		hedges:   state.NewBucket(retryBurst),
+		retries:  state.NewBucket(burst(tuning.RetryRatio)),
+		hedges:   state.NewBucket(burst(tuning.HedgeRatio)),
 	}
 	p.queue = newArrivalQueue()
 	if tuning.Fair {
@@ -63,6 +63,14 @@
 	return p
 }
 
+// burst is how many retries or hedges a pool may make before it has earned any: none if it earns none.
+func burst(ratio float64) float64 {
+	if ratio <= 0 {
+		return 0
+	}
+	return retryBurst
+}
+
 // configure takes over the targets of a new generation; those left out get no new work and go once they are idle.
 func (p *pool) configure(spec *proto.Pool, workspaces map[string]*proto.Workspace, leaving leavingFunc) {
 	p.mu.Lock()
--- a/core/scenario_test.go
+++ b/core/scenario_test.go
@@ -137,3 +137,27 @@
 		}
 	}
 }
+
+// The objective of a file decides what may be spent on attainment: the institute's hedges nothing.
+func TestObjectiveBoundsRetriesAndHedges(t *testing.T) {
+	scenarios := []struct {
+		name      string
+		objective proto.Objective
+		retries   bool
+		hedges    bool
+	}{
+		{"none given", proto.Objective{}, true, true},
+		{"venture", proto.Objective{Attainment: 0.8, Cost: 0.2}, true, true},
+		{"institute", proto.Objective{Attainment: 0.5, Cost: 0.5}, true, false},
+		{"cost alone", proto.Objective{Cost: 1}, false, false},
+	}
+	for _, scenario := range scenarios {
+		p := newPool("p", DefaultTuning().ForObjective(scenario.objective), &RoundRobin[*target]{})
+		if got := p.takeRetry(); got != scenario.retries {
+			t.Errorf("%s: retry %t", scenario.name, got)
+		}
+		if got := p.takeHedge(); got != scenario.hedges {
+			t.Errorf("%s: hedge %t", scenario.name, got)
+		}
+	}
+}
