An unknown command is a usage error

Cause: emberlead with a misspelt command printed a line and exited with 0. Change: exit code 2; without arguments it shows its help.

--- a/entry/app.go
+++ b/entry/app.go
@@ -87,8 +87,11 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return exit(ExitUsage, err)
 		},
-		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
-			fmt.Fprintf(stderr, "no command is named %q\n", name)
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return usage("no command is named %q, see emberlead --help", c.Args().First())
+			}
+			return cli.ShowAppHelp(c)
 		},
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), applyCommand(), configCommand(), stopCommand(), statusCommand(),
