--- a/coord/members.go
+++ b/coord/members.go
@@ -144,6 +144,25 @@
 	return mem.alive, true
 }
 
+// Silent tells whether a daemon is dead, or links to this one and has not been heard for a time.
+func (m *Members) Silent(now time.Time, vm proto.VM, since time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mem := m.members[vm]
+	if mem == nil || mem.dead {
+		return true
+	}
+	return slices.Contains(m.links(), vm) && now.Sub(mem.heard) > since
+}
+
+// Owner returns the daemon that does a task for all, by rendezvous hashing over those that live and are not stopping;
+// views may differ for a moment, so two daemons may hold themselves to be the owner. A skip leaves daemons out.
+func (m *Members) Owner(task string, skip func(proto.VM) bool) proto.VM {
+	live := vmsOf(m.Live(), func(a proto.Alive) bool { return !a.Stopping && !skip(a.VM) })
+	owner, _ := first(task, live)
+	return owner
+}
+
 // Alone tells whether there are other live daemons and none has been heard for a time.
 func (m *Members) Alone(now time.Time, since time.Duration) bool {
 	m.mu.Lock()
--- /dev/null
+++ b/entry/relay.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/urfave/cli/v3"
+
+	"emberlead/platform"
+	"emberlead/serve"
+)
+
+// logFlush is how long a process that ends waits for the reader of its log.
+const logFlush = 100 * time.Millisecond
+
+func relayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "relay",
+		Usage: "run one daemon on the users' platform; it reads the settings file that the platform names in " + platform.SettingsVariable,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL` of the log: debug, info, warn or error"},
+		},
+		Action: runRelay,
+	}
+}
+
+func runRelay(ctx context.Context, c *cli.Command) error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return exit(ExitUsage, err)
+	}
+	sink := serve.NewLogSink(os.Stdout)
+	defer sink.Close(logFlush)
+	log := hclog.New(&hclog.LoggerOptions{Name: "emberlead", Level: hclog.LevelFromString(c.String("log-level")), JSONFormat: true, Output: sink}).With("vm", settings.VM)
+	return serve.NewRelay(settings, clockwork.NewRealClock(), log, sink).Run(ctx)
+}
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -39,6 +39,11 @@
 	MessageDone
 	MessageSlotReady
 	MessageDemand
+	MessageRoutingAsk
+	MessageRoutingAnswer
+	MessagePiecesAsk
+	MessagePiecesAnswer
+	MessagePiecesDrop
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -47,6 +52,9 @@
 	Generation  Generation  `cbor:"2,keyasint"`
 	Roster      Epoch       `cbor:"3,keyasint"`
 	Stopping    bool        `cbor:"4,keyasint,omitempty"`
+	// Routing and Targets are the versions that a relaying daemon has of what the platform keeps.
+	Routing uint64 `cbor:"5,keyasint,omitempty"`
+	Targets uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
@@ -298,6 +306,11 @@
 func (Done) messageKind() MessageKind           { return MessageDone }
 func (Demand) messageKind() MessageKind         { return MessageDemand }
 func (SlotReady) messageKind() MessageKind      { return MessageSlotReady }
+func (RoutingAsk) messageKind() MessageKind     { return MessageRoutingAsk }
+func (RoutingAnswer) messageKind() MessageKind  { return MessageRoutingAnswer }
+func (PiecesAsk) messageKind() MessageKind      { return MessagePiecesAsk }
+func (PiecesAnswer) messageKind() MessageKind   { return MessagePiecesAnswer }
+func (PiecesDrop) messageKind() MessageKind     { return MessagePiecesDrop }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
@@ -388,4 +401,9 @@
 	MessageDone:           reader[Done],
 	MessageSlotReady:      reader[SlotReady],
 	MessageDemand:         reader[Demand],
+	MessageRoutingAsk:     reader[RoutingAsk],
+	MessageRoutingAnswer:  reader[RoutingAnswer],
+	MessagePiecesAsk:      reader[PiecesAsk],
+	MessagePiecesAnswer:   reader[PiecesAnswer],
+	MessagePiecesDrop:     reader[PiecesDrop],
 }
--- /dev/null
+++ b/proto/relay.go
@@ -0,0 +1,216 @@
+package proto
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Routing is one whole version of the configuration that a platform keeps for daemons that relay requests.
+type Routing struct {
+	Version    uint64
+	Routes     []Route
+	Pools      map[string]*RelayPool
+	Limits     CallerLimits
+	Workspaces []RelayWorkspace
+}
+
+// RouteKind tells how a route's requests may be treated.
+type RouteKind uint8
+
+// Kinds of routes.
+const (
+	// RouteOnce marks requests that run at most once.
+	RouteOnce RouteKind = iota
+	// RouteRepeatable marks requests that may run more than once.
+	RouteRepeatable
+	// RouteStream marks requests whose answer is a stream of events.
+	RouteStream
+)
+
+// Route sends the requests of a host and path prefix to a pool.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   RouteKind
+	// Timeout is the longest time that a request may be held; 0 sets no bound.
+	Timeout time.Duration
+	// Goal is the time within which an answer has its full worth.
+	Goal time.Duration
+	// Gap is the longest pause between events of a stream that is still in time.
+	Gap time.Duration
+	// Priority ranks requests, 0 first.
+	Priority int
+	// Split holds the pools that take the route's requests, with their weights.
+	Split []WeightedPool
+	// MaxTargets is the most targets that may run one request.
+	MaxTargets int
+	Stages     []RouteStage
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be continued at another target.
+	Resumable bool
+}
+
+// Repeatable tells whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == RouteRepeatable || r.Kind == RouteStream && r.Resumable
+}
+
+// WeightedPool is one share of a route's requests.
+type WeightedPool struct {
+	Pool   string
+	Weight float64
+}
+
+// RouteStage is work on pieces that is done before the request itself can run.
+type RouteStage struct {
+	Pool string
+	// After lists the stages whose results this one needs.
+	After []int
+	// Bytes is about the size of one result.
+	Bytes int
+}
+
+// RelayPool is a group of interchangeable targets.
+type RelayPool struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the most connections that one target accepts from all callers.
+	MaxConns int
+	// Batch is set for pools that work on pieces.
+	Batch *BatchSpec
+	// Engine is set for pools of model engines.
+	Engine *EngineSpec
+}
+
+// BatchSpec describes one target of a pool that works on pieces in batches.
+type BatchSpec struct {
+	// Slots is the number of calls at work at once.
+	Slots int
+	// Most is the largest number of pieces in a call.
+	Most int
+	// CallCost is the time that a call takes beside its pieces.
+	CallCost time.Duration
+	// PieceCost is about the time that a piece adds.
+	PieceCost time.Duration
+	// Room bounds the bytes of results that a target keeps.
+	Room int64
+	// Keep is how long a target keeps a result that nobody frees.
+	Keep time.Duration
+}
+
+// EngineSpec describes one model engine.
+type EngineSpec struct {
+	Slots        int
+	CacheTokens  int
+	BytesPerTok  int
+	EventTokens  int
+	MemoryCopies bool
+}
+
+// CallerLimits bound what callers may send.
+type CallerLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderWait  time.Duration
+	IdleWait    time.Duration
+}
+
+// RelayWorkspace is a customer with its keys.
+type RelayWorkspace struct {
+	Name string
+	Keys []string
+	// Priority goes before that of the route if it is set.
+	Priority *int
+}
+
+// RelayTarget is one run of a target as it listed itself with the platform.
+type RelayTarget struct {
+	ID      string
+	Pool    string
+	Address netip.AddrPort
+	Zone    string
+	Slots   int
+	// Leaving targets get no new work.
+	Leaving bool
+	// ColdFor is how much longer the target is slow after its start.
+	ColdFor time.Duration
+}
+
+// RoutingAsk asks a daemon for its configuration and list of targets if they are newer than these versions.
+type RoutingAsk struct {
+	Routing uint64 `cbor:"1,keyasint"`
+	Targets uint64 `cbor:"2,keyasint"`
+}
+
+// TargetDocument is a target's entry in the platform's own format.
+type TargetDocument struct {
+	ID   string `cbor:"1,keyasint"`
+	Body []byte `cbor:"2,keyasint"`
+}
+
+// RoutingAnswer carries what is newer, in the platform's own format.
+type RoutingAnswer struct {
+	Routing        uint64           `cbor:"1,keyasint"`
+	RoutingBody    []byte           `cbor:"2,keyasint,omitempty"`
+	Targets        uint64           `cbor:"3,keyasint"`
+	TargetEntries  []TargetDocument `cbor:"4,keyasint,omitempty"`
+	TargetsAreSent bool             `cbor:"5,keyasint,omitempty"`
+}
+
+// PiecesAsk asks the daemon that batches a pool's calls for all pieces of one stage of a request.
+type PiecesAsk struct {
+	Pool     string   `cbor:"1,keyasint"`
+	Request  string   `cbor:"2,keyasint"`
+	Stage    int      `cbor:"3,keyasint"`
+	Pieces   int      `cbor:"4,keyasint"`
+	Key      string   `cbor:"5,keyasint,omitempty"`
+	Inputs   []string `cbor:"6,keyasint,omitempty"`
+	Zone     string   `cbor:"7,keyasint,omitempty"`
+	Priority int      `cbor:"8,keyasint"`
+	// Due is how long from now the stage may end for the answer to be in time.
+	Due time.Duration `cbor:"9,keyasint"`
+	// Left is how long from now the result is of any use.
+	Left time.Duration `cbor:"10,keyasint"`
+	// Bytes is about the size of one result.
+	Bytes int `cbor:"11,keyasint"`
+	// First says that nothing was done for the request yet, so that refusing it wastes nothing.
+	First bool `cbor:"12,keyasint,omitempty"`
+	// Trial tells apart the times that one request asks for the same stage.
+	Trial int `cbor:"13,keyasint,omitempty"`
+}
+
+// PieceFate tells how a stage's pieces ended.
+type PieceFate uint8
+
+// Fates of pieces.
+const (
+	// PiecesDone means that all results are there.
+	PiecesDone PieceFate = iota
+	// PiecesRefused means that the pool is too busy for the result to come in time.
+	PiecesRefused
+	// PiecesLost means that an input is gone.
+	PiecesLost
+	// PiecesFailed means that no target could do the work.
+	PiecesFailed
+	// PiecesLate means that the time was over.
+	PiecesLate
+)
+
+// PiecesAnswer holds the handles of the results in the order of the pieces.
+type PiecesAnswer struct {
+	Fate    PieceFate     `cbor:"1,keyasint"`
+	Handles []string      `cbor:"2,keyasint,omitempty"`
+	Zone    string        `cbor:"3,keyasint,omitempty"`
+	Wait    time.Duration `cbor:"4,keyasint,omitempty"`
+	Detail  string        `cbor:"5,keyasint,omitempty"`
+}
+
+// PiecesDrop tells the daemon that batches a pool's calls that results are not needed any more, or a stage not at all.
+type PiecesDrop struct {
+	Pool    string   `cbor:"1,keyasint"`
+	Handles []string `cbor:"2,keyasint,omitempty"`
+	Request string   `cbor:"3,keyasint,omitempty"`
+	Stage   int      `cbor:"4,keyasint,omitempty"`
+}
--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+const routeStream = proto.RouteStream
+
+const (
+	// eventMost bounds one event of a stream.
+	eventMost = 1 << 20
+	// readSize is the size of one read; events are some hundred bytes.
+	readSize = 8 << 10
+)
+
+// hopHeaders concern only one connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+func (f *flow) copyHeader(h http.Header) {
+	to := f.w.Header()
+	for name, values := range h {
+		to[name] = values
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+	if f.server.stopping.Load() {
+		to.Set("Connection", "close")
+	}
+	if len(h["Content-Type"]) == 0 {
+		// Nil keeps the server from guessing a type that the target did not state.
+		to["Content-Type"] = nil
+	}
+}
+
+func (f *flow) passWhole(a *wholeAnswer) {
+	f.copyHeader(a.header)
+	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	f.w.WriteHeader(a.status)
+	f.committed = true
+	if _, err := f.w.Write(a.body); err != nil {
+		f.note("the answer could not be written to the caller", "error", err)
+	}
+}
+
+// stream passes the events of an answer on as they come, each when it is whole.
+func (a *attempt) stream(ctx context.Context, in *Incoming, slow clockwork.Timer) attemptEnd {
+	f := a.flow
+	silent := f.server.clock.AfterFunc(time.Hour, func() { a.cancel(errSilent) })
+	silent.Stop()
+	defer silent.Stop()
+	var held []byte
+	buffer := make([]byte, readSize)
+	for {
+		n, err := in.Body.Read(buffer)
+		held = append(held, buffer[:n]...)
+		var whole []byte
+		whole, held = cutEvents(held)
+		if len(whole) > 0 {
+			if !a.began {
+				a.begin(slow)
+			}
+			if f.route.Repeatable() && f.runs < max(1, f.route.MaxTargets) {
+				silent.Reset(max(gapLeast, time.Duration(gapWaits*float64(f.route.Gap))))
+			}
+			if werr := f.passEvents(in.Header, whole); werr != nil {
+				a.verdict = VerdictNone
+				return attemptEnd{sent: true, reason: "the caller does not take the stream: " + werr.Error()}
+			}
+		}
+		if err != nil {
+			return a.streamEnded(ctx, in, err, held)
+		}
+		if len(held) > eventMost {
+			a.verdict = VerdictBad
+			return attemptEnd{sent: true, reason: "an event has no end"}
+		}
+	}
+}
+
+func (a *attempt) begin(slow clockwork.Timer) {
+	slow.Stop()
+	a.began = true
+	a.flow.server.fleet.Began(a.target, a.want)
+	// An engine has fetched all inputs before it reads the prompt.
+	a.flow.freeAll()
+}
+
+func (a *attempt) streamEnded(ctx context.Context, in *Incoming, err error, held []byte) attemptEnd {
+	f := a.flow
+	if errors.Is(err, io.EOF) && len(held) == 0 {
+		a.verdict = VerdictGood
+		if !f.committed {
+			f.copyHeader(in.Header)
+			f.w.WriteHeader(http.StatusOK)
+			f.committed = true
+		}
+		return attemptEnd{done: true, sent: true}
+	}
+	reason := "the stream broke off: " + err.Error()
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent), errors.Is(cause, errSlowStart):
+		a.verdict, reason = VerdictBad, cause.Error()
+	case errors.Is(cause, errTimeUp):
+		reason = cause.Error()
+	case ctx.Err() != nil:
+		reason = "the caller left"
+	default:
+		a.verdict = VerdictBad
+	}
+	if f.committed && f.route.Repeatable() {
+		f.server.counts.resumed.Add(1)
+	}
+	return attemptEnd{sent: true, reason: reason}
+}
+
+// cutEvents splits off what follows the last blank line, which is not a whole event yet.
+func cutEvents(data []byte) (whole, rest []byte) {
+	end := bytes.LastIndex(data, []byte("\n\n"))
+	if crlf := bytes.LastIndex(data, []byte("\r\n\r\n")); crlf >= 0 && crlf+2 > end {
+		end = crlf + 2
+	}
+	if end < 0 {
+		return nil, data
+	}
+	return data[:end+2], append([]byte(nil), data[end+2:]...)
+}
+
+// passEvents writes whole events, without those that the caller has from an earlier target.
+func (f *flow) passEvents(h http.Header, events []byte) error {
+	if !f.committed {
+		f.copyHeader(h)
+		f.w.WriteHeader(http.StatusOK)
+		f.committed = true
+	}
+	for len(events) > 0 {
+		event, rest := firstEvent(events)
+		id, ok := eventID(event)
+		if !ok || id > f.after {
+			if _, err := f.w.Write(event); err != nil {
+				return err
+			}
+		}
+		if ok {
+			f.after = max(f.after, id)
+		}
+		events = rest
+	}
+	return http.NewResponseController(f.w).Flush()
+}
+
+func firstEvent(events []byte) (event, rest []byte) {
+	lf := bytes.Index(events, []byte("\n\n"))
+	crlf := bytes.Index(events, []byte("\r\n\r\n"))
+	switch {
+	case crlf >= 0 && (lf < 0 || crlf < lf):
+		return events[:crlf+4], events[crlf+4:]
+	case lf >= 0:
+		return events[:lf+2], events[lf+2:]
+	}
+	return events, nil
+}
+
+// eventID returns the id of an event, if it has one that is a number.
+func eventID(event []byte) (int, bool) {
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+		return id, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,285 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	// leastLeft is the least time for which another attempt is worth making: the way there and back, and some work.
+	leastLeft = 20 * time.Millisecond
+	// firstWaitLeast is the least time that an attempt is given to begin its answer before another is made: plain
+	// work takes 15 to 60 ms on average, and up to seven times that.
+	firstWaitLeast = 150 * time.Millisecond
+	// streamWaitLeast is the same for streams, whose prompts may wait beside others.
+	streamWaitLeast = 900 * time.Millisecond
+	// gapWaits is how many times the longest pause in time a stream may be silent before it is continued elsewhere.
+	gapWaits = 2.2
+	// gapLeast is the least such silence.
+	gapLeast = 700 * time.Millisecond
+	// attemptsMost bounds the attempts of one request, refused ones included.
+	attemptsMost = 6
+	// answerMost bounds an answer that is held until it is whole.
+	answerMost = 16 << 20
+	// waitBusy is when to come back to a pool whose targets refuse work.
+	waitBusy = 300 * time.Millisecond
+)
+
+// Causes of an attempt's end by this daemon.
+var (
+	errSlowStart = errors.New("no answer began in time")
+	errSilent    = errors.New("the stream was silent for too long")
+	errTimeUp    = errors.New("the time for the request is over")
+)
+
+// attemptEnd is what came of an attempt.
+type attemptEnd struct {
+	// done says that the whole answer went out.
+	done bool
+	// notRun says that the target certainly did not run the request; sent says that it reached the target.
+	notRun, sent bool
+	// lostInput says that the target did not run it since an input is gone.
+	lostInput bool
+	// answer is a whole failure answer of the target that may be passed on if nothing better comes.
+	answer *wholeAnswer
+	reason string
+}
+
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// runSelf makes attempts until one answers, or no other is allowed or sensible. lost says that inputs must be made
+// anew first.
+func (f *flow) runSelf(ctx context.Context) (fail *failure, lost bool) {
+	s := f.server
+	var last attemptEnd
+	for n := 0; n < attemptsMost; n++ {
+		if ctx.Err() != nil {
+			return f.notRun(0, "the caller left"), false
+		}
+		if f.left() < leastLeft {
+			return f.timedOut(last.reason), false
+		}
+		if n > 0 && !f.mayRetry(&last) {
+			break
+		}
+		end := f.attempt(ctx)
+		if end.done {
+			return nil, false
+		}
+		last = end
+		if end.lostInput {
+			return f.notRun(waitBusy, "an input of the request is gone"), true
+		}
+		if end.reason == reasonNoTarget {
+			break
+		}
+	}
+	if last.answer != nil && !f.committed {
+		f.passWhole(last.answer)
+		return nil, false
+	}
+	s.log.Debug("no further attempt", "request", f.req.ID, "reason", last.reason)
+	if f.left() < leastLeft {
+		return f.timedOut(last.reason), false
+	}
+	return f.notRun(waitBusy, last.reason), false
+}
+
+func (f *flow) timedOut(reason string) *failure {
+	if reason == "" {
+		reason = "its stages took too long"
+	}
+	if f.runs > 0 {
+		return &failure{status: http.StatusGatewayTimeout, reason: "the time is over: " + reason}
+	}
+	return &failure{status: http.StatusServiceUnavailable, wait: retryFloor, reason: "the time is over: " + reason}
+}
+
+// mayRetry decides whether another target may get the request.
+func (f *flow) mayRetry(last *attemptEnd) bool {
+	s := f.server
+	switch {
+	case !last.notRun && !f.route.Repeatable():
+		return false
+	case !last.notRun && f.runs >= max(1, f.route.MaxTargets):
+		f.note("no retry", "reason", "as many targets as allowed have run it", "runs", f.runs, "last", last.reason)
+		return false
+	case f.sent > 0 && !s.budgetOf(f.pool).Spend(s.clock.Now(), s.peers.Count()):
+		f.note("no retry", "reason", "the retry budget of the pool is spent", "pool", f.pool, "daemons", s.peers.Count(), "last", last.reason)
+		return false
+	}
+	s.counts.again.Add(1)
+	f.note("retry", "sent", f.sent, "runs", f.runs, "last", last.reason, "left", f.left())
+	return true
+}
+
+const reasonNoTarget = "the pool has no target that may get work"
+
+func (f *flow) want() Want {
+	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens}
+	if f.zone != "" {
+		w.Zone, w.Inputs = f.zone, true
+	}
+	if n := len(f.req.Parts); n > 1 {
+		w.Part = f.req.Parts[n-2].ID
+		for _, p := range f.req.Parts[:n-1] {
+			w.SharedTokens += p.Tokens
+		}
+		w.OwnTokens = f.req.Parts[n-1].Tokens
+	}
+	return w
+}
+
+// attempt sends the request to one target.
+func (f *flow) attempt(ctx context.Context) attemptEnd {
+	s := f.server
+	now := s.clock.Now()
+	w := f.want()
+	target := s.fleet.Pick(now, f.pool, w)
+	if target == nil {
+		return attemptEnd{notRun: true, reason: reasonNoTarget}
+	}
+	spec := target.Spec
+	f.tried[spec.ID] = true
+	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
+	defer span.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	endTimer := s.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
+	defer endTimer.Stop()
+	a := &attempt{flow: f, target: target, want: w, cancel: cancel}
+	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.priority}
+	out := &Outgoing{
+		Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
+		Once: !f.route.Repeatable(),
+		Mine: func(h http.Header) bool { return s.dialect.ReadReply(0, h).Request == f.req.ID },
+	}
+	end := a.send(ctx, out)
+	s.fleet.Ended(s.clock.Now(), target, w, a.began, a.verdict, a.load)
+	if !end.done {
+		f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "sent", end.sent, "notRun", end.notRun,
+			"targets", s.fleet.Version(), "took", s.clock.Now().Sub(now), "reason", end.reason)
+	}
+	return end
+}
+
+// attempt is one request to one target.
+type attempt struct {
+	flow    *flow
+	target  *Target
+	want    Want
+	cancel  context.CancelCauseFunc
+	verdict Verdict
+	load    Load
+	began   bool
+}
+
+func (a *attempt) send(ctx context.Context, out *Outgoing) attemptEnd {
+	f := a.flow
+	s := f.server
+	slow := s.clock.AfterFunc(a.firstWait(), func() { a.cancel(errSlowStart) })
+	defer slow.Stop()
+	in, err := s.sender.Send(ctx, a.target.Spec.Address, out)
+	if err != nil {
+		return a.noAnswer(ctx, err)
+	}
+	defer in.Body.Close()
+	f.sent++
+	reply := s.dialect.ReadReply(in.Status, in.Header)
+	a.load = reply.Load
+	if reply.NotRun || reply.OtherTarget {
+		return a.refused(in, reply)
+	}
+	f.runs++
+	if in.Status/100 == 2 && (!reply.Stamped || reply.Encoded || reply.Request != f.req.ID) {
+		a.verdict = VerdictBad
+		return attemptEnd{sent: true, reason: "the answer is not that of the request"}
+	}
+	if f.route.Kind == routeStream && in.Status == http.StatusOK {
+		return a.stream(ctx, in, slow)
+	}
+	return a.whole(ctx, in, reply)
+}
+
+// firstWait is how long the target may take to begin; when no other may run the request, as long as there is time.
+func (a *attempt) firstWait() time.Duration {
+	f := a.flow
+	left := f.left()
+	if !f.route.Repeatable() || f.runs+1 >= f.route.MaxTargets {
+		return left
+	}
+	if f.route.Kind == routeStream {
+		return min(left, max(streamWaitLeast, f.route.Goal/2))
+	}
+	return min(left/2, max(firstWaitLeast, f.route.Goal))
+}
+
+func (a *attempt) noAnswer(ctx context.Context, err error) attemptEnd {
+	f := a.flow
+	end := attemptEnd{reason: err.Error()}
+	var sendErr *SendError
+	if errors.As(err, &sendErr) && !sendErr.Written {
+		end.notRun = true
+	} else {
+		end.sent = true
+		f.sent++
+		f.runs++
+	}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSlowStart):
+		a.verdict, end.reason = VerdictBad, cause.Error()
+	case errors.Is(cause, errTimeUp):
+		// Most of the time may have gone into the stages, so this alone says nothing of the target.
+		end.reason = cause.Error()
+	case ctx.Err() != nil:
+		end.reason = "the caller left"
+	default:
+		a.verdict = VerdictBad
+	}
+	return end
+}
+
+func (a *attempt) refused(in *Incoming, reply Reply) attemptEnd {
+	_, _ = io.Copy(io.Discard, io.LimitReader(in.Body, answerMost))
+	end := attemptEnd{notRun: true, sent: true, lostInput: reply.LostInput}
+	switch {
+	case reply.OtherTarget:
+		a.verdict = VerdictBad
+		end.reason = "another target has the address"
+	case reply.LostInput:
+		end.reason = "an input is gone"
+	default:
+		a.verdict = VerdictFull
+		end.reason = "the target refused the request with status " + http.StatusText(in.Status)
+	}
+	return end
+}
+
+// whole reads an answer to its end before anything of it is passed on, so that one that is cut never looks whole.
+func (a *attempt) whole(ctx context.Context, in *Incoming, reply Reply) attemptEnd {
+	body, err := io.ReadAll(io.LimitReader(in.Body, answerMost))
+	if err != nil {
+		if context.Cause(ctx) == nil {
+			a.verdict = VerdictBad
+		}
+		return attemptEnd{sent: true, reason: "the answer broke off: " + err.Error()}
+	}
+	a.verdict = VerdictGood
+	answer := &wholeAnswer{status: in.Status, header: in.Header, body: body}
+	if in.Status >= http.StatusInternalServerError && a.flow.route.Repeatable() {
+		return attemptEnd{sent: true, answer: answer, reason: "the target answered with status " + http.StatusText(in.Status)}
+	}
+	a.flow.passWhole(answer)
+	return attemptEnd{done: true, sent: true}
+}
--- /dev/null
+++ b/relay/batch.go
@@ -0,0 +1,534 @@
+package relay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"emberlead/proto"
+)
+
+// Figures of batching.
+const (
+	// pieceTries is how often the pieces of one stage are sent anew after a call that failed.
+	pieceTries = 3
+	// crossWait is how much later than its turn a job is taken by a target in another zone than its inputs'.
+	// Bytes between zones are priced, and the targets of its own zone are free again within a call's length.
+	crossWait = 250 * time.Millisecond
+	// bulkInputs is from how many bytes of inputs on their zone matters.
+	bulkInputs = 50_000
+	// rankWait is how much earlier a job's turn comes for each step of priority.
+	rankWait = 150 * time.Millisecond
+	// rankReserve is the part of its time that a job must leave free for each step of priority to be admitted.
+	rankReserve = 0.06
+	// paceWeight is the weight of the newest call in a target's pace, so that a slow target shows after a few calls.
+	paceWeight = 0.3
+	// costWeight is the weight of the newest call in the cost of a piece.
+	costWeight = 0.1
+	// retryFloor is the least time to come back that a refusal names.
+	retryFloor = 300 * time.Millisecond
+	// outBase and outMost bound how long a stage target is left out after a failed call.
+	outBase = 250 * time.Millisecond
+	outMost = 3 * time.Second
+)
+
+// Job is all pieces of one stage of one request.
+type Job struct {
+	Ask proto.PiecesAsk
+	// Due is when the stage should end for the answer to be in time, and End when its result is of no use any more.
+	Due, End time.Time
+
+	since   time.Time
+	order   time.Time
+	next    int
+	open    int
+	tries   int
+	handles []string
+	zone    string
+	done    bool
+	exclude string
+}
+
+func (j *Job) left() int { return j.Ask.Pieces - j.next }
+
+// Call is one batch to be sent to a target.
+type Call struct {
+	Target proto.RelayTarget
+	Items  []CallItem
+	Began  time.Time
+	// Expected is how long the call should take.
+	Expected time.Duration
+}
+
+// CallItem is one piece of a job.
+type CallItem struct {
+	Job   *Job
+	Piece int
+}
+
+// ItemResult is what a target said of one piece: a handle, or why there is none.
+type ItemResult struct {
+	Handle string
+	Fate   proto.PieceFate
+}
+
+// JobEnd is a job that ended with its answer.
+type JobEnd struct {
+	Job    *Job
+	Answer proto.PiecesAnswer
+}
+
+type batchTarget struct {
+	spec   proto.RelayTarget
+	call   *Call
+	pace   float64
+	inRow  int
+	outTo  time.Time
+	room   int64
+	leaves []keptResult
+}
+
+type keptResult struct {
+	handle string
+	bytes  int64
+	until  time.Time
+}
+
+// Batcher fills the calls to the targets of one pool from the jobs of all requests. It makes decisions only: a
+// driver sends the calls and reports what came of them.
+type Batcher struct {
+	spec    proto.BatchSpec
+	targets map[string]*batchTarget
+	jobs    []*Job
+	// pieceCost is about the time that a piece adds, by the size of its result, since stages differ by that.
+	pieceCost map[int]float64
+	kept      map[string]*batchTarget
+}
+
+// NewBatcher returns a batcher without targets.
+func NewBatcher(spec proto.BatchSpec) *Batcher {
+	return &Batcher{spec: spec, targets: map[string]*batchTarget{}, pieceCost: map[int]float64{}, kept: map[string]*batchTarget{}}
+}
+
+// SetSpec takes over a changed description of the pool.
+func (b *Batcher) SetSpec(spec proto.BatchSpec) { b.spec = spec }
+
+// SetTargets takes over the targets that may get new work; calls at work elsewhere go on.
+func (b *Batcher) SetTargets(specs []proto.RelayTarget) {
+	listed := map[string]bool{}
+	for _, s := range specs {
+		listed[s.ID] = true
+		if t := b.targets[s.ID]; t != nil {
+			t.spec = s
+			continue
+		}
+		b.targets[s.ID] = &batchTarget{spec: s, pace: 1}
+	}
+	for id, t := range b.targets {
+		if !listed[id] && t.call == nil {
+			b.dropTarget(id, t)
+		}
+		t.spec.Leaving = !listed[id]
+	}
+}
+
+func (b *Batcher) dropTarget(id string, t *batchTarget) {
+	delete(b.targets, id)
+	for _, k := range t.leaves {
+		delete(b.kept, k.handle)
+	}
+}
+
+func (b *Batcher) costOf(bytes int) float64 {
+	if c, ok := b.pieceCost[bytes]; ok {
+		return c
+	}
+	return float64(b.spec.PieceCost)
+}
+
+// share is the target time that a piece costs in a full call.
+func (b *Batcher) share(bytes int) float64 {
+	return float64(b.spec.CallCost)/float64(max(1, b.spec.Most)) + b.costOf(bytes)
+}
+
+// Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service.
+func (b *Batcher) Wait(now, turn time.Time) time.Duration {
+	ahead, paces, soonest, idle := 0.0, 0.0, math.Inf(1), false
+	for _, t := range b.targets {
+		if t.spec.Leaving || now.Before(t.outTo) {
+			continue
+		}
+		paces += 1 / t.pace
+		if t.call == nil {
+			idle = true
+			continue
+		}
+		rest := max(0, float64(t.call.Began.Add(t.call.Expected).Sub(now)))
+		soonest = min(soonest, rest)
+		ahead += rest
+	}
+	if paces == 0 {
+		return time.Minute
+	}
+	queued := 0
+	for _, j := range b.jobs {
+		if j.left() > 0 && !j.order.After(turn) {
+			ahead += float64(j.left()) * b.share(j.Ask.Bytes)
+			queued++
+		}
+	}
+	if idle && queued == 0 {
+		return 0
+	}
+	if idle {
+		soonest = 0
+	}
+	return time.Duration(max(soonest, ahead/paces))
+}
+
+// length is how long a call with a job's pieces and a usual share of others takes.
+func (b *Batcher) length(j *Job) float64 {
+	n := float64(min(j.Ask.Pieces, b.spec.Most))
+	own := float64(b.spec.CallCost) + n*b.costOf(j.Ask.Bytes)
+	full := float64(b.spec.CallCost) + float64(b.spec.Most)*b.costOf(j.Ask.Bytes)
+	return (own + full) / 2
+}
+
+// Add queues a job, or returns the answer that refuses it because its results would not come in time.
+func (b *Batcher) Add(now time.Time, j *Job) *proto.PiecesAnswer {
+	j.since = now
+	j.order = j.Due.Add(time.Duration(j.Ask.Priority) * rankWait)
+	j.handles = make([]string, j.Ask.Pieces)
+	wait := b.Wait(now, j.order)
+	finish := now.Add(wait + time.Duration(b.length(j)))
+	limit := j.End
+	if j.Ask.First {
+		reserve := rankReserve * float64(j.Ask.Priority) * float64(j.Due.Sub(now))
+		limit = j.Due.Add(-time.Duration(reserve))
+	}
+	if finish.After(limit) && !(wait == 0 && j.End.After(finish)) {
+		return &proto.PiecesAnswer{Fate: proto.PiecesRefused, Wait: max(retryFloor, finish.Sub(limit)), Detail: "the queue of the pool is longer than the time left"}
+	}
+	b.jobs = append(b.jobs, j)
+	return nil
+}
+
+// Next returns the calls to send now, and the jobs whose time is over.
+func (b *Batcher) Next(now time.Time) ([]*Call, []JobEnd) {
+	ends := b.expire(now)
+	slices.SortStableFunc(b.jobs, func(x, y *Job) int { return x.order.Compare(y.order) })
+	var calls []*Call
+	for {
+		c := b.fill(now)
+		if c == nil {
+			return calls, ends
+		}
+		calls = append(calls, c)
+	}
+}
+
+func (b *Batcher) expire(now time.Time) []JobEnd {
+	var ends []JobEnd
+	b.jobs = slices.DeleteFunc(b.jobs, func(j *Job) bool {
+		if j.done {
+			return true
+		}
+		if !now.After(j.End) {
+			return false
+		}
+		ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesLate, Detail: "the time for the stage was over in the queue"}))
+		return true
+	})
+	for _, t := range b.targets {
+		t.leaves = slices.DeleteFunc(t.leaves, func(k keptResult) bool {
+			if now.Before(k.until) {
+				return false
+			}
+			t.room -= k.bytes
+			delete(b.kept, k.handle)
+			return true
+		})
+	}
+	return ends
+}
+
+func (b *Batcher) end(j *Job, a proto.PiecesAnswer) JobEnd {
+	j.done = true
+	return JobEnd{Job: j, Answer: a}
+}
+
+// fill makes one call from the jobs whose turn it is, or returns nil.
+func (b *Batcher) fill(now time.Time) *Call {
+	for _, j := range b.jobs {
+		if j.left() == 0 || j.done {
+			continue
+		}
+		t := b.targetFor(now, j)
+		if t == nil {
+			continue
+		}
+		return b.load(now, t, j)
+	}
+	return nil
+}
+
+// targetFor returns an idle target for a job: one in the zone of its inputs, or any once it has waited for that.
+func (b *Batcher) targetFor(now time.Time, j *Job) *batchTarget {
+	var best *batchTarget
+	least := math.Inf(1)
+	for _, t := range b.targets {
+		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !b.hasRoom(t, j, 1) {
+			continue
+		}
+		c := t.pace
+		if t.spec.ID == j.exclude {
+			c += 10
+		}
+		if b.crosses(t, j) {
+			if now.Before(j.since.Add(b.patience(now, j))) {
+				continue
+			}
+			c++
+		}
+		if c < least || c == least && t.spec.ID < best.spec.ID {
+			best, least = t, c
+		}
+	}
+	return best
+}
+
+func (b *Batcher) crosses(t *batchTarget, j *Job) bool {
+	return j.Ask.Zone != "" && t.spec.Zone != j.Ask.Zone
+}
+
+// patience is how long a job waits for a target in the zone of its inputs, if there is one in service.
+func (b *Batcher) patience(now time.Time, j *Job) time.Duration {
+	for _, t := range b.targets {
+		if !b.crosses(t, j) && !t.spec.Leaving && !now.Before(t.outTo) {
+			return max(0, min(crossWait, j.Due.Sub(now)/4))
+		}
+	}
+	return 0
+}
+
+func (b *Batcher) hasRoom(t *batchTarget, j *Job, pieces int) bool {
+	return b.spec.Room == 0 || t.room+int64(pieces*j.Ask.Bytes) <= b.spec.Room
+}
+
+func (b *Batcher) load(now time.Time, t *batchTarget, first *Job) *Call {
+	c := &Call{Target: t.spec, Began: now}
+	t.call = c
+	b.take(t, c, first)
+	// Jobs of the target's own zone go before those whose inputs would cross zones.
+	for _, own := range []bool{true, false} {
+		for _, j := range b.jobs {
+			if len(c.Items) >= b.spec.Most {
+				break
+			}
+			if j.left() > 0 && !j.done && b.crosses(t, j) != own && b.mayFill(now, c, t, j, own) {
+				b.take(t, c, j)
+			}
+		}
+	}
+	c.Expected = time.Duration(b.expected(c) * t.pace)
+	return c
+}
+
+// mayFill keeps the pieces of a job together where they fit into a call, since their results are needed together.
+func (b *Batcher) mayFill(now time.Time, c *Call, t *batchTarget, j *Job, own bool) bool {
+	if !own && now.Before(j.since.Add(b.patience(now, j))) {
+		return false
+	}
+	free := b.spec.Most - len(c.Items)
+	return (j.left() <= free || j.left() > b.spec.Most) && b.hasRoom(t, j, min(free, j.left()))
+}
+
+func (b *Batcher) take(t *batchTarget, c *Call, j *Job) {
+	for len(c.Items) < b.spec.Most && j.left() > 0 && b.hasRoom(t, j, 1) {
+		c.Items = append(c.Items, CallItem{Job: j, Piece: j.next})
+		t.room += int64(j.Ask.Bytes)
+		j.next++
+		j.open++
+	}
+}
+
+func (b *Batcher) expected(c *Call) float64 {
+	sum := float64(b.spec.CallCost)
+	for _, i := range c.Items {
+		sum += b.costOf(i.Job.Ask.Bytes)
+	}
+	return sum
+}
+
+// Done takes in the results of a call in the order of its items and returns the jobs that ended, with the handles
+// that nobody needs any more.
+func (b *Batcher) Done(now time.Time, c *Call, results []ItemResult) (ends []JobEnd, unused []string) {
+	t := b.finish(c)
+	b.learn(t, c, now.Sub(c.Began))
+	for n, item := range c.Items {
+		r := results[n]
+		j := item.Job
+		j.open--
+		if r.Handle == "" {
+			b.giveBack(t, j.Ask.Bytes)
+			if !j.done {
+				ends = append(ends, b.missing(j, r.Fate)...)
+			}
+			continue
+		}
+		b.keep(now, t, r.Handle, j.Ask.Bytes)
+		if j.done {
+			unused = append(unused, r.Handle)
+			continue
+		}
+		j.handles[item.Piece] = r.Handle
+		j.zone = c.Target.Zone
+		if j.left() == 0 && j.open == 0 {
+			ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesDone, Handles: j.handles, Zone: j.zone}))
+		}
+	}
+	return ends, unused
+}
+
+func (b *Batcher) missing(j *Job, fate proto.PieceFate) []JobEnd {
+	if fate == proto.PiecesDone {
+		fate = proto.PiecesFailed
+	}
+	return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: fate, Detail: "a target refused a piece"})}
+}
+
+func (b *Batcher) finish(c *Call) *batchTarget {
+	t := b.targets[c.Target.ID]
+	if t == nil || t.call != c {
+		return nil
+	}
+	t.call = nil
+	if t.spec.Leaving {
+		b.dropTarget(c.Target.ID, t)
+	}
+	return t
+}
+
+func (b *Batcher) giveBack(t *batchTarget, bytes int) {
+	if t != nil {
+		t.room = max(0, t.room-int64(bytes))
+	}
+}
+
+func (b *Batcher) keep(now time.Time, t *batchTarget, handle string, bytes int) {
+	if t == nil {
+		return
+	}
+	t.leaves = append(t.leaves, keptResult{handle: handle, bytes: int64(bytes), until: now.Add(b.spec.Keep)})
+	b.kept[handle] = t
+}
+
+// Freed notes that a result was freed at its maker.
+func (b *Batcher) Freed(handle string) {
+	t := b.kept[handle]
+	if t == nil {
+		return
+	}
+	delete(b.kept, handle)
+	t.leaves = slices.DeleteFunc(t.leaves, func(k keptResult) bool {
+		if k.handle == handle {
+			t.room = max(0, t.room-k.bytes)
+		}
+		return k.handle == handle
+	})
+}
+
+func (b *Batcher) learn(t *batchTarget, c *Call, took time.Duration) {
+	if t == nil {
+		return
+	}
+	t.inRow = 0
+	plain := b.expected(c)
+	t.pace += paceWeight * (float64(took)/plain - t.pace)
+	t.pace = min(8, max(0.5, t.pace))
+	error := (float64(took)/t.pace - plain) / float64(len(c.Items))
+	for _, i := range c.Items {
+		old := b.costOf(i.Job.Ask.Bytes)
+		b.pieceCost[i.Job.Ask.Bytes] = min(2*float64(b.spec.PieceCost), max(0.1*float64(b.spec.PieceCost), old+costWeight*error/float64(len(c.Items))))
+	}
+}
+
+// Failed takes in a call that gave no results. With busy set the target refused it for want of a slot. The pieces
+// are sent again unless they were too often.
+func (b *Batcher) Failed(now time.Time, c *Call, busy bool) []JobEnd {
+	t := b.finish(c)
+	if t != nil {
+		b.leaveOut(now, t, busy)
+	}
+	var ends []JobEnd
+	seen := map[*Job]int{}
+	for _, item := range c.Items {
+		seen[item.Job]++
+		b.giveBack(t, item.Job.Ask.Bytes)
+	}
+	for j, n := range seen {
+		ends = append(ends, b.again(j, n, c.Target.ID, busy)...)
+	}
+	slices.SortFunc(ends, func(x, y JobEnd) int { return cmp.Compare(x.Job.Ask.Request, y.Job.Ask.Request) })
+	return ends
+}
+
+func (b *Batcher) leaveOut(now time.Time, t *batchTarget, busy bool) {
+	if busy {
+		t.outTo = now.Add(outBase / 2)
+		return
+	}
+	t.inRow++
+	t.outTo = now.Add(min(outMost, outBase<<min(t.inRow, 6)))
+}
+
+// again queues all pieces of a job anew; what other calls make of it meanwhile is freed when they end.
+func (b *Batcher) again(j *Job, pieces int, target string, busy bool) []JobEnd {
+	j.open -= pieces
+	if j.done {
+		return nil
+	}
+	if !busy {
+		j.tries++
+	}
+	if j.tries >= pieceTries {
+		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "calls to several targets failed"})}
+	}
+	j.exclude = target
+	if j.open == 0 && j.next == j.Ask.Pieces && pieces == j.Ask.Pieces {
+		j.next = 0
+		return nil
+	}
+	// Other pieces are at work or done elsewhere: a fresh job would lose them, so the whole stage fails and is asked
+	// for again by the request's own daemon.
+	return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesLost, Detail: "a call with a part of the pieces failed"})}
+}
+
+// Withdraw ends a request's jobs because nobody waits for them, and returns the results that were made already.
+func (b *Batcher) Withdraw(request string, stage int) []string {
+	var unused []string
+	for _, j := range b.jobs {
+		if j.Ask.Request != request || j.Ask.Stage != stage || j.done {
+			continue
+		}
+		j.done = true
+		for _, h := range j.handles {
+			if h != "" {
+				unused = append(unused, h)
+			}
+		}
+	}
+	return unused
+}
+
+// Queued returns the number of jobs and of pieces that wait.
+func (b *Batcher) Queued() (jobs, pieces int) {
+	for _, j := range b.jobs {
+		if !j.done && j.left() > 0 {
+			jobs++
+			pieces += j.left()
+		}
+	}
+	return jobs, pieces
+}
--- /dev/null
+++ b/relay/counts.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the histogram of latencies, in microseconds.
+const (
+	latencyLeast  = 1
+	latencyMost   = int64(time.Minute / time.Microsecond)
+	latencyDigits = 2
+)
+
+// Counts are totals of requests since the start.
+type Counts struct {
+	asked, whole, late, unavailable, failed, rejected, left, broken, resumed, again atomic.Int64
+
+	mu      sync.Mutex
+	latency *hdrhistogram.Histogram
+}
+
+// CountReport is what the metrics address shows of Counts.
+type CountReport struct {
+	Asked int64 `json:"asked"`
+	// Delivered answers were whole, Late ones of them beyond the goal.
+	Delivered int64 `json:"delivered"`
+	Late      int64 `json:"late"`
+	// NotRun requests were refused with a time to come back.
+	NotRun int64 `json:"notRun"`
+	// Failed requests may have run.
+	Failed int64 `json:"failed"`
+	// Rejected requests were at fault themselves.
+	Rejected int64 `json:"rejected"`
+	Left     int64 `json:"callerLeft"`
+	Broken   int64 `json:"streamsBroken"`
+	Resumed  int64 `json:"streamsResumed"`
+	Retried  int64 `json:"retried"`
+	// LatencyMillis holds quantiles of the time to the whole answer.
+	LatencyMillis map[string]float64 `json:"latencyMillis"`
+}
+
+func (c *Counts) delivered(took time.Duration, inTime bool) {
+	c.whole.Add(1)
+	if !inTime {
+		c.late.Add(1)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latency == nil {
+		c.latency = hdrhistogram.New(latencyLeast, latencyMost, latencyDigits)
+	}
+	// A value beyond the bounds cannot occur: it is cut to them.
+	_ = c.latency.RecordValue(min(latencyMost, max(latencyLeast, took.Microseconds())))
+}
+
+func (c *Counts) refused(status int) {
+	switch {
+	case status == http.StatusServiceUnavailable:
+		c.unavailable.Add(1)
+	case status >= http.StatusInternalServerError:
+		c.failed.Add(1)
+	default:
+		c.rejected.Add(1)
+	}
+}
+
+// Report returns the totals.
+func (c *Counts) Report() CountReport {
+	r := CountReport{
+		Asked: c.asked.Load(), Delivered: c.whole.Load(), Late: c.late.Load(), NotRun: c.unavailable.Load(), Failed: c.failed.Load(),
+		Rejected: c.rejected.Load(), Left: c.left.Load(), Broken: c.broken.Load(), Resumed: c.resumed.Load(), Retried: c.again.Load(),
+		LatencyMillis: map[string]float64{},
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latency == nil {
+		return r
+	}
+	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99} {
+		r.LatencyMillis[name] = float64(c.latency.ValueAtQuantile(q)) / 1000
+	}
+	return r
+}
--- /dev/null
+++ b/relay/fleet.go
@@ -0,0 +1,284 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/proto"
+)
+
+// lapseWait is how long after the store's return an entry that went while the store was away may come back.
+// The platform states about two seconds; a little is added for the way to this daemon.
+const lapseWait = 2300 * time.Millisecond
+
+// Target is one target with what this daemon knows of it.
+type Target struct {
+	Spec proto.RelayTarget
+
+	pool   *targetPool
+	health health
+	// active are this daemon's attempts in progress.
+	active int
+	// unread are prompt tokens of attempts that have not begun to answer.
+	unread int
+	// others is how many attempts of other daemons the last answer showed.
+	others   float64
+	othersAt time.Time
+	// pace is how long attempts take against what was expected.
+	pace float64
+	// lapsedAt is when the entry went while the store was away; zero if it is listed.
+	lapsedAt time.Time
+	gone     bool
+}
+
+type targetPool struct {
+	mu      sync.Mutex
+	targets map[string]*Target
+	list    []*Target
+}
+
+func (p *targetPool) relist() {
+	p.list = p.list[:0]
+	for _, t := range p.targets {
+		p.list = append(p.list, t)
+	}
+	slices.SortFunc(p.list, func(a, b *Target) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
+}
+
+// Fleet holds all targets by pool, each pool under its own lock.
+type Fleet struct {
+	mu    sync.RWMutex
+	pools map[string]*targetPool
+	where map[string]*Target
+	// awayAt and backAt are when the store was last found away, and when it answered again after that.
+	awayAt, backAt time.Time
+	version        uint64
+	changed        func(pool string)
+}
+
+// NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
+func NewFleet(changed func(pool string)) *Fleet {
+	return &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, changed: changed}
+}
+
+// Version returns the store's version that the fleet is as of.
+func (f *Fleet) Version() uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.version
+}
+
+// StoreAway notes that the store did not answer.
+func (f *Fleet) StoreAway(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awayAt = now
+}
+
+// StoreBack notes that the store answered.
+func (f *Fleet) StoreBack(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.backAt.Before(f.awayAt) || f.backAt.IsZero() {
+		f.backAt = now
+	}
+}
+
+// mayHaveLapsed tells whether an entry that goes now may only have run out while the store was away.
+func (f *Fleet) mayHaveLapsed(now time.Time) bool {
+	if f.awayAt.IsZero() {
+		return false
+	}
+	return f.backAt.Before(f.awayAt) || now.Before(f.backAt.Add(lapseWait))
+}
+
+// FleetChange is one entry of the store's list that was put or removed.
+type FleetChange struct {
+	ID      string
+	Removed bool
+	Target  proto.RelayTarget
+}
+
+// Change takes in changes as of a version of the store and returns what it did with each; an older version is ignored.
+func (f *Fleet) Change(now time.Time, version uint64, changes []FleetChange) []FleetNote {
+	f.mu.Lock()
+	if version <= f.version && f.version != 0 {
+		f.mu.Unlock()
+		return nil
+	}
+	f.version = version
+	var notes []FleetNote
+	for _, c := range changes {
+		notes = append(notes, f.apply(now, c)...)
+	}
+	f.mu.Unlock()
+	f.announce(notes)
+	return notes
+}
+
+// Replace takes in the whole list as of a version; entries that it lacks are removed. An older version is ignored.
+func (f *Fleet) Replace(now time.Time, version uint64, targets []proto.RelayTarget) []FleetNote {
+	f.mu.Lock()
+	if version < f.version {
+		f.mu.Unlock()
+		return nil
+	}
+	f.version = version
+	listed := map[string]bool{}
+	var notes []FleetNote
+	for _, t := range targets {
+		listed[t.ID] = true
+		notes = append(notes, f.apply(now, FleetChange{ID: t.ID, Target: t})...)
+	}
+	for id := range f.where {
+		if !listed[id] {
+			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true})...)
+		}
+	}
+	f.mu.Unlock()
+	f.announce(notes)
+	return notes
+}
+
+// FleetNote says what became of one entry, for the log.
+type FleetNote struct {
+	Target  proto.RelayTarget
+	Outcome string
+}
+
+// Outcomes of changes to the fleet.
+const (
+	outcomeAdded   = "added"
+	outcomeLeaving = "leaving"
+	outcomeRemoved = "removed"
+	outcomeLapsed  = "lapsed"
+	outcomeUpdated = "updated"
+)
+
+func (f *Fleet) announce(notes []FleetNote) {
+	pools := map[string]bool{}
+	for _, n := range notes {
+		pools[n.Target.Pool] = true
+	}
+	for pool := range pools {
+		f.changed(pool)
+	}
+}
+
+func (f *Fleet) poolLocked(name string) *targetPool {
+	p := f.pools[name]
+	if p == nil {
+		p = &targetPool{targets: map[string]*Target{}}
+		f.pools[name] = p
+	}
+	return p
+}
+
+func (f *Fleet) apply(now time.Time, c FleetChange) []FleetNote {
+	t := f.where[c.ID]
+	if c.Removed {
+		return f.remove(now, t)
+	}
+	p := f.poolLocked(c.Target.Pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t == nil || t.pool != p {
+		t = &Target{Spec: c.Target, pool: p, pace: 1}
+		p.targets[c.ID] = t
+		f.where[c.ID] = t
+		p.relist()
+		return []FleetNote{{Target: c.Target, Outcome: outcomeAdded}}
+	}
+	old := t.Spec
+	t.Spec = c.Target
+	t.lapsedAt = time.Time{}
+	switch {
+	case c.Target.Leaving && !old.Leaving:
+		return []FleetNote{{Target: c.Target, Outcome: outcomeLeaving}}
+	case old.Leaving != c.Target.Leaving || old.Address != c.Target.Address || old.Slots != c.Target.Slots:
+		return []FleetNote{{Target: c.Target, Outcome: outcomeUpdated}}
+	}
+	return nil
+}
+
+func (f *Fleet) remove(now time.Time, t *Target) []FleetNote {
+	if t == nil {
+		return nil
+	}
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	if !t.Spec.Leaving && f.mayHaveLapsed(now) {
+		if !t.lapsedAt.IsZero() {
+			return nil
+		}
+		t.lapsedAt = now
+		return []FleetNote{{Target: t.Spec, Outcome: outcomeLapsed}}
+	}
+	return []FleetNote{f.forget(t)}
+}
+
+func (f *Fleet) forget(t *Target) FleetNote {
+	t.gone = true
+	delete(t.pool.targets, t.Spec.ID)
+	delete(f.where, t.Spec.ID)
+	t.pool.relist()
+	return FleetNote{Target: t.Spec, Outcome: outcomeRemoved}
+}
+
+// Sweep removes entries that lapsed and did not come back; it comes several times a second.
+func (f *Fleet) Sweep(now time.Time) []FleetNote {
+	f.mu.Lock()
+	if f.mayHaveLapsed(now) {
+		f.mu.Unlock()
+		return nil
+	}
+	var notes []FleetNote
+	for _, t := range f.where {
+		t.pool.mu.Lock()
+		if !t.lapsedAt.IsZero() {
+			notes = append(notes, f.forget(t))
+		}
+		t.pool.mu.Unlock()
+	}
+	f.mu.Unlock()
+	f.announce(notes)
+	return notes
+}
+
+// Usable returns the targets of a pool that may get new work.
+func (f *Fleet) Usable(pool string) []proto.RelayTarget {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var specs []proto.RelayTarget
+	for _, t := range p.list {
+		if !t.Spec.Leaving {
+			specs = append(specs, t.Spec)
+		}
+	}
+	return specs
+}
+
+// List returns all targets, for a daemon that asks.
+func (f *Fleet) List() []proto.RelayTarget {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var specs []proto.RelayTarget
+	for _, t := range f.where {
+		t.pool.mu.Lock()
+		specs = append(specs, t.Spec)
+		t.pool.mu.Unlock()
+	}
+	return specs
+}
+
+func (f *Fleet) pool(name string) *targetPool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.pools[name]
+}
--- /dev/null
+++ b/relay/ports.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"emberlead/proto"
+)
+
+// Request is a caller's request, read from the way the platform spells it.
+type Request struct {
+	ID     string
+	Method string
+	Host   string
+	// Path is the path without the query, and URI both as they came.
+	Path, URI string
+	// Header holds what is passed on unchanged.
+	Header http.Header
+	Body   []byte
+	// Wait is how long the caller waits for the answer; 0 if it did not say.
+	Wait time.Duration
+	Key  string
+	// Parts are the parts of the prompt in order; the last belongs to the request alone or to its session.
+	Parts []PromptPart
+	// PromptTokens and MostTokens are the sizes of the prompt and of the answer at most.
+	PromptTokens, MostTokens int
+	// After is the last event of the stream that the caller has; 0 if it begins anew.
+	After int
+	// PieceKey and Pieces say what the stages work on: a count for each stage of the route, 0 for none.
+	PieceKey string
+	Pieces   []int
+}
+
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Forward is what a request to a target says beside what the caller sent.
+type Forward struct {
+	Target    proto.RelayTarget
+	Left      time.Duration
+	Workspace string
+	Inputs    []string
+	// After is the last event that was passed on; 0 for a stream from its start.
+	After    int
+	Priority int
+}
+
+// Reply is what the head of a target's answer says.
+type Reply struct {
+	// Request is the id of the request that the answer is for.
+	Request string
+	// Stamped answers come from the run of a request.
+	Stamped bool
+	// NotRun says that the target did not run the request.
+	NotRun bool
+	// OtherTarget says that another target has the address.
+	OtherTarget bool
+	// LostInput says that an input of the request is gone.
+	LostInput bool
+	// Encoded answers do not hold the body that was asked for.
+	Encoded bool
+	Load    Load
+}
+
+// Dialect spells requests, answers and pieces the way the platform does.
+type Dialect interface {
+	// ReadRequest reads the head of a caller's request; it fails with KindInvalid.
+	ReadRequest(r *http.Request) (*Request, error)
+	// Header returns the header of a request to a target.
+	Header(r *Request, f *Forward) http.Header
+	// ReadReply reads the head of a target's answer.
+	ReadReply(status int, h http.Header) Reply
+	// Refuse writes the header of an answer that tells when to come back.
+	Refuse(h http.Header, wait time.Duration)
+	// PiecesCall returns the request for a batch of pieces.
+	PiecesCall(c *Call, now time.Time) (Outgoing, error)
+	// PiecesResult reads the answer to a batch of n pieces; it fails with KindInvalid.
+	PiecesResult(body []byte, n int) ([]ItemResult, error)
+	// FreeCall returns the request that frees results at their maker.
+	FreeCall(handles []string) (Outgoing, error)
+	// Maker returns the address of the target that holds a result.
+	Maker(handle string) (netip.AddrPort, error)
+}
+
+// Outgoing is a request to a target.
+type Outgoing struct {
+	Method, URI, Host string
+	Header            http.Header
+	Body              []byte
+	// Once marks requests that may run only once, for which a connection must be beyond doubt.
+	Once bool
+	// Mine tells whether an answer's head is that of this request.
+	Mine func(h http.Header) bool
+}
+
+// Incoming is a target's answer; its body must be closed.
+type Incoming struct {
+	Status int
+	Header http.Header
+	Body   Body
+}
+
+// Body is the body of an answer.
+type Body interface {
+	// Read fails with anything but io.EOF if the answer is cut.
+	Read(p []byte) (int, error)
+	// Close gives the connection back if the body was read to its end, and closes it otherwise.
+	Close() error
+}
+
+// Sender sends requests to targets.
+type Sender interface {
+	// Send returns the head of the answer. Its error is a *SendError.
+	Send(ctx context.Context, to netip.AddrPort, out *Outgoing) (*Incoming, error)
+}
+
+// SendError says how far a request came that got no answer.
+type SendError struct {
+	// Written says that bytes of the request may have reached the target, so that it may run.
+	Written bool
+	Err     error
+}
+
+// Error returns the cause, and whether the request may run.
+func (e *SendError) Error() string {
+	if e.Written {
+		return "no answer to a request that was sent: " + e.Err.Error()
+	}
+	return "not sent: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Peers reaches the other daemons.
+type Peers interface {
+	// Owner returns the daemon that batches for a pool, leaving out those that were found silent.
+	Owner(pool string, skip map[proto.VM]bool) proto.VM
+	// Silent tells whether a daemon has not been heard for longer than a live one is silent.
+	Silent(vm proto.VM) bool
+	// Count returns the number of live daemons, this one included.
+	Count() int
+	Send(to proto.VM, m proto.Message)
+	Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error)
+}
--- /dev/null
+++ b/relay/server.go
@@ -0,0 +1,350 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"emberlead/proto"
+)
+
+const (
+	// answerMargin is how long before a request's time is over its final answer goes out, so that it still arrives.
+	answerMargin = 15 * time.Millisecond
+	// bodyWait bounds the reading of a body; callers that are within the limits send theirs at once.
+	bodyWait = 5 * time.Second
+	// waitUnknown is when to come back to a daemon that knows no configuration yet.
+	waitUnknown = 400 * time.Millisecond
+	// waitFull is when to come back to a daemon that has as many open requests as it may.
+	waitFull = time.Second
+	// noTimeout stands in for the bound of requests that have none.
+	noTimeout = time.Minute
+	tracer    = "emberlead"
+)
+
+// Limits bound a daemon's own resources.
+type Limits struct {
+	// Open is the most requests in progress.
+	Open int64
+}
+
+// Server passes callers' requests on to targets.
+type Server struct {
+	clock   clockwork.Clock
+	log     hclog.Logger
+	dialect Dialect
+	sender  Sender
+	fleet   *Fleet
+	tables  *Tables
+	pieces  *Pieces
+	peers   Peers
+	limits  Limits
+	zone    string
+	counts  Counts
+
+	budgetMu sync.Mutex
+	budgets  map[string]*Budget
+	budget   BudgetTerms
+
+	open     atomic.Int64
+	stopping atomic.Bool
+}
+
+// BudgetTerms are the terms of the retry budget, for all daemons together.
+type BudgetTerms struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// ServerConfig is what a Server is made from.
+type ServerConfig struct {
+	Clock   clockwork.Clock
+	Log     hclog.Logger
+	Dialect Dialect
+	Sender  Sender
+	Fleet   *Fleet
+	Tables  *Tables
+	Pieces  *Pieces
+	Peers   Peers
+	Zone    string
+	Budget  BudgetTerms
+	Limits  Limits
+}
+
+// NewServer returns a server; it refuses requests until a configuration is known.
+func NewServer(c ServerConfig) *Server {
+	return &Server{
+		clock: c.Clock, log: c.Log, dialect: c.Dialect, sender: c.Sender, fleet: c.Fleet, tables: c.Tables,
+		pieces: c.Pieces, peers: c.Peers, zone: c.Zone, limits: c.Limits, budget: c.Budget, budgets: map[string]*Budget{},
+	}
+}
+
+// Open returns the number of requests in progress.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Stop makes each answer from now on close its connection, so that callers go to other daemons.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Counts returns the totals since the start.
+func (s *Server) Counts() *Counts { return &s.counts }
+
+func (s *Server) budgetOf(pool string) *Budget {
+	s.budgetMu.Lock()
+	defer s.budgetMu.Unlock()
+	b := s.budgets[pool]
+	if b == nil {
+		b = NewBudget(s.budget.Ratio, s.budget.Slack, s.budget.Window)
+		s.budgets[pool] = b
+	}
+	return b
+}
+
+// flow is one request on its way.
+type flow struct {
+	server    *Server
+	w         http.ResponseWriter
+	req       *Request
+	route     *proto.Route
+	pool      string
+	spec      *proto.RelayPool
+	workspace string
+	priority  int
+	version   uint64
+	began     time.Time
+	// end is when the final answer must go out, and due when it should be there.
+	end, due time.Time
+
+	inputs []stageResult
+	// handles are the inputs that the request itself needs, in order.
+	handles []string
+	zone    string
+
+	// sent counts the attempts that reached a target, and runs those that may have run there.
+	sent, runs int
+	tried      map[string]bool
+	committed  bool
+	after      int
+}
+
+// failure is a final answer that the daemon gives itself.
+type failure struct {
+	status int
+	wait   time.Duration
+	reason string
+}
+
+// ServeHTTP passes one request on and returns when its answer is whole or has failed.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := s.clock.Now()
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if s.open.Add(1) > s.limits.Open {
+		s.open.Add(-1)
+		s.refuse(w, &failure{status: http.StatusServiceUnavailable, wait: waitFull, reason: "too many requests are in progress"}, nil, began)
+		return
+	}
+	defer s.open.Add(-1)
+	f, fail := s.accept(w, r, began)
+	if fail != nil {
+		s.refuse(w, fail, f, began)
+		return
+	}
+	ctx, span := otel.Tracer(tracer).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
+	defer span.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.finish(ctx, f.run(ctx))
+}
+
+// accept reads and checks a request; nothing has run when it fails.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Time) (*flow, *failure) {
+	table := s.tables.Current()
+	if table == nil {
+		return nil, &failure{status: http.StatusServiceUnavailable, wait: waitUnknown, reason: "no configuration is known yet"}
+	}
+	req, err := s.dialect.ReadRequest(r)
+	if err != nil {
+		return nil, &failure{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	f := &flow{server: s, w: w, req: req, began: began, version: table.Routing().Version, tried: map[string]bool{}, after: req.After}
+	f.route = table.Match(req.Host, req.Path)
+	if f.route == nil {
+		return f, &failure{status: http.StatusNotFound, reason: "no route has the host and path"}
+	}
+	if fail := f.authorize(table); fail != nil {
+		return f, fail
+	}
+	if fail := f.readBody(r, table.Routing().Limits.BodyBytes); fail != nil {
+		return f, fail
+	}
+	f.choosePool(table)
+	f.bound()
+	return f, nil
+}
+
+func (f *flow) authorize(table *Table) *failure {
+	f.priority = f.route.Priority
+	owner := table.Owner(f.req.Key)
+	if owner != nil {
+		f.workspace = owner.Name
+		if owner.Priority != nil {
+			f.priority = *owner.Priority
+		}
+		return nil
+	}
+	if f.route.Public || !table.Keyed() {
+		return nil
+	}
+	return &failure{status: http.StatusUnauthorized, reason: "no workspace holds the key"}
+}
+
+func (f *flow) readBody(r *http.Request, most int64) *failure {
+	control := http.NewResponseController(f.w)
+	if err := control.SetReadDeadline(f.server.clock.Now().Add(bodyWait)); err != nil {
+		f.server.log.Debug("no deadline can be set on a body", "request", f.req.ID, "error", err)
+	}
+	body := r.Body
+	if most > 0 {
+		body = http.MaxBytesReader(f.w, r.Body, most)
+	}
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the configuration allows"}
+	case err != nil:
+		return &failure{status: http.StatusRequestTimeout, reason: "the body did not arrive: " + err.Error()}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		f.server.log.Debug("a deadline cannot be removed", "request", f.req.ID, "error", err)
+	}
+	f.req.Body = data
+	return nil
+}
+
+// choosePool picks a pool by the route's weights; the request's id decides, so that a choice can be repeated.
+func (f *flow) choosePool(table *Table) {
+	split := f.route.Split
+	sum := 0.0
+	for _, s := range split {
+		sum += s.Weight
+	}
+	point := float64(xxhash.Sum64String(f.req.ID)%10_000) / 10_000 * sum
+	for _, s := range split {
+		f.pool = s.Pool
+		if point -= s.Weight; point < 0 {
+			break
+		}
+	}
+	f.spec = table.Routing().Pools[f.pool]
+}
+
+func (f *flow) bound() {
+	wait := noTimeout
+	if f.req.Wait > 0 {
+		wait = min(wait, f.req.Wait)
+	}
+	if f.route.Timeout > 0 {
+		wait = min(wait, f.route.Timeout)
+	}
+	f.end = f.began.Add(wait - answerMargin)
+	f.due = f.end
+	if f.route.Goal > 0 {
+		f.due = f.began.Add(min(wait, f.route.Goal))
+	}
+}
+
+func (f *flow) left() time.Duration { return f.end.Sub(f.server.clock.Now()) }
+
+// run has the stages done and then the request itself; nil means that the whole answer went out.
+func (f *flow) run(ctx context.Context) *failure {
+	f.server.counts.asked.Add(1)
+	if f.spec == nil {
+		return f.notRun(waitUnknown, "the configuration has no pool "+f.pool)
+	}
+	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
+	defer f.freeAll()
+	for rebuilt := 0; ; rebuilt++ {
+		if fail := f.runStages(ctx); fail != nil {
+			return fail
+		}
+		fail, lost := f.runSelf(ctx)
+		if !lost || rebuilt >= stageRebuilds {
+			return fail
+		}
+		f.note("inputs are made anew", "rebuilt", rebuilt+1)
+		f.freeAll()
+	}
+}
+
+// notRun is the refusal of a request that no target has run or will run.
+func (f *flow) notRun(wait time.Duration, reason string) *failure {
+	if f.runs > 0 {
+		return &failure{status: http.StatusBadGateway, reason: reason}
+	}
+	return &failure{status: http.StatusServiceUnavailable, wait: wait, reason: reason}
+}
+
+func (f *flow) note(message string, pairs ...any) {
+	f.server.log.Info(message, append([]any{"request", f.req.ID}, pairs...)...)
+}
+
+// finish gives the final answer and logs how the request ended.
+func (f *flow) finish(ctx context.Context, fail *failure) {
+	s := f.server
+	now := s.clock.Now()
+	if fail == nil {
+		s.counts.delivered(now.Sub(f.began), !now.After(f.due))
+		s.log.Debug("request delivered", f.facts(now)...)
+		return
+	}
+	if ctx.Err() != nil {
+		s.counts.left.Add(1)
+		s.log.Info("caller left", append(f.facts(now), "reason", fail.reason)...)
+		panic(http.ErrAbortHandler)
+	}
+	if f.committed {
+		s.counts.broken.Add(1)
+		s.log.Warn("stream broken off", append(f.facts(now), "reason", fail.reason)...)
+		panic(http.ErrAbortHandler)
+	}
+	s.refuse(f.w, fail, f, f.began)
+}
+
+func (f *flow) facts(now time.Time) []any {
+	return []any{
+		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.version, "targets", f.server.fleet.Version(),
+		"took", now.Sub(f.began), "goal", f.route.Goal, "sent", f.sent, "runs", f.runs,
+	}
+}
+
+func (s *Server) refuse(w http.ResponseWriter, fail *failure, f *flow, began time.Time) {
+	s.counts.refused(fail.status)
+	now := s.clock.Now()
+	facts := []any{"status", fail.status, "reason", fail.reason, "comeBack", fail.wait}
+	if f != nil && f.route != nil {
+		facts = append(facts, f.facts(now)...)
+	} else if f != nil {
+		facts = append(facts, "request", f.req.ID, "routing", f.version, "took", now.Sub(began))
+	}
+	s.log.Info("request refused", facts...)
+	if fail.wait > 0 {
+		s.dialect.Refuse(w.Header(), fail.wait)
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(fail.status)
+}
--- /dev/null
+++ b/relay/stages.go
@@ -0,0 +1,228 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"emberlead/proto"
+)
+
+const (
+	// stageRebuilds is how often a request's stages are done anew after a result was lost.
+	stageRebuilds = 2
+	// runEstimate is about how long an engine takes to its first event: the sites state 64 ms and 5 ms, and some
+	// 3,000 tokens take 100 ms to read; the rest is waiting beside other prompts.
+	runEstimate = 300 * time.Millisecond
+	// stageFill is the part of a full call's pieces that a stage's expected length counts.
+	stageFill = 0.7
+)
+
+// stageResult is what is known of one stage of a request.
+type stageResult struct {
+	asked, done, freed bool
+	handles            []string
+	zone               string
+	bytes              int
+}
+
+type stageEnd struct {
+	stage  int
+	answer proto.PiecesAnswer
+}
+
+func (f *flow) pieces(stage int) int {
+	if stage >= len(f.req.Pieces) {
+		return 0
+	}
+	return f.req.Pieces[stage]
+}
+
+// runStages has all stages done that the request does not leave out, each as soon as those before it are.
+func (f *flow) runStages(ctx context.Context) *failure {
+	f.handles, f.zone = nil, ""
+	stages := f.route.Stages
+	f.inputs = make([]stageResult, len(stages))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan stageEnd, len(stages))
+	open := f.startStages(ctx, ends)
+	for open > 0 {
+		e := <-ends
+		open--
+		if e.answer.Fate != proto.PiecesDone {
+			cancel()
+			f.drain(ends, open)
+			return f.stageFailed(e)
+		}
+		r := &f.inputs[e.stage]
+		r.done, r.handles, r.zone = true, e.answer.Handles, e.answer.Zone
+		r.bytes = stages[e.stage].Bytes * len(r.handles)
+		f.freeUsed()
+		open += f.startStages(ctx, ends)
+	}
+	f.collectInputs()
+	return nil
+}
+
+// drain takes in what the other stages still give, so that their results are freed with the rest.
+func (f *flow) drain(ends chan stageEnd, open int) {
+	for ; open > 0; open-- {
+		e := <-ends
+		if e.answer.Fate == proto.PiecesDone {
+			f.inputs[e.stage].done, f.inputs[e.stage].handles = true, e.answer.Handles
+		}
+	}
+}
+
+func (f *flow) stageFailed(e stageEnd) *failure {
+	pool := f.route.Stages[e.stage].Pool
+	f.note("a stage failed", "stage", e.stage, "pool", pool, "fate", e.answer.Fate, "wait", e.answer.Wait, "detail", e.answer.Detail)
+	return f.notRun(max(retryFloor, e.answer.Wait), "stage "+pool+": "+e.answer.Detail)
+}
+
+// startStages starts the stages whose needs are met and returns how many.
+func (f *flow) startStages(ctx context.Context, ends chan stageEnd) int {
+	started := 0
+	first := !f.anyDone()
+	for i := range f.route.Stages {
+		if f.inputs[i].asked || f.pieces(i) == 0 || !f.needsMet(i) {
+			continue
+		}
+		f.inputs[i].asked = true
+		started++
+		ask := f.askFor(i, first)
+		due := f.due.Add(-f.restAfter(i))
+		go func() { ends <- stageEnd{i, f.server.pieces.Ask(ctx, ask, due, f.end.Add(-runEstimate/2))} }()
+	}
+	return started
+}
+
+func (f *flow) anyDone() bool {
+	for i := range f.inputs {
+		if f.inputs[i].done {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *flow) needsMet(stage int) bool {
+	for _, before := range f.route.Stages[stage].After {
+		if f.pieces(before) > 0 && !f.inputs[before].done {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *flow) askFor(stage int, first bool) proto.PiecesAsk {
+	spec := &f.route.Stages[stage]
+	ask := proto.PiecesAsk{
+		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Priority: f.priority,
+		Bytes: spec.Bytes, First: first,
+	}
+	bulk := 0
+	for _, before := range spec.After {
+		r := &f.inputs[before]
+		ask.Inputs = append(ask.Inputs, r.handles...)
+		if r.bytes > bulk {
+			bulk, ask.Zone = r.bytes, r.zone
+		}
+	}
+	if bulk*ask.Pieces < bulkInputs {
+		ask.Zone = ""
+	}
+	if len(spec.After) == 0 {
+		ask.Key = f.req.PieceKey
+	}
+	return ask
+}
+
+// restAfter is the expected time from the end of a stage to the first event of the answer.
+func (f *flow) restAfter(stage int) time.Duration {
+	longest := time.Duration(0)
+	for i := range f.route.Stages {
+		if f.pieces(i) == 0 || !contains(f.route.Stages[i].After, stage) {
+			continue
+		}
+		longest = max(longest, f.stageLength(i)+f.restAfter(i))
+	}
+	if longest == 0 {
+		return runEstimate
+	}
+	return longest
+}
+
+func (f *flow) stageLength(stage int) time.Duration {
+	table := f.server.tables.Current()
+	spec := table.Routing().Pools[f.route.Stages[stage].Pool]
+	if spec == nil || spec.Batch == nil {
+		return 0
+	}
+	return spec.Batch.CallCost + time.Duration(stageFill*float64(spec.Batch.Most)*float64(spec.Batch.PieceCost))
+}
+
+func contains(list []int, value int) bool {
+	for _, v := range list {
+		if v == value {
+			return true
+		}
+	}
+	return false
+}
+
+// last tells whether no stage that is done needs the results of this one.
+func (f *flow) last(stage int) bool {
+	for i := range f.route.Stages {
+		if f.pieces(i) > 0 && contains(f.route.Stages[i].After, stage) {
+			return false
+		}
+	}
+	return true
+}
+
+// collectInputs takes the results that the request itself needs, and the zone where most of their bytes lie.
+func (f *flow) collectInputs() {
+	most := 0
+	for i := range f.inputs {
+		if !f.inputs[i].done || !f.last(i) {
+			continue
+		}
+		f.handles = append(f.handles, f.inputs[i].handles...)
+		if f.inputs[i].bytes >= bulkInputs && f.inputs[i].bytes > most {
+			most, f.zone = f.inputs[i].bytes, f.inputs[i].zone
+		}
+	}
+}
+
+// freeUsed frees the results of stages whose every reader is done.
+func (f *flow) freeUsed() {
+	for i := range f.inputs {
+		if !f.inputs[i].done || f.inputs[i].freed || f.last(i) {
+			continue
+		}
+		used := true
+		for j := range f.route.Stages {
+			if f.pieces(j) > 0 && contains(f.route.Stages[j].After, i) && !f.inputs[j].done {
+				used = false
+			}
+		}
+		if used {
+			f.free(i)
+		}
+	}
+}
+
+func (f *flow) free(stage int) {
+	f.inputs[stage].freed = true
+	f.server.pieces.Free(f.route.Stages[stage].Pool, f.inputs[stage].handles)
+}
+
+// freeAll frees all results that are left, once the request has read its inputs or has ended.
+func (f *flow) freeAll() {
+	for i := range f.inputs {
+		if f.inputs[i].done && !f.inputs[i].freed {
+			f.free(i)
+		}
+	}
+}
--- /dev/null
+++ b/serve/logsink.go
@@ -0,0 +1,68 @@
+package serve
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// logLines is how many lines may wait for the reader of the log: some seconds of a busy daemon.
+	logLines = 4096
+	// logReport is how often dropped lines are reported.
+	logReport = time.Second
+)
+
+// LogSink writes log lines without ever holding up who logs: when the reader is slow, lines are dropped and counted.
+type LogSink struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	total   atomic.Int64
+	done    chan struct{}
+}
+
+// NewLogSink returns a sink that writes to out from a goroutine of its own.
+func NewLogSink(out io.Writer) *LogSink {
+	s := &LogSink{lines: make(chan []byte, logLines), done: make(chan struct{})}
+	go s.run(out)
+	return s
+}
+
+// Write queues one line; it never fails and never blocks.
+func (s *LogSink) Write(p []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), p...):
+	default:
+		s.dropped.Add(1)
+		s.total.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped returns the number of lines dropped since the start.
+func (s *LogSink) Dropped() int64 { return s.total.Load() }
+
+// Close waits for the lines that are queued, but no longer than a moment.
+func (s *LogSink) Close(wait time.Duration) {
+	close(s.lines)
+	select {
+	case <-s.done:
+	case <-time.After(wait):
+	}
+}
+
+func (s *LogSink) run(out io.Writer) {
+	defer close(s.done)
+	reported := time.Now()
+	for line := range s.lines {
+		// Nobody could be told of a log that cannot be written.
+		_, _ = out.Write(line)
+		if now := time.Now(); now.Sub(reported) > logReport {
+			reported = now
+			if n := s.dropped.Swap(0); n > 0 {
+				_, _ = fmt.Fprintf(out, "{\"@level\":\"warn\",\"@message\":\"log lines were dropped\",\"lines\":%d}\n", n)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/serve/relay.go
@@ -0,0 +1,359 @@
+package serve
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+
+	"emberlead/coord"
+	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/relay"
+	"emberlead/wire"
+)
+
+const (
+	// memoryShare is the part of a VM's memory that the garbage collector aims to stay below.
+	memoryShare = 0.6
+	// collectPercent lets the heap double twice before it is collected, since the live heap is a few megabytes.
+	collectPercent = 300
+	// openPerMB bounds open requests by memory: each has some tens of kilobytes at most.
+	openPerMB = 5
+	// unreadyLeast is how long a stopping daemon goes on taking requests: the balancer asks every second and takes a
+	// daemon out after two misses.
+	unreadyLeast = 3500 * time.Millisecond
+	// stopMargin is how long before the kill a stopping daemon has ended.
+	stopMargin = 500 * time.Millisecond
+	// sweepEvery is how often lapsed targets and resting connections are looked at.
+	sweepEvery = 200 * time.Millisecond
+	// settingsEvery is how often the settings file is looked at, since it may change without a signal.
+	settingsEvery = 2 * time.Second
+	// headWait bounds the reading of a request's head before a configuration states it.
+	headWait = 3 * time.Second
+	// idleWait is how long callers' connections may rest before a configuration states it.
+	idleWait = 15 * time.Second
+	// headMost bounds a request's head before a configuration states it, in bytes.
+	headMost = 16 << 10
+)
+
+// Relay is a daemon that passes requests on to targets on a platform that keeps the configuration.
+type Relay struct {
+	settings platform.Settings
+	clock    clockwork.Clock
+	log      hclog.Logger
+	sink     *LogSink
+	self     proto.Alive
+
+	store    *platform.Store
+	tables   *relay.Tables
+	fleet    *relay.Fleet
+	exchange *wire.Exchange
+	pieces   *relay.Pieces
+	server   *relay.Server
+	peers    *relayPeers
+	docs     documents
+
+	targetsKnown atomic.Bool
+	stopping     atomic.Bool
+}
+
+// NewRelay returns a daemon that does nothing yet.
+func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink) *Relay {
+	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store)}
+	d.docs.targets = map[string][]byte{}
+	d.self = proto.Alive{
+		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.Peers,
+		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Count: 1,
+	}
+	d.exchange = wire.NewExchange(clock)
+	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) })
+	d.newPeers()
+	dialect := platform.Dialect{}
+	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables)
+	d.server = relay.NewServer(relay.ServerConfig{
+		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.exchange, Fleet: d.fleet, Tables: d.tables,
+		Pieces: d.pieces, Peers: d.peers, Zone: settings.Zone,
+		Budget: relay.BudgetTerms{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
+		Limits: relay.Limits{Open: max(64, settings.MemoryBytes/1_000_000*openPerMB)},
+	})
+	return d
+}
+
+func (d *Relay) newPeers() {
+	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, seeds: map[proto.VM]proto.Alive{}, newer: map[proto.VM]time.Time{}}
+	for _, seed := range d.settings.Seeds {
+		if seed != d.self.Peer {
+			d.peers.seeds[proto.VM("seed "+seed.String())] = proto.Alive{Peer: seed}
+		}
+	}
+	d.peers.links = wire.NewLinks(wire.LinksConfig{
+		// The platform gives no secret; the store's address keeps daemons of two deployments apart.
+		Self: d.self.VM, Key: d.settings.Store.String(), Log: d.log.Named("links"),
+		Resolve: d.peers.resolve, Handle: d.handle,
+	})
+	d.peers.members = coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), d.peers.links, d.heartbeat)
+}
+
+func (d *Relay) heartbeat() proto.Heartbeat {
+	return proto.Heartbeat{
+		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.docs.changed.Load(),
+	}
+}
+
+// handle takes in a message of another daemon.
+func (d *Relay) handle(ctx context.Context, from proto.VM, m proto.Message) proto.Message {
+	now := d.clock.Now()
+	switch msg := m.(type) {
+	case proto.Heartbeat:
+		d.peers.members.Heartbeat(now, from, msg)
+		newer := msg.Routing > d.tables.Version() || msg.Targets > d.docs.changed.Load()
+		if d.peers.sawNewer(from, newer) {
+			go d.pull(from)
+		}
+	case proto.Alive:
+		d.peers.members.Alive(now, msg, from)
+	case proto.Alarm:
+		d.peers.members.Alarm(now, msg, from)
+	case proto.RoutingAsk:
+		return d.answerAsk(msg)
+	case proto.PiecesAsk:
+		return d.pieces.Work(ctx, msg, now.Add(msg.Due), now.Add(msg.Left))
+	case proto.PiecesDrop:
+		d.pieces.Drop(msg)
+	}
+	return proto.Done{}
+}
+
+// Ready tells the balancer whether to send requests, and else why not.
+func (d *Relay) Ready() (ok bool, reason string) {
+	switch {
+	case d.stopping.Load():
+		return false, "stopping"
+	case d.tables.Current() == nil:
+		return false, "no configuration is known yet"
+	case !d.targetsKnown.Load():
+		return false, "no targets are known yet"
+	}
+	return true, ""
+}
+
+// pause waits, or returns early when the context ends.
+func (d *Relay) pause(ctx context.Context, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	select {
+	case <-d.clock.After(length):
+	case <-ctx.Done():
+	}
+}
+
+// Run serves until the platform asks the process to stop, and then stops in order.
+func (d *Relay) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(d.settings.MemoryBytes)))
+	debug.SetGCPercent(collectPercent)
+	d.log.Info("starting", "version", Version, "incarnation", d.self.Incarnation, "zone", d.self.Zone, "callers", d.settings.Callers,
+		"health", d.settings.Health, "peers", d.settings.Peers, "metrics", d.settings.Metrics, "store", d.settings.Store,
+		"seeds", len(d.settings.Seeds), "memory", d.settings.MemoryBytes, "openMost", max(64, d.settings.MemoryBytes/1_000_000*openPerMB))
+	var g run.Group
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := d.addRelayServers(&g); err != nil {
+		return err
+	}
+	d.addRelayLoops(work, cancel, &g)
+	g.Add(func() error {
+		<-ctx.Done()
+		d.stop(work)
+		return nil
+	}, func(error) { cancel() })
+	err := g.Run()
+	d.peers.links.Close()
+	d.log.Info("stopped", "open", d.server.Open(), "error", err)
+	return err
+}
+
+func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
+	routing := &watcher{daemon: d, name: "routing", table: d.store.Routing(), whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) }}
+	targets := &watcher{daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, whole: d.targetsWhole, change: d.targetsChanged}
+	for _, loop := range []func(context.Context){
+		routing.run, targets.run, d.list, d.watchSettings,
+		d.every(peerTick, func() {
+			d.peers.members.Tick(d.clock.Now())
+			d.peers.meet()
+		}),
+		d.every(sweepEvery, func() {
+			d.noteFleet(d.fleet.Version(), d.fleet.Sweep(d.clock.Now()), "time")
+			d.exchange.Sweep()
+		}),
+	} {
+		g.Add(func() error {
+			loop(ctx)
+			return nil
+		}, func(error) { cancel() })
+	}
+}
+
+func (d *Relay) every(length time.Duration, fn func()) func(context.Context) {
+	return func(ctx context.Context) {
+		ticker := d.clock.NewTicker(length)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.Chan():
+				fn()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// watchSettings reads the settings again on SIGHUP and now and then.
+func (d *Relay) watchSettings(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		cause := "time"
+		select {
+		case <-hangup:
+			cause = "signal"
+		case <-d.clock.After(settingsEvery):
+		case <-ctx.Done():
+			return
+		}
+		d.reload(cause)
+	}
+}
+
+// reload takes over what may change while the daemon runs: the seeds.
+func (d *Relay) reload(cause string) {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		d.log.Warn("the settings cannot be read again, the old ones stay", "cause", cause, "error", err)
+		return
+	}
+	added := d.peers.addSeeds(settings.Seeds)
+	if cause == "signal" || added > 0 {
+		d.log.Info("settings read again", "cause", cause, "newSeeds", added)
+	}
+}
+
+func (p *relayPeers) addSeeds(seeds []netip.AddrPort) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	added := 0
+	for _, seed := range seeds {
+		name := proto.VM("seed " + seed.String())
+		if _, known := p.seeds[name]; known || seed == p.self.Peer {
+			continue
+		}
+		p.seeds[name] = proto.Alive{Peer: seed}
+		added++
+	}
+	return added
+}
+
+// stop ends in order: the health check fails, other daemons take over, requests go on until none is left.
+func (d *Relay) stop(work context.Context) {
+	began := d.clock.Now()
+	d.log.Info("stopping", "open", d.server.Open())
+	d.stopping.Store(true)
+	d.server.Stop()
+	d.peers.members.Stop()
+	last := began.Add(d.settings.Grace - stopMargin)
+	for now := began; now.Before(last); now = d.clock.Now() {
+		if now.Sub(began) >= unreadyLeast && d.server.Open() == 0 {
+			break
+		}
+		d.pause(work, sweepEvery/4)
+	}
+	d.log.Info("closing", "open", d.server.Open(), "after", d.clock.Now().Sub(began))
+}
+
+func (d *Relay) addRelayServers(g *run.Group) error {
+	health := echo.New()
+	health.HideBanner, health.HidePort = true, true
+	health.GET(platform.HealthPath, func(c echo.Context) error {
+		if ok, reason := d.Ready(); !ok {
+			return c.String(http.StatusServiceUnavailable, reason+"\n")
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	metrics := echo.New()
+	metrics.HideBanner, metrics.HidePort = true, true
+	metrics.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	d.publishRelay()
+	for _, s := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		// Callers' methods and paths are passed on as they are, so no router comes before the relay.
+		{d.settings.Callers, d.server},
+		{d.settings.Health, health},
+		{d.settings.Peers, d.peers.links.Handler()},
+		{d.settings.Metrics, metrics},
+	} {
+		if err := d.addRelayServer(g, s.address, s.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Relay) addRelayServer(g *run.Group, address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: headMost,
+		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	g.Add(func() error { return server.Serve(listener) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+		defer cancel()
+		wire.Shutdown(ctx, server)
+	})
+	return nil
+}
+
+// RelayVars are the measures of a relaying daemon at /debug/vars.
+type RelayVars struct {
+	Requests relay.CountReport   `json:"requests"`
+	Pieces   relay.PieceCounts   `json:"pieces"`
+	Targets  wire.ExchangeCounts `json:"targetConnections"`
+	Links    wire.LinkCounts     `json:"links"`
+	Members  coord.MemberCounts  `json:"members"`
+	Routing  uint64              `json:"routing"`
+	Fleet    uint64              `json:"fleet"`
+	Open     int64               `json:"openRequests"`
+	Reads    int64               `json:"storeReads"`
+	Writes   int64               `json:"storeWrites"`
+	Dropped  int64               `json:"logLinesDropped"`
+}
+
+func (d *Relay) publishRelay() {
+	wire.PublishVars(d.settings.VM, func() any {
+		reads, writes := d.store.Counts()
+		return RelayVars{
+			Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
+			Members: d.peers.members.Counts(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
+			Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
+		}
+	})
+}
--- /dev/null
+++ b/serve/relaypeers.go
@@ -0,0 +1,123 @@
+package serve
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/coord"
+	"emberlead/proto"
+	"emberlead/wire"
+)
+
+const (
+	// peerHeartbeat is how often daemons hear of each other. Work that waits for a silent daemon is late by its
+	// silence, so this is a fraction of the shortest goal of a request with stages.
+	peerHeartbeat = 250 * time.Millisecond
+	// peerSilence is how long a link may be silent: two lost heartbeats and a delay.
+	peerSilence = 800 * time.Millisecond
+	// peerPause is how late a daemon's own tick may be before it holds itself to have been paused.
+	peerPause = 600 * time.Millisecond
+	// peerTick is how often links are looked at.
+	peerTick = 100 * time.Millisecond
+	// peerForget is how long a dead daemon stays known.
+	peerForget = 2 * time.Minute
+	// pullAfter is how long another daemon may have newer state before it is asked for it: the own watch of the store
+	// shows the same within some milliseconds, unless the store does not answer this daemon.
+	pullAfter = 250 * time.Millisecond
+	// pullWait bounds the asking.
+	pullWait = time.Second
+)
+
+func peerTiming() coord.MemberTiming {
+	return coord.MemberTiming{Heartbeat: peerHeartbeat, Silence: peerSilence, Pause: peerPause, Lag: peerForget, Forget: peerForget}
+}
+
+// relayPeers are the other daemons as the relay sees them.
+type relayPeers struct {
+	clock   clockwork.Clock
+	log     hclog.Logger
+	self    proto.Alive
+	members *coord.Members
+	links   *wire.Links
+
+	mu sync.Mutex
+	// seeds are addresses of daemons whose names are not known yet, under names made from the addresses.
+	seeds map[proto.VM]proto.Alive
+	// newer is since when another daemon's heartbeats show newer state.
+	newer map[proto.VM]time.Time
+}
+
+func (p *relayPeers) resolve(vm proto.VM) (proto.Alive, bool) {
+	p.mu.Lock()
+	seed, ok := p.seeds[vm]
+	p.mu.Unlock()
+	if ok {
+		return seed, true
+	}
+	return p.members.Address(vm)
+}
+
+// Owner returns the daemon that batches for a pool.
+func (p *relayPeers) Owner(pool string, skip map[proto.VM]bool) proto.VM {
+	now := p.clock.Now()
+	return p.members.Owner("batch/"+pool, func(vm proto.VM) bool {
+		return skip[vm] || vm != p.self.VM && p.members.Silent(now, vm, peerSilence)
+	})
+}
+
+// Silent tells whether a daemon has not been heard for longer than a live one is silent.
+func (p *relayPeers) Silent(vm proto.VM) bool { return p.members.Silent(p.clock.Now(), vm, peerSilence) }
+
+// Count returns the number of live daemons, this one included.
+func (p *relayPeers) Count() int { return len(p.members.Live()) }
+
+// Send queues a message.
+func (p *relayPeers) Send(to proto.VM, m proto.Message) { p.links.Send(to, m) }
+
+// Call sends a message and waits for its answer.
+func (p *relayPeers) Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
+	return p.links.Call(ctx, to, m)
+}
+
+// meet announces this daemon to the seeds while it knows nobody else, and to a daemon that the store lists.
+func (p *relayPeers) meet() {
+	if p.Count() > 1 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm := range p.seeds {
+		p.links.Send(vm, p.announcement())
+	}
+}
+
+// announcement is the daemon's own word on itself, of its first count so that later ones replace it.
+func (p *relayPeers) announcement() proto.Alive {
+	alive, _ := p.members.Address(p.self.VM)
+	return alive
+}
+
+// sawNewer notes a heartbeat's versions and tells whether to ask the sender now.
+func (p *relayPeers) sawNewer(from proto.VM, isNewer bool) bool {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !isNewer {
+		delete(p.newer, from)
+		return false
+	}
+	since, ok := p.newer[from]
+	if !ok {
+		p.newer[from] = now
+		return false
+	}
+	if now.Sub(since) < pullAfter {
+		return false
+	}
+	p.newer[from] = now
+	return true
+}
--- /dev/null
+++ b/serve/relaywatch.go
@@ -0,0 +1,306 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/relay"
+)
+
+const (
+	// watchWait is how long the store holds a watch without news. Each call is priced, and a watch that hangs is
+	// noticed only after it.
+	watchWait = 5 * time.Second
+	// watchSlack is how much later than that an answer may come; the store may be slow by a factor of some tens.
+	watchSlack = 1500 * time.Millisecond
+	// readWait bounds a single read of the store.
+	readWait = 1500 * time.Millisecond
+	// watchPace is the least time between two watches of the targets, so that many small changes come together;
+	// a target that leaves must be known well within two seconds.
+	watchPace = 250 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a call that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// listEvery is how often the daemons' table is read, for daemons that no other knows.
+	listEvery = 20 * time.Second
+)
+
+// watcher keeps up with one table of the store.
+type watcher struct {
+	daemon *Relay
+	name   string
+	table  platform.Table
+	pace   time.Duration
+	// whole takes in all rows and reports whether they were new enough; change takes in rows that changed.
+	whole  func(platform.Entries) bool
+	change func(platform.Entries)
+
+	up bool
+}
+
+// run reads the table whole and then watches it, until the context ends.
+func (w *watcher) run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
+	version := uint64(0)
+	for ctx.Err() == nil {
+		next, err := w.step(ctx, version)
+		w.note(err)
+		if err != nil {
+			if proto.KindOf(err) == proto.KindNotFound {
+				version = 0
+			}
+			w.daemon.pause(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		if next > version {
+			version = next
+		}
+	}
+}
+
+// step makes one call and returns the version to go on from.
+func (w *watcher) step(ctx context.Context, version uint64) (uint64, error) {
+	if version == 0 {
+		ctx, cancel := context.WithTimeout(ctx, readWait)
+		defer cancel()
+		all, err := w.table.Read(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if !w.whole(all) {
+			return 0, fault("read "+w.name, proto.KindUnavailable, "the store's answer is older than what is known")
+		}
+		return all.Version, nil
+	}
+	w.daemon.pause(ctx, w.pace)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changed, err := w.table.Watch(ctx, version, watchWait)
+	if err != nil {
+		return version, err
+	}
+	if len(changed.List) > 0 {
+		w.change(changed)
+	}
+	return changed.Version, nil
+}
+
+// note logs when the store is lost or regained, and tells the fleet.
+func (w *watcher) note(err error) {
+	now := w.daemon.clock.Now()
+	lost := err != nil && proto.KindOf(err) != proto.KindNotFound
+	if lost {
+		w.daemon.fleet.StoreAway(now)
+	} else {
+		w.daemon.fleet.StoreBack(now)
+	}
+	switch {
+	case err != nil && w.up:
+		w.daemon.log.Warn("store lost", "table", w.name, "error", err)
+	case err == nil && !w.up:
+		w.daemon.log.Info("store reached", "table", w.name)
+	}
+	w.up = err == nil
+}
+
+// documents keeps the platform's own form of what is in force, for daemons that the store does not answer.
+type documents struct {
+	mu      sync.Mutex
+	routing []byte
+	targets map[string][]byte
+	// changed is the version of the last change of a target that mattered.
+	changed atomic.Uint64
+}
+
+func (d *Relay) routingEntries(e platform.Entries) bool {
+	for i := range e.List {
+		if e.List[i].IsRouting() && !e.List[i].Removed {
+			d.adoptRouting(e.List[i].Body, "store")
+		}
+	}
+	return true
+}
+
+func (d *Relay) adoptRouting(body []byte, from string) {
+	r, err := platform.ReadRouting(body)
+	if err != nil {
+		d.log.Error("a configuration cannot be read", "from", from, "error", err)
+		return
+	}
+	old := d.tables.Version()
+	if !d.tables.Adopt(r) {
+		d.log.Debug("configuration ignored", "from", from, "version", r.Version, "inForce", old)
+		return
+	}
+	d.docs.mu.Lock()
+	if r.Version == d.tables.Version() {
+		d.docs.routing = body
+	}
+	d.docs.mu.Unlock()
+	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", old, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces))
+	d.peers.members.Beat(d.clock.Now())
+}
+
+func (d *Relay) targetsWhole(e platform.Entries) bool {
+	if e.Version < d.fleet.Version() {
+		return false
+	}
+	var targets []proto.RelayTarget
+	kept := map[string][]byte{}
+	for _, entry := range e.List {
+		t, err := platform.ReadTarget(entry.Key, entry.Body)
+		if err != nil {
+			d.log.Error("a target's entry cannot be read", "target", entry.Key, "error", err)
+			continue
+		}
+		targets = append(targets, t)
+		kept[entry.Key] = entry.Body
+	}
+	d.docs.mu.Lock()
+	d.docs.targets = kept
+	d.docs.mu.Unlock()
+	d.noteFleet(e.Version, d.fleet.Replace(d.clock.Now(), e.Version, targets), "store")
+	d.targetsKnown.Store(true)
+	return true
+}
+
+func (d *Relay) targetsChanged(e platform.Entries) {
+	var changes []relay.FleetChange
+	d.docs.mu.Lock()
+	for _, entry := range e.List {
+		if entry.Removed {
+			delete(d.docs.targets, entry.Key)
+			changes = append(changes, relay.FleetChange{ID: entry.Key, Removed: true})
+			continue
+		}
+		t, err := platform.ReadTarget(entry.Key, entry.Body)
+		if err != nil {
+			d.log.Error("a target's entry cannot be read", "target", entry.Key, "error", err)
+			continue
+		}
+		d.docs.targets[entry.Key] = entry.Body
+		changes = append(changes, relay.FleetChange{ID: entry.Key, Target: t})
+	}
+	d.docs.mu.Unlock()
+	d.noteFleet(e.Version, d.fleet.Change(d.clock.Now(), e.Version, changes), "store")
+}
+
+func (d *Relay) noteFleet(version uint64, notes []relay.FleetNote, from string) {
+	for _, n := range notes {
+		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "version", version, "from", from)
+	}
+	if len(notes) > 0 {
+		d.docs.changed.Store(max(version, d.docs.changed.Load()))
+		d.peers.members.Beat(d.clock.Now())
+	}
+}
+
+// answerAsk gives another daemon what it lacks.
+func (d *Relay) answerAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
+	d.docs.mu.Lock()
+	defer d.docs.mu.Unlock()
+	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.docs.changed.Load()}
+	if a.Routing > ask.Routing {
+		a.RoutingBody = d.docs.routing
+	}
+	if a.Targets > ask.Targets {
+		a.TargetsAreSent = true
+		a.Targets = d.fleet.Version()
+		for id, body := range d.docs.targets {
+			a.TargetEntries = append(a.TargetEntries, proto.TargetDocument{ID: id, Body: body})
+		}
+	}
+	return a
+}
+
+// pull asks another daemon for what it has newer.
+func (d *Relay) pull(from proto.VM) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
+	defer cancel()
+	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.docs.changed.Load()})
+	a, ok := m.(proto.RoutingAnswer)
+	if err != nil || !ok {
+		d.log.Debug("another daemon gave nothing newer", "from", from, "error", err)
+		return
+	}
+	if len(a.RoutingBody) > 0 {
+		d.adoptRouting(a.RoutingBody, string(from))
+	}
+	if !a.TargetsAreSent {
+		return
+	}
+	e := platform.Entries{Version: a.Targets}
+	for _, t := range a.TargetEntries {
+		e.List = append(e.List, platform.Entry{Key: t.ID, Body: t.Body})
+	}
+	d.log.Info("list of targets taken from another daemon", "from", from, "version", a.Targets, "targets", len(e.List))
+	d.targetsWhole(e)
+	d.docs.changed.Store(max(a.Targets, d.docs.changed.Load()))
+}
+
+// daemonRow is what a daemon says of itself in the store, for daemons that start when all seeds are gone.
+type daemonRow struct {
+	Zone        proto.Zone        `json:"zone"`
+	Peer        netip.AddrPort    `json:"peer"`
+	Incarnation proto.Incarnation `json:"incarnation"`
+}
+
+// list writes the daemon's own row once and reads the others' now and then.
+func (d *Relay) list(ctx context.Context) {
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			written = d.writeRow(ctx)
+		}
+		wait := listEvery
+		if !d.readRows(ctx) || !written {
+			wait = retryMost
+		}
+		d.pause(ctx, wait)
+	}
+}
+
+func (d *Relay) writeRow(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	body, err := json.Marshal(daemonRow{Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.self.Incarnation})
+	if err == nil {
+		err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
+	}
+	if err != nil {
+		d.log.Debug("the own row is not written", "error", err)
+	}
+	return err == nil
+}
+
+func (d *Relay) readRows(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	rows, err := d.store.Daemons().Read(ctx)
+	if err != nil {
+		d.log.Debug("the list of daemons is not read", "error", err)
+		return false
+	}
+	now := d.clock.Now()
+	for _, entry := range rows.List {
+		var row daemonRow
+		if err := json.Unmarshal(entry.Body, &row); err != nil {
+			d.log.Warn("a daemon's row cannot be read", "vm", entry.Key, "error", err)
+			continue
+		}
+		if vm := proto.VM(entry.Key); vm != d.self.VM {
+			d.peers.members.Alive(now, proto.Alive{VM: vm, Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}, "")
+		}
+	}
+	return true
+}
