One home for each shared prompt part, engines divided by prompt length, pieces without room sent again

Ruled out: the first event, in time for all captions; the queue of stages, with no refusal for want of time. Change: a prompt part has one home over all zones, and stages prefer the zone of the home; engines are divided between routes with long and with short prompts by their share of tokens; a piece without room is queued again. What is late now are summaries: their own reading and the stage before it.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -196,6 +196,8 @@
 	PiecesFailed
 	// PiecesLate means that the time was over.
 	PiecesLate
+	// PiecesNoRoom means that the target had no room for a result.
+	PiecesNoRoom
 )
 
 // PiecesAnswer holds the handles of the results in the order of the pieces.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -142,6 +142,7 @@
 		f.copyHeader(h)
 		f.w.WriteHeader(http.StatusOK)
 		f.committed = true
+		f.first = f.server.clock.Now()
 	}
 	for len(events) > 0 {
 		event, rest := firstEvent(events)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,9 +127,9 @@
 const reasonNoTarget = "the pool has no target that may get work"
 
 func (f *flow) want() Want {
-	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens}
+	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name}
 	if f.zone != "" {
-		w.Zone, w.Inputs = f.zone, true
+		w.Zone, w.Inputs = f.zone, f.bulk
 	}
 	if n := len(f.req.Parts); n > 1 {
 		w.Part = f.req.Parts[n-2].ID
@@ -152,6 +152,7 @@
 	}
 	spec := target.Spec
 	f.tried[spec.ID] = true
+	f.target = spec.ID
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
 	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -28,6 +28,8 @@
 	costWeight = 0.1
 	// retryFloor is the least time to come back that a refusal names.
 	retryFloor = 300 * time.Millisecond
+	// roomWait is how long a target that had no room is left out: results are freed every 60 ms.
+	roomWait = 100 * time.Millisecond
 	// outBase and outMost bound how long a stage target is left out after a failed call.
 	outBase = 250 * time.Millisecond
 	outMost = 3 * time.Second
@@ -39,9 +41,10 @@
 	// Due is when the stage should end for the answer to be in time, and End when its result is of no use any more.
 	Due, End time.Time
 
-	since   time.Time
-	order   time.Time
-	next    int
+	since time.Time
+	order time.Time
+	// todo are the pieces that wait, and open is how many are at work.
+	todo    []int
 	open    int
 	tries   int
 	handles []string
@@ -50,7 +53,10 @@
 	exclude string
 }
 
-func (j *Job) left() int { return j.Ask.Pieces - j.next }
+func (j *Job) left() int { return len(j.todo) }
+
+// complete tells whether all results are there.
+func (j *Job) complete() bool { return len(j.todo) == 0 && j.open == 0 }
 
 // Call is one batch to be sent to a target.
 type Call struct {
@@ -200,6 +206,9 @@
 	j.since = now
 	j.order = j.Due.Add(time.Duration(j.Ask.Priority) * rankWait)
 	j.handles = make([]string, j.Ask.Pieces)
+	for piece := range j.Ask.Pieces {
+		j.todo = append(j.todo, piece)
+	}
 	wait := b.Wait(now, j.order)
 	finish := now.Add(wait + time.Duration(b.length(j)))
 	limit := j.End
@@ -346,9 +355,9 @@
 
 func (b *Batcher) take(t *batchTarget, c *Call, j *Job) {
 	for len(c.Items) < b.spec.Most && j.left() > 0 && b.hasRoom(t, j, 1) {
-		c.Items = append(c.Items, CallItem{Job: j, Piece: j.next})
+		c.Items = append(c.Items, CallItem{Job: j, Piece: j.todo[0]})
 		t.room += int64(j.Ask.Bytes)
-		j.next++
+		j.todo = j.todo[1:]
 		j.open++
 	}
 }
@@ -373,7 +382,7 @@
 		if r.Handle == "" {
 			b.giveBack(t, j.Ask.Bytes)
 			if !j.done {
-				ends = append(ends, b.missing(j, r.Fate)...)
+				ends = append(ends, b.missing(now, t, item, r.Fate)...)
 			}
 			continue
 		}
@@ -384,18 +393,40 @@
 		}
 		j.handles[item.Piece] = r.Handle
 		j.zone = c.Target.Zone
-		if j.left() == 0 && j.open == 0 {
+		if j.complete() {
 			ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesDone, Handles: j.handles, Zone: j.zone}))
 		}
 	}
 	return ends, unused
 }
 
-func (b *Batcher) missing(j *Job, fate proto.PieceFate) []JobEnd {
-	if fate == proto.PiecesDone {
-		fate = proto.PiecesFailed
+// missing queues a piece again that the target had no room for or failed at; without its inputs it cannot be made.
+func (b *Batcher) missing(now time.Time, t *batchTarget, item CallItem, fate proto.PieceFate) []JobEnd {
+	j := item.Job
+	switch fate {
+	case proto.PiecesLost, proto.PiecesLate:
+		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: fate, Detail: "a target could not make a piece: its input is gone or its time over"})}
+	case proto.PiecesNoRoom:
+		if t != nil {
+			// What was counted was too little; the next results that are freed make room for real.
+			t.outTo = now.Add(roomWait)
+		}
+	default:
+		j.tries++
+		j.exclude = item.maker(t)
+	}
+	if j.tries >= pieceTries {
+		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "several targets failed at a piece"})}
+	}
+	j.todo = append(j.todo, item.Piece)
+	return nil
+}
+
+func (i *CallItem) maker(t *batchTarget) string {
+	if t == nil {
+		return ""
 	}
-	return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: fate, Detail: "a target refused a piece"})}
+	return t.spec.ID
 }
 
 func (b *Batcher) finish(c *Call) *batchTarget {
@@ -462,13 +493,13 @@
 		b.leaveOut(now, t, busy)
 	}
 	var ends []JobEnd
-	seen := map[*Job]int{}
+	seen := map[*Job][]int{}
 	for _, item := range c.Items {
-		seen[item.Job]++
+		seen[item.Job] = append(seen[item.Job], item.Piece)
 		b.giveBack(t, item.Job.Ask.Bytes)
 	}
-	for j, n := range seen {
-		ends = append(ends, b.again(j, n, c.Target.ID, busy)...)
+	for j, pieces := range seen {
+		ends = append(ends, b.again(j, pieces, c.Target.ID, busy)...)
 	}
 	slices.SortFunc(ends, func(x, y JobEnd) int { return cmp.Compare(x.Job.Ask.Request, y.Job.Ask.Request) })
 	return ends
@@ -483,9 +514,9 @@
 	t.outTo = now.Add(min(outMost, outBase<<min(t.inRow, 6)))
 }
 
-// again queues all pieces of a job anew; what other calls make of it meanwhile is freed when they end.
-func (b *Batcher) again(j *Job, pieces int, target string, busy bool) []JobEnd {
-	j.open -= pieces
+// again queues the pieces of a call that failed.
+func (b *Batcher) again(j *Job, pieces []int, target string, busy bool) []JobEnd {
+	j.open -= len(pieces)
 	if j.done {
 		return nil
 	}
@@ -496,13 +527,8 @@
 		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "calls to several targets failed"})}
 	}
 	j.exclude = target
-	if j.open == 0 && j.next == j.Ask.Pieces && pieces == j.Ask.Pieces {
-		j.next = 0
-		return nil
-	}
-	// Other pieces are at work or done elsewhere: a fresh job would lose them, so the whole stage fails and is asked
-	// for again by the request's own daemon.
-	return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesLost, Detail: "a call with a part of the pieces failed"})}
+	j.todo = append(j.todo, pieces...)
+	return nil
 }
 
 // Withdraw ends a request's jobs because nobody waits for them, and returns the results that were made already.
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -18,13 +18,24 @@
 	slotCost = float64(20 * time.Millisecond)
 	// crossCost is what another availability zone adds: two ways of a millisecond, and the price of the bytes.
 	crossCost = float64(3 * time.Millisecond)
-	// inputCost is what fetching large inputs from another zone adds; the price of the bytes counts for more than
-	// the time.
-	inputCost = float64(150 * time.Millisecond)
+	// inputCost is what a megabyte of inputs from another zone adds: the price of the bytes is that of reading some
+	// 280 prompt tokens; the way itself takes a millisecond.
+	inputCost = float64(9 * time.Millisecond)
 	// othersFade is how long a reported load counts; most attempts are over after that.
 	othersFade = 2 * time.Second
-	// homes is the number of targets that hold a shared prompt part at most before others take it as well.
+	// homes is the number of targets that a shared prompt part is kept at: the second one takes what is too much
+	// for the first.
 	homes = 2
+	// secondHome is the part of a shared prompt that the second home has to read, on average.
+	secondHome = 0.6
+	// strayCost is what an engine of the other group adds: a long prompt holds up the streams beside it.
+	strayCost = float64(250 * time.Millisecond)
+	// groupLeast and groupMost bound the part of the engines that takes the routes with long prompts.
+	groupLeast, groupMost = 0.4, 0.75
+	// longRatio is how long a route's prompts must be against the average of the pool to count as long.
+	longRatio = 0.6
+	// promptHalf is the half-life of the averages of prompts; routes change within seconds in a burst.
+	promptHalf = 10 * time.Second
 )
 
 // Want describes what a target is chosen for.
@@ -35,8 +46,10 @@
 	SharedTokens, OwnTokens int
 	// Zone is the daemon's own zone, or that of large inputs.
 	Zone string
-	// Inputs says that large inputs lie in Zone.
-	Inputs bool
+	// Inputs is about how many bytes of inputs lie in Zone.
+	Inputs int
+	// Route tells apart the kinds of requests, whose prompts differ.
+	Route string
 	// Engine says that targets are model engines.
 	Engine bool
 	// Tried holds the targets that were tried before.
@@ -51,6 +64,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if w.Engine {
+		p.notePrompt(now, w)
+	}
 	best := p.best(now, w, false)
 	if best == nil {
 		best = p.best(now, w, true)
@@ -66,13 +82,14 @@
 // best returns the cheapest target; without any in good health, one that was left out is better than none.
 func (p *targetPool) best(now time.Time, w Want, any bool) *Target {
 	home := p.homesOf(now, w)
+	long := p.isLong(now, w.Route)
 	var best *Target
 	least := math.Inf(1)
 	for _, t := range p.list {
 		if t.Spec.Leaving || w.Tried[t.Spec.ID] || !any && t.health.out(now) {
 			continue
 		}
-		if c := t.cost(now, w, home[0] == t || home[1] == t); c < least {
+		if c := t.cost(now, w, home, long); c < least {
 			best, least = t, c
 		}
 	}
@@ -86,8 +103,9 @@
 	if w.Part == "" {
 		return home
 	}
+	long := p.isLong(now, w.Route)
 	for _, t := range p.list {
-		if t.Spec.Leaving || t.health.out(now) || w.Inputs && t.Spec.Zone != w.Zone {
+		if t.Spec.Leaving || t.health.out(now) || t.long != long {
 			continue
 		}
 		h := xxhash.Sum64String(w.Part + "/" + t.Spec.ID)
@@ -103,25 +121,44 @@
 	return home
 }
 
-func (t *Target) cost(now time.Time, w Want, home bool) float64 {
+// Home returns the zone of the target that a request's prompt is likely to go to, or "".
+func (f *Fleet) Home(now time.Time, pool string, w Want) string {
+	p := f.pool(pool)
+	if p == nil {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if home := p.homesOf(now, w)[0]; home != nil {
+		return home.Spec.Zone
+	}
+	return ""
+}
+
+// cost is the expected delay of an attempt, and what it costs others.
+func (t *Target) cost(now time.Time, w Want, home [homes]*Target, long bool) float64 {
 	c := t.health.cost()
 	cross := t.Spec.Zone != w.Zone
 	if cross {
-		c += crossCost
+		c += crossCost + inputCost*float64(w.Inputs)/1e6
 	}
 	others := t.othersNow(now)
 	if !w.Engine {
 		load := (float64(t.active) + others) / float64(max(1, t.Spec.Slots))
 		return c + t.pace*load*slotCost
 	}
-	if cross && w.Inputs {
-		c += inputCost
+	if t.long != long {
+		c += strayCost
 	}
-	read := w.OwnTokens + t.unread
-	if w.Part != "" && !home {
-		read += w.SharedTokens
+	read := float64(w.OwnTokens + t.unread)
+	if w.Part != "" && t != home[0] {
+		missing := 1.0
+		if t == home[1] {
+			missing = secondHome
+		}
+		read += missing * float64(w.SharedTokens)
 	}
-	return c + t.pace*(float64(read)/readRate*float64(time.Millisecond)+(float64(t.active)+others)*runCost)
+	return c + t.pace*(read/readRate*float64(time.Millisecond)+(float64(t.active)+others)*runCost)
 }
 
 func (t *Target) othersNow(now time.Time) float64 {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -31,15 +31,23 @@
 	// lapsedAt is when the entry went while the store was away; zero if it is listed.
 	lapsedAt time.Time
 	gone     bool
+	// long engines take the routes with long prompts.
+	long bool
 }
 
 type targetPool struct {
 	mu      sync.Mutex
 	targets map[string]*Target
 	list    []*Target
+	// listed counts the changes of the list, and orderedOf is that of the list in order of hash.
+	listed, orderedOf uint64
+	ordered           []*Target
+	prompts           map[string]*routePrompts
+	all               routePrompts
 }
 
 func (p *targetPool) relist() {
+	p.listed++
 	p.list = p.list[:0]
 	for _, t := range p.targets {
 		p.list = append(p.list, t)
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -299,7 +299,7 @@
 		p.failed.Add(1)
 		p.log.Warn("a call for pieces failed", "pool", w.pool, "target", c.Target.ID, "address", c.Target.Address, "pieces", len(c.Items), "took", now.Sub(c.Began), "error", err)
 	} else {
-		p.log.Debug("pieces made", "pool", w.pool, "target", c.Target.ID, "pieces", len(c.Items), "took", now.Sub(c.Began), "expected", c.Expected)
+		p.log.Info("pieces made", "pool", w.pool, "target", c.Target.ID, "pieces", len(c.Items), "took", now.Sub(c.Began), "expected", c.Expected)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/relay/server.go
+++ b/relay/server.go
@@ -129,13 +129,19 @@
 	inputs []stageResult
 	// handles are the inputs that the request itself needs, in order.
 	handles []string
-	zone    string
+	// zone is where most bytes of these lie, and bulk how many.
+	zone string
+	bulk int
 
 	// sent counts the attempts that reached a target, and runs those that may have run there.
 	sent, runs int
-	tried      map[string]bool
-	committed  bool
-	after      int
+	// target is the last target that was tried.
+	target    string
+	tried     map[string]bool
+	committed bool
+	after     int
+	// staged and first are when the stages were done and when the first event went out.
+	staged, first time.Time
 }
 
 // failure is a final answer that the daemon gives itself.
@@ -282,6 +288,7 @@
 		if fail := f.runStages(ctx); fail != nil {
 			return fail
 		}
+		f.staged = f.server.clock.Now()
 		fail, lost := f.runSelf(ctx)
 		if !lost || rebuilt >= stageRebuilds {
 			return fail
@@ -308,8 +315,8 @@
 	s := f.server
 	now := s.clock.Now()
 	if fail == nil {
-		s.counts.delivered(now.Sub(f.began), !now.After(f.due))
-		s.log.Debug("request delivered", f.facts(now)...)
+		s.counts.delivered(now.Sub(f.began), !f.answered(now).After(f.due))
+		s.log.Info("request delivered", append(f.facts(now), "inTime", !f.answered(now).After(f.due))...)
 		return
 	}
 	if ctx.Err() != nil {
@@ -328,8 +335,25 @@
 func (f *flow) facts(now time.Time) []any {
 	return []any{
 		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.version, "targets", f.server.fleet.Version(),
-		"took", now.Sub(f.began), "goal", f.route.Goal, "sent", f.sent, "runs", f.runs,
+		"took", now.Sub(f.began), "staged", since(f.began, f.staged), "first", since(f.began, f.first), "goal", f.route.Goal,
+		"sent", f.sent, "runs", f.runs, "target", f.target,
+	}
+}
+
+// since is the time between two moments, 0 if the second has not come.
+func since(from, to time.Time) time.Duration {
+	if to.IsZero() {
+		return 0
+	}
+	return to.Sub(from)
+}
+
+// answered is when a delivered answer counts as there: a stream by its first event.
+func (f *flow) answered(now time.Time) time.Time {
+	if f.first.IsZero() {
+		return now
 	}
+	return f.first
 }
 
 func (s *Server) refuse(w http.ResponseWriter, fail *failure, f *flow, began time.Time) {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -39,13 +39,14 @@
 
 // runStages has all stages done that the request does not leave out, each as soon as those before it are.
 func (f *flow) runStages(ctx context.Context) *failure {
-	f.handles, f.zone = nil, ""
+	f.handles, f.zone, f.bulk = nil, "", 0
+	home := f.server.fleet.Home(f.server.clock.Now(), f.pool, f.want())
 	stages := f.route.Stages
 	f.inputs = make([]stageResult, len(stages))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ends := make(chan stageEnd, len(stages))
-	open := f.startStages(ctx, ends)
+	open := f.startStages(ctx, ends, home)
 	for open > 0 {
 		e := <-ends
 		open--
@@ -58,7 +59,7 @@
 		r.done, r.handles, r.zone = true, e.answer.Handles, e.answer.Zone
 		r.bytes = stages[e.stage].Bytes * len(r.handles)
 		f.freeUsed()
-		open += f.startStages(ctx, ends)
+		open += f.startStages(ctx, ends, home)
 	}
 	f.collectInputs()
 	return nil
@@ -81,7 +82,7 @@
 }
 
 // startStages starts the stages whose needs are met and returns how many.
-func (f *flow) startStages(ctx context.Context, ends chan stageEnd) int {
+func (f *flow) startStages(ctx context.Context, ends chan stageEnd, home string) int {
 	started := 0
 	first := !f.anyDone()
 	for i := range f.route.Stages {
@@ -90,7 +91,7 @@
 		}
 		f.inputs[i].asked = true
 		started++
-		ask := f.askFor(i, first)
+		ask := f.askFor(i, first, home)
 		due := f.due.Add(-f.restAfter(i))
 		go func() { ends <- stageEnd{i, f.server.pieces.Ask(ctx, ask, due, f.end.Add(-runEstimate/2))} }()
 	}
@@ -115,7 +116,8 @@
 	return true
 }
 
-func (f *flow) askFor(stage int, first bool) proto.PiecesAsk {
+// askFor describes a stage; home is the zone of the target that the request will likely go to.
+func (f *flow) askFor(stage int, first bool, home string) proto.PiecesAsk {
 	spec := &f.route.Stages[stage]
 	ask := proto.PiecesAsk{
 		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Priority: f.priority,
@@ -132,6 +134,9 @@
 	if bulk*ask.Pieces < bulkInputs {
 		ask.Zone = ""
 	}
+	if ask.Zone == "" && f.last(stage) && spec.Bytes*ask.Pieces >= bulkInputs {
+		ask.Zone = home
+	}
 	if len(spec.After) == 0 {
 		ask.Key = f.req.PieceKey
 	}
@@ -190,7 +195,7 @@
 		}
 		f.handles = append(f.handles, f.inputs[i].handles...)
 		if f.inputs[i].bytes >= bulkInputs && f.inputs[i].bytes > most {
-			most, f.zone = f.inputs[i].bytes, f.inputs[i].zone
+			most, f.zone, f.bulk = f.inputs[i].bytes, f.inputs[i].zone, f.inputs[i].bytes
 		}
 	}
 }
