One daemon places the requests of a pool of engines

Cause: each daemon sees a sixth of the load, so long prompts met at one engine: 31 of 354 summaries began late, 47 more paused for too long, and sending them again after 900 ms read their prompts twice. Ruled out: load headers, which come with the head of an answer and so after the prompt is read. Change: the owner of a pool by rendezvous hashing chooses targets for all, knows what each engine was given and keeps, and weighs the harm to streams beside a long prompt; a daemon that does not reach it chooses alone.

--- a/proto/peer.go
+++ b/proto/peer.go
@@ -44,6 +44,9 @@
 	MessagePiecesAsk
 	MessagePiecesAnswer
 	MessagePiecesDrop
+	MessagePlaceAsk
+	MessagePlaceAnswer
+	MessagePlaceNote
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -311,6 +314,9 @@
 func (PiecesAsk) messageKind() MessageKind      { return MessagePiecesAsk }
 func (PiecesAnswer) messageKind() MessageKind   { return MessagePiecesAnswer }
 func (PiecesDrop) messageKind() MessageKind     { return MessagePiecesDrop }
+func (PlaceAsk) messageKind() MessageKind       { return MessagePlaceAsk }
+func (PlaceAnswer) messageKind() MessageKind    { return MessagePlaceAnswer }
+func (PlaceNote) messageKind() MessageKind      { return MessagePlaceNote }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
@@ -406,4 +412,7 @@
 	MessagePiecesAsk:      reader[PiecesAsk],
 	MessagePiecesAnswer:   reader[PiecesAnswer],
 	MessagePiecesDrop:     reader[PiecesDrop],
+	MessagePlaceAsk:       reader[PlaceAsk],
+	MessagePlaceAnswer:    reader[PlaceAnswer],
+	MessagePlaceNote:      reader[PlaceNote],
 }
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -216,3 +216,39 @@
 	Request string   `cbor:"3,keyasint,omitempty"`
 	Stage   int      `cbor:"4,keyasint,omitempty"`
 }
+
+// PromptShare is one part of a prompt that other prompts may share.
+type PromptShare struct {
+	ID     string `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
+// PlaceAsk asks the daemon that places the requests of a pool of engines for a target.
+type PlaceAsk struct {
+	Pool   string        `cbor:"1,keyasint"`
+	Route  string        `cbor:"2,keyasint"`
+	Shared []PromptShare `cbor:"3,keyasint,omitempty"`
+	// Own is the number of tokens that no other prompt shares.
+	Own int `cbor:"4,keyasint"`
+	// Zone is where the request's inputs lie, or the asker's own, and Inputs how many bytes.
+	Zone   string `cbor:"5,keyasint"`
+	Inputs int    `cbor:"6,keyasint,omitempty"`
+	// Without holds the targets that the request must not go to.
+	Without []string `cbor:"7,keyasint,omitempty"`
+}
+
+// PlaceAnswer names the target, and the lease under which its load is counted; Target is empty if there is none.
+type PlaceAnswer struct {
+	Target string `cbor:"1,keyasint,omitempty"`
+	Lease  uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// PlaceNote tells how far a placed request has come.
+type PlaceNote struct {
+	Pool  string `cbor:"1,keyasint"`
+	Lease uint64 `cbor:"2,keyasint"`
+	// Began says that the prompt is read, and else that the request has ended.
+	Began bool `cbor:"3,keyasint,omitempty"`
+	// Verdict is what the end showed of the target's health.
+	Verdict uint8 `cbor:"4,keyasint,omitempty"`
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -91,7 +91,7 @@
 func (a *attempt) begin(slow clockwork.Timer) {
 	slow.Stop()
 	a.began = true
-	a.flow.server.fleet.Began(a.target, a.want)
+	a.placed.Began()
 	// An engine has fetched all inputs before it reads the prompt.
 	a.flow.freeAll()
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -132,10 +132,7 @@
 		w.Zone, w.Inputs = f.zone, f.bulk
 	}
 	if n := len(f.req.Parts); n > 1 {
-		w.Part = f.req.Parts[n-2].ID
-		for _, p := range f.req.Parts[:n-1] {
-			w.SharedTokens += p.Tokens
-		}
+		w.Shared = f.req.Parts[:n-1]
 		w.OwnTokens = f.req.Parts[n-1].Tokens
 	}
 	return w
@@ -146,11 +143,11 @@
 	s := f.server
 	now := s.clock.Now()
 	w := f.want()
-	target := s.fleet.Pick(now, f.pool, w)
-	if target == nil {
+	placed := s.placer.Choose(ctx, f.pool, w)
+	if placed == nil {
 		return attemptEnd{notRun: true, reason: reasonNoTarget}
 	}
-	spec := target.Spec
+	spec := placed.Target.Spec
 	f.tried[spec.ID] = true
 	f.target = spec.ID
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
@@ -159,7 +156,7 @@
 	defer cancel(nil)
 	endTimer := s.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
 	defer endTimer.Stop()
-	a := &attempt{flow: f, target: target, want: w, cancel: cancel}
+	a := &attempt{flow: f, placed: placed, cancel: cancel}
 	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.priority}
 	out := &Outgoing{
 		Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
@@ -167,7 +164,7 @@
 		Mine: func(h http.Header) bool { return s.dialect.ReadReply(0, h).Request == f.req.ID },
 	}
 	end := a.send(ctx, out)
-	s.fleet.Ended(s.clock.Now(), target, w, a.began, a.verdict, a.load)
+	placed.Ended(a.verdict, a.load)
 	if !end.done {
 		f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "sent", end.sent, "notRun", end.notRun,
 			"targets", s.fleet.Version(), "took", s.clock.Now().Sub(now), "reason", end.reason)
@@ -178,8 +175,7 @@
 // attempt is one request to one target.
 type attempt struct {
 	flow    *flow
-	target  *Target
-	want    Want
+	placed  *Placed
 	cancel  context.CancelCauseFunc
 	verdict Verdict
 	load    Load
@@ -191,7 +187,7 @@
 	s := f.server
 	slow := s.clock.AfterFunc(a.firstWait(), func() { a.cancel(errSlowStart) })
 	defer slow.Stop()
-	in, err := s.sender.Send(ctx, a.target.Spec.Address, out)
+	in, err := s.sender.Send(ctx, a.placed.Target.Spec.Address, out)
 	if err != nil {
 		return a.noAnswer(ctx, err)
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"emberlead/proto"
 )
 
 // Costs in the choice of a target, in nanoseconds of expected delay.
@@ -23,11 +25,21 @@
 	inputCost = float64(9 * time.Millisecond)
 	// othersFade is how long a reported load counts; most attempts are over after that.
 	othersFade = 2 * time.Second
-	// homes is the number of targets that a shared prompt part is kept at: the second one takes what is too much
-	// for the first.
-	homes = 2
-	// secondHome is the part of a shared prompt that the second home has to read, on average.
-	secondHome = 0.6
+	// homeBonus is the part of a shared prompt's reading that its home is credited, so that daemons which choose
+	// alone choose alike.
+	homeBonus = 0.25
+	// harmWeight is how much the pauses of the streams beside a prompt count against the prompt's own delay.
+	harmWeight = 0.15
+	// harmPause is the pause, in milliseconds, from which streams are late; the sites state 500 and 600.
+	harmPause = 500.0
+	// startCost is the time to the first event beside the reading, in milliseconds: the sites state 64 and 5.
+	startCost = 70.0
+	// learnRead is the least expected time to the first event, in milliseconds, from which an engine's pace is learnt.
+	learnRead = 60.0
+	// learnWeight is the weight of one request in an engine's pace; it is noisy, since other work interferes.
+	learnWeight = 0.08
+	// paceLeast and paceMost bound a pace, so that a few odd requests do not take an engine out.
+	paceLeast, paceMost = 0.7, 6.0
 	// strayCost is what an engine of the other group adds: a long prompt holds up the streams beside it.
 	strayCost = float64(250 * time.Millisecond)
 	// groupLeast and groupMost bound the part of the engines that takes the routes with long prompts.
@@ -40,10 +52,9 @@
 
 // Want describes what a target is chosen for.
 type Want struct {
-	// Part names the last shared part of a prompt, whose reading a home of it saves; empty if there is none.
-	Part string
-	// SharedTokens and OwnTokens are the sizes of the prompt's shared parts and of the rest.
-	SharedTokens, OwnTokens int
+	// Shared are the parts of the prompt that others may share, and OwnTokens the size of the rest.
+	Shared    []proto.PromptShare
+	OwnTokens int
 	// Zone is the daemon's own zone, or that of large inputs.
 	Zone string
 	// Inputs is about how many bytes of inputs lie in Zone.
@@ -74,14 +85,75 @@
 	if best == nil {
 		return nil
 	}
-	best.active++
-	best.unread += w.OwnTokens
+	best.take(now, w, p.cacheMost())
 	return best
 }
 
+// Take begins an attempt on a target that another daemon chose; nil if it may get no work.
+func (f *Fleet) Take(now time.Time, pool, id string, w Want) *Target {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[id]
+	if t == nil || t.Spec.Leaving {
+		return nil
+	}
+	if w.Engine {
+		p.notePrompt(now, w)
+	}
+	t.take(now, w, p.cacheMost())
+	return t
+}
+
+func (t *Target) take(now time.Time, w Want, cacheMost int) {
+	t.active++
+	if !w.Engine {
+		return
+	}
+	read := w.OwnTokens + t.cache.missing(w.Shared)
+	t.unread += read
+	t.reads = append(t.reads, reading{own: w.OwnTokens, tokens: read, began: now, expected: float64(t.unread) / readRate})
+	t.cache.read(now, w.Shared, cacheMost)
+}
+
+// reading is a prompt that an engine was given and has not read yet, as far as is known.
+type reading struct {
+	own, tokens int
+	began       time.Time
+	expected    float64 // milliseconds
+}
+
+// finishRead ends the oldest reading of a prompt of such a size.
+func (t *Target) finishRead(now time.Time, w Want, learn bool) {
+	for i, r := range t.reads {
+		if r.own != w.OwnTokens {
+			continue
+		}
+		t.unread -= r.tokens
+		t.reads = append(t.reads[:i], t.reads[i+1:]...)
+		if learn && r.expected > learnRead {
+			took := float64(now.Sub(r.began)) / float64(time.Millisecond)
+			t.pace += learnWeight * (took/(r.expected+startCost) - t.pace)
+			t.pace = min(paceMost, max(paceLeast, t.pace))
+		}
+		return
+	}
+}
+
+// cacheMost is how many tokens of prompt parts an engine of the pool is taken to keep.
+func (p *targetPool) cacheMost() int {
+	if p.memory == 0 {
+		return cacheShare * cacheDefault
+	}
+	return int(cacheShare * float64(p.memory))
+}
+
 // best returns the cheapest target; without any in good health, one that was left out is better than none.
 func (p *targetPool) best(now time.Time, w Want, any bool) *Target {
-	home := p.homesOf(now, w)
+	home := p.homeOf(now, w)
 	long := p.isLong(now, w.Route)
 	var best *Target
 	least := math.Inf(1)
@@ -96,26 +168,21 @@
 	return best
 }
 
-// homesOf ranks the targets for a prompt part by rendezvous hashing, so that all daemons agree without a message.
-func (p *targetPool) homesOf(now time.Time, w Want) [homes]*Target {
-	var home [homes]*Target
-	var rank [homes]uint64
-	if w.Part == "" {
-		return home
+// homeOf picks a target for a prompt part by rendezvous hashing, so that all daemons agree without a message.
+func (p *targetPool) homeOf(now time.Time, w Want) *Target {
+	if len(w.Shared) == 0 {
+		return nil
 	}
 	long := p.isLong(now, w.Route)
+	var home *Target
+	var rank uint64
 	for _, t := range p.list {
 		if t.Spec.Leaving || t.health.out(now) || t.long != long {
 			continue
 		}
-		h := xxhash.Sum64String(w.Part + "/" + t.Spec.ID)
-		for i := range home {
-			if home[i] == nil || h > rank[i] {
-				copy(home[i+1:], home[i:])
-				copy(rank[i+1:], rank[i:])
-				home[i], rank[i] = t, h
-				break
-			}
+		h := xxhash.Sum64String(w.Shared[len(w.Shared)-1].ID + "/" + t.Spec.ID)
+		if home == nil || h > rank {
+			home, rank = t, h
 		}
 	}
 	return home
@@ -129,14 +196,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if home := p.homesOf(now, w)[0]; home != nil {
+	if home := p.homeOf(now, w); home != nil {
 		return home.Spec.Zone
 	}
 	return ""
 }
 
 // cost is the expected delay of an attempt, and what it costs others.
-func (t *Target) cost(now time.Time, w Want, home [homes]*Target, long bool) float64 {
+func (t *Target) cost(now time.Time, w Want, home *Target, long bool) float64 {
 	c := t.health.cost()
 	cross := t.Spec.Zone != w.Zone
 	if cross {
@@ -150,15 +217,16 @@
 	if t.long != long {
 		c += strayCost
 	}
-	read := float64(w.OwnTokens + t.unread)
-	if w.Part != "" && t != home[0] {
-		missing := 1.0
-		if t == home[1] {
-			missing = secondHome
-		}
-		read += missing * float64(w.SharedTokens)
+	missing := float64(t.cache.missing(w.Shared))
+	if t == home {
+		missing *= 1 - homeBonus
 	}
-	return c + t.pace*(read/readRate*float64(time.Millisecond)+(float64(t.active)+others)*runCost)
+	queued := float64(t.unread) / readRate * t.pace
+	read := (float64(w.OwnTokens) + missing) / readRate * t.pace
+	running := float64(t.active) + others
+	// Streams beside a prompt stand still while it is read; what is queued already would hold them up anyway.
+	harm := harmWeight * running * ((queued+read)*(queued+read) - queued*queued) / harmPause
+	return c + (queued+read+harm)*float64(time.Millisecond) + t.pace*running*runCost
 }
 
 func (t *Target) othersNow(now time.Time) float64 {
@@ -191,10 +259,10 @@
 )
 
 // Began notes that an attempt began to answer, so that its prompt is read.
-func (f *Fleet) Began(t *Target, w Want) {
+func (f *Fleet) Began(now time.Time, t *Target, w Want) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	t.unread -= w.OwnTokens
+	t.finishRead(now, w, true)
 }
 
 // Ended ends an attempt; began tells whether Began was called for it.
@@ -203,9 +271,9 @@
 	defer t.pool.mu.Unlock()
 	t.active--
 	if !began {
-		t.unread -= w.OwnTokens
+		t.finishRead(now, w, false)
 	}
-	if load.Known {
+	if load.Known && !w.Engine {
 		t.others = max(0, float64(load.Running+load.Waiting-t.active-1))
 		t.othersAt = now
 	}
@@ -227,15 +295,29 @@
 	return !t.gone && !t.Spec.Leaving
 }
 
-// OutOfService tells whether a target, by its id, is left out for its failures.
-func (f *Fleet) OutOfService(now time.Time, id string) bool {
-	f.mu.RLock()
-	t := f.where[id]
-	f.mu.RUnlock()
-	if t == nil {
-		return true
+// Out returns the targets of a pool that this daemon leaves out for their failures.
+func (f *Fleet) Out(now time.Time, pool string) []string {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
 	}
-	t.pool.mu.Lock()
-	defer t.pool.mu.Unlock()
-	return t.health.out(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []string
+	for _, t := range p.list {
+		if t.health.out(now) {
+			ids = append(ids, t.Spec.ID)
+		}
+	}
+	return ids
+}
+
+// SetMemory takes over how many tokens an engine of a pool keeps.
+func (f *Fleet) SetMemory(pool string, tokens int) {
+	f.mu.Lock()
+	p := f.poolLocked(pool)
+	f.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.memory = tokens
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -21,8 +21,10 @@
 	health health
 	// active are this daemon's attempts in progress.
 	active int
-	// unread are prompt tokens of attempts that have not begun to answer.
+	// unread are the prompt tokens of attempts that have not begun to answer, and reads these attempts.
 	unread int
+	reads  []reading
+	cache  promptCache
 	// others is how many attempts of other daemons the last answer showed.
 	others   float64
 	othersAt time.Time
@@ -44,6 +46,8 @@
 	ordered           []*Target
 	prompts           map[string]*routePrompts
 	all               routePrompts
+	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
+	memory int
 }
 
 func (p *targetPool) relist() {
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -20,7 +20,7 @@
 	// silenceCheck is how often a daemon that waits for another's answer looks whether that one still lives.
 	silenceCheck = 150 * time.Millisecond
 	// freeEvery is how long results to be freed are gathered, since a call for each would cost more than their room.
-	freeEvery = 60 * time.Millisecond
+	freeEvery = 20 * time.Millisecond
 	// expireEvery is how often a worker with jobs looks for those whose time is over.
 	expireEvery = 50 * time.Millisecond
 	// callSlack is how much longer than expected a call may take before its target is held to be hung: slow
@@ -30,8 +30,10 @@
 	callLeast = 1500 * time.Millisecond
 	// freeWait bounds a call that frees results.
 	freeWait = time.Second
-	// piecesMost bounds the answer to a call.
+	// piecesMost bounds the answer to a call, in bytes.
 	piecesMost = 1 << 20
+	// batchTask begins the name of the task of batching for a pool.
+	batchTask = "batch/"
 )
 
 // Pieces has the pieces of stages worked on: each pool has one daemon that fills the calls to its targets.
@@ -55,7 +57,7 @@
 // NewPieces returns a driver without work.
 func NewPieces(self proto.VM, clock clockwork.Clock, log hclog.Logger, dialect Dialect, sender Sender, peers Peers, fleet *Fleet, tables *Tables) *Pieces {
 	p := &Pieces{self: self, clock: clock, log: log, dialect: dialect, sender: sender, peers: peers, fleet: fleet, tables: tables, workers: map[string]*worker{}}
-	p.frees = &frees{pieces: p, handles: map[netip.AddrPort][]string{}}
+	p.frees = &frees{pieces: p, due: map[netip.AddrPort]*freeing{}}
 	return p
 }
 
@@ -63,7 +65,7 @@
 func (p *Pieces) Ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
 	skip := map[proto.VM]bool{}
 	for ask.Trial = 0; ctx.Err() == nil; ask.Trial++ {
-		owner := p.peers.Owner(ask.Pool, skip)
+		owner := p.peers.Owner(batchTask+ask.Pool, skip)
 		if owner == p.self || owner == "" {
 			return p.Work(ctx, ask, due, end)
 		}
@@ -142,7 +144,7 @@
 	if len(handles) == 0 {
 		return
 	}
-	owner := p.peers.Owner(pool, nil)
+	owner := p.peers.Owner(batchTask+pool, nil)
 	if owner == p.self || owner == "" {
 		p.Drop(proto.PiecesDrop{Pool: pool, Handles: handles})
 		return
@@ -154,7 +156,7 @@
 func (p *Pieces) Drop(d proto.PiecesDrop) {
 	w := p.worker(d.Pool)
 	if w == nil {
-		p.frees.add(d.Handles)
+		p.frees.add(nil, d.Handles)
 		return
 	}
 	w.drop(d)
@@ -232,10 +234,7 @@
 	if d.Request != "" {
 		handles = append(handles, w.batch.Withdraw(d.Request, d.Stage)...)
 	}
-	for _, h := range handles {
-		w.batch.Freed(h)
-	}
-	w.pieces.frees.add(handles)
+	w.pieces.frees.add(w, handles)
 	w.turn()
 }
 
@@ -274,7 +273,7 @@
 			delete(w.waiting, e.Job)
 		}
 		if e.Answer.Fate != proto.PiecesDone {
-			w.pieces.frees.add(e.Job.results())
+			w.pieces.frees.add(w, e.Job.results())
 		}
 	}
 }
@@ -308,10 +307,7 @@
 	} else {
 		ends, unused := w.batch.Done(now, c, results)
 		w.settle(ends)
-		for _, h := range unused {
-			w.batch.Freed(h)
-		}
-		p.frees.add(unused)
+		p.frees.add(w, unused)
 	}
 	w.turn()
 }
@@ -346,12 +342,18 @@
 
 // frees gathers results to be freed by the target that holds them.
 type frees struct {
-	pieces  *Pieces
-	mu      sync.Mutex
-	handles map[netip.AddrPort][]string
+	pieces *Pieces
+	mu     sync.Mutex
+	due    map[netip.AddrPort]*freeing
+}
+
+// freeing is what one target is to free next; a worker counts the room of its results until that is done.
+type freeing struct {
+	worker  *worker
+	handles []string
 }
 
-func (f *frees) add(handles []string) {
+func (f *frees) add(w *worker, handles []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range handles {
@@ -360,36 +362,63 @@
 			f.pieces.log.Warn("a result cannot be freed", "handle", h, "error", err)
 			continue
 		}
-		if len(f.handles[maker]) == 0 {
+		next := f.due[maker]
+		if next == nil {
+			next = &freeing{worker: w}
+			f.due[maker] = next
 			f.pieces.clock.AfterFunc(freeEvery, func() { f.flush(maker) })
 		}
-		f.handles[maker] = append(f.handles[maker], h)
+		next.handles = append(next.handles, h)
 	}
 }
 
 func (f *frees) flush(maker netip.AddrPort) {
 	f.mu.Lock()
-	handles := f.handles[maker]
-	delete(f.handles, maker)
+	next := f.due[maker]
+	delete(f.due, maker)
 	f.mu.Unlock()
 	// AfterFunc may run in the goroutine of the clock, which must not wait for a target.
-	go f.send(maker, handles)
+	go f.send(maker, next)
 }
 
-func (f *frees) send(maker netip.AddrPort, handles []string) {
+func (f *frees) send(maker netip.AddrPort, next *freeing) {
+	err := f.call(maker, next.handles)
+	if err != nil {
+		// The target drops results by itself after a time, and their room is counted until then.
+		f.pieces.log.Info("results were not freed", "maker", maker, "results", len(next.handles), "error", err)
+		return
+	}
+	if next.worker != nil {
+		next.worker.freed(next.handles)
+	}
+}
+
+func (f *frees) call(maker netip.AddrPort, handles []string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), freeWait)
 	defer cancel()
 	out, err := f.pieces.dialect.FreeCall(handles)
-	if err == nil {
-		var in *Incoming
-		in, err = f.pieces.sender.Send(ctx, maker, &out)
-		if err == nil {
-			_, err = io.Copy(io.Discard, io.LimitReader(in.Body, piecesMost))
-			_ = in.Body.Close()
-		}
+	if err != nil {
+		return err
 	}
+	in, err := f.pieces.sender.Send(ctx, maker, &out)
 	if err != nil {
-		// The target drops results by itself after a time, so nothing is tried again.
-		f.pieces.log.Debug("results were not freed", "maker", maker, "results", len(handles), "error", err)
+		return err
+	}
+	defer in.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(in.Body, piecesMost)); err != nil {
+		return &Error{Op: "free results", Kind: proto.KindUnknown, Err: err}
+	}
+	if in.Status != http.StatusOK {
+		return fault("free results", proto.KindUnknown, "the target answered with status %d", in.Status)
+	}
+	return nil
+}
+
+func (w *worker) freed(handles []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range handles {
+		w.batch.Freed(h)
 	}
+	w.turn()
 }
--- /dev/null
+++ b/relay/place.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+const (
+	// placeWait bounds the asking for a target: the way is a millisecond, and without an answer the daemon decides alone.
+	placeWait = 60 * time.Millisecond
+	// leaseMost is how long a placed request is counted when nobody says how it ended.
+	leaseMost = 25 * time.Second
+)
+
+// Placer chooses the targets of a pool of engines for all daemons, so that one daemon knows what each engine was
+// given. A daemon that cannot reach it chooses alone.
+type Placer struct {
+	self  proto.VM
+	clock clockwork.Clock
+	log   hclog.Logger
+	fleet *Fleet
+	peers Peers
+
+	mu     sync.Mutex
+	next   uint64
+	leases map[uint64]placement
+}
+
+// placement is an attempt that this daemon placed for another.
+type placement struct {
+	target *Target
+	want   Want
+	began  bool
+	at     time.Time
+}
+
+// NewPlacer returns a placer that has placed nothing.
+func NewPlacer(self proto.VM, clock clockwork.Clock, log hclog.Logger, fleet *Fleet, peers Peers) *Placer {
+	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}}
+}
+
+// Placed is a target chosen for an attempt.
+type Placed struct {
+	Target *Target
+
+	placer *Placer
+	pool   string
+	want   Want
+	owner  proto.VM // another daemon that counts the attempt, or ""
+	lease  uint64
+	began  bool
+}
+
+// Choose returns the target for an attempt, or nil if there is none; Ended must be called for it.
+func (p *Placer) Choose(ctx context.Context, pool string, w Want) *Placed {
+	if w.Engine {
+		if owner := p.peers.Owner("place/"+pool, nil); owner != "" && owner != p.self {
+			if placed := p.remote(ctx, owner, pool, w); placed != nil {
+				return placed
+			}
+		}
+	}
+	t := p.fleet.Pick(p.clock.Now(), pool, w)
+	if t == nil {
+		return nil
+	}
+	return &Placed{Target: t, placer: p, pool: pool, want: w}
+}
+
+func (p *Placer) remote(ctx context.Context, owner proto.VM, pool string, w Want) *Placed {
+	ctx, cancel := context.WithTimeout(ctx, placeWait)
+	defer cancel()
+	without := p.fleet.Out(p.clock.Now(), pool)
+	for id := range w.Tried {
+		without = append(without, id)
+	}
+	m, err := p.peers.Call(ctx, owner, proto.PlaceAsk{
+		Pool: pool, Route: w.Route, Shared: w.Shared, Own: w.OwnTokens, Zone: w.Zone, Inputs: w.Inputs, Without: without,
+	})
+	a, ok := m.(proto.PlaceAnswer)
+	if err != nil || !ok || a.Target == "" {
+		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err)
+		return nil
+	}
+	t := p.fleet.Take(p.clock.Now(), pool, a.Target, w)
+	if t == nil {
+		p.peers.Send(owner, proto.PlaceNote{Pool: pool, Lease: a.Lease})
+		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "target", a.Target, "reason", "it is not listed here")
+		return nil
+	}
+	return &Placed{Target: t, placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}
+}
+
+// Began notes that the target has read the prompt.
+func (p *Placed) Began() {
+	p.began = true
+	p.placer.fleet.Began(p.placer.clock.Now(), p.Target, p.want)
+	if p.owner != "" {
+		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Began: true})
+	}
+}
+
+// Ended notes how the attempt ended.
+func (p *Placed) Ended(v Verdict, load Load) {
+	p.placer.fleet.Ended(p.placer.clock.Now(), p.Target, p.want, p.began, v, load)
+	if p.owner != "" {
+		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Verdict: uint8(v)})
+	}
+}
+
+// Place chooses a target for another daemon.
+func (p *Placer) Place(ask proto.PlaceAsk) proto.PlaceAnswer {
+	now := p.clock.Now()
+	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Engine: true, Tried: map[string]bool{}}
+	for _, id := range ask.Without {
+		w.Tried[id] = true
+	}
+	t := p.fleet.Pick(now, ask.Pool, w)
+	if t == nil {
+		return proto.PlaceAnswer{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	p.leases[p.next] = placement{target: t, want: w, at: now}
+	return proto.PlaceAnswer{Target: t.Spec.ID, Lease: p.next}
+}
+
+// Note takes in how far a placed attempt has come.
+func (p *Placer) Note(n proto.PlaceNote) {
+	p.mu.Lock()
+	l, ok := p.leases[n.Lease]
+	if ok && n.Began {
+		l.began = true
+		p.leases[n.Lease] = l
+	} else {
+		delete(p.leases, n.Lease)
+	}
+	p.mu.Unlock()
+	switch {
+	case !ok:
+	case n.Began:
+		p.fleet.Began(p.clock.Now(), l.target, l.want)
+	default:
+		p.fleet.Ended(p.clock.Now(), l.target, l.want, l.began, Verdict(n.Verdict), Load{})
+	}
+}
+
+// Sweep ends the leases of which nothing was heard for too long; it comes several times a second.
+func (p *Placer) Sweep() {
+	now := p.clock.Now()
+	p.mu.Lock()
+	var over []placement
+	for id, l := range p.leases {
+		if now.Sub(l.at) > leaseMost {
+			over = append(over, l)
+			delete(p.leases, id)
+		}
+	}
+	p.mu.Unlock()
+	slices.SortFunc(over, func(a, b placement) int { return a.at.Compare(b.at) })
+	for _, l := range over {
+		p.fleet.Ended(now, l.target, l.want, l.began, VerdictNone, Load{})
+	}
+}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -23,7 +23,7 @@
 	Wait time.Duration
 	Key  string
 	// Parts are the parts of the prompt in order; the last belongs to the request alone or to its session.
-	Parts []PromptPart
+	Parts []proto.PromptShare
 	// PromptTokens and MostTokens are the sizes of the prompt and of the answer at most.
 	PromptTokens, MostTokens int
 	// After is the last event of the stream that the caller has; 0 if it begins anew.
@@ -33,12 +33,6 @@
 	Pieces   []int
 }
 
-// PromptPart is one part of a prompt.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
-
 // Forward is what a request to a target says beside what the caller sent.
 type Forward struct {
 	Target    proto.RelayTarget
@@ -139,8 +133,8 @@
 
 // Peers reaches the other daemons.
 type Peers interface {
-	// Owner returns the daemon that batches for a pool, leaving out those that were found silent.
-	Owner(pool string, skip map[proto.VM]bool) proto.VM
+	// Owner returns the daemon that does a task for all, leaving out those that were found silent.
+	Owner(task string, skip map[proto.VM]bool) proto.VM
 	// Silent tells whether a daemon has not been heard for longer than a live one is silent.
 	Silent(vm proto.VM) bool
 	// Count returns the number of live daemons, this one included.
--- a/relay/server.go
+++ b/relay/server.go
@@ -48,6 +48,7 @@
 	fleet   *Fleet
 	tables  *Tables
 	pieces  *Pieces
+	placer  *Placer
 	peers   Peers
 	limits  Limits
 	zone    string
@@ -77,6 +78,7 @@
 	Fleet   *Fleet
 	Tables  *Tables
 	Pieces  *Pieces
+	Placer  *Placer
 	Peers   Peers
 	Zone    string
 	Budget  BudgetTerms
@@ -87,7 +89,7 @@
 func NewServer(c ServerConfig) *Server {
 	return &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, sender: c.Sender, fleet: c.Fleet, tables: c.Tables,
-		pieces: c.Pieces, peers: c.Peers, zone: c.Zone, limits: c.Limits, budget: c.Budget, budgets: map[string]*Budget{},
+		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, budget: c.Budget, budgets: map[string]*Budget{},
 	}
 }
 
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -62,6 +62,7 @@
 	fleet    *relay.Fleet
 	exchange *wire.Exchange
 	pieces   *relay.Pieces
+	placer   *relay.Placer
 	server   *relay.Server
 	peers    *relayPeers
 	docs     documents
@@ -83,9 +84,10 @@
 	d.newPeers()
 	dialect := platform.Dialect{}
 	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables)
+	d.placer = relay.NewPlacer(d.self.VM, clock, log.Named("place"), d.fleet, d.peers)
 	d.server = relay.NewServer(relay.ServerConfig{
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.exchange, Fleet: d.fleet, Tables: d.tables,
-		Pieces: d.pieces, Peers: d.peers, Zone: settings.Zone,
+		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget: relay.BudgetTerms{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
 		Limits: relay.Limits{Open: max(64, settings.MemoryBytes/1_000_000*openPerMB)},
 	})
@@ -133,6 +135,10 @@
 		return d.pieces.Work(ctx, msg, now.Add(msg.Due), now.Add(msg.Left))
 	case proto.PiecesDrop:
 		d.pieces.Drop(msg)
+	case proto.PlaceAsk:
+		return d.placer.Place(msg)
+	case proto.PlaceNote:
+		d.placer.Note(msg)
 	}
 	return proto.Done{}
 }
@@ -198,6 +204,7 @@
 		d.every(sweepEvery, func() {
 			d.noteFleet(d.fleet.Version(), d.fleet.Sweep(d.clock.Now()), "time")
 			d.exchange.Sweep()
+			d.placer.Sweep()
 		}),
 	} {
 		g.Add(func() error {
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -61,10 +61,10 @@
 	return p.members.Address(vm)
 }
 
-// Owner returns the daemon that batches for a pool.
-func (p *relayPeers) Owner(pool string, skip map[proto.VM]bool) proto.VM {
+// Owner returns the daemon that does a task for all.
+func (p *relayPeers) Owner(task string, skip map[proto.VM]bool) proto.VM {
 	now := p.clock.Now()
-	return p.members.Owner("batch/"+pool, func(vm proto.VM) bool {
+	return p.members.Owner(task, func(vm proto.VM) bool {
 		return skip[vm] || vm != p.self.VM && p.members.Silent(now, vm, peerSilence)
 	})
 }
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -148,6 +148,11 @@
 	}
 	d.docs.mu.Unlock()
 	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", old, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces))
+	for name, pool := range r.Pools {
+		if pool.Engine != nil {
+			d.fleet.SetMemory(name, pool.Engine.CacheTokens)
+		}
+	}
 	d.peers.members.Beat(d.clock.Now())
 }
 
