Batches: room as it is found, late jobs last, overdue calls again, rank counts for more

Change: room found short is counted as taken and fades; jobs that cannot be in time come last; pieces of a call that takes 2.2 times its time are queued again; a rank counts for 600 ms; the wait counts room as well as work.

--- a/relay/batch.go
+++ b/relay/batch.go
@@ -19,9 +19,19 @@
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
 	// rankWait is how much earlier a job's turn comes for each step of priority.
-	rankWait = 150 * time.Millisecond
+	rankWait = 600 * time.Millisecond
+	// begunLead is how much earlier the turn of a request comes for which work was done before.
+	begunLead = 300 * time.Millisecond
+	// overdueAt is how many times its expected time a call may take before its pieces are queued again.
+	overdueAt = 2.2
+	// hiddenShare is the part of the time that results are kept unless they are freed, after which unknown ones count
+	// for nothing: most are freed long before.
+	hiddenShare = 0.5
+	// holdFirst is how long a result takes up room before that is learnt, and holdWeight the weight of one result.
+	holdFirst  = 700 * time.Millisecond
+	holdWeight = 0.05
 	// rankReserve is the part of its time that a job must leave free for each step of priority to be admitted.
-	rankReserve = 0.06
+	rankReserve = 0.1
 	// paceWeight is the weight of the newest call in a target's pace, so that a slow target shows after a few calls.
 	paceWeight = 0.3
 	// costWeight is the weight of the newest call in the cost of a piece.
@@ -43,20 +53,39 @@
 
 	since time.Time
 	order time.Time
-	// todo are the pieces that wait, and open is how many are at work.
+	// todo are the pieces that wait, and missing is how many have no result yet.
 	todo    []int
-	open    int
+	missing int
 	tries   int
 	handles []string
 	zone    string
 	done    bool
 	exclude string
+	// late says that the results can no longer be in time.
+	late bool
 }
 
 func (j *Job) left() int { return len(j.todo) }
 
-// complete tells whether all results are there.
-func (j *Job) complete() bool { return len(j.todo) == 0 && j.open == 0 }
+// set takes a result and tells whether it was still missing.
+func (j *Job) set(piece int, handle string) bool {
+	if j.handles[piece] != "" {
+		return false
+	}
+	j.handles[piece] = handle
+	j.missing--
+	j.todo = slices.DeleteFunc(j.todo, func(p int) bool { return p == piece })
+	return true
+}
+
+// again queues pieces that have no result.
+func (j *Job) again(pieces ...int) {
+	for _, piece := range pieces {
+		if j.handles[piece] == "" && !slices.Contains(j.todo, piece) {
+			j.todo = append(j.todo, piece)
+		}
+	}
+}
 
 // Call is one batch to be sent to a target.
 type Call struct {
@@ -65,6 +94,9 @@
 	Began  time.Time
 	// Expected is how long the call should take.
 	Expected time.Duration
+
+	// overdue says that its pieces were queued again, since it takes much longer than expected.
+	overdue bool
 }
 
 // CallItem is one piece of a job.
@@ -86,19 +118,24 @@
 }
 
 type batchTarget struct {
-	spec   proto.RelayTarget
-	call   *Call
-	pace   float64
-	inRow  int
-	outTo  time.Time
-	room   int64
-	leaves []keptResult
+	spec  proto.RelayTarget
+	call  *Call
+	pace  float64
+	inRow int
+	outTo time.Time
+	// room are the bytes of results that are kept or being made, and hidden those found to be kept beside at hiddenAt.
+	room     int64
+	hidden   int64
+	hiddenAt time.Time
+	leaves   []keptResult
 }
 
 type keptResult struct {
 	handle string
 	bytes  int64
 	until  time.Time
+	// since is when the call that made it began.
+	since time.Time
 }
 
 // Batcher fills the calls to the targets of one pool from the jobs of all requests. It makes decisions only: a
@@ -110,11 +147,13 @@
 	// pieceCost is about the time that a piece adds, by the size of its result, since stages differ by that.
 	pieceCost map[int]float64
 	kept      map[string]*batchTarget
+	// hold is how long a result takes up room on average, from its call's start until it is freed.
+	hold float64
 }
 
 // NewBatcher returns a batcher without targets.
 func NewBatcher(spec proto.BatchSpec) *Batcher {
-	return &Batcher{spec: spec, targets: map[string]*batchTarget{}, pieceCost: map[int]float64{}, kept: map[string]*batchTarget{}}
+	return &Batcher{spec: spec, targets: map[string]*batchTarget{}, pieceCost: map[int]float64{}, kept: map[string]*batchTarget{}, hold: float64(holdFirst)}
 }
 
 // SetSpec takes over a changed description of the pool.
@@ -153,9 +192,14 @@
 	return float64(b.spec.PieceCost)
 }
 
-// share is the target time that a piece costs in a full call.
+// share is the target time that a piece costs in a full call, or that its result takes of the target's room if that
+// is more.
 func (b *Batcher) share(bytes int) float64 {
-	return float64(b.spec.CallCost)/float64(max(1, b.spec.Most)) + b.costOf(bytes)
+	work := float64(b.spec.CallCost)/float64(max(1, b.spec.Most)) + b.costOf(bytes)
+	if b.spec.Room == 0 {
+		return work
+	}
+	return max(work, b.hold*float64(bytes)/float64(b.spec.Room))
 }
 
 // Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service.
@@ -179,7 +223,7 @@
 	}
 	queued := 0
 	for _, j := range b.jobs {
-		if j.left() > 0 && !j.order.After(turn) {
+		if j.left() > 0 && !j.done && !j.late && !j.order.After(turn) {
 			ahead += float64(j.left()) * b.share(j.Ask.Bytes)
 			queued++
 		}
@@ -205,7 +249,10 @@
 func (b *Batcher) Add(now time.Time, j *Job) *proto.PiecesAnswer {
 	j.since = now
 	j.order = j.Due.Add(time.Duration(j.Ask.Priority) * rankWait)
-	j.handles = make([]string, j.Ask.Pieces)
+	if !j.Ask.First {
+		j.order = j.order.Add(-begunLead)
+	}
+	j.handles, j.missing = make([]string, j.Ask.Pieces), j.Ask.Pieces
 	for piece := range j.Ask.Pieces {
 		j.todo = append(j.todo, piece)
 	}
@@ -226,7 +273,8 @@
 // Next returns the calls to send now, and the jobs whose time is over.
 func (b *Batcher) Next(now time.Time) ([]*Call, []JobEnd) {
 	ends := b.expire(now)
-	slices.SortStableFunc(b.jobs, func(x, y *Job) int { return x.order.Compare(y.order) })
+	b.requeue(now)
+	b.sort(now)
 	var calls []*Call
 	for {
 		c := b.fill(now)
@@ -237,6 +285,23 @@
 	}
 }
 
+// sort puts the jobs in their turn. Those that can no longer be in time come last, so that they do not make others
+// late as well.
+func (b *Batcher) sort(now time.Time) {
+	for _, j := range b.jobs {
+		j.late = now.Add(time.Duration(b.length(j))).After(j.Due)
+	}
+	slices.SortStableFunc(b.jobs, func(x, y *Job) int {
+		if x.late != y.late {
+			if x.late {
+				return 1
+			}
+			return -1
+		}
+		return x.order.Compare(y.order)
+	})
+}
+
 func (b *Batcher) expire(now time.Time) []JobEnd {
 	var ends []JobEnd
 	b.jobs = slices.DeleteFunc(b.jobs, func(j *Job) bool {
@@ -287,7 +352,7 @@
 	var best *batchTarget
 	least := math.Inf(1)
 	for _, t := range b.targets {
-		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !b.hasRoom(t, j, 1) {
+		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !b.hasRoom(now, t, j, 1) {
 			continue
 		}
 		c := t.pace
@@ -321,14 +386,14 @@
 	return 0
 }
 
-func (b *Batcher) hasRoom(t *batchTarget, j *Job, pieces int) bool {
-	return b.spec.Room == 0 || t.room+int64(pieces*j.Ask.Bytes) <= b.spec.Room
+func (b *Batcher) hasRoom(now time.Time, t *batchTarget, j *Job, pieces int) bool {
+	return b.spec.Room == 0 || t.room+b.hiddenNow(now, t)+int64(pieces*j.Ask.Bytes) <= b.spec.Room
 }
 
 func (b *Batcher) load(now time.Time, t *batchTarget, first *Job) *Call {
 	c := &Call{Target: t.spec, Began: now}
 	t.call = c
-	b.take(t, c, first)
+	b.take(now, t, c, first)
 	// Jobs of the target's own zone go before those whose inputs would cross zones.
 	for _, own := range []bool{true, false} {
 		for _, j := range b.jobs {
@@ -336,7 +401,7 @@
 				break
 			}
 			if j.left() > 0 && !j.done && b.crosses(t, j) != own && b.mayFill(now, c, t, j, own) {
-				b.take(t, c, j)
+				b.take(now, t, c, j)
 			}
 		}
 	}
@@ -350,15 +415,14 @@
 		return false
 	}
 	free := b.spec.Most - len(c.Items)
-	return (j.left() <= free || j.left() > b.spec.Most) && b.hasRoom(t, j, min(free, j.left()))
+	return (j.left() <= free || j.left() > b.spec.Most) && b.hasRoom(now, t, j, min(free, j.left()))
 }
 
-func (b *Batcher) take(t *batchTarget, c *Call, j *Job) {
-	for len(c.Items) < b.spec.Most && j.left() > 0 && b.hasRoom(t, j, 1) {
+func (b *Batcher) take(now time.Time, t *batchTarget, c *Call, j *Job) {
+	for len(c.Items) < b.spec.Most && j.left() > 0 && b.hasRoom(now, t, j, 1) {
 		c.Items = append(c.Items, CallItem{Job: j, Piece: j.todo[0]})
 		t.room += int64(j.Ask.Bytes)
 		j.todo = j.todo[1:]
-		j.open++
 	}
 }
 
@@ -378,55 +442,66 @@
 	for n, item := range c.Items {
 		r := results[n]
 		j := item.Job
-		j.open--
 		if r.Handle == "" {
 			b.giveBack(t, j.Ask.Bytes)
 			if !j.done {
-				ends = append(ends, b.missing(now, t, item, r.Fate)...)
+				ends = append(ends, b.lacking(now, t, c, item, r.Fate)...)
 			}
 			continue
 		}
-		b.keep(now, t, r.Handle, j.Ask.Bytes)
-		if j.done {
+		b.keep(now, t, r.Handle, j.Ask.Bytes, c.Began)
+		if j.done || !j.set(item.Piece, r.Handle) {
 			unused = append(unused, r.Handle)
 			continue
 		}
-		j.handles[item.Piece] = r.Handle
 		j.zone = c.Target.Zone
-		if j.complete() {
+		if j.missing == 0 {
 			ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesDone, Handles: j.handles, Zone: j.zone}))
 		}
 	}
 	return ends, unused
 }
 
-// missing queues a piece again that the target had no room for or failed at; without its inputs it cannot be made.
-func (b *Batcher) missing(now time.Time, t *batchTarget, item CallItem, fate proto.PieceFate) []JobEnd {
+// lacking queues a piece again that the target had no room for or failed at; without its inputs it cannot be made.
+func (b *Batcher) lacking(now time.Time, t *batchTarget, c *Call, item CallItem, fate proto.PieceFate) []JobEnd {
 	j := item.Job
 	switch fate {
 	case proto.PiecesLost, proto.PiecesLate:
+		if c.overdue {
+			return nil
+		}
 		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: fate, Detail: "a target could not make a piece: its input is gone or its time over"})}
 	case proto.PiecesNoRoom:
-		if t != nil {
-			// What was counted was too little; the next results that are freed make room for real.
-			t.outTo = now.Add(roomWait)
-		}
+		b.learnRoom(now, t)
 	default:
 		j.tries++
-		j.exclude = item.maker(t)
+		j.exclude = c.Target.ID
 	}
 	if j.tries >= pieceTries {
 		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "several targets failed at a piece"})}
 	}
-	j.todo = append(j.todo, item.Piece)
+	j.again(item.Piece)
 	return nil
 }
 
-func (i *CallItem) maker(t *batchTarget) string {
+// learnRoom takes in that a target had less room than was counted: it keeps results of which this daemon does not
+// know, such as those made for an earlier owner of the pool. They go when they are freed, or by themselves.
+func (b *Batcher) learnRoom(now time.Time, t *batchTarget) {
 	if t == nil {
-		return ""
+		return
 	}
-	return t.spec.ID
+	t.hidden = max(0, b.spec.Room-t.room)
+	t.hiddenAt = now
+	t.outTo = now.Add(roomWait)
+}
+
+// hiddenNow is how many bytes of unknown results a target still keeps.
+func (b *Batcher) hiddenNow(now time.Time, t *batchTarget) int64 {
+	if t.hidden == 0 || b.spec.Keep == 0 {
+		return 0
+	}
+	left := 1 - float64(now.Sub(t.hiddenAt))/(hiddenShare*float64(b.spec.Keep))
+	return int64(max(0, left) * float64(t.hidden))
 }
 
 func (b *Batcher) finish(c *Call) *batchTarget {
@@ -447,16 +522,16 @@
 	}
 }
 
-func (b *Batcher) keep(now time.Time, t *batchTarget, handle string, bytes int) {
+func (b *Batcher) keep(now time.Time, t *batchTarget, handle string, bytes int, since time.Time) {
 	if t == nil {
 		return
 	}
-	t.leaves = append(t.leaves, keptResult{handle: handle, bytes: int64(bytes), until: now.Add(b.spec.Keep)})
+	t.leaves = append(t.leaves, keptResult{handle: handle, bytes: int64(bytes), until: now.Add(b.spec.Keep), since: since})
 	b.kept[handle] = t
 }
 
 // Freed notes that a result was freed at its maker.
-func (b *Batcher) Freed(handle string) {
+func (b *Batcher) Freed(now time.Time, handle string) {
 	t := b.kept[handle]
 	if t == nil {
 		return
@@ -465,6 +540,7 @@
 	t.leaves = slices.DeleteFunc(t.leaves, func(k keptResult) bool {
 		if k.handle == handle {
 			t.room = max(0, t.room-k.bytes)
+			b.hold += holdWeight * (float64(now.Sub(k.since)) - b.hold)
 		}
 		return k.handle == handle
 	})
@@ -499,12 +575,31 @@
 		b.giveBack(t, item.Job.Ask.Bytes)
 	}
 	for j, pieces := range seen {
-		ends = append(ends, b.again(j, pieces, c.Target.ID, busy)...)
+		if !c.overdue {
+			ends = append(ends, b.again(j, pieces, c.Target.ID, busy)...)
+		}
 	}
 	slices.SortFunc(ends, func(x, y JobEnd) int { return cmp.Compare(x.Job.Ask.Request, y.Job.Ask.Request) })
 	return ends
 }
 
+// requeue queues the pieces of calls that take much longer than expected again; whichever result comes first counts.
+func (b *Batcher) requeue(now time.Time) {
+	for _, t := range b.targets {
+		c := t.call
+		if c == nil || c.overdue || now.Before(c.Began.Add(time.Duration(overdueAt*float64(c.Expected)))) {
+			continue
+		}
+		c.overdue = true
+		for _, item := range c.Items {
+			if !item.Job.done {
+				item.Job.exclude = t.spec.ID
+				item.Job.again(item.Piece)
+			}
+		}
+	}
+}
+
 func (b *Batcher) leaveOut(now time.Time, t *batchTarget, busy bool) {
 	if busy {
 		t.outTo = now.Add(outBase / 2)
@@ -516,7 +611,6 @@
 
 // again queues the pieces of a call that failed.
 func (b *Batcher) again(j *Job, pieces []int, target string, busy bool) []JobEnd {
-	j.open -= len(pieces)
 	if j.done {
 		return nil
 	}
@@ -527,7 +621,7 @@
 		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "calls to several targets failed"})}
 	}
 	j.exclude = target
-	j.todo = append(j.todo, pieces...)
+	j.again(pieces...)
 	return nil
 }
 
@@ -558,3 +652,6 @@
 	}
 	return jobs, pieces
 }
+
+// Busy tells whether there are jobs, so that time can bring something to do.
+func (b *Batcher) Busy() bool { return len(b.jobs) > 0 }
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -253,7 +253,7 @@
 	for _, c := range calls {
 		go w.send(c)
 	}
-	if jobs, _ := w.batch.Queued(); jobs > 0 && !w.armed {
+	if w.batch.Busy() && !w.armed {
 		w.armed = true
 		w.pieces.clock.AfterFunc(expireEvery, w.due)
 	}
@@ -417,8 +417,9 @@
 func (w *worker) freed(handles []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := w.pieces.clock.Now()
 	for _, h := range handles {
-		w.batch.Freed(h)
+		w.batch.Freed(now, h)
 	}
 	w.turn()
 }
