--- a/relay/choice.go
+++ b/relay/choice.go
@@ -25,6 +25,9 @@
 	inputCost = float64(9 * time.Millisecond)
 	// othersFade is how long a reported load counts; most attempts are over after that.
 	othersFade = 2 * time.Second
+	// missPrice is what each token of a shared part that is read again counts beside the time: the price of 1,000
+	// tokens is a tenth of a summary's worth, and a delay of its whole goal costs most of that worth.
+	missPrice = 0.06 // milliseconds a token
 	// homeBonus is the part of a shared prompt's reading that its home is credited, so that daemons which choose
 	// alone choose alike.
 	homeBonus = 0.25
@@ -226,7 +229,7 @@
 	running := float64(t.active) + others
 	// Streams beside a prompt stand still while it is read; what is queued already would hold them up anyway.
 	harm := harmWeight * running * ((queued+read)*(queued+read) - queued*queued) / harmPause
-	return c + (queued+read+harm)*float64(time.Millisecond) + t.pace*running*runCost
+	return c + (queued+read+harm+missPrice*missing)*float64(time.Millisecond) + t.pace*running*runCost
 }
 
 func (t *Target) othersNow(now time.Time) float64 {
