Lists of targets compared by their newest entry; two daemons a zone watch the store

Change: an entry carries its own version, and a list that of its newest entry; two daemons of a zone watch the store, the others take changes from heartbeats.

--- a/coord/members.go
+++ b/coord/members.go
@@ -163,6 +163,16 @@
 	return owner
 }
 
+// Among tells whether this daemon is one of the first so many of its zone for a task, among those that live and are
+// not stopping.
+func (m *Members) Among(task string, most int) bool {
+	m.mu.Lock()
+	self := m.self
+	m.mu.Unlock()
+	zone := vmsOf(m.Live(), func(a proto.Alive) bool { return a.Zone == self.Zone })
+	return len(zone) <= most || slices.Contains(rank(task, zone)[:most], self.VM)
+}
+
 // Alone tells whether there are other live daemons and none has been heard for a time.
 func (m *Members) Alone(now time.Time, since time.Duration) bool {
 	m.mu.Lock()
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -146,8 +146,9 @@
 
 // TargetDocument is a target's entry in the platform's own format.
 type TargetDocument struct {
-	ID   string `cbor:"1,keyasint"`
-	Body []byte `cbor:"2,keyasint"`
+	ID      string `cbor:"1,keyasint"`
+	Body    []byte `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint"`
 }
 
 // RoutingAnswer carries what is newer, in the platform's own format.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -32,7 +32,9 @@
 	pace float64
 	// lapsedAt is when the entry went while the store was away; zero if it is listed.
 	lapsedAt time.Time
-	gone     bool
+	// version is the store's version at which the entry last changed.
+	version uint64
+	gone    bool
 	// long engines take the routes with long prompts.
 	long bool
 }
@@ -66,8 +68,9 @@
 	where map[string]*Target
 	// awayAt and backAt are when the store was last found away, and when it answered again after that.
 	awayAt, backAt time.Time
-	version        uint64
-	changed        func(pool string)
+	// version is that of the newest change of any entry, which is the same at all daemons that know as much.
+	version uint64
+	changed func(pool string)
 }
 
 // NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
@@ -75,7 +78,7 @@
 	return &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, changed: changed}
 }
 
-// Version returns the store's version that the fleet is as of.
+// Version returns the store's version of the newest change that the fleet knows.
 func (f *Fleet) Version() uint64 {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
@@ -108,21 +111,19 @@
 
 // FleetChange is one entry of the store's list that was put or removed.
 type FleetChange struct {
-	ID      string
+	ID string
+	// Version is the store's version of the change.
+	Version uint64
 	Removed bool
 	Target  proto.RelayTarget
 }
 
-// Change takes in changes as of a version of the store and returns what it did with each; an older version is ignored.
-func (f *Fleet) Change(now time.Time, version uint64, changes []FleetChange) []FleetNote {
+// Change takes in changes and returns what it did with each; one that is older than what is known is ignored.
+func (f *Fleet) Change(now time.Time, changes []FleetChange) []FleetNote {
 	f.mu.Lock()
-	if version <= f.version && f.version != 0 {
-		f.mu.Unlock()
-		return nil
-	}
-	f.version = version
 	var notes []FleetNote
 	for _, c := range changes {
+		f.version = max(f.version, c.Version)
 		notes = append(notes, f.apply(now, c)...)
 	}
 	f.mu.Unlock()
@@ -130,28 +131,29 @@
 	return notes
 }
 
-// Replace takes in the whole list as of a version; entries that it lacks are removed. An older version is ignored.
-func (f *Fleet) Replace(now time.Time, version uint64, targets []proto.RelayTarget) []FleetNote {
+// Replace takes in the whole list as of a version; entries that it lacks are removed. A list that is older than what
+// is known is refused.
+func (f *Fleet) Replace(now time.Time, asOf uint64, entries []FleetChange) ([]FleetNote, bool) {
 	f.mu.Lock()
-	if version < f.version {
+	if asOf < f.version {
 		f.mu.Unlock()
-		return nil
+		return nil, false
 	}
-	f.version = version
 	listed := map[string]bool{}
 	var notes []FleetNote
-	for _, t := range targets {
-		listed[t.ID] = true
-		notes = append(notes, f.apply(now, FleetChange{ID: t.ID, Target: t})...)
+	for _, c := range entries {
+		f.version = max(f.version, c.Version)
+		listed[c.ID] = true
+		notes = append(notes, f.apply(now, c)...)
 	}
 	for id := range f.where {
 		if !listed[id] {
-			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true})...)
+			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true, Version: asOf})...)
 		}
 	}
 	f.mu.Unlock()
 	f.announce(notes)
-	return notes
+	return notes, true
 }
 
 // FleetNote says what became of one entry, for the log.
@@ -190,6 +192,9 @@
 
 func (f *Fleet) apply(now time.Time, c FleetChange) []FleetNote {
 	t := f.where[c.ID]
+	if t != nil && c.Version < t.version {
+		return nil
+	}
 	if c.Removed {
 		return f.remove(now, t)
 	}
@@ -197,14 +202,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t == nil || t.pool != p {
-		t = &Target{Spec: c.Target, pool: p, pace: 1}
+		t = &Target{Spec: c.Target, pool: p, pace: 1, version: c.Version}
 		p.targets[c.ID] = t
 		f.where[c.ID] = t
 		p.relist()
 		return []FleetNote{{Target: c.Target, Outcome: outcomeAdded}}
 	}
 	old := t.Spec
-	t.Spec = c.Target
+	t.Spec, t.version = c.Target, c.Version
 	t.lapsedAt = time.Time{}
 	switch {
 	case c.Target.Leaving && !old.Leaving:
@@ -276,19 +281,6 @@
 	return specs
 }
 
-// List returns all targets, for a daemon that asks.
-func (f *Fleet) List() []proto.RelayTarget {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var specs []proto.RelayTarget
-	for _, t := range f.where {
-		t.pool.mu.Lock()
-		specs = append(specs, t.Spec)
-		t.pool.mu.Unlock()
-	}
-	return specs
-}
-
 func (f *Fleet) pool(name string) *targetPool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -39,6 +39,8 @@
 	stopMargin = 500 * time.Millisecond
 	// sweepEvery is how often lapsed targets and resting connections are looked at.
 	sweepEvery = 200 * time.Millisecond
+	// statusEvery is how often the counters are logged, so that a log alone tells how much work there was.
+	statusEvery = 10 * time.Second
 	// settingsEvery is how often the settings file is looked at, since it may change without a signal.
 	settingsEvery = 2 * time.Second
 	// headWait bounds the reading of a request's head before a configuration states it.
@@ -74,7 +76,7 @@
 // NewRelay returns a daemon that does nothing yet.
 func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink) *Relay {
 	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store)}
-	d.docs.targets = map[string][]byte{}
+	d.docs.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.Peers,
 		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Count: 1,
@@ -111,7 +113,7 @@
 
 func (d *Relay) heartbeat() proto.Heartbeat {
 	return proto.Heartbeat{
-		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.docs.changed.Load(),
+		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(),
 	}
 }
 
@@ -121,8 +123,8 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.Heartbeat(now, from, msg)
-		newer := msg.Routing > d.tables.Version() || msg.Targets > d.docs.changed.Load()
-		if d.peers.sawNewer(from, newer) {
+		newer := msg.Routing > d.tables.Version() || msg.Targets > d.fleet.Version()
+		if d.peers.sawNewer(from, newer, d.isReader()) {
 			go d.pull(from)
 		}
 	case proto.Alive:
@@ -202,10 +204,11 @@
 			d.peers.meet()
 		}),
 		d.every(sweepEvery, func() {
-			d.noteFleet(d.fleet.Version(), d.fleet.Sweep(d.clock.Now()), "time")
+			d.noteFleet(d.fleet.Sweep(d.clock.Now()), "time")
 			d.exchange.Sweep()
 			d.placer.Sweep()
 		}),
+		d.every(statusEvery, d.logStatus),
 	} {
 		g.Add(func() error {
 			loop(ctx)
@@ -355,12 +358,20 @@
 }
 
 func (d *Relay) publishRelay() {
-	wire.PublishVars(d.settings.VM, func() any {
-		reads, writes := d.store.Counts()
-		return RelayVars{
-			Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
-			Members: d.peers.members.Counts(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
-			Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
-		}
-	})
+	wire.PublishVars(d.settings.VM, func() any { return d.vars() })
+}
+
+func (d *Relay) vars() RelayVars {
+	reads, writes := d.store.Counts()
+	return RelayVars{
+		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
+		Members: d.peers.members.Counts(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
+		Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
+	}
+}
+
+func (d *Relay) logStatus() {
+	v := d.vars()
+	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members,
+		"routing", v.Routing, "targets", v.Fleet, "open", v.Open, "storeReads", v.Reads, "storeWrites", v.Writes, "dropped", v.Dropped)
 }
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -16,9 +16,9 @@
 const (
 	// peerHeartbeat is how often daemons hear of each other. Work that waits for a silent daemon is late by its
 	// silence, so this is a fraction of the shortest goal of a request with stages.
-	peerHeartbeat = 250 * time.Millisecond
+	peerHeartbeat = 300 * time.Millisecond
 	// peerSilence is how long a link may be silent: two lost heartbeats and a delay.
-	peerSilence = 800 * time.Millisecond
+	peerSilence = 900 * time.Millisecond
 	// peerPause is how late a daemon's own tick may be before it holds itself to have been paused.
 	peerPause = 600 * time.Millisecond
 	// peerTick is how often links are looked at.
@@ -70,7 +70,9 @@
 }
 
 // Silent tells whether a daemon has not been heard for longer than a live one is silent.
-func (p *relayPeers) Silent(vm proto.VM) bool { return p.members.Silent(p.clock.Now(), vm, peerSilence) }
+func (p *relayPeers) Silent(vm proto.VM) bool {
+	return p.members.Silent(p.clock.Now(), vm, peerSilence)
+}
 
 // Count returns the number of live daemons, this one included.
 func (p *relayPeers) Count() int { return len(p.members.Live()) }
@@ -101,8 +103,9 @@
 	return alive
 }
 
-// sawNewer notes a heartbeat's versions and tells whether to ask the sender now.
-func (p *relayPeers) sawNewer(from proto.VM, isNewer bool) bool {
+// sawNewer notes a heartbeat's versions and tells whether to ask the sender now: at once for a daemon that does not
+// read the store itself.
+func (p *relayPeers) sawNewer(from proto.VM, isNewer, reader bool) bool {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -111,6 +114,10 @@
 		return false
 	}
 	since, ok := p.newer[from]
+	if !ok && !reader {
+		p.newer[from] = now
+		return true
+	}
 	if !ok {
 		p.newer[from] = now
 		return false
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -29,6 +28,11 @@
 	// retryFirst and retryMost bound the pause after a call that failed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// readerCheck is how often a daemon looks whether it has to read the store itself.
+	readerCheck = 500 * time.Millisecond
+	// readersPerZone is how many daemons of a zone watch the store and tell the others: with two, one may fail or be
+	// turned away, and a deployment of some daemons has no other ones.
+	readersPerZone = 2
 	// listEvery is how often the daemons' table is read, for daemons that no other knows.
 	listEvery = 20 * time.Second
 )
@@ -52,6 +56,11 @@
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
 	version := uint64(0)
 	for ctx.Err() == nil {
+		if w.daemon.known() && !w.daemon.isReader() {
+			version = 0
+			w.daemon.pause(ctx, readerCheck)
+			continue
+		}
 		next, err := w.step(ctx, version)
 		w.note(err)
 		if err != nil {
@@ -68,6 +77,14 @@
 	}
 }
 
+// known tells whether the daemon has both tables from somewhere.
+func (d *Relay) known() bool { return d.tables.Current() != nil && d.targetsKnown.Load() }
+
+// isReader tells whether this daemon is one of those in its zone that watch the store.
+func (d *Relay) isReader() bool {
+	return d.peers.members.Among("read the store", readersPerZone)
+}
+
 // step makes one call and returns the version to go on from.
 func (w *watcher) step(ctx context.Context, version uint64) (uint64, error) {
 	if version == 0 {
@@ -117,9 +134,7 @@
 type documents struct {
 	mu      sync.Mutex
 	routing []byte
-	targets map[string][]byte
-	// changed is the version of the last change of a target that mattered.
-	changed atomic.Uint64
+	targets map[string]proto.TargetDocument
 }
 
 func (d *Relay) routingEntries(e platform.Entries) bool {
@@ -156,25 +171,41 @@
 	d.peers.members.Beat(d.clock.Now())
 }
 
-func (d *Relay) targetsWhole(e platform.Entries) bool {
-	if e.Version < d.fleet.Version() {
-		return false
+// changeOf reads one entry of the targets' table.
+func (d *Relay) changeOf(entry platform.Entry) (relay.FleetChange, bool) {
+	c := relay.FleetChange{ID: entry.Key, Version: entry.Version, Removed: entry.Removed}
+	if entry.Removed {
+		return c, true
+	}
+	t, err := platform.ReadTarget(entry.Key, entry.Body)
+	if err != nil {
+		d.log.Error("a target's entry cannot be read", "target", entry.Key, "error", err)
+		return c, false
 	}
-	var targets []proto.RelayTarget
-	kept := map[string][]byte{}
+	c.Target = t
+	return c, true
+}
+
+func (d *Relay) targetsWhole(e platform.Entries) bool { return d.takeTargets(e, "store") }
+
+func (d *Relay) takeTargets(e platform.Entries, from string) bool {
+	var entries []relay.FleetChange
+	kept := map[string]proto.TargetDocument{}
 	for _, entry := range e.List {
-		t, err := platform.ReadTarget(entry.Key, entry.Body)
-		if err != nil {
-			d.log.Error("a target's entry cannot be read", "target", entry.Key, "error", err)
-			continue
+		if c, ok := d.changeOf(entry); ok {
+			entries = append(entries, c)
+			kept[entry.Key] = proto.TargetDocument{ID: entry.Key, Body: entry.Body, Version: entry.Version}
 		}
-		targets = append(targets, t)
-		kept[entry.Key] = entry.Body
+	}
+	notes, taken := d.fleet.Replace(d.clock.Now(), e.Version, entries)
+	if !taken {
+		d.log.Info("list of targets ignored", "from", from, "asOf", e.Version, "known", d.fleet.Version())
+		return false
 	}
 	d.docs.mu.Lock()
 	d.docs.targets = kept
 	d.docs.mu.Unlock()
-	d.noteFleet(e.Version, d.fleet.Replace(d.clock.Now(), e.Version, targets), "store")
+	d.noteFleet(notes, from)
 	d.targetsKnown.Store(true)
 	return true
 }
@@ -183,29 +214,26 @@
 	var changes []relay.FleetChange
 	d.docs.mu.Lock()
 	for _, entry := range e.List {
-		if entry.Removed {
-			delete(d.docs.targets, entry.Key)
-			changes = append(changes, relay.FleetChange{ID: entry.Key, Removed: true})
+		c, ok := d.changeOf(entry)
+		if !ok {
 			continue
 		}
-		t, err := platform.ReadTarget(entry.Key, entry.Body)
-		if err != nil {
-			d.log.Error("a target's entry cannot be read", "target", entry.Key, "error", err)
-			continue
+		changes = append(changes, c)
+		if c.Removed {
+			delete(d.docs.targets, entry.Key)
+		} else {
+			d.docs.targets[entry.Key] = proto.TargetDocument{ID: entry.Key, Body: entry.Body, Version: entry.Version}
 		}
-		d.docs.targets[entry.Key] = entry.Body
-		changes = append(changes, relay.FleetChange{ID: entry.Key, Target: t})
 	}
 	d.docs.mu.Unlock()
-	d.noteFleet(e.Version, d.fleet.Change(d.clock.Now(), e.Version, changes), "store")
+	d.noteFleet(d.fleet.Change(d.clock.Now(), changes), "store")
 }
 
-func (d *Relay) noteFleet(version uint64, notes []relay.FleetNote, from string) {
+func (d *Relay) noteFleet(notes []relay.FleetNote, from string) {
 	for _, n := range notes {
-		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "version", version, "from", from)
+		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "version", d.fleet.Version(), "from", from)
 	}
 	if len(notes) > 0 {
-		d.docs.changed.Store(max(version, d.docs.changed.Load()))
 		d.peers.members.Beat(d.clock.Now())
 	}
 }
@@ -214,15 +242,14 @@
 func (d *Relay) answerAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
 	d.docs.mu.Lock()
 	defer d.docs.mu.Unlock()
-	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.docs.changed.Load()}
+	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version()}
 	if a.Routing > ask.Routing {
 		a.RoutingBody = d.docs.routing
 	}
 	if a.Targets > ask.Targets {
 		a.TargetsAreSent = true
-		a.Targets = d.fleet.Version()
-		for id, body := range d.docs.targets {
-			a.TargetEntries = append(a.TargetEntries, proto.TargetDocument{ID: id, Body: body})
+		for _, t := range d.docs.targets {
+			a.TargetEntries = append(a.TargetEntries, t)
 		}
 	}
 	return a
@@ -232,7 +259,7 @@
 func (d *Relay) pull(from proto.VM) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
 	defer cancel()
-	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.docs.changed.Load()})
+	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version()})
 	a, ok := m.(proto.RoutingAnswer)
 	if err != nil || !ok {
 		d.log.Debug("another daemon gave nothing newer", "from", from, "error", err)
@@ -246,11 +273,10 @@
 	}
 	e := platform.Entries{Version: a.Targets}
 	for _, t := range a.TargetEntries {
-		e.List = append(e.List, platform.Entry{Key: t.ID, Body: t.Body})
+		e.List = append(e.List, platform.Entry{Key: t.ID, Version: t.Version, Body: t.Body})
 	}
 	d.log.Info("list of targets taken from another daemon", "from", from, "version", a.Targets, "targets", len(e.List))
-	d.targetsWhole(e)
-	d.docs.changed.Store(max(a.Targets, d.docs.changed.Load()))
+	d.takeTargets(e, string(from))
 }
 
 // daemonRow is what a daemon says of itself in the store, for daemons that start when all seeds are gone.
