--- /dev/null
+++ b/relay/batch_test.go
@@ -0,0 +1,409 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+var spec = proto.BatchSpec{Slots: 1, Most: 8, CallCost: 200 * time.Millisecond, PieceCost: 20 * time.Millisecond, Room: 12_000, Keep: 4 * time.Second}
+
+func batcher(targets ...proto.RelayTarget) *Batcher {
+	b := NewBatcher(spec)
+	b.SetTargets(targets)
+	return b
+}
+
+// job has pieces with results of 1,000 bytes each and an hour's time.
+func job(id string, pieces int) *Job {
+	return &Job{Ask: proto.PiecesAsk{Pool: "p", Request: id, Pieces: pieces, Bytes: 1000}, Due: start.Add(time.Hour), End: start.Add(2 * time.Hour)}
+}
+
+func add(t *testing.T, b *Batcher, jobs ...*Job) {
+	t.Helper()
+	for _, j := range jobs {
+		if refused := b.Add(start, j); refused != nil {
+			t.Fatalf("%s refused: %s", j.Ask.Request, refused.Detail)
+		}
+	}
+}
+
+func next(b *Batcher, now time.Time) []*Call {
+	calls, _ := b.Next(now)
+	return calls
+}
+
+func pieces(c *Call) string {
+	all := ""
+	for _, i := range c.Items {
+		all += fmt.Sprintf("%s%d ", i.Job.Ask.Request, i.Piece)
+	}
+	return all
+}
+
+func results(c *Call) []ItemResult {
+	made := make([]ItemResult, len(c.Items))
+	for i, item := range c.Items {
+		made[i].Handle = fmt.Sprintf("%s/%s.%d.%d", c.Target.ID, item.Job.Ask.Request, item.Piece, c.Began.UnixNano())
+	}
+	return made
+}
+
+func TestACallIsFilledFromSeveralRequests(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	add(t, b, job("a", 3), job("b", 2), job("c", 4), job("d", 3))
+	calls := next(b, start)
+	if len(calls) != 1 || pieces(calls[0]) != "a0 a1 a2 b0 b1 d0 d1 d2 " {
+		t.Fatalf("calls %d, first %q: c does not fit whole, d does", len(calls), pieces(calls[0]))
+	}
+	if more := next(b, start); len(more) != 0 {
+		t.Errorf("a second call was sent to a target with one slot")
+	}
+	ends, unused := b.Done(start.Add(time.Second), calls[0], results(calls[0]))
+	if len(ends) != 3 || len(unused) != 0 {
+		t.Errorf("%d jobs ended, %d results unused", len(ends), len(unused))
+	}
+}
+
+func TestAJobLargerThanACallIsDivided(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"), listed("t2", "p", "z"))
+	b.spec.Room = 0
+	add(t, b, job("a", 10))
+	calls := next(b, start)
+	if len(calls) != 2 || len(calls[0].Items)+len(calls[1].Items) != 10 {
+		t.Fatalf("%d calls", len(calls))
+	}
+	if ends, _ := b.Done(start, calls[0], results(calls[0])); len(ends) != 0 {
+		t.Error("the job ended with a part of its results")
+	}
+	if ends, _ := b.Done(start, calls[1], results(calls[1])); len(ends) != 1 || len(ends[0].Answer.Handles) != 10 {
+		t.Error("the job did not end with all results")
+	}
+}
+
+func TestRoomIsCountedUntilResultsAreFreed(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	add(t, b, job("a", 8), job("b", 4), job("c", 1))
+	first := next(b, start)[0]
+	made := results(first)
+	b.Done(start, first, made)
+	second := next(b, start)[0]
+	if pieces(second) != "b0 b1 b2 b3 " {
+		t.Fatalf("with room for four, the call holds %q", pieces(second))
+	}
+	b.Done(start, second, results(second))
+	if calls := next(b, start); len(calls) != 0 {
+		t.Fatalf("without room a call was sent: %q", pieces(calls[0]))
+	}
+	b.Freed(start, made[0].Handle)
+	if calls := next(b, start); len(calls) != 1 || pieces(calls[0]) != "c0 " {
+		t.Error("freed room was not used")
+	}
+}
+
+func TestResultsThatNobodyFreesGoByThemselves(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	add(t, b, job("a", 8), job("b", 8))
+	first := next(b, start)[0]
+	b.Done(start, first, results(first))
+	half := next(b, start)
+	if len(half) != 1 || len(half[0].Items) != 4 {
+		t.Fatalf("with room for four, calls %v", half)
+	}
+	b.Done(start, half[0], results(half[0]))
+	if calls := next(b, start); len(calls) != 0 {
+		t.Fatal("a call was sent without room")
+	}
+	if calls := next(b, start.Add(spec.Keep)); len(calls) != 1 || len(calls[0].Items) != 4 {
+		t.Error("the room of results that ran out was not used")
+	}
+}
+
+func TestATargetWithLessRoomThanCountedIsLeftAlone(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	add(t, b, job("a", 2))
+	c := next(b, start)[0]
+	made := results(c)
+	made[1] = ItemResult{Fate: proto.PiecesNoRoom}
+	if ends, _ := b.Done(start, c, made); len(ends) != 0 {
+		t.Fatal("the job ended although a piece can be made again")
+	}
+	if calls := next(b, start.Add(roomWait)); len(calls) != 0 {
+		t.Error("a call was sent to a target that keeps unknown results")
+	}
+	if calls := next(b, start.Add(spec.Keep)); len(calls) != 1 || pieces(calls[0]) != "a1 " {
+		t.Errorf("after their time the missing piece is not made")
+	}
+}
+
+func TestTurns(t *testing.T) {
+	due := func(j *Job, after time.Duration) *Job {
+		j.Due = start.Add(after)
+		return j
+	}
+	ranked := func(j *Job, rank int) *Job {
+		j.Ask.Priority = rank
+		return j
+	}
+	scenarios := []struct {
+		name string
+		jobs []*Job
+		want string
+	}{
+		{"the one due first", []*Job{due(job("a", 8), 3*time.Second), due(job("b", 8), 2*time.Second)}, "b"},
+		{"a rank counts for some time", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+rankWait/2)}, "b"},
+		{"but not for ever", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+2*rankWait)}, "a"},
+		{"one that must be late comes last", []*Job{due(job("a", 8), 100*time.Millisecond), due(job("b", 8), 2*time.Second)}, "b"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := batcher(listed("t1", "p", "z"))
+			add(t, b, s.jobs...)
+			if got := next(b, start)[0].Items[0].Job.Ask.Request; got != s.want {
+				t.Errorf("first %s, want %s", got, s.want)
+			}
+		})
+	}
+}
+
+func TestWhatCannotBeInTimeIsRefusedBeforeAnythingRan(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	add(t, b, job("a", 8), job("b", 8), job("c", 8))
+	next(b, start)
+	late := job("late", 8)
+	late.Due, late.Ask.First = start.Add(time.Second), true
+	late.order = late.Due
+	for _, j := range b.jobs {
+		j.order = start
+	}
+	refused := b.Add(start, late)
+	if refused == nil || refused.Fate != proto.PiecesRefused || refused.Wait < retryFloor {
+		t.Fatalf("answer %+v", refused)
+	}
+	begun := job("begun", 8)
+	begun.Due = start.Add(time.Second)
+	if b.Add(start, begun) != nil {
+		t.Error("a request for which work was done already was refused, though its result is still of use")
+	}
+}
+
+func TestFailedCallsAreSentElsewhereAndThenGivenUp(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"), listed("t2", "p", "z"))
+	add(t, b, job("a", 4))
+	now := start
+	last := ""
+	for try := 1; ; try++ {
+		calls := next(b, now)
+		if len(calls) != 1 {
+			t.Fatalf("try %d: %d calls", try, len(calls))
+		}
+		if calls[0].Target.ID == last {
+			t.Errorf("try %d went to %s again", try, last)
+		}
+		last = calls[0].Target.ID
+		ends := b.Failed(now, calls[0], false)
+		if try == pieceTries {
+			if len(ends) != 1 || ends[0].Answer.Fate != proto.PiecesFailed {
+				t.Fatalf("ends %v", ends)
+			}
+			return
+		}
+		if len(ends) != 0 {
+			t.Fatalf("given up after %d tries", try)
+		}
+		now = now.Add(outMost)
+	}
+}
+
+func TestABusyTargetIsNoFailure(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	add(t, b, job("a", 4))
+	now := start
+	for range 2 * pieceTries {
+		calls := next(b, now)
+		if len(calls) != 1 {
+			t.Fatal("no call after the wait")
+		}
+		if ends := b.Failed(now, calls[0], true); len(ends) != 0 {
+			t.Fatal("the job was given up since a target was busy")
+		}
+		now = now.Add(outBase)
+	}
+}
+
+func TestAnOverdueCallIsMadeElsewhereAndTheFirstResultCounts(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"), listed("t2", "p", "z"))
+	add(t, b, job("a", 4))
+	slow := next(b, start)[0]
+	now := start.Add(time.Duration(overdueAt*float64(slow.Expected)) + time.Millisecond)
+	calls := next(b, now)
+	if len(calls) != 1 || calls[0].Target.ID == slow.Target.ID || len(calls[0].Items) != 4 {
+		t.Fatalf("calls %v", calls)
+	}
+	ends, unused := b.Done(now, calls[0], results(calls[0]))
+	if len(ends) != 1 || len(unused) != 0 {
+		t.Fatalf("ends %v, unused %v", ends, unused)
+	}
+	ends, unused = b.Done(now, slow, results(slow))
+	if len(ends) != 0 || len(unused) != 4 {
+		t.Errorf("the late call ended %d jobs, %d results to be freed", len(ends), len(unused))
+	}
+}
+
+func TestInputsPullAJobIntoTheirZoneForATime(t *testing.T) {
+	b := batcher(listed("far", "p", "y"), listed("near", "p", "z"))
+	add(t, b, job("first", 8))
+	busy := next(b, start)[0]
+	if busy.Target.ID != "far" {
+		t.Fatalf("%s is busy", busy.Target.ID)
+	}
+	b.Done(start, busy, results(busy))
+	here := job("here", 2)
+	here.Ask.Zone = "y"
+	add(t, b, job("other", 8), here)
+	b.targets["far"].call = &Call{Began: start, Expected: time.Second}
+	b.targets["near"].call = nil
+	calls := next(b, start)
+	if len(calls) != 1 || pieces(calls[0]) != "other0 other1 other2 other3 other4 other5 other6 other7 " {
+		t.Fatalf("calls %v", calls)
+	}
+	b.Done(start, calls[0], results(calls[0]))
+	if calls = next(b, start); len(calls) != 0 {
+		t.Error("the job did not wait for a target in the zone of its inputs")
+	}
+	if calls = next(b, start.Add(crossWait)); len(calls) != 1 || pieces(calls[0]) != "here0 here1 " {
+		t.Error("the job waited for longer than it should")
+	}
+}
+
+func TestWithdrawnJobsMakeNoMoreWork(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	add(t, b, job("a", 2), job("b", 8))
+	c := next(b, start)[0]
+	b.Withdraw("a", 0)
+	b.Withdraw("b", 0)
+	ends, unused := b.Done(start, c, results(c))
+	if len(ends) != 0 || len(unused) != 2 {
+		t.Errorf("ends %v, unused %v", ends, unused)
+	}
+	if calls := next(b, start); len(calls) != 0 {
+		t.Errorf("a withdrawn job is worked on: %q", pieces(calls[0]))
+	}
+}
+
+// TestEveryJobEndsOnceWithItsOwnResults plays random arrivals, failures, lost room, overdue calls and targets that
+// come and go.
+func TestEveryJobEndsOnceWithItsOwnResults(t *testing.T) {
+	for seed := range uint64(300) {
+		playBatches(t, rand.New(rand.NewPCG(seed, 1)))
+	}
+}
+
+func playBatches(t *testing.T, r *rand.Rand) {
+	targets := []proto.RelayTarget{listed("t1", "p", "y"), listed("t2", "p", "z"), listed("t3", "p", "z")}
+	b := batcher(targets...)
+	open, ended := map[*Job]bool{}, 0
+	var calls []*Call
+	end := func(ends []JobEnd) {
+		for _, e := range ends {
+			if !open[e.Job] {
+				t.Fatalf("%s ended twice", e.Job.Ask.Request)
+			}
+			delete(open, e.Job)
+			ended++
+			checkResults(t, e)
+		}
+	}
+	now := start
+	for i := range 400 {
+		now = now.Add(time.Duration(r.IntN(60)) * time.Millisecond)
+		if i < 200 {
+			j := job(fmt.Sprint("r", i), 1+r.IntN(11))
+			j.Due, j.End = now.Add(time.Duration(r.IntN(3000))*time.Millisecond), now.Add(4*time.Second)
+			j.Ask.First = r.IntN(2) == 0
+			if b.Add(now, j) == nil {
+				open[j] = true
+			}
+		}
+		if r.IntN(20) == 0 {
+			b.SetTargets(targets[:1+r.IntN(len(targets))])
+		}
+		more, ends := b.Next(now)
+		end(ends)
+		calls = append(calls, more...)
+		if len(calls) > 0 && r.IntN(3) > 0 {
+			n := r.IntN(len(calls))
+			c := calls[n]
+			calls = append(calls[:n], calls[n+1:]...)
+			end(answer(b, r, now, c))
+		}
+	}
+	b.SetTargets(targets)
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		more, ends := b.Next(now)
+		end(ends)
+		for _, c := range append(calls, more...) {
+			end(answer(b, r, now, c))
+		}
+		calls = nil
+	}
+	if len(open) != 0 {
+		t.Fatalf("%d jobs never ended, %d did", len(open), ended)
+	}
+}
+
+func answer(b *Batcher, r *rand.Rand, now time.Time, c *Call) []JobEnd {
+	switch r.IntN(8) {
+	case 0:
+		return b.Failed(now, c, false)
+	case 1:
+		return b.Failed(now, c, true)
+	}
+	made := results(c)
+	for i := range made {
+		switch r.IntN(40) {
+		case 0:
+			made[i] = ItemResult{Fate: proto.PiecesNoRoom}
+		case 1:
+			made[i] = ItemResult{Fate: proto.PiecesFailed}
+		case 2:
+			made[i] = ItemResult{Fate: proto.PiecesLost}
+		}
+	}
+	ends, unused := b.Done(now, c, made)
+	for _, h := range unused {
+		b.Freed(now, h)
+	}
+	for _, e := range ends {
+		for _, h := range e.Answer.Handles {
+			b.Freed(now, h)
+		}
+	}
+	return ends
+}
+
+func checkResults(t *testing.T, e JobEnd) {
+	t.Helper()
+	if e.Answer.Fate != proto.PiecesDone {
+		return
+	}
+	if len(e.Answer.Handles) != e.Job.Ask.Pieces {
+		t.Fatalf("%s has %d results for %d pieces", e.Job.Ask.Request, len(e.Answer.Handles), e.Job.Ask.Pieces)
+	}
+	for i, h := range e.Answer.Handles {
+		var target, request string
+		var piece int
+		var at int64
+		if _, err := fmt.Sscanf(h, "%2s/r%s", &target, &request); err != nil {
+			t.Fatalf("result %q: %v", h, err)
+		}
+		if _, err := fmt.Sscanf(h[3:], e.Job.Ask.Request+".%d.%d", &piece, &at); err != nil || piece != i {
+			t.Fatalf("%s got %q for piece %d", e.Job.Ask.Request, h, i)
+		}
+	}
+}
--- /dev/null
+++ b/relay/fleet_test.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+func listed(id, pool, zone string) proto.RelayTarget {
+	return proto.RelayTarget{ID: id, Pool: pool, Zone: zone, Slots: 4}
+}
+
+func put(version uint64, t proto.RelayTarget) FleetChange {
+	return FleetChange{ID: t.ID, Version: version, Target: t}
+}
+
+func removed(version uint64, id string) FleetChange {
+	return FleetChange{ID: id, Version: version, Removed: true}
+}
+
+func newFleet(changes ...FleetChange) *Fleet {
+	f := NewFleet(func(string) {})
+	f.Change(start, changes)
+	return f
+}
+
+func names(f *Fleet, pool string) string {
+	all := ""
+	for _, t := range f.Usable(pool) {
+		all += t.ID + " "
+	}
+	return all
+}
+
+func TestLeavingAndRemovedTargetsGetNoNewWork(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	leaving := listed("a", "p", "z")
+	leaving.Leaving = true
+	f.Change(start, []FleetChange{put(3, leaving)})
+	for range 10 {
+		if got := f.Pick(start, "p", Want{}); got.Spec.ID != "b" {
+			t.Fatalf("a leaving target was picked: %s", got.Spec.ID)
+		}
+	}
+	f.Change(start, []FleetChange{removed(4, "b")})
+	if got := f.Pick(start, "p", Want{}); got != nil {
+		t.Errorf("%s was picked from a pool without targets", got.Spec.ID)
+	}
+}
+
+func TestOlderEntriesAndListsAreIgnored(t *testing.T) {
+	f := newFleet(put(5, listed("a", "p", "z")), put(6, listed("b", "p", "z")))
+	leaving := listed("a", "p", "z")
+	leaving.Leaving = true
+	f.Change(start, []FleetChange{put(9, leaving)})
+	f.Change(start, []FleetChange{put(5, listed("a", "p", "z"))})
+	if got := names(f, "p"); got != "b " {
+		t.Errorf("usable after an older entry: %q", got)
+	}
+	if _, taken := f.Replace(start, 8, []FleetChange{put(5, listed("a", "p", "z"))}); taken {
+		t.Error("a list from before the newest change was taken")
+	}
+	if got := names(f, "p"); got != "b " {
+		t.Errorf("usable after an older list: %q", got)
+	}
+	if _, taken := f.Replace(start, 9, []FleetChange{put(9, leaving)}); !taken || names(f, "p") != "" {
+		t.Errorf("a list that lacks b leaves %q", names(f, "p"))
+	}
+}
+
+func TestTwoDaemonsThatKnowTheSameShowTheSameVersion(t *testing.T) {
+	changes := []FleetChange{put(3, listed("a", "p", "z")), put(7, listed("b", "p", "z")), removed(11, "a")}
+	byWatch, byList := newFleet(changes...), NewFleet(func(string) {})
+	byList.Replace(start, 40, []FleetChange{put(7, listed("b", "p", "z"))})
+	byList.Change(start, []FleetChange{removed(11, "a")})
+	if byWatch.Version() != byList.Version() {
+		t.Errorf("versions %d and %d", byWatch.Version(), byList.Version())
+	}
+}
+
+func TestEntriesThatGoWhileTheStoreIsAwayStayForATime(t *testing.T) {
+	type step struct {
+		at   time.Duration
+		do   func(f *Fleet, now time.Time)
+		want string
+	}
+	away := func(f *Fleet, now time.Time) { f.StoreAway(now) }
+	back := func(f *Fleet, now time.Time) { f.StoreBack(now) }
+	gone := func(f *Fleet, now time.Time) { f.Change(now, []FleetChange{removed(5, "a")}) }
+	again := func(f *Fleet, now time.Time) { f.Change(now, []FleetChange{put(6, listed("a", "p", "z"))}) }
+	sweep := func(f *Fleet, now time.Time) { f.Sweep(now) }
+	scenarios := []struct {
+		name  string
+		steps []step
+	}{
+		{"the store is well", []step{{0, gone, "b "}}},
+		{"lapsed and back", []step{
+			{0, away, "a b "}, {4 * time.Second, back, "a b "}, {4 * time.Second, gone, "a b "}, {5 * time.Second, again, "a b "},
+			{7 * time.Second, sweep, "a b "},
+		}},
+		{"lapsed and gone for good", []step{
+			{0, away, "a b "}, {4 * time.Second, back, "a b "}, {4 * time.Second, gone, "a b "}, {5 * time.Second, sweep, "a b "},
+			{4*time.Second + lapseWait, sweep, "b "},
+		}},
+		{"gone long after the return", []step{{0, away, "a b "}, {4 * time.Second, back, "a b "}, {8 * time.Second, gone, "b "}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+			for i, step := range s.steps {
+				step.do(f, start.Add(step.at))
+				if got := names(f, "p"); got != step.want {
+					t.Fatalf("step %d: usable %q, want %q", i, got, step.want)
+				}
+			}
+		})
+	}
+}
+
+func TestAnEntryThatWasLeavingDoesNotLapse(t *testing.T) {
+	leaving := listed("a", "p", "z")
+	leaving.Leaving = true
+	f := newFleet(put(1, leaving))
+	f.StoreAway(start)
+	notes := f.Change(start, []FleetChange{removed(2, "a")})
+	if len(notes) != 1 || notes[0].Outcome != outcomeRemoved {
+		t.Errorf("notes %v", notes)
+	}
+}
+
+func TestFailingTargetsAreLeftOutAndComeBack(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	fail := func(now time.Time, id string) {
+		target := f.Take(now, "p", id, Want{})
+		f.Ended(now, target, Want{}, false, VerdictBad, Load{})
+	}
+	fail(start, "a")
+	for range 5 {
+		if got := f.Pick(start, "p", Want{}); got.Spec.ID != "b" {
+			t.Fatal("a target was picked just after it failed")
+		}
+	}
+	fail(start, "b")
+	if f.Pick(start, "p", Want{}) == nil {
+		t.Error("with all targets failing, none was picked: a bad one is better than none")
+	}
+	if out := f.Out(start.Add(ejectMost), "p"); len(out) != 0 {
+		t.Errorf("%v are out for ever", out)
+	}
+	for i := range 6 {
+		fail(start.Add(time.Duration(i)*time.Millisecond), "a")
+	}
+	if out := f.Out(start.Add(ejectMost-time.Second), "p"); fmt.Sprint(out) != "[a]" {
+		t.Errorf("out after failures in a row: %v", out)
+	}
+}
+
+func TestTriedTargetsAreNotPickedAgain(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	if got := f.Pick(start, "p", Want{Tried: map[string]bool{"a": true}}); got.Spec.ID != "b" {
+		t.Errorf("picked %s", got.Spec.ID)
+	}
+	if got := f.Pick(start, "p", Want{Tried: map[string]bool{"a": true, "b": true}}); got != nil {
+		t.Errorf("picked %s, which was tried", got.Spec.ID)
+	}
+}
+
+func TestPlainWorkGoesToTheLeastLoadedTargetNearby(t *testing.T) {
+	f := newFleet(put(1, listed("far", "p", "y")), put(2, listed("near", "p", "z")))
+	if got := f.Pick(start, "p", Want{Zone: "z"}); got.Spec.ID != "near" {
+		t.Errorf("the first attempt went to %s", got.Spec.ID)
+	}
+	counts := map[string]int{}
+	for range 7 {
+		counts[f.Pick(start, "p", Want{Zone: "z"}).Spec.ID]++
+	}
+	if counts["near"] == 0 || counts["far"] == 0 {
+		t.Errorf("picked %v: a busy target nearby costs more than an idle one in another zone", counts)
+	}
+}
--- /dev/null
+++ b/relay/table_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"testing"
+
+	"emberlead/proto"
+)
+
+func routing(version uint64, routes ...proto.Route) *proto.Routing {
+	return &proto.Routing{
+		Version: version, Routes: routes, Pools: map[string]*proto.RelayPool{},
+		Workspaces: []proto.RelayWorkspace{{Name: "north", Keys: []string{"key-1", "key-2"}}},
+	}
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	table := NewTable(routing(1,
+		proto.Route{Name: "wide", Host: "a.example", Prefix: "/"},
+		proto.Route{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+		proto.Route{Name: "middle", Host: "a.example", Prefix: "/x/"},
+		proto.Route{Name: "other", Host: "b.example", Prefix: "/only/"},
+	))
+	scenarios := []struct{ name, host, path, want string }{
+		{"longest", "a.example", "/x/y/z", "deep"},
+		{"shorter", "a.example", "/x/z", "middle"},
+		{"root", "a.example", "/q", "wide"},
+		{"a prefix ends with a slash", "a.example", "/x", "wide"},
+		{"case and port of the host do not matter", "A.Example:8080", "/x/y/", "deep"},
+		{"no route of the host", "b.example", "/x/", ""},
+		{"no such host", "c.example", "/", ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			got := ""
+			if route := table.Match(s.host, s.path); route != nil {
+				got = route.Name
+			}
+			if got != s.want {
+				t.Errorf("route %q, want %q", got, s.want)
+			}
+		})
+	}
+}
+
+func TestKeysBelongToWorkspaces(t *testing.T) {
+	table := NewTable(routing(1))
+	if w := table.Owner("key-2"); w == nil || w.Name != "north" {
+		t.Errorf("owner of key-2 is %v", w)
+	}
+	if table.Owner("") != nil || table.Owner("key-3") != nil {
+		t.Error("an unknown key has an owner")
+	}
+}
+
+func TestAVersionNeverGoesBack(t *testing.T) {
+	tables := &Tables{}
+	if tables.Current() != nil || tables.Version() != 0 {
+		t.Fatal("a table is in force before any was adopted")
+	}
+	for _, s := range []struct {
+		version uint64
+		adopted bool
+	}{{5, true}, {4, false}, {5, false}, {9, true}, {8, false}} {
+		if got := tables.Adopt(routing(s.version)); got != s.adopted {
+			t.Errorf("version %d adopted: %v, want %v", s.version, got, s.adopted)
+		}
+	}
+	if tables.Version() != 9 {
+		t.Errorf("version %d in force, want 9", tables.Version())
+	}
+}
