--- a/relay/choice.go
+++ b/relay/choice.go
@@ -160,7 +160,10 @@
 	long := p.isLong(now, w.Route)
 	var best *Target
 	least := math.Inf(1)
-	for _, t := range p.list {
+	// The search begins at another target each time, so that equal ones share the work.
+	p.turn++
+	for i := range p.list {
+		t := p.list[(p.turn+i)%len(p.list)]
 		if t.Spec.Leaving || w.Tried[t.Spec.ID] || !any && t.health.out(now) {
 			continue
 		}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -47,6 +47,7 @@
 	listed, orderedOf uint64
 	ordered           []*Target
 	prompts           map[string]*routePrompts
+	turn              int
 	all               routePrompts
 	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
 	memory int
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -180,3 +180,17 @@
 		t.Errorf("picked %v: a busy target nearby costs more than an idle one in another zone", counts)
 	}
 }
+
+// TestEqualTargetsShareTheWork asks one at a time, so that all are idle at each choice.
+func TestEqualTargetsShareTheWork(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")), put(3, listed("c", "p", "z")))
+	counts := map[string]int{}
+	for range 30 {
+		target := f.Pick(start, "p", Want{Zone: "z"})
+		counts[target.Spec.ID]++
+		f.Ended(start, target, Want{}, true, VerdictGood, Load{})
+	}
+	if counts["a"] != 10 || counts["b"] != 10 || counts["c"] != 10 {
+		t.Errorf("picked %v", counts)
+	}
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -69,13 +69,34 @@
 	peers    *relayPeers
 	docs     documents
 
+	linkKey      string
+	badSettings  bool // only the loop that watches the settings uses it
 	targetsKnown atomic.Bool
 	stopping     atomic.Bool
 }
 
+// Members returns the number of live daemons that this one knows, itself included.
+func (d *Relay) Members() int { return d.peers.Count() }
+
+// PieceCalls returns the number of calls for pieces that this daemon made.
+func (d *Relay) PieceCalls() int64 { return d.pieces.Counts().Calls }
+
+// Silence cuts all links to other daemons, as the death of the process would; tests use it.
+func (d *Relay) Silence() { d.peers.links.Close() }
+
+// RelayOption changes a Relay at construction.
+type RelayOption func(*Relay)
+
+// WithLinkKey sets the key that daemons show each other instead of the store's address.
+func WithLinkKey(key string) RelayOption { return func(d *Relay) { d.linkKey = key } }
+
 // NewRelay returns a daemon that does nothing yet.
-func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink) *Relay {
-	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store)}
+func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink, options ...RelayOption) *Relay {
+	// The platform gives no secret; the store's address keeps daemons of two deployments apart.
+	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store), linkKey: settings.Store.String()}
+	for _, option := range options {
+		option(d)
+	}
 	d.docs.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.Peers,
@@ -104,8 +125,7 @@
 		}
 	}
 	d.peers.links = wire.NewLinks(wire.LinksConfig{
-		// The platform gives no secret; the store's address keeps daemons of two deployments apart.
-		Self: d.self.VM, Key: d.settings.Store.String(), Log: d.log.Named("links"),
+		Self: d.self.VM, Key: d.linkKey, Log: d.log.Named("links"),
 		Resolve: d.peers.resolve, Handle: d.handle,
 	})
 	d.peers.members = coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), d.peers.links, d.heartbeat)
@@ -254,9 +274,13 @@
 func (d *Relay) reload(cause string) {
 	settings, err := platform.LoadSettings()
 	if err != nil {
-		d.log.Warn("the settings cannot be read again, the old ones stay", "cause", cause, "error", err)
+		if !d.badSettings {
+			d.log.Warn("the settings cannot be read again, the old ones stay", "cause", cause, "error", err)
+		}
+		d.badSettings = true
 		return
 	}
+	d.badSettings = false
 	added := d.peers.addSeeds(settings.Seeds)
 	if cause == "signal" || added > 0 {
 		d.log.Info("settings read again", "cause", cause, "newSeeds", added)
--- /dev/null
+++ b/wire/exchange_test.go
@@ -0,0 +1,322 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/relay"
+)
+
+// scriptedTarget answers each request of each connection with the bytes that a script gives, and counts both.
+type scriptedTarget struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    int
+	requests int
+}
+
+// script returns what to write for the n-th request of a connection, and whether to close it after that.
+type script func(conn, request int, r *http.Request) (answer string, closing bool)
+
+func newScripted(t *testing.T, s script) (*scriptedTarget, netip.AddrPort) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &scriptedTarget{listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go target.serve(s)
+	return target, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (s *scriptedTarget) serve(fn script) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns++
+		n := s.conns
+		s.mu.Unlock()
+		go s.converse(conn, n, fn)
+	}
+}
+
+func (s *scriptedTarget) converse(conn net.Conn, n int, fn script) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for request := 1; ; request++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.mu.Lock()
+		s.requests++
+		s.mu.Unlock()
+		answer, closing := fn(n, request, r)
+		if _, err := io.WriteString(conn, answer); err != nil || closing {
+			return
+		}
+	}
+}
+
+func (s *scriptedTarget) counts() (conns, requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns, s.requests
+}
+
+const headerID = "X-Id"
+
+func ask(id string, body string) *relay.Outgoing {
+	return &relay.Outgoing{
+		Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{headerID: {id}}, Body: []byte(body),
+		Mine: func(h http.Header) bool { return h.Get(headerID) == id },
+	}
+}
+
+func whole(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string {
+	if n < 10 {
+		return string(rune('0' + n))
+	}
+	return itoa(n/10) + itoa(n%10)
+}
+
+func exchangeOnce(t *testing.T, e *Exchange, to netip.AddrPort, out *relay.Outgoing) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	in, err := e.Send(ctx, to, out)
+	if err != nil {
+		return "", err
+	}
+	defer in.Body.Close()
+	body, err := io.ReadAll(in.Body)
+	return string(body), err
+}
+
+func TestAConnectionIsKeptForTheNextRequest(t *testing.T) {
+	target, to := newScripted(t, func(_, _ int, r *http.Request) (string, bool) { return whole(r.Header.Get(headerID), "ok"), false })
+	e := NewExchange(clockwork.NewFakeClock())
+	for _, id := range []string{"a", "b", "c"} {
+		if body, err := exchangeOnce(t, e, to, ask(id, "q")); body != "ok" || err != nil {
+			t.Fatalf("%s: %q, %v", id, body, err)
+		}
+	}
+	if conns, requests := target.counts(); conns != 1 || requests != 3 {
+		t.Errorf("%d connections for %d requests", conns, requests)
+	}
+}
+
+func TestAnAnswerToAnotherRequestIsDropped(t *testing.T) {
+	_, to := newScripted(t, func(_, request int, r *http.Request) (string, bool) {
+		if request == 2 {
+			return whole("a", "stray") + whole(r.Header.Get(headerID), "mine"), false
+		}
+		return whole(r.Header.Get(headerID), "first"), false
+	})
+	e := NewExchange(clockwork.NewFakeClock())
+	if body, err := exchangeOnce(t, e, to, ask("a", "")); body != "first" || err != nil {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if body, err := exchangeOnce(t, e, to, ask("b", "")); body != "mine" || err != nil {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if e.Counts().Stray != 1 {
+		t.Errorf("counts %+v", e.Counts())
+	}
+}
+
+func TestAConnectionWithBytesThatNobodyAskedForIsNotUsedAgain(t *testing.T) {
+	target, to := newScripted(t, func(conn, _ int, r *http.Request) (string, bool) {
+		answer := whole(r.Header.Get(headerID), "ok")
+		if conn == 1 {
+			answer += whole(r.Header.Get(headerID), "again")
+		}
+		return answer, false
+	})
+	e := NewExchange(clockwork.NewFakeClock())
+	for _, id := range []string{"a", "a"} {
+		if body, err := exchangeOnce(t, e, to, ask(id, "")); body != "ok" || err != nil {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if conns, _ := target.counts(); conns != 2 {
+		t.Errorf("%d connections", conns)
+	}
+}
+
+// TestWhatGotNoAnswerIsNotSentAgain has the target close a kept connection when it has read the second request.
+func TestWhatGotNoAnswerIsNotSentAgain(t *testing.T) {
+	target, to := newScripted(t, func(_, request int, r *http.Request) (string, bool) {
+		if request == 2 {
+			return "", true
+		}
+		return whole(r.Header.Get(headerID), "ok"), false
+	})
+	e := NewExchange(clockwork.NewFakeClock())
+	if _, err := exchangeOnce(t, e, to, ask("a", "")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := exchangeOnce(t, e, to, ask("b", ""))
+	var sendErr *relay.SendError
+	if !errors.As(err, &sendErr) || !sendErr.Written {
+		t.Fatalf("error %v: the request may have run", err)
+	}
+	if conns, requests := target.counts(); conns != 1 || requests != 2 {
+		t.Errorf("%d connections, %d requests: it was sent again", conns, requests)
+	}
+}
+
+func TestWhatWasNeverWrittenIsKnownNotToRun(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	to := netip.MustParseAddrPort(l.Addr().String())
+	_ = l.Close()
+	_, err = exchangeOnce(t, NewExchange(clockwork.NewFakeClock()), to, ask("a", ""))
+	var sendErr *relay.SendError
+	if !errors.As(err, &sendErr) || sendErr.Written {
+		t.Errorf("error %v: nothing was written", err)
+	}
+}
+
+// TestRequestsThatRunOnceTakeOnlyFreshConnections rests a connection for longer than such a request accepts.
+func TestRequestsThatRunOnceTakeOnlyFreshConnections(t *testing.T) {
+	target, to := newScripted(t, func(_, _ int, r *http.Request) (string, bool) { return whole(r.Header.Get(headerID), "ok"), false })
+	clock := clockwork.NewFakeClock()
+	e := NewExchange(clock)
+	once := func(id string) *relay.Outgoing {
+		out := ask(id, "")
+		out.Once = true
+		return out
+	}
+	send := func(out *relay.Outgoing, wantConns int) {
+		t.Helper()
+		if _, err := exchangeOnce(t, e, to, out); err != nil {
+			t.Fatal(err)
+		}
+		if conns, _ := target.counts(); conns != wantConns {
+			t.Errorf("%d connections, want %d", conns, wantConns)
+		}
+	}
+	send(once("a"), 1)
+	clock.Advance(onceIdle / 2)
+	send(once("b"), 1)
+	clock.Advance(onceIdle + time.Millisecond)
+	send(ask("c", ""), 1)
+	clock.Advance(onceIdle + time.Millisecond)
+	send(once("d"), 2)
+	clock.Advance(idleMost)
+	send(ask("e", ""), 3)
+}
+
+func TestTheTimeThatATargetStatesIsKept(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": idleMost, "timeout=10": 7 * time.Second, "max=5, timeout=2": 1400 * time.Millisecond, "timeout=x": idleMost} {
+		h := http.Header{}
+		h.Set("Keep-Alive", text)
+		if got := restTime(h); got != want {
+			t.Errorf("%q: %s, want %s", text, got, want)
+		}
+	}
+}
+
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	scenarios := []struct{ name, answer, body string }{
+		{"by length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nhalf", ""},
+		{"by chunks", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", ""},
+		{"no answer at all", "HTTP/9 nonsense\r\n\r\n", ""},
+		{"other bytes", "\x00\x01\x02\r\n\r\n", ""},
+		{"without a length, to the end of the connection", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nall", "all"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			_, to := newScripted(t, func(int, int, *http.Request) (string, bool) { return s.answer, true })
+			body, err := exchangeOnce(t, NewExchange(clockwork.NewFakeClock()), to, ask("a", ""))
+			if s.body == "" && err == nil || s.body != "" && (err != nil || body != s.body) {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// TestAnEarlyAnswerLeavesTheConnection has a target answer before it has read a long body.
+func TestAnEarlyAnswerLeavesTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	conns := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- conn
+			head := make([]byte, 64)
+			_, _ = conn.Read(head)
+			_, _ = io.WriteString(conn, whole("a", "early"))
+		}
+	}()
+	e := NewExchange(clockwork.NewFakeClock())
+	to := netip.MustParseAddrPort(l.Addr().String())
+	for range 2 {
+		if body, err := exchangeOnce(t, e, to, ask("a", strings.Repeat("x", 32<<20))); body != "early" || err != nil {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if len(conns) != 2 {
+		t.Errorf("%d connections: one was used again while the rest of a body was due on it", len(conns))
+	}
+}
+
+// TestEndingTheContextEndsTheWork cancels a request that a target works on.
+func TestEndingTheContextEndsTheWork(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	closed := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, 1024)
+		_, _ = conn.Read(buffer)
+		cancel()
+		for err == nil {
+			_, err = conn.Read(buffer)
+		}
+		close(closed)
+	}()
+	_, err = NewExchange(clockwork.NewFakeClock()).Send(ctx, netip.MustParseAddrPort(l.Addr().String()), ask("a", ""))
+	var sendErr *relay.SendError
+	if !errors.As(err, &sendErr) || !sendErr.Written {
+		t.Errorf("error %v", err)
+	}
+	<-closed
+}
