Large results late, lost ones again, a later time to come back; daemons end before they are killed

Change: a stage with large results that only the request needs starts when all others have; lost results are made anew; a refused caller comes back after 1.2 to 3 s; listeners close 900 ms before the kill.

--- a/relay/server.go
+++ b/relay/server.go
@@ -287,15 +287,15 @@
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
 	defer f.freeAll()
 	for rebuilt := 0; ; rebuilt++ {
-		if fail := f.runStages(ctx); fail != nil {
-			return fail
+		fail, lost := f.runStages(ctx)
+		if fail == nil {
+			f.staged = f.server.clock.Now()
+			fail, lost = f.runSelf(ctx)
 		}
-		f.staged = f.server.clock.Now()
-		fail, lost := f.runSelf(ctx)
-		if !lost || rebuilt >= stageRebuilds {
+		if !lost || rebuilt >= stageRebuilds || f.left() < runEstimate {
 			return fail
 		}
-		f.note("inputs are made anew", "rebuilt", rebuilt+1)
+		f.note("inputs are made anew", "rebuilt", rebuilt+1, "left", f.left())
 		f.freeAll()
 	}
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"emberlead/proto"
 )
 
@@ -13,6 +15,13 @@
 	// runEstimate is about how long an engine takes to its first event: the sites state 64 ms and 5 ms, and some
 	// 3,000 tokens take 100 ms to read; the rest is waiting beside other prompts.
 	runEstimate = 300 * time.Millisecond
+	// comeBackLeast is the least time to come back after a refusal for a full queue: a queue that is too long now
+	// takes a few calls of some 300 ms to drain.
+	comeBackLeast = 1200 * time.Millisecond
+	// comeBackSpread is over how long callers that were refused together come back.
+	comeBackSpread = time.Second
+	// comeBackPart is the part of their time left for which callers wait at most.
+	comeBackPart = 3
 	// stageFill is the part of a full call's pieces that a stage's expected length counts.
 	stageFill = 0.7
 )
@@ -38,7 +47,8 @@
 }
 
 // runStages has all stages done that the request does not leave out, each as soon as those before it are.
-func (f *flow) runStages(ctx context.Context) *failure {
+// lost says that a result was lost, so that they may be done anew.
+func (f *flow) runStages(ctx context.Context) (fail *failure, lost bool) {
 	f.handles, f.zone, f.bulk = nil, "", 0
 	home := f.server.fleet.Home(f.server.clock.Now(), f.pool, f.want())
 	stages := f.route.Stages
@@ -53,7 +63,7 @@
 		if e.answer.Fate != proto.PiecesDone {
 			cancel()
 			f.drain(ends, open)
-			return f.stageFailed(e)
+			return f.stageFailed(e), e.answer.Fate == proto.PiecesLost
 		}
 		r := &f.inputs[e.stage]
 		r.done, r.handles, r.zone = true, e.answer.Handles, e.answer.Zone
@@ -62,7 +72,7 @@
 		open += f.startStages(ctx, ends, home)
 	}
 	f.collectInputs()
-	return nil
+	return nil, false
 }
 
 // drain takes in what the other stages still give, so that their results are freed with the rest.
@@ -78,7 +88,15 @@
 func (f *flow) stageFailed(e stageEnd) *failure {
 	pool := f.route.Stages[e.stage].Pool
 	f.note("a stage failed", "stage", e.stage, "pool", pool, "fate", e.answer.Fate, "wait", e.answer.Wait, "detail", e.answer.Detail)
-	return f.notRun(max(retryFloor, e.answer.Wait), "stage "+pool+": "+e.answer.Detail)
+	return f.notRun(f.comeBack(e.answer.Wait), "stage "+pool+": "+e.answer.Detail)
+}
+
+// comeBack is when a caller that was refused for a queue should come back: once the queue has drained, and not all
+// at the same moment. Callers wait for a third of their time at most.
+func (f *flow) comeBack(queue time.Duration) time.Duration {
+	spread := time.Duration(xxhash.Sum64String(f.req.ID) % uint64(comeBackSpread))
+	wait := max(comeBackLeast, 2*queue) + spread
+	return max(retryFloor, min(wait, f.left()/comeBackPart))
 }
 
 // startStages starts the stages whose needs are met and returns how many.
@@ -86,7 +104,7 @@
 	started := 0
 	first := !f.anyDone()
 	for i := range f.route.Stages {
-		if f.inputs[i].asked || f.pieces(i) == 0 || !f.needsMet(i) {
+		if f.inputs[i].asked || f.pieces(i) == 0 || !f.needsMet(i) || f.canWait(i) {
 			continue
 		}
 		f.inputs[i].asked = true
@@ -98,6 +116,20 @@
 	return started
 }
 
+// canWait tells whether a stage with large results is better done later: nothing but the request itself needs them,
+// and until it runs they take up room that other requests need.
+func (f *flow) canWait(stage int) bool {
+	if !f.last(stage) || f.route.Stages[stage].Bytes*f.pieces(stage) < bulkInputs {
+		return false
+	}
+	for i := range f.route.Stages {
+		if i != stage && f.pieces(i) > 0 && !f.inputs[i].asked && !(f.last(i) && f.needsMet(i)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *flow) anyDone() bool {
 	for i := range f.inputs {
 		if f.inputs[i].done {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -35,8 +35,10 @@
 	// unreadyLeast is how long a stopping daemon goes on taking requests: the balancer asks every second and takes a
 	// daemon out after two misses.
 	unreadyLeast = 3500 * time.Millisecond
-	// stopMargin is how long before the kill a stopping daemon has ended.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is how long before the kill a stopping daemon begins to close its listeners, one after the other.
+	stopMargin = 900 * time.Millisecond
+	// closeWait bounds the closing of one listener.
+	closeWait = 100 * time.Millisecond
 	// sweepEvery is how often lapsed targets and resting connections are looked at.
 	sweepEvery = 200 * time.Millisecond
 	// statusEvery is how often the counters are logged, so that a log alone tells how much work there was.
@@ -359,7 +361,7 @@
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	g.Add(func() error { return server.Serve(listener) }, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+		ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 		defer cancel()
 		wire.Shutdown(ctx, server)
 	})
