Daemons pass on what changed of the targets, and the word of one that sees the store goes

Cause: on a grown deployment a leaving target got requests after 3 s (DRAIN): a removal left the version of a list behind, so that daemons pulled lists of 37 KB each 250 ms until the links of 10 Mbit/s were full and all pulls timed out; and a daemon that the store refused took every removal for a lapse. Ruled out: the watches of the readers, which had the removal 9 ms after it. Change: a daemon asks one other at a time for the changes since its version; removals are passed on as such, with whether they were seen as lapses.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -149,6 +149,9 @@
 	ID      string `cbor:"1,keyasint"`
 	Body    []byte `cbor:"2,keyasint"`
 	Version uint64 `cbor:"3,keyasint"`
+	// Removed entries have no body; Lapsed ones of them may come back, since they went while the store was away.
+	Removed bool `cbor:"4,keyasint,omitempty"`
+	Lapsed  bool `cbor:"5,keyasint,omitempty"`
 }
 
 // RoutingAnswer carries what is newer, in the platform's own format.
@@ -158,6 +161,8 @@
 	Targets        uint64           `cbor:"3,keyasint"`
 	TargetEntries  []TargetDocument `cbor:"4,keyasint,omitempty"`
 	TargetsAreSent bool             `cbor:"5,keyasint,omitempty"`
+	// Whole says that the entries are the whole list, and else what changed since the version that was asked with.
+	Whole bool `cbor:"6,keyasint,omitempty"`
 }
 
 // PiecesAsk asks the daemon that batches a pool's calls for all pieces of one stage of a request.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -31,7 +31,8 @@
 	// pace is how long attempts take against what was expected.
 	pace float64
 	// lapsedAt is when the entry went while the store was away; zero if it is listed.
-	lapsedAt time.Time
+	lapsedAt  time.Time
+	lapseTold bool
 	// version is the store's version at which the entry last changed.
 	version uint64
 	gone    bool
@@ -116,7 +117,10 @@
 	// Version is the store's version of the change.
 	Version uint64
 	Removed bool
-	Target  proto.RelayTarget
+	// Told changes come from another daemon, which knows how the store is; Lapsed says that it saw the entry go while
+	// the store was away, so that it may come back.
+	Told, Lapsed bool
+	Target       proto.RelayTarget
 }
 
 // Change takes in changes and returns what it did with each; one that is older than what is known is ignored.
@@ -134,7 +138,8 @@
 
 // Replace takes in the whole list as of a version; entries that it lacks are removed. A list that is older than what
 // is known is refused.
-func (f *Fleet) Replace(now time.Time, asOf uint64, entries []FleetChange) ([]FleetNote, bool) {
+// A list of another daemon that has all changes up to that version is complete.
+func (f *Fleet) Replace(now time.Time, asOf uint64, entries []FleetChange, complete bool) ([]FleetNote, bool) {
 	f.mu.Lock()
 	if asOf < f.version {
 		f.mu.Unlock()
@@ -147,11 +152,18 @@
 		listed[c.ID] = true
 		notes = append(notes, f.apply(now, c)...)
 	}
-	for id := range f.where {
-		if !listed[id] {
+	for id, t := range f.where {
+		switch {
+		case listed[id]:
+		case complete:
+			notes = append(notes, f.drop(t))
+		default:
 			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true, Version: asOf})...)
 		}
 	}
+	if complete {
+		f.version = max(f.version, asOf)
+	}
 	f.mu.Unlock()
 	f.announce(notes)
 	return notes, true
@@ -168,7 +180,8 @@
 	outcomeAdded   = "added"
 	outcomeLeaving = "leaving"
 	outcomeRemoved = "removed"
-	outcomeLapsed  = "lapsed"
+	// OutcomeLapsed means that the entry went, and may come back.
+	OutcomeLapsed  = "lapsed"
 	outcomeUpdated = "updated"
 )
 
@@ -197,7 +210,7 @@
 		return nil
 	}
 	if c.Removed {
-		return f.remove(now, t)
+		return f.remove(now, t, c)
 	}
 	p := f.poolLocked(c.Target.Pool)
 	p.mu.Lock()
@@ -221,18 +234,29 @@
 	return nil
 }
 
-func (f *Fleet) remove(now time.Time, t *Target) []FleetNote {
+// drop removes a target whatever the state of the store.
+func (f *Fleet) drop(t *Target) FleetNote {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return f.forget(t)
+}
+
+func (f *Fleet) remove(now time.Time, t *Target, c FleetChange) []FleetNote {
 	if t == nil {
 		return nil
 	}
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	if !t.Spec.Leaving && f.mayHaveLapsed(now) {
+	lapsed := c.Lapsed
+	if !c.Told {
+		lapsed = f.mayHaveLapsed(now)
+	}
+	if !t.Spec.Leaving && lapsed {
 		if !t.lapsedAt.IsZero() {
 			return nil
 		}
-		t.lapsedAt = now
-		return []FleetNote{{Target: t.Spec, Outcome: outcomeLapsed}}
+		t.lapsedAt, t.lapseTold = now, c.Told
+		return []FleetNote{{Target: t.Spec, Outcome: OutcomeLapsed}}
 	}
 	return []FleetNote{f.forget(t)}
 }
@@ -248,14 +272,11 @@
 // Sweep removes entries that lapsed and did not come back; it comes several times a second.
 func (f *Fleet) Sweep(now time.Time) []FleetNote {
 	f.mu.Lock()
-	if f.mayHaveLapsed(now) {
-		f.mu.Unlock()
-		return nil
-	}
+	own := !f.mayHaveLapsed(now)
 	var notes []FleetNote
 	for _, t := range f.where {
 		t.pool.mu.Lock()
-		if !t.lapsedAt.IsZero() {
+		if !t.lapsedAt.IsZero() && (own || t.lapseTold) && now.Sub(t.lapsedAt) >= lapseWait {
 			notes = append(notes, f.forget(t))
 		}
 		t.pool.mu.Unlock()
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -59,13 +59,13 @@
 	if got := names(f, "p"); got != "b " {
 		t.Errorf("usable after an older entry: %q", got)
 	}
-	if _, taken := f.Replace(start, 8, []FleetChange{put(5, listed("a", "p", "z"))}); taken {
+	if _, taken := f.Replace(start, 8, []FleetChange{put(5, listed("a", "p", "z"))}, false); taken {
 		t.Error("a list from before the newest change was taken")
 	}
 	if got := names(f, "p"); got != "b " {
 		t.Errorf("usable after an older list: %q", got)
 	}
-	if _, taken := f.Replace(start, 9, []FleetChange{put(9, leaving)}); !taken || names(f, "p") != "" {
+	if _, taken := f.Replace(start, 9, []FleetChange{put(9, leaving)}, false); !taken || names(f, "p") != "" {
 		t.Errorf("a list that lacks b leaves %q", names(f, "p"))
 	}
 }
@@ -73,7 +73,7 @@
 func TestTwoDaemonsThatKnowTheSameShowTheSameVersion(t *testing.T) {
 	changes := []FleetChange{put(3, listed("a", "p", "z")), put(7, listed("b", "p", "z")), removed(11, "a")}
 	byWatch, byList := newFleet(changes...), NewFleet(func(string) {})
-	byList.Replace(start, 40, []FleetChange{put(7, listed("b", "p", "z"))})
+	byList.Replace(start, 40, []FleetChange{put(7, listed("b", "p", "z"))}, false)
 	byList.Change(start, []FleetChange{removed(11, "a")})
 	if byWatch.Version() != byList.Version() {
 		t.Errorf("versions %d and %d", byWatch.Version(), byList.Version())
@@ -104,6 +104,12 @@
 			{0, away, "a b "}, {4 * time.Second, back, "a b "}, {4 * time.Second, gone, "a b "}, {5 * time.Second, sweep, "a b "},
 			{4*time.Second + lapseWait, sweep, "b "},
 		}},
+		{"lapsed by the word of another daemon", []step{
+			{0, func(f *Fleet, now time.Time) {
+				f.Change(now, []FleetChange{{ID: "a", Version: 5, Removed: true, Told: true, Lapsed: true}})
+			}, "a b "},
+			{time.Second, sweep, "a b "}, {lapseWait, sweep, "b "},
+		}},
 		{"gone long after the return", []step{{0, away, "a b "}, {4 * time.Second, back, "a b "}, {8 * time.Second, gone, "b "}}},
 	}
 	for _, s := range scenarios {
@@ -194,3 +200,14 @@
 		t.Errorf("picked %v", counts)
 	}
 }
+
+func TestACompleteListIsBelievedWhileTheStoreIsAway(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	f.StoreAway(start)
+	if _, taken := f.Replace(start, 9, []FleetChange{put(2, listed("b", "p", "z"))}, true); !taken || names(f, "p") != "b " {
+		t.Errorf("usable %q", names(f, "p"))
+	}
+	if f.Version() != 9 {
+		t.Errorf("version %d: the daemon would ask for the same list again and again", f.Version())
+	}
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -74,6 +74,7 @@
 	linkKey      string
 	badSettings  bool // only the loop that watches the settings uses it
 	targetsKnown atomic.Bool
+	pulling      atomic.Bool
 	stopping     atomic.Bool
 }
 
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -134,7 +134,9 @@
 type documents struct {
 	mu      sync.Mutex
 	routing []byte
+	// targets holds removed entries too, from since on.
 	targets map[string]proto.TargetDocument
+	since   uint64
 }
 
 func (d *Relay) routingEntries(e platform.Entries) bool {
@@ -172,61 +174,83 @@
 }
 
 // changeOf reads one entry of the targets' table.
-func (d *Relay) changeOf(entry platform.Entry) (relay.FleetChange, bool) {
-	c := relay.FleetChange{ID: entry.Key, Version: entry.Version, Removed: entry.Removed}
-	if entry.Removed {
+func (d *Relay) changeOf(doc proto.TargetDocument) (relay.FleetChange, bool) {
+	c := relay.FleetChange{ID: doc.ID, Version: doc.Version, Removed: doc.Removed, Lapsed: doc.Lapsed}
+	if doc.Removed {
 		return c, true
 	}
-	t, err := platform.ReadTarget(entry.Key, entry.Body)
+	t, err := platform.ReadTarget(doc.ID, doc.Body)
 	if err != nil {
-		d.log.Error("a target's entry cannot be read", "target", entry.Key, "error", err)
+		d.log.Error("a target's entry cannot be read", "target", doc.ID, "error", err)
 		return c, false
 	}
 	c.Target = t
 	return c, true
 }
 
-func (d *Relay) targetsWhole(e platform.Entries) bool { return d.takeTargets(e, "store") }
+func documentsOf(e platform.Entries) []proto.TargetDocument {
+	docs := make([]proto.TargetDocument, 0, len(e.List))
+	for _, entry := range e.List {
+		docs = append(docs, proto.TargetDocument{ID: entry.Key, Body: entry.Body, Version: entry.Version, Removed: entry.Removed})
+	}
+	return docs
+}
+
+func (d *Relay) targetsWhole(e platform.Entries) bool {
+	return d.takeTargets(e.Version, documentsOf(e), "store", false)
+}
 
-func (d *Relay) takeTargets(e platform.Entries, from string) bool {
+// takeTargets takes in a whole list; one of another daemon is complete up to its version.
+func (d *Relay) takeTargets(asOf uint64, docs []proto.TargetDocument, from string, complete bool) bool {
 	var entries []relay.FleetChange
 	kept := map[string]proto.TargetDocument{}
-	for _, entry := range e.List {
-		if c, ok := d.changeOf(entry); ok {
+	for _, doc := range docs {
+		c, ok := d.changeOf(doc)
+		if ok {
+			kept[doc.ID] = doc
+		}
+		if ok && !doc.Removed {
 			entries = append(entries, c)
-			kept[entry.Key] = proto.TargetDocument{ID: entry.Key, Body: entry.Body, Version: entry.Version}
 		}
 	}
-	notes, taken := d.fleet.Replace(d.clock.Now(), e.Version, entries)
+	notes, taken := d.fleet.Replace(d.clock.Now(), asOf, entries, complete)
 	if !taken {
-		d.log.Info("list of targets ignored", "from", from, "asOf", e.Version, "known", d.fleet.Version())
+		d.log.Info("list of targets ignored", "from", from, "asOf", asOf, "known", d.fleet.Version())
 		return false
 	}
 	d.docs.mu.Lock()
-	d.docs.targets = kept
+	d.docs.targets, d.docs.since = kept, d.fleet.Version()
 	d.docs.mu.Unlock()
 	d.noteFleet(notes, from)
 	d.targetsKnown.Store(true)
 	return true
 }
 
-func (d *Relay) targetsChanged(e platform.Entries) {
+func (d *Relay) targetsChanged(e platform.Entries) { d.takeChanges(documentsOf(e), "store", false) }
+
+// takeChanges takes in entries that changed.
+func (d *Relay) takeChanges(docs []proto.TargetDocument, from string, told bool) {
 	var changes []relay.FleetChange
-	d.docs.mu.Lock()
-	for _, entry := range e.List {
-		c, ok := d.changeOf(entry)
-		if !ok {
-			continue
+	for _, doc := range docs {
+		if c, ok := d.changeOf(doc); ok {
+			c.Told = told
+			changes = append(changes, c)
 		}
-		changes = append(changes, c)
-		if c.Removed {
-			delete(d.docs.targets, entry.Key)
-		} else {
-			d.docs.targets[entry.Key] = proto.TargetDocument{ID: entry.Key, Body: entry.Body, Version: entry.Version}
+	}
+	notes := d.fleet.Change(d.clock.Now(), changes)
+	lapsed := map[string]bool{}
+	for _, n := range notes {
+		lapsed[n.Target.ID] = n.Outcome == relay.OutcomeLapsed
+	}
+	d.docs.mu.Lock()
+	for _, doc := range docs {
+		doc.Lapsed = doc.Removed && lapsed[doc.ID]
+		if doc.Version >= d.docs.targets[doc.ID].Version {
+			d.docs.targets[doc.ID] = doc
 		}
 	}
 	d.docs.mu.Unlock()
-	d.noteFleet(d.fleet.Change(d.clock.Now(), changes), "store")
+	d.noteFleet(notes, from)
 }
 
 func (d *Relay) noteFleet(notes []relay.FleetNote, from string) {
@@ -238,7 +262,7 @@
 	}
 }
 
-// answerAsk gives another daemon what it lacks.
+// answerAsk gives another daemon what it lacks: what changed since, or the whole list if that is not known.
 func (d *Relay) answerAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
 	d.docs.mu.Lock()
 	defer d.docs.mu.Unlock()
@@ -246,23 +270,30 @@
 	if a.Routing > ask.Routing {
 		a.RoutingBody = d.docs.routing
 	}
-	if a.Targets > ask.Targets {
-		a.TargetsAreSent = true
-		for _, t := range d.docs.targets {
-			a.TargetEntries = append(a.TargetEntries, t)
+	if a.Targets <= ask.Targets {
+		return a
+	}
+	a.TargetsAreSent, a.Whole = true, ask.Targets < d.docs.since
+	for _, doc := range d.docs.targets {
+		if a.Whole && !doc.Removed || !a.Whole && doc.Version > ask.Targets {
+			a.TargetEntries = append(a.TargetEntries, doc)
 		}
 	}
 	return a
 }
 
-// pull asks another daemon for what it has newer.
+// pull asks another daemon for what it has newer, one at a time, since a list may be large and a link small.
 func (d *Relay) pull(from proto.VM) {
+	if !d.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
 	defer cancel()
 	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version()})
 	a, ok := m.(proto.RoutingAnswer)
 	if err != nil || !ok {
-		d.log.Debug("another daemon gave nothing newer", "from", from, "error", err)
+		d.log.Info("another daemon gave nothing newer", "from", from, "error", err)
 		return
 	}
 	if len(a.RoutingBody) > 0 {
@@ -271,12 +302,12 @@
 	if !a.TargetsAreSent {
 		return
 	}
-	e := platform.Entries{Version: a.Targets}
-	for _, t := range a.TargetEntries {
-		e.List = append(e.List, platform.Entry{Key: t.ID, Version: t.Version, Body: t.Body})
+	d.log.Info("targets taken from another daemon", "from", from, "version", a.Targets, "entries", len(a.TargetEntries), "whole", a.Whole)
+	if a.Whole {
+		d.takeTargets(a.Targets, a.TargetEntries, string(from), true)
+		return
 	}
-	d.log.Info("list of targets taken from another daemon", "from", from, "version", a.Targets, "targets", len(e.List))
-	d.takeTargets(e, string(from))
+	d.takeChanges(a.TargetEntries, string(from), true)
 }
 
 // daemonRow is what a daemon says of itself in the store, for daemons that start when all seeds are gone.
