A target that goes after the store's return has left; a stopping daemon refuses what it would cut off

Ruled out: the balancer, which had taken the daemons out. Change: only what the first answer after an outage lacks may have lapsed; streams that come 2.5 s after the request to stop, and others near its end, are refused as not run.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -34,7 +34,7 @@
 	for _, name := range hopHeaders {
 		to.Del(name)
 	}
-	if f.server.stopping.Load() {
+	if f.server.stopping.Load() != nil {
 		to.Set("Connection", "close")
 	}
 	if len(h["Content-Type"]) == 0 {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -9,6 +9,10 @@
 	"emberlead/proto"
 )
 
+// lapseSeen is how soon after the store's return an entry must be found gone to count as lapsed: what went while the
+// store was away shows in the first answer, and one that goes later has left.
+const lapseSeen = 300 * time.Millisecond
+
 // lapseWait is how long after the store's return an entry that went while the store was away may come back.
 // The platform states about two seconds; a little is added for the way to this daemon.
 const lapseWait = 2300 * time.Millisecond
@@ -108,7 +112,7 @@
 	if f.awayAt.IsZero() {
 		return false
 	}
-	return f.backAt.Before(f.awayAt) || now.Before(f.backAt.Add(lapseWait))
+	return f.backAt.Before(f.awayAt) || now.Before(f.backAt.Add(lapseSeen))
 }
 
 // FleetChange is one entry of the store's list that was put or removed.
--- a/relay/server.go
+++ b/relay/server.go
@@ -28,6 +28,13 @@
 	waitUnknown = 400 * time.Millisecond
 	// waitFull is when to come back to a daemon that has as many open requests as it may.
 	waitFull = time.Second
+	// streamsTaken is how long after the request to stop streams are taken: the balancer sends no new callers after two
+	// seconds, and a stream with stages takes up to five.
+	streamsTaken = 2500 * time.Millisecond
+	// othersLength is the time that other requests may take at the end.
+	othersLength = 1500 * time.Millisecond
+	// waitStopping is when to come back to a deployment of which one daemon stops: at once, to another.
+	waitStopping = 50 * time.Millisecond
 	// noTimeout stands in for the bound of requests that have none.
 	noTimeout = time.Minute
 	tracer    = "emberlead"
@@ -59,7 +66,13 @@
 	budget   BudgetTerms
 
 	open     atomic.Int64
-	stopping atomic.Bool
+	stopping atomic.Pointer[stopPlan]
+}
+
+// stopPlan is how a daemon that stops goes on for a while.
+type stopPlan struct {
+	// streamsUntil and othersUntil are when requests are no longer taken, since they might be cut off at the end.
+	streamsUntil, othersUntil time.Time
 }
 
 // BudgetTerms are the terms of the retry budget, for all daemons together.
@@ -96,8 +109,11 @@
 // Open returns the number of requests in progress.
 func (s *Server) Open() int64 { return s.open.Load() }
 
-// Stop makes each answer from now on close its connection, so that callers go to other daemons.
-func (s *Server) Stop() { s.stopping.Store(true) }
+// Stop makes each answer from now on close its connection, so that callers go to other daemons. Callers that keep a
+// connection may send for a while; what might not end before the last moment is refused as not run.
+func (s *Server) Stop(began, last time.Time) {
+	s.stopping.Store(&stopPlan{streamsUntil: began.Add(streamsTaken), othersUntil: last.Add(-othersLength)})
+}
 
 // Counts returns the totals since the start.
 func (s *Server) Counts() *Counts { return &s.counts }
@@ -156,7 +172,7 @@
 // ServeHTTP passes one request on and returns when its answer is whole or has failed.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := s.clock.Now()
-	if s.stopping.Load() {
+	if s.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if s.open.Add(1) > s.limits.Open {
@@ -196,6 +212,9 @@
 	if fail := f.authorize(table); fail != nil {
 		return f, fail
 	}
+	if fail := f.refuseStopping(); fail != nil {
+		return f, fail
+	}
 	if fail := f.readBody(r, table.Routing().Limits.BodyBytes); fail != nil {
 		return f, fail
 	}
@@ -220,6 +239,22 @@
 	return &failure{status: http.StatusUnauthorized, reason: "no workspace holds the key"}
 }
 
+// refuseStopping refuses a request that might still be at work when this daemon has to end.
+func (f *flow) refuseStopping() *failure {
+	plan := f.server.stopping.Load()
+	if plan == nil {
+		return nil
+	}
+	until := plan.othersUntil
+	if f.route.Kind == proto.RouteStream {
+		until = plan.streamsUntil
+	}
+	if f.began.Before(until) {
+		return nil
+	}
+	return &failure{status: http.StatusServiceUnavailable, wait: waitStopping, reason: "the daemon stops and the request might be cut off"}
+}
+
 func (f *flow) readBody(r *http.Request, most int64) *failure {
 	control := http.NewResponseController(f.w)
 	if err := control.SetReadDeadline(f.server.clock.Now().Add(bodyWait)); err != nil {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -219,7 +219,7 @@
 
 func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
 	routing := &watcher{daemon: d, name: "routing", table: d.store.Routing(), whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) }}
-	targets := &watcher{daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, whole: d.targetsWhole, change: d.targetsChanged}
+	targets := &watcher{daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, whole: d.targetsWhole, change: d.targetsChanged, seen: d.storeSeen}
 	for _, loop := range []func(context.Context){
 		routing.run, targets.run, d.list, d.watchSettings,
 		d.every(peerTick, func() {
@@ -310,9 +310,9 @@
 	began := d.clock.Now()
 	d.log.Info("stopping", "open", d.server.Open())
 	d.stopping.Store(true)
-	d.server.Stop()
-	d.peers.members.Stop()
 	last := began.Add(d.settings.Grace - stopMargin)
+	d.server.Stop(began, last)
+	d.peers.members.Stop()
 	for now := began; now.Before(last); now = d.clock.Now() {
 		if now.Sub(began) >= unreadyLeast && d.server.Open() == 0 {
 			break
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -46,6 +46,8 @@
 	// whole takes in all rows and reports whether they were new enough; change takes in rows that changed.
 	whole  func(platform.Entries) bool
 	change func(platform.Entries)
+	// seen is told after each call whether the store answered.
+	seen func(now time.Time, answered bool)
 
 	up bool
 }
@@ -112,14 +114,11 @@
 	return changed.Version, nil
 }
 
-// note logs when the store is lost or regained, and tells the fleet.
+// note logs when the store is lost or regained.
 func (w *watcher) note(err error) {
 	now := w.daemon.clock.Now()
-	lost := err != nil && proto.KindOf(err) != proto.KindNotFound
-	if lost {
-		w.daemon.fleet.StoreAway(now)
-	} else {
-		w.daemon.fleet.StoreBack(now)
+	if w.seen != nil {
+		w.seen(now, err == nil || proto.KindOf(err) == proto.KindNotFound)
 	}
 	switch {
 	case err != nil && w.up:
@@ -196,6 +195,15 @@
 	return docs
 }
 
+// storeSeen tells the fleet how the store is, after what its answer brought was taken in.
+func (d *Relay) storeSeen(now time.Time, answered bool) {
+	if answered {
+		d.fleet.StoreBack(now)
+		return
+	}
+	d.fleet.StoreAway(now)
+}
+
 func (d *Relay) targetsWhole(e platform.Entries) bool {
 	return d.takeTargets(e.Version, documentsOf(e), "store", false)
 }
