--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -18,7 +18,7 @@
 const otherLog = `{"@level":"info","@message":"pieces refused","@timestamp":"2026-12-01T09:00:02Z","request":"r1","pool":"p","vm":"vm-2"}
 `
 
-func writeFile(t *testing.T, name, text string) string {
+func logFile(t *testing.T, name, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -28,7 +28,7 @@
 }
 
 func TestTrace(t *testing.T) {
-	a, b, empty := writeFile(t, "a", traceLog), writeFile(t, "b", otherLog), writeFile(t, "c", "nothing\n")
+	a, b, empty := logFile(t, "a", traceLog), logFile(t, "b", otherLog), logFile(t, "c", "nothing\n")
 	scenarios := []struct {
 		name string
 		args []string
