--- a/entry/trace.go
+++ b/entry/trace.go
@@ -113,19 +113,20 @@
 func newTrace(id string, lines []logLine) *trace {
 	t := &trace{id: id}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.At.Compare(b.At) })
-	targets := map[string]bool{}
+	targets, vms := map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if l.Request == id {
 			t.own = append(t.own, l)
 			targets[l.Target] = l.Target != ""
+			vms[l.VM] = true
 		}
 	}
 	if len(t.own) == 0 {
 		return t
 	}
-	from, to, vm := t.own[0].At.Add(-traceBefore), t.own[len(t.own)-1].At, t.own[0].VM
+	from, to := t.own[0].At.Add(-traceBefore), t.own[len(t.own)-1].At
 	for _, l := range lines {
-		if l.Request == "" && l.VM == vm && targets[l.Target] && l.At.After(from) && !l.At.After(to) {
+		if l.Request == "" && vms[l.VM] && targets[l.Target] && l.At.After(from) && !l.At.After(to) {
 			t.context = append(t.context, l)
 		}
 	}
