--- a/proto/relay.go
+++ b/proto/relay.go
@@ -204,11 +204,13 @@
 	PiecesLate
 	// PiecesNoRoom means that the target had no room for a result.
 	PiecesNoRoom
+	// PiecesElsewhere means that the daemon cannot batch for the pool now, and another should be asked.
+	PiecesElsewhere
 )
 
 // String returns the fate as a word.
 func (f PieceFate) String() string {
-	names := [...]string{"done", "refused", "lost", "failed", "late", "noRoom"}
+	names := [...]string{"done", "refused", "lost", "failed", "late", "noRoom", "elsewhere"}
 	if int(f) < len(names) {
 		return names[f]
 	}
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -72,7 +72,7 @@
 		now := p.clock.Now()
 		ask.Due, ask.Left = due.Sub(now), end.Sub(now)
 		answer, err := p.remote(ctx, owner, ask)
-		if err == nil {
+		if err == nil && answer.Fate != proto.PiecesElsewhere {
 			return answer
 		}
 		if ctx.Err() == nil {
@@ -122,7 +122,7 @@
 func (p *Pieces) Work(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
 	w := p.worker(ask.Pool)
 	if w == nil {
-		return proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "the configuration in force has no such pool of stages"}
+		return proto.PiecesAnswer{Fate: proto.PiecesElsewhere, Detail: "the configuration in force here has no such pool of stages"}
 	}
 	j := &Job{Ask: ask, Due: due, End: end}
 	answers, refused := w.add(j)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -102,7 +102,8 @@
 // startStages starts the stages whose needs are met and returns how many.
 func (f *flow) startStages(ctx context.Context, ends chan stageEnd, home string) int {
 	started := 0
-	first := !f.anyDone()
+	// Once a stream has begun, refusing its stages would break it off.
+	first := !f.anyDone() && !f.committed
 	for i := range f.route.Stages {
 		if f.inputs[i].asked || f.pieces(i) == 0 || !f.needsMet(i) || f.canWait(i) {
 			continue
