--- a/relay/batch.go
+++ b/relay/batch.go
@@ -15,7 +15,7 @@
 	pieceTries = 3
 	// crossWait is how much later than its turn a job is taken by a target in another zone than its inputs'.
 	// Bytes between zones are priced, and the targets of its own zone are free again within a call's length.
-	crossWait = 250 * time.Millisecond
+	crossWait = 450 * time.Millisecond
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
 	// rankWait is how much earlier a job's turn comes for each step of priority.
