--- /dev/null
+++ b/relay/batchresult.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"emberlead/proto"
+)
+
+// Done takes in the results of a call in the order of its items and returns the jobs that ended, with the handles
+// that nobody needs any more.
+func (b *Batcher) Done(now time.Time, c *Call, results []ItemResult) (ends []JobEnd, unused []string) {
+	t := b.finish(c)
+	b.learn(t, c, now.Sub(c.Began))
+	for n, item := range c.Items {
+		r := results[n]
+		j := item.Job
+		if r.Handle == "" {
+			b.giveBack(t, j.Ask.Bytes)
+			if !j.done {
+				ends = append(ends, b.lacking(now, t, c, item, r.Fate)...)
+			}
+			continue
+		}
+		b.keep(now, t, r.Handle, j.Ask.Bytes, c.Began)
+		if j.done || !j.set(item.Piece, r.Handle) {
+			unused = append(unused, r.Handle)
+			continue
+		}
+		j.zone = c.Target.Zone
+		if j.missing == 0 {
+			ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesDone, Handles: j.handles, Zone: j.zone}))
+		}
+	}
+	return ends, unused
+}
+
+// lacking queues a piece again that the target had no room for or failed at; without its inputs it cannot be made.
+func (b *Batcher) lacking(now time.Time, t *batchTarget, c *Call, item CallItem, fate proto.PieceFate) []JobEnd {
+	j := item.Job
+	switch fate {
+	case proto.PiecesLost, proto.PiecesLate:
+		if c.overdue {
+			return nil
+		}
+		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: fate, Detail: "a target could not make a piece: its input is gone or its time over"})}
+	case proto.PiecesNoRoom:
+		b.learnRoom(now, t)
+	default:
+		j.tries++
+		j.exclude = c.Target.ID
+	}
+	if j.tries >= pieceTries {
+		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "several targets failed at a piece"})}
+	}
+	j.again(item.Piece)
+	return nil
+}
+
+func (b *Batcher) finish(c *Call) *batchTarget {
+	t := b.targets[c.Target.ID]
+	if t == nil || t.call != c {
+		return nil
+	}
+	t.call = nil
+	if t.spec.Leaving {
+		b.dropTarget(c.Target.ID, t)
+	}
+	return t
+}
+
+func (b *Batcher) learn(t *batchTarget, c *Call, took time.Duration) {
+	if t == nil {
+		return
+	}
+	t.inRow = 0
+	plain := b.expected(c)
+	t.pace += paceWeight * (float64(took)/plain - t.pace)
+	t.pace = min(8, max(0.5, t.pace))
+	off := (float64(took)/t.pace - plain) / float64(len(c.Items))
+	for _, i := range c.Items {
+		old := b.costOf(i.Job.Ask.Bytes)
+		b.pieceCost[i.Job.Ask.Bytes] = min(2*float64(b.spec.PieceCost), max(0.1*float64(b.spec.PieceCost), old+costWeight*off/float64(len(c.Items))))
+	}
+}
+
+// Failed takes in a call that gave no results. With busy set the target refused it for want of a slot. The pieces
+// are sent again unless they were too often.
+func (b *Batcher) Failed(now time.Time, c *Call, busy bool) []JobEnd {
+	t := b.finish(c)
+	if t != nil {
+		b.leaveOut(now, t, busy)
+	}
+	var ends []JobEnd
+	seen := map[*Job][]int{}
+	for _, item := range c.Items {
+		seen[item.Job] = append(seen[item.Job], item.Piece)
+		b.giveBack(t, item.Job.Ask.Bytes)
+	}
+	for j, pieces := range seen {
+		if !c.overdue {
+			ends = append(ends, b.again(j, pieces, c.Target.ID, busy)...)
+		}
+	}
+	slices.SortFunc(ends, func(x, y JobEnd) int { return cmp.Compare(x.Job.Ask.Request, y.Job.Ask.Request) })
+	return ends
+}
+
+// requeue queues the pieces of calls that take much longer than expected again; whichever result comes first counts.
+func (b *Batcher) requeue(now time.Time) {
+	for _, t := range b.targets {
+		c := t.call
+		if c == nil || c.overdue || now.Before(c.Began.Add(time.Duration(overdueAt*float64(c.Expected)))) {
+			continue
+		}
+		c.overdue = true
+		for _, item := range c.Items {
+			if !item.Job.done {
+				item.Job.exclude = t.spec.ID
+				item.Job.again(item.Piece)
+			}
+		}
+	}
+}
+
+func (b *Batcher) leaveOut(now time.Time, t *batchTarget, busy bool) {
+	if busy {
+		t.outTo = now.Add(outBase / 2)
+		return
+	}
+	t.inRow++
+	t.outTo = now.Add(min(outMost, outBase<<min(t.inRow, 6)))
+}
+
+// again queues the pieces of a call that failed.
+func (b *Batcher) again(j *Job, pieces []int, target string, busy bool) []JobEnd {
+	if j.done {
+		return nil
+	}
+	if !busy {
+		j.tries++
+	}
+	if j.tries >= pieceTries {
+		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "calls to several targets failed"})}
+	}
+	j.exclude = target
+	j.again(pieces...)
+	return nil
+}
--- /dev/null
+++ b/relay/stages_test.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// ownerPeers has another daemon do all stages at once, and records what it was asked in order.
+type ownerPeers struct {
+	scriptedPeers
+	askedMu sync.Mutex
+	asked   []proto.PiecesAsk
+}
+
+func (p *ownerPeers) Call(_ context.Context, _ proto.VM, m proto.Message) (proto.Message, error) {
+	ask, ok := m.(proto.PiecesAsk)
+	if !ok {
+		return proto.Done{}, nil
+	}
+	p.askedMu.Lock()
+	defer p.askedMu.Unlock()
+	p.asked = append(p.asked, ask)
+	a := proto.PiecesAnswer{Fate: proto.PiecesDone, Zone: "y"}
+	for i := range ask.Pieces {
+		a.Handles = append(a.Handles, fmt.Sprintf("%d.%d", ask.Stage, i))
+	}
+	return a, nil
+}
+
+func (p *ownerPeers) stages() string {
+	p.askedMu.Lock()
+	defer p.askedMu.Unlock()
+	order := ""
+	for _, a := range p.asked {
+		order += fmt.Sprint(a.Stage)
+	}
+	return order
+}
+
+// stagedFlow is a request of a route with a large stage of its own beside a chain of three.
+func stagedFlow(peers *ownerPeers, counts ...int) *flow {
+	clock := clockwork.NewRealClock()
+	pieces := newPieces(clock, peers, &standSender{})
+	s := NewServer(ServerConfig{Clock: clock, Log: hclog.NewNullLogger(), Fleet: pieces.fleet, Tables: pieces.tables, Pieces: pieces, Peers: peers, Zone: "z"})
+	now := clock.Now()
+	return &flow{
+		server: s, req: &Request{ID: "r", Pieces: counts, PieceKey: "k"}, spec: &proto.RelayPool{}, pool: "engines", began: now, due: now.Add(5 * time.Second), end: now.Add(time.Minute),
+		route: &proto.Route{Stages: []proto.RouteStage{
+			{Pool: "p", Bytes: 1_500_000}, {Pool: "p", Bytes: 8_000}, {Pool: "p", After: []int{1}, Bytes: 60_000}, {Pool: "p", After: []int{2}, Bytes: 6_000},
+		}},
+	}
+}
+
+func TestStagesAreDoneInTheirOrder(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		counts  []int
+		order   string
+		handles string
+	}{
+		{"the large one last, when the chain's last stage has begun", []int{1, 1, 2, 3}, "1230", "[0.0 3.0 3.1 3.2]"},
+		{"without the large one", []int{0, 1, 2, 3}, "123", "[3.0 3.1 3.2]"},
+		{"only the large one", []int{2, 0, 0, 0}, "0", "[0.0 0.1]"},
+		{"none", nil, "", "[]"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+			f := stagedFlow(peers, s.counts...)
+			if fail, _ := f.runStages(context.Background()); fail != nil {
+				t.Fatal(fail.reason)
+			}
+			// The last two may begin together.
+			if got := peers.stages(); got != s.order && !(s.order == "1230" && got == "1203") {
+				t.Errorf("stages were asked for in the order %s, want %s", got, s.order)
+			}
+			if got := fmt.Sprint(f.handles); got != s.handles {
+				t.Errorf("the request's inputs are %s, want %s", got, s.handles)
+			}
+		})
+	}
+}
+
+func TestEachStageGetsItsOwnInputs(t *testing.T) {
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	f := stagedFlow(peers, 1, 1, 2, 3)
+	if fail, _ := f.runStages(context.Background()); fail != nil {
+		t.Fatal(fail.reason)
+	}
+	for _, a := range peers.asked {
+		want := map[int]string{0: "[]", 1: "[]", 2: "[1.0]", 3: "[2.0 2.1]"}[a.Stage]
+		if fmt.Sprint(a.Inputs) != want {
+			t.Errorf("stage %d got %v, want %s", a.Stage, a.Inputs, want)
+		}
+		if (a.Key != "") != (a.Stage < 2) {
+			t.Errorf("stage %d got the key %q: only stages without inputs need it", a.Stage, a.Key)
+		}
+		if a.First != (a.Stage == 1) {
+			t.Errorf("stage %d: refusing it wastes nothing: %v", a.Stage, a.First)
+		}
+	}
+}
+
+func TestTheStagesOfABegunStreamAreNotRefused(t *testing.T) {
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	f := stagedFlow(peers, 0, 1, 0, 0)
+	f.committed = true
+	if fail, _ := f.runStages(context.Background()); fail != nil {
+		t.Fatal(fail.reason)
+	}
+	if peers.asked[0].First {
+		t.Error("the stage of a stream that has begun may be refused for a queue")
+	}
+}
+
+func TestWhenToComeBack(t *testing.T) {
+	f := stagedFlow(&ownerPeers{}, 1)
+	for _, left := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 10 * time.Second, time.Minute} {
+		f.end = f.server.clock.Now().Add(left)
+		for _, queue := range []time.Duration{0, time.Second, time.Minute} {
+			got := f.comeBack(queue)
+			if got < retryFloor || got > max(retryFloor, left/comeBackPart) {
+				t.Errorf("with %s left and a queue of %s: come back in %s", left, queue, got)
+			}
+		}
+	}
+	f.end = f.server.clock.Now().Add(time.Minute)
+	if got := f.comeBack(2 * time.Second); got < 4*time.Second {
+		t.Errorf("come back in %s, before the queue has drained", got)
+	}
+}
