--- a/relay/batch.go
+++ b/relay/batch.go
@@ -37,7 +37,7 @@
 	costWeight = 0.1
 	// retryFloor is the least time to come back that a refusal names.
 	retryFloor = 300 * time.Millisecond
-	// roomWait is how long a target that had no room is left out: results are freed every 60 ms.
+	// roomWait is how long a target that had no room is left out: results are freed every 20 ms.
 	roomWait = 100 * time.Millisecond
 	// outBase and outMost bound how long a stage target is left out after a failed call.
 	outBase = 250 * time.Millisecond
