--- a/coord/alarms.go
+++ b/coord/alarms.go
@@ -1,8 +1,12 @@
 package coord
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"emberlead/proto"
 )
 
@@ -32,7 +36,7 @@
 	defer m.mu.Unlock()
 	if a.About == m.self.VM {
 		if a.Silent && a.Incarnation == m.self.Incarnation {
-			m.announce()
+			m.deny(now, from)
 		}
 		return
 	}
@@ -48,6 +52,17 @@
 	m.judge(now, mem)
 }
 
+// deny announces this daemon, which another holds to be silent or dead; many may at once.
+func (m *Members) deny(now time.Time, to proto.VM) {
+	if now.Sub(m.deniedAt) >= m.timing.Heartbeat {
+		m.deniedAt = now
+		m.announce()
+	}
+	if !slices.Contains(m.links(), to) {
+		m.peers.Send(to, m.self)
+	}
+}
+
 // judge holds a daemon to be dead once more than half of those that link to it in its region, and at least two where there are two, are alarmed.
 func (m *Members) judge(now time.Time, mem *member) {
 	monitors, alarmed := 0, 0
@@ -65,10 +80,9 @@
 	if dead == mem.dead {
 		return
 	}
-	mem.dead = dead
+	mem.dead = false
 	if dead {
-		mem.deadAt = now
-		m.deaths++
+		m.bury(now, mem)
 	}
 	m.changed()
 }
@@ -92,7 +106,7 @@
 	if mem.heard.IsZero() {
 		mem.heard = now
 	}
-	if now.Sub(mem.heard) > m.timing.Silence {
+	if now.Sub(m.expectedSince(mem)) > m.timing.Silence {
 		mem.alarming = true
 		m.raise(now, mem, true)
 	}
@@ -108,3 +122,112 @@
 	}
 	m.announce()
 }
+
+const (
+	// compareAfter is how many heartbeats two daemons may disagree on who is dead before one tells the other what it
+	// knows: word of a death takes a few hops, each well under a heartbeat.
+	compareAfter = 3
+	// compareMost bounds how often that wait doubles while the disagreement stays: the other may not know the daemon.
+	compareMost = 5
+)
+
+// agreement is how a linked daemon's view of who is dead compares with the own one.
+type agreement struct {
+	// differs is since when they differ, or when this daemon last told the other.
+	differs time.Time
+	theirs  uint64
+	told    int
+}
+
+// deadDigest is equal at daemons that hold the same runs to be dead.
+func (m *Members) deadDigest() uint64 {
+	digest := uint64(0)
+	for vm, mem := range m.members {
+		if mem.dead {
+			digest ^= xxhash.Sum64String(string(vm)) ^ uint64(mem.alive.Incarnation)
+		}
+	}
+	return digest
+}
+
+// compare makes up for alarms that were lost, such as those that went by way of daemons that died: a linked daemon that
+// goes on holding others to be dead than this one does is told this one's view.
+func (m *Members) compare(now time.Time, mem *member, theirs uint64) {
+	a := &mem.agreement
+	if theirs == m.digest {
+		*a = agreement{}
+		return
+	}
+	if a.differs.IsZero() || a.theirs != theirs {
+		*a = agreement{differs: now, theirs: theirs}
+		return
+	}
+	if now.Sub(a.differs) < compareAfter*m.timing.Heartbeat<<a.told {
+		return
+	}
+	a.differs, a.told = now, min(compareMost, a.told+1)
+	m.peers.Send(mem.alive.VM, m.deaths())
+}
+
+// deaths names the runs that this daemon holds to be dead.
+func (m *Members) deaths() proto.Deaths {
+	var d proto.Deaths
+	for vm, mem := range m.members {
+		if mem.dead {
+			d.Runs = append(d.Runs, proto.Run{VM: vm, Incarnation: mem.alive.Incarnation})
+		}
+	}
+	slices.SortFunc(d.Runs, func(a, b proto.Run) int { return cmp.Compare(a.VM, b.VM) })
+	return d
+}
+
+// Deaths takes over whom another daemon holds to be dead, unless this one hears it, and passes on what is news. A view
+// that is wrong is put right by the daemon that it is wrong about, which is asked again and again.
+func (m *Members) Deaths(now time.Time, d proto.Deaths, from proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	links := m.links()
+	var news proto.Deaths
+	for _, run := range d.Runs {
+		mem := m.members[run.VM]
+		if run.VM == m.self.VM || mem == nil || mem.dead || mem.alive.Incarnation != run.Incarnation {
+			continue
+		}
+		if slices.Contains(links, run.VM) && now.Sub(mem.heard) < m.timing.Silence {
+			continue
+		}
+		m.bury(now, mem)
+		news.Runs = append(news.Runs, run)
+	}
+	if len(news.Runs) == 0 {
+		return
+	}
+	m.changed()
+	for _, vm := range m.links() {
+		if vm != from {
+			m.peers.Send(vm, news)
+		}
+	}
+}
+
+func (m *Members) bury(now time.Time, mem *member) {
+	mem.dead = true
+	mem.deadAt = now
+	m.deathCount++
+}
+
+// probeEvery is after how many heartbeats a daemon asks one of those that it holds to be dead.
+const probeEvery = 3
+
+// probe tells one daemon after the other that it is held to be dead, which one that lives denies: two parts of the
+// daemons that were cut off from each other send each other nothing else.
+func (m *Members) probe() {
+	dead := m.deaths().Runs
+	if len(dead) == 0 {
+		return
+	}
+	// Each daemon begins at another, so that together they ask all of them soon.
+	run := dead[(m.beats/probeEvery+xxhash.Sum64String(string(m.self.VM)))%uint64(len(dead))]
+	m.counts++
+	m.peers.Send(run.VM, proto.Alarm{About: run.VM, Incarnation: run.Incarnation, By: m.self.VM, Count: m.counts, Silent: true})
+}
--- /dev/null
+++ b/coord/alarms_test.go
@@ -0,0 +1,130 @@
+package coord
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+// quickTiming is that of daemons on the users' platform, which take work over from each other within a second.
+func quickTiming() MemberTiming {
+	return MemberTiming{
+		Heartbeat: 300 * time.Millisecond, Silence: 900 * time.Millisecond, Pause: 600 * time.Millisecond,
+		Lag: 2 * time.Minute, Forget: 2 * time.Minute,
+	}
+}
+
+// lively returns the messages that were sent a second by each daemon that is not gone.
+func (s *meshSim) lively(length time.Duration) float64 {
+	before := s.sent
+	s.run(length)
+	live := 0
+	for _, vm := range s.order {
+		if !s.gone(vm) {
+			live++
+		}
+	}
+	return float64(s.sent-before) / length.Seconds() / float64(live)
+}
+
+// wronglyDead returns how many pairs there are of which one daemon holds the other, which lives, to be dead.
+func (s *meshSim) wronglyDead() int {
+	wrong := 0
+	for _, vm := range s.order {
+		if !s.gone(vm) {
+			dead, _ := s.holdDead(vm)
+			wrong += dead
+		}
+	}
+	return wrong
+}
+
+// TestManyDeathsDoNotFloodTheLinks has a third of the daemons die at once: the rings close around them, and daemons
+// that had no link before have one then. That they have not heard each other yet is no silence.
+func TestManyDeathsDoNotFloodTheLinks(t *testing.T) {
+	for _, daemons := range []int{30, 74, 200} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			s := newMesh(daemons, 1, 4, quickTiming())
+			s.run(5 * time.Second)
+			calm := s.lively(5 * time.Second)
+			for i := range daemons / 3 {
+				s.dead[s.order[i*3]] = true
+			}
+			s.run(4 * time.Second)
+			after := s.lively(5 * time.Second)
+			if wrong := s.wronglyDead(); wrong > 0 {
+				t.Errorf("%d times a live daemon is held dead", wrong)
+			}
+			for vm := range s.dead {
+				if dead, live := s.holdDead(vm); dead < live {
+					t.Errorf("%s is dead, and %d of %d know", vm, dead, live)
+				}
+			}
+			t.Logf("messages a second and daemon: %.0f before, %.0f after", calm, after)
+			if after > 1.5*calm {
+				t.Errorf("%.0f messages a second and daemon four seconds after the deaths, %.0f before", after, calm)
+			}
+		})
+	}
+}
+
+// TestANewLinkIsNotSilent has one daemon die: no daemon raises an alarm about one that it has just been linked to.
+func TestANewLinkIsNotSilent(t *testing.T) {
+	s := newMesh(74, 1, 4, quickTiming())
+	s.run(5 * time.Second)
+	s.dead["vm-7"] = true
+	s.run(10 * time.Second)
+	alarms := int64(0)
+	for _, vm := range s.order {
+		alarms += s.members[vm].Counts().Alarms
+	}
+	if most := int64(2 * DefaultRings().Region); alarms > most {
+		t.Errorf("%d alarms about one death that at most %d daemons can notice", alarms, most)
+	}
+}
+
+// TestADaemonAnnouncesItselfToWhomItMeets starts a daemon that learns of another from a list, which does not know it.
+func TestADaemonAnnouncesItselfToWhomItMeets(t *testing.T) {
+	s := &meshSim{
+		now: time.Unix(1_700_000_000, 0), members: map[proto.VM]*Members{}, zone: map[proto.VM]proto.Zone{"old": "r/z", "new": "r/z"},
+		order: []proto.VM{"old"}, dead: map[proto.VM]bool{}, paused: map[proto.VM]bool{}, timing: quickTiming(),
+		cut: func(proto.VM, proto.VM) bool { return false },
+	}
+	s.start("old", 1)
+	s.run(time.Second)
+	s.order = append(s.order, "new")
+	s.start("new", 1)
+	s.members["new"].Alive(s.now, proto.Alive{VM: "old", Zone: "r/z", Incarnation: 1, Count: 10}, "")
+	s.run(600 * time.Millisecond)
+	for _, vm := range s.order {
+		if live := len(s.members[vm].Live()); live != 2 {
+			t.Errorf("%s knows %d daemons", vm, live)
+		}
+	}
+}
+
+// TestTwoPartsThatWereCutOffMeetAgain cuts the daemons in two until each part holds the other to be dead.
+func TestTwoPartsThatWereCutOffMeetAgain(t *testing.T) {
+	for _, daemons := range []int{6, 74} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			s := newMesh(daemons, 1, 4, quickTiming())
+			s.run(5 * time.Second)
+			half := map[proto.VM]bool{}
+			for i, vm := range s.order {
+				half[vm] = i < daemons/2
+			}
+			s.cut = func(a, b proto.VM) bool { return half[a] != half[b] }
+			s.run(6 * time.Second)
+			if s.wronglyDead() == 0 {
+				t.Fatal("the parts do not hold each other to be dead, so nothing is tested")
+			}
+			s.cut = func(proto.VM, proto.VM) bool { return false }
+			s.run(6 * time.Second)
+			if wrong := s.wronglyDead(); wrong > 0 {
+				t.Errorf("%d times a live daemon is held dead", wrong)
+			}
+		})
+	}
+}
--- a/coord/bench_test.go
+++ b/coord/bench_test.go
@@ -32,7 +32,7 @@
 
 // oneOf returns the members of one daemon that knows n others.
 func oneOf(n int) (*Members, *meshSim) {
-	s := &meshSim{now: time.Unix(1_700_000_000, 0), members: map[proto.VM]*Members{}, zone: map[proto.VM]proto.Zone{}}
+	s := &meshSim{now: time.Unix(1_700_000_000, 0), members: map[proto.VM]*Members{}, zone: map[proto.VM]proto.Zone{}, timing: DefaultMemberTiming()}
 	list := proto.VMList{}
 	for i := range n {
 		vm := proto.VM(fmt.Sprintf("entry-%d", i))
--- a/coord/members.go
+++ b/coord/members.go
@@ -37,6 +37,8 @@
 	alarms   map[proto.VM]proto.Alarm
 	heard    time.Time
 	alarming bool
+	// agreement compares its view of who is dead with the own one.
+	agreement agreement
 }
 
 // Members is one daemon's view of the others. Safety never rests on it: views may differ.
@@ -48,6 +50,9 @@
 	peers      Peers
 	members    map[proto.VM]*member
 	graph      *graph
+	linked     map[proto.VM]time.Time // since when this daemon links to another
+	linkedOf   uint64                 // the version of the view that linked is of
+	digest     uint64                 // of those that are dead in that view
 	started    time.Time
 	lastTick   time.Time
 	lastBeat   time.Time
@@ -63,14 +68,15 @@
 	entered    map[proto.VM]time.Time
 	beats      uint64
 	alarms     int64
-	deaths     int64
+	deathCount int64
+	deniedAt   time.Time
 }
 
 // NewMembers returns a view that holds only the daemon itself; beat supplies what heartbeats say.
 func NewMembers(self proto.Alive, timing MemberTiming, rings Rings, peers Peers, beat func() proto.Heartbeat) *Members {
 	m := &Members{
 		self: self, timing: timing, rings: rings, peers: peers, beat: beat,
-		members: map[proto.VM]*member{}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
+		members: map[proto.VM]*member{}, linked: map[proto.VM]time.Time{}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
 		entries: map[proto.VM]proto.VMEntry{}, entered: map[proto.VM]time.Time{},
 	}
 	m.members[self.VM] = &member{alive: self, known: true, alarms: map[proto.VM]proto.Alarm{}}
@@ -152,7 +158,7 @@
 	if mem == nil || mem.dead {
 		return true
 	}
-	return slices.Contains(m.links(), vm) && now.Sub(mem.heard) > since
+	return slices.Contains(m.links(), vm) && now.Sub(m.expectedSince(mem)) > since
 }
 
 // Owner returns the daemon that does a task for all, by rendezvous hashing over those that live and are not stopping;
@@ -292,6 +298,7 @@
 		mem.alarming = false
 		m.raise(now, mem, false)
 	}
+	m.compare(now, mem, beat.Dead)
 }
 
 func (m *Members) links() []proto.VM {
@@ -301,7 +308,11 @@
 func (m *Members) sendBeats(now time.Time) {
 	m.lastBeat = now
 	beat := m.beat()
+	beat.Dead = m.digest
 	m.beats++
+	if m.beats%probeEvery == 0 {
+		m.probe()
+	}
 	for _, vm := range m.links() {
 		m.peers.Send(vm, beat)
 		if m.beats%announceEvery == 0 {
@@ -331,12 +342,53 @@
 	if now.Sub(m.lastBeat) >= m.timing.Heartbeat {
 		m.sendBeats(now)
 	}
+	m.viewChanged(now)
 	for _, vm := range m.links() {
 		m.checkLink(now, m.members[vm])
 	}
 	m.forget(now)
 }
 
+// viewChanged follows the last changes of the view: a daemon whose monitors died with it is judged by those it has now.
+func (m *Members) viewChanged(now time.Time) {
+	if m.linkedOf == m.version {
+		return
+	}
+	for _, mem := range m.members {
+		if len(mem.alarms) > 0 {
+			m.judge(now, mem)
+		}
+	}
+	m.linkedOf = m.version
+	m.digest = m.deadDigest()
+	m.relink(now)
+}
+
+// relink notes which links are new since the view changed, and announces this daemon over them: the other end may not
+// know it yet, and would send it nothing.
+func (m *Members) relink(now time.Time) {
+	links := m.links()
+	linked := make(map[proto.VM]time.Time, len(links))
+	for _, vm := range links {
+		since, ok := m.linked[vm]
+		if !ok {
+			since = now
+			m.peers.Send(vm, m.self)
+		}
+		linked[vm] = since
+	}
+	m.linked = linked
+}
+
+// expectedSince is from when on silence of a daemon counts: it was heard then, or came to have a link to this one,
+// before which it owed no heartbeat.
+func (m *Members) expectedSince(mem *member) time.Time {
+	if since := m.linked[mem.alive.VM]; since.After(mem.heard) {
+		return since
+	}
+	return mem.heard
+}
+
 func (m *Members) forget(now time.Time) {
 	for vm, mem := range m.members {
 		if _, listed := m.entries[vm]; mem.dead && !listed && now.Sub(mem.deadAt) > m.timing.Forget {
@@ -360,7 +412,7 @@
 func (m *Members) Counts() MemberCounts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := MemberCounts{Known: len(m.members), Links: len(m.links()), Alarms: m.alarms, Deaths: m.deaths}
+	c := MemberCounts{Known: len(m.members), Links: len(m.links()), Alarms: m.alarms, Deaths: m.deathCount}
 	for _, mem := range m.members {
 		if mem.dead {
 			c.Dead++
--- a/coord/members_test.go
+++ b/coord/members_test.go
@@ -20,6 +20,7 @@
 	dead    map[proto.VM]bool
 	paused  map[proto.VM]bool
 	cut     func(a, b proto.VM) bool
+	timing  MemberTiming
 	sent    int
 }
 
@@ -42,10 +43,11 @@
 	return nil, fault("call", proto.KindUnavailable, "not in this test")
 }
 
-func newMesh(n, regions, zones int) *meshSim {
+func newMesh(n, regions, zones int, timing MemberTiming) *meshSim {
 	s := &meshSim{
 		now: time.Unix(1_700_000_000, 0), members: map[proto.VM]*Members{}, zone: map[proto.VM]proto.Zone{},
 		dead: map[proto.VM]bool{}, paused: map[proto.VM]bool{}, cut: func(proto.VM, proto.VM) bool { return false },
+		timing: timing,
 	}
 	list := proto.VMList{}
 	for i := range n {
@@ -71,7 +73,7 @@
 
 func (s *meshSim) start(vm proto.VM, run proto.Incarnation) {
 	self := proto.Alive{VM: vm, Zone: s.zone[vm], Incarnation: run, Count: 10}
-	s.members[vm] = NewMembers(self, DefaultMemberTiming(), DefaultRings(), meshPeers{s, vm}, func() proto.Heartbeat {
+	s.members[vm] = NewMembers(self, s.timing, DefaultRings(), meshPeers{s, vm}, func() proto.Heartbeat {
 		return proto.Heartbeat{Incarnation: run}
 	})
 }
@@ -94,6 +96,8 @@
 			to.Alive(s.now, m, msg.from)
 		case proto.Alarm:
 			to.Alarm(s.now, m, msg.from)
+		case proto.Deaths:
+			to.Deaths(s.now, m, msg.from)
 		case proto.Listed:
 			to.Listed(s.now, m, msg.from)
 		}
@@ -105,9 +109,12 @@
 	}
 }
 
+// step is how often daemons tick: a third of the least interval of theirs at most, and five times a second otherwise.
+func (s *meshSim) step() time.Duration { return min(200*time.Millisecond, s.timing.Heartbeat/3) }
+
 func (s *meshSim) run(length time.Duration) {
 	for end := s.now.Add(length); s.now.Before(end); {
-		s.tick(200 * time.Millisecond)
+		s.tick(s.step())
 	}
 }
 
@@ -138,7 +145,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(scenario.name, func(t *testing.T) {
-			s := newMesh(scenario.daemons, scenario.regions, scenario.z)
+			s := newMesh(scenario.daemons, scenario.regions, scenario.z, DefaultMemberTiming())
 			s.run(10 * time.Second)
 			for _, vm := range s.order {
 				if dead, _ := s.holdDead(vm); dead > 0 {
@@ -163,7 +170,7 @@
 }
 
 func TestPauseIsForgiven(t *testing.T) {
-	s := newMesh(8, 1, 4)
+	s := newMesh(8, 1, 4, DefaultMemberTiming())
 	s.run(5 * time.Second)
 	s.paused["vm-3"] = true
 	s.run(2 * time.Second)
@@ -190,7 +197,7 @@
 }
 
 func TestRegionsLoseEachOther(t *testing.T) {
-	s := newMesh(60, 2, 4)
+	s := newMesh(60, 2, 4, DefaultMemberTiming())
 	s.run(5 * time.Second)
 	s.cut = func(a, b proto.VM) bool { return s.zone[a].Region() != s.zone[b].Region() }
 	s.run(60 * time.Second)
@@ -243,7 +250,7 @@
 
 // A daemon whose announcement was lost is known by its heartbeats.
 func TestLostAnnouncementIsMadeUpFor(t *testing.T) {
-	s := newMesh(3, 1, 3)
+	s := newMesh(3, 1, 3, DefaultMemberTiming())
 	s.start("vm-1", 2)
 	list := proto.VMList{}
 	for _, vm := range s.order {
@@ -267,7 +274,7 @@
 
 // The list goes from daemon to daemon by change, and a reader that lags does not contradict the others.
 func TestListIsPassedOnByChange(t *testing.T) {
-	s := newMesh(60, 2, 4)
+	s := newMesh(60, 2, 4, DefaultMemberTiming())
 	s.run(15 * time.Second)
 	list := func(leaving bool) proto.VMList {
 		l := proto.VMList{VMs: []proto.VMEntry{{VM: "target", Leaving: leaving}}}
@@ -298,7 +305,7 @@
 }
 
 func TestOverNeedsAnOwnRead(t *testing.T) {
-	s := newMesh(3, 1, 3)
+	s := newMesh(3, 1, 3, DefaultMemberTiming())
 	m := s.members["vm-0"]
 	without := proto.VMList{VMs: []proto.VMEntry{{VM: "vm-0", Entry: true}, {VM: "vm-2", Entry: true}}}
 	if m.Over(s.now.Add(time.Hour), "vm-1", 1) {
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -47,6 +47,7 @@
 	MessagePlaceAsk
 	MessagePlaceAnswer
 	MessagePlaceNote
+	MessageDeaths
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -58,6 +59,8 @@
 	// Routing and Targets are the versions that a relaying daemon has of what the platform keeps.
 	Routing uint64 `cbor:"5,keyasint,omitempty"`
 	Targets uint64 `cbor:"6,keyasint,omitempty"`
+	// Dead is a digest of the runs that the sender holds to be dead; 0 if none.
+	Dead uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
@@ -79,6 +82,17 @@
 	Silent      bool        `cbor:"5,keyasint,omitempty"`
 }
 
+// Run is one run of a daemon.
+type Run struct {
+	VM          VM          `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+}
+
+// Deaths names the runs that the sender holds to be dead.
+type Deaths struct {
+	Runs []Run `cbor:"1,keyasint"`
+}
+
 // ChangeKind tells what an accepted change is about.
 type ChangeKind string
 
@@ -317,6 +331,7 @@
 func (PlaceAsk) messageKind() MessageKind       { return MessagePlaceAsk }
 func (PlaceAnswer) messageKind() MessageKind    { return MessagePlaceAnswer }
 func (PlaceNote) messageKind() MessageKind      { return MessagePlaceNote }
+func (Deaths) messageKind() MessageKind         { return MessageDeaths }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
@@ -415,4 +430,5 @@
 	MessagePlaceAsk:       reader[PlaceAsk],
 	MessagePlaceAnswer:    reader[PlaceAnswer],
 	MessagePlaceNote:      reader[PlaceNote],
+	MessageDeaths:         reader[Deaths],
 }
