--- a/proto/relay.go
+++ b/proto/relay.go
@@ -224,6 +224,8 @@
 	Zone    string        `cbor:"3,keyasint,omitempty"`
 	Wait    time.Duration `cbor:"4,keyasint,omitempty"`
 	Detail  string        `cbor:"5,keyasint,omitempty"`
+	// Queue is how long an equal job that came now would wait for its turn.
+	Queue time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // PiecesDrop tells the daemon that batches a pool's calls that results are not needed any more, or a stage not at all.
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -236,6 +236,11 @@
 	return time.Duration(max(soonest, ahead/paces))
 }
 
+// Queue is how long a job like this one would wait for its turn if it came now.
+func (b *Batcher) Queue(now time.Time, j *Job) time.Duration {
+	return b.Wait(now, now.Add(j.order.Sub(j.since)))
+}
+
 // length is how long a call with a job's pieces and a usual share of others takes.
 func (b *Batcher) length(j *Job) float64 {
 	n := float64(min(j.Ask.Pieces, b.spec.Most))
@@ -263,7 +268,7 @@
 		limit = j.Due.Add(-time.Duration(reserve))
 	}
 	if finish.After(limit) && !(wait == 0 && j.End.After(finish)) {
-		return &proto.PiecesAnswer{Fate: proto.PiecesRefused, Wait: max(retryFloor, finish.Sub(limit)), Detail: "the queue of the pool is longer than the time left"}
+		return &proto.PiecesAnswer{Fate: proto.PiecesRefused, Queue: wait, Wait: max(retryFloor, finish.Sub(limit)), Detail: "the queue of the pool is longer than the time left"}
 	}
 	b.jobs = append(b.jobs, j)
 	return nil
--- a/relay/batch_test.go
+++ b/relay/batch_test.go
@@ -191,6 +191,27 @@
 	}
 }
 
+func TestAnswersTellOfTheQueue(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	asked := job("a", 8)
+	add(t, b, asked)
+	if got := b.Queue(start, asked); got == 0 {
+		t.Error("no queue although all of the target's next call is taken")
+	}
+	next(b, start)
+	full := b.Queue(start, asked)
+	add(t, b, job("b", 8), job("c", 8))
+	if more := b.Queue(start, asked); more <= full {
+		t.Errorf("a queue of %v with two more calls ahead, %v before", more, full)
+	}
+	late := job("d", 1)
+	late.Ask.First, late.Due = true, start.Add(10*time.Millisecond)
+	if refused := b.Add(start, late); refused == nil || refused.Queue == 0 {
+		t.Errorf("a refusal does not tell of the queue: %+v", refused)
+	}
+}
+
 func TestFailedCallsAreSentElsewhereAndThenGivenUp(t *testing.T) {
 	b := batcher(listed("t1", "p", "z"), listed("t2", "p", "z"))
 	add(t, b, job("a", 4))
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -51,6 +51,8 @@
 	workers map[string]*worker
 	frees   *frees
 
+	queues queues
+
 	calls, items, failed atomic.Int64
 }
 
@@ -63,6 +65,19 @@
 
 // Ask has all pieces of a stage made, by the daemon that batches for the pool or, when that is silent, by another.
 func (p *Pieces) Ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
+	answer := p.ask(ctx, ask, due, end)
+	if answer.Fate == proto.PiecesDone || answer.Fate == proto.PiecesRefused {
+		p.queues.note(p.clock.Now(), queueKey{ask.Pool, ask.Priority}, answer.Queue)
+	}
+	return answer
+}
+
+// Queue is how long a job of such a priority waits for its turn in a pool, as far as this daemon has lately heard.
+func (p *Pieces) Queue(pool string, priority int) time.Duration {
+	return p.queues.read(p.clock.Now(), queueKey{pool, priority})
+}
+
+func (p *Pieces) ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
 	skip := map[proto.VM]bool{}
 	for ask.Trial = 0; ctx.Err() == nil; ask.Trial++ {
 		owner := p.peers.Owner(batchTask+ask.Pool, skip)
@@ -269,6 +284,7 @@
 func (w *worker) settle(ends []JobEnd) {
 	for _, e := range ends {
 		if answers := w.waiting[e.Job]; answers != nil {
+			e.Answer.Queue = w.batch.Queue(w.pieces.clock.Now(), e.Job)
 			answers <- e.Answer
 			delete(w.waiting, e.Job)
 		}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -176,14 +176,16 @@
 	return ask
 }
 
-// restAfter is the expected time from the end of a stage to the first event of the answer.
+// restAfter is the expected time from the end of a stage to the first event of the answer, with the queues of the
+// stages that come after it: a request that would get stuck there is better refused before anything has run.
 func (f *flow) restAfter(stage int) time.Duration {
 	longest := time.Duration(0)
 	for i := range f.route.Stages {
 		if f.pieces(i) == 0 || !contains(f.route.Stages[i].After, stage) {
 			continue
 		}
-		longest = max(longest, f.stageLength(i)+f.restAfter(i))
+		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.priority)
+		longest = max(longest, queue+f.stageLength(i)+f.restAfter(i))
 	}
 	if longest == 0 {
 		return runEstimate
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -18,6 +18,8 @@
 	scriptedPeers
 	askedMu sync.Mutex
 	asked   []proto.PiecesAsk
+	// queue is what it says of the queue of each pool.
+	queue time.Duration
 }
 
 func (p *ownerPeers) Call(_ context.Context, _ proto.VM, m proto.Message) (proto.Message, error) {
@@ -28,7 +30,7 @@
 	p.askedMu.Lock()
 	defer p.askedMu.Unlock()
 	p.asked = append(p.asked, ask)
-	a := proto.PiecesAnswer{Fate: proto.PiecesDone, Zone: "y"}
+	a := proto.PiecesAnswer{Fate: proto.PiecesDone, Zone: "y", Queue: p.queue}
 	for i := range ask.Pieces {
 		a.Handles = append(a.Handles, fmt.Sprintf("%d.%d", ask.Stage, i))
 	}
@@ -109,6 +111,46 @@
 	}
 }
 
+// TestTheFirstStageCountsTheQueuesBehindIt has one request learn of the queues, and another begin earlier for them: it
+// is refused at once where it could only be late.
+func TestTheFirstStageCountsTheQueuesBehindIt(t *testing.T) {
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}, queue: 2 * time.Second}
+	f := stagedFlow(peers, 0, 1, 2, 3)
+	for range 2 {
+		f.inputs, f.due = nil, f.server.clock.Now().Add(5*time.Second)
+		if fail, _ := f.runStages(context.Background()); fail != nil {
+			t.Fatal(fail.reason)
+		}
+	}
+	first, second := peers.asked[0], peers.asked[3]
+	if first.Stage != 1 || second.Stage != 1 {
+		t.Fatalf("stages %d and %d", first.Stage, second.Stage)
+	}
+	// Two stages come after it, each with a queue that was heard of a moment ago.
+	if less := first.Due - second.Due; less < 3*time.Second || less > 4*time.Second {
+		t.Errorf("the first stage is due %v earlier for two queues of 2s", less)
+	}
+}
+
+func TestAQueueCountsLessTheLongerAgoItWasHeardOf(t *testing.T) {
+	var q queues
+	key := queueKey{"p", 1}
+	q.note(start, key, 2*time.Second)
+	for _, s := range []struct{ age, want time.Duration }{
+		{0, 2 * time.Second},
+		{queueFade / 2, time.Second},
+		{queueFade, 0},
+		{time.Hour, 0},
+	} {
+		if got := q.read(start.Add(s.age), key); got != s.want {
+			t.Errorf("after %v it counts %v, want %v", s.age, got, s.want)
+		}
+	}
+	if got := q.read(start, queueKey{"p", 0}); got != 0 {
+		t.Errorf("another priority's queue counts %v", got)
+	}
+}
+
 func TestTheStagesOfABegunStreamAreNotRefused(t *testing.T) {
 	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
 	f := stagedFlow(peers, 0, 1, 0, 0)
