--- a/proto/relay.go
+++ b/proto/relay.go
@@ -167,14 +167,15 @@
 
 // PiecesAsk asks the daemon that batches a pool's calls for all pieces of one stage of a request.
 type PiecesAsk struct {
-	Pool     string   `cbor:"1,keyasint"`
-	Request  string   `cbor:"2,keyasint"`
-	Stage    int      `cbor:"3,keyasint"`
-	Pieces   int      `cbor:"4,keyasint"`
-	Key      string   `cbor:"5,keyasint,omitempty"`
-	Inputs   []string `cbor:"6,keyasint,omitempty"`
-	Zone     string   `cbor:"7,keyasint,omitempty"`
-	Priority int      `cbor:"8,keyasint"`
+	Pool    string   `cbor:"1,keyasint"`
+	Request string   `cbor:"2,keyasint"`
+	Stage   int      `cbor:"3,keyasint"`
+	Pieces  int      `cbor:"4,keyasint"`
+	Key     string   `cbor:"5,keyasint,omitempty"`
+	Inputs  []string `cbor:"6,keyasint,omitempty"`
+	Zone    string   `cbor:"7,keyasint,omitempty"`
+	// Rank is the urgency of the request, 0 first.
+	Rank int `cbor:"8,keyasint"`
 	// Due is how long from now the stage may end for the answer to be in time.
 	Due time.Duration `cbor:"9,keyasint"`
 	// Left is how long from now the result is of any use.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -157,7 +157,7 @@
 	endTimer := s.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
 	defer endTimer.Stop()
 	a := &attempt{flow: f, placed: placed, cancel: cancel}
-	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.priority}
+	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.rank}
 	out := &Outgoing{
 		Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
 		Once: !f.route.Repeatable(),
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -17,8 +17,9 @@
 	crossWait = 450 * time.Millisecond
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
-	// rankWait is how much earlier a job's turn comes for each step of priority.
-	rankWait = 600 * time.Millisecond
+	// rankWait is how much earlier a job's turn comes for each step of rank: trials of 0.6, 1.5 and 3 s on both
+	// deployments of today earned 0.618, 0.630 and 0.627, and 0.709, 0.717 and 0.712.
+	rankWait = 1500 * time.Millisecond
 	// begunLead is how much earlier the turn of a request comes for which work was done before.
 	begunLead = 300 * time.Millisecond
 	// overdueAt is how many times its expected time a call may take before its pieces are queued again.
@@ -252,7 +253,7 @@
 // Add queues a job, or returns the answer that refuses it because its results would not come in time.
 func (b *Batcher) Add(now time.Time, j *Job) *proto.PiecesAnswer {
 	j.since = now
-	j.order = j.Due.Add(time.Duration(j.Ask.Priority) * rankWait)
+	j.order = j.Due.Add(time.Duration(j.Ask.Rank) * rankWait)
 	if !j.Ask.First {
 		j.order = j.order.Add(-begunLead)
 	}
@@ -264,7 +265,7 @@
 	finish := now.Add(wait + time.Duration(b.length(j)))
 	limit := j.End
 	if j.Ask.First {
-		reserve := rankReserve * float64(j.Ask.Priority) * float64(j.Due.Sub(now))
+		reserve := rankReserve * float64(j.Ask.Rank) * float64(j.Due.Sub(now))
 		limit = j.Due.Add(-time.Duration(reserve))
 	}
 	if finish.After(limit) && !(wait == 0 && j.End.After(finish)) {
--- a/relay/batch_test.go
+++ b/relay/batch_test.go
@@ -145,7 +145,7 @@
 		return j
 	}
 	ranked := func(j *Job, rank int) *Job {
-		j.Ask.Priority = rank
+		j.Ask.Rank = rank
 		return j
 	}
 	scenarios := []struct {
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -67,14 +67,14 @@
 func (p *Pieces) Ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
 	answer := p.ask(ctx, ask, due, end)
 	if answer.Fate == proto.PiecesDone || answer.Fate == proto.PiecesRefused {
-		p.queues.note(p.clock.Now(), queueKey{ask.Pool, ask.Priority}, answer.Queue)
+		p.queues.note(p.clock.Now(), queueKey{ask.Pool, ask.Rank}, answer.Queue)
 	}
 	return answer
 }
 
-// Queue is how long a job of such a priority waits for its turn in a pool, as far as this daemon has lately heard.
-func (p *Pieces) Queue(pool string, priority int) time.Duration {
-	return p.queues.read(p.clock.Now(), queueKey{pool, priority})
+// Queue is how long a job of such a rank waits for its turn in a pool, as far as this daemon has lately heard.
+func (p *Pieces) Queue(pool string, rank int) time.Duration {
+	return p.queues.read(p.clock.Now(), queueKey{pool, rank})
 }
 
 func (p *Pieces) ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
--- a/relay/queues.go
+++ b/relay/queues.go
@@ -9,10 +9,10 @@
 // busy pool is heard of several times a second.
 const queueFade = 1500 * time.Millisecond
 
-// queueKey is a pool as jobs of one priority see it.
+// queueKey is a pool as jobs of one rank see it.
 type queueKey struct {
-	pool     string
-	priority int
+	pool string
+	rank int
 }
 
 type heardQueue struct {
--- a/relay/server.go
+++ b/relay/server.go
@@ -138,9 +138,11 @@
 	pool      string
 	spec      *proto.RelayPool
 	workspace string
-	priority  int
-	version   uint64
-	began     time.Time
+	owner     *proto.RelayWorkspace
+	// rank is the request's urgency among those for its pool; 0 is the highest.
+	rank    int
+	version uint64
+	began   time.Time
 	// end is when the final answer must go out, and due when it should be there.
 	end, due time.Time
 
@@ -224,13 +226,9 @@
 }
 
 func (f *flow) authorize(table *Table) *failure {
-	f.priority = f.route.Priority
-	owner := table.Owner(f.req.Key)
-	if owner != nil {
-		f.workspace = owner.Name
-		if owner.Priority != nil {
-			f.priority = *owner.Priority
-		}
+	f.owner = table.Owner(f.req.Key)
+	if f.owner != nil {
+		f.workspace = f.owner.Name
 		return nil
 	}
 	if f.route.Public || !table.Keyed() {
@@ -294,6 +292,7 @@
 		}
 	}
 	f.spec = table.Routing().Pools[f.pool]
+	f.rank = table.Rank(f.pool, f.owner, f.route)
 }
 
 func (f *flow) bound() {
@@ -372,7 +371,7 @@
 func (f *flow) facts(now time.Time) []any {
 	return []any{
 		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.version, "targets", f.server.fleet.Version(),
-		"took", brief(now.Sub(f.began)), "staged", brief(since(f.began, f.staged)), "first", brief(since(f.began, f.first)), "goal", brief(f.route.Goal),
+		"rank", f.rank, "took", brief(now.Sub(f.began)), "staged", brief(since(f.began, f.staged)), "first", brief(since(f.began, f.first)), "goal", brief(f.route.Goal),
 		"sent", f.sent, "runs", f.runs, "target", f.target,
 	}
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -153,7 +153,7 @@
 func (f *flow) askFor(stage int, first bool, home string) proto.PiecesAsk {
 	spec := &f.route.Stages[stage]
 	ask := proto.PiecesAsk{
-		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Priority: f.priority,
+		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Rank: f.rank,
 		Bytes: spec.Bytes, First: first,
 	}
 	bulk := 0
@@ -184,7 +184,7 @@
 		if f.pieces(i) == 0 || !contains(f.route.Stages[i].After, stage) {
 			continue
 		}
-		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.priority)
+		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.rank)
 		longest = max(longest, queue+f.stageLength(i)+f.restAfter(i))
 	}
 	if longest == 0 {
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -147,7 +147,7 @@
 		}
 	}
 	if got := q.read(start, queueKey{"p", 0}); got != 0 {
-		t.Errorf("another priority's queue counts %v", got)
+		t.Errorf("another rank's queue counts %v", got)
 	}
 }
 
--- a/relay/table.go
+++ b/relay/table.go
@@ -15,6 +15,7 @@
 	routing *proto.Routing
 	hosts   map[string][]*proto.Route
 	owners  map[string]*proto.RelayWorkspace
+	ranks   map[string]map[urgency]int // by pool
 }
 
 // NewTable indexes a configuration.
@@ -34,6 +35,7 @@
 			t.owners[key] = w
 		}
 	}
+	t.ranks = ranksOf(r)
 	return t
 }
 
@@ -61,6 +63,12 @@
 	return t.owners[key]
 }
 
+// Rank returns how urgent a workspace's requests on a route are among those for a pool; 0 is the most urgent. The
+// workspace may be nil.
+func (t *Table) Rank(pool string, owner *proto.RelayWorkspace, route *proto.Route) int {
+	return t.ranks[pool][urgencyOf(owner, route)]
+}
+
 // Keyed tells whether requests need a key at all.
 func (t *Table) Keyed() bool { return len(t.routing.Workspaces) > 0 }
 
