--- a/coord/alarms.go
+++ b/coord/alarms.go
@@ -18,22 +18,18 @@
 	if silent {
 		m.alarms++
 	}
-	m.pass(alarm, m.self.VM)
+	m.passAlarm(now, alarm, m.self.VM)
 	m.judge(now, mem)
 }
 
-func (m *Members) pass(a proto.Alarm, from proto.VM) {
-	for _, vm := range m.links() {
-		if vm != from && vm != a.By {
-			m.peers.Send(vm, a)
-		}
-	}
-}
-
 // Alarm takes in another daemon's word on a silent link and passes it on if it is news.
 func (m *Members) Alarm(now time.Time, a proto.Alarm, from proto.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.alarm(now, a, from)
+}
+
+func (m *Members) alarm(now time.Time, a proto.Alarm, from proto.VM) {
 	if a.About == m.self.VM {
 		if a.Silent && a.Incarnation == m.self.Incarnation {
 			m.deny(now, from)
@@ -48,7 +44,7 @@
 		return
 	}
 	mem.alarms[a.By] = a
-	m.pass(a, from)
+	m.passAlarm(now, a, from)
 	m.judge(now, mem)
 }
 
--- a/coord/alarms_test.go
+++ b/coord/alarms_test.go
@@ -128,3 +128,29 @@
 		})
 	}
 }
+
+// TestAllDaemonsStartTogether starts all of them anew, each with the addresses of three.
+func TestAllDaemonsStartTogether(t *testing.T) {
+	const daemons = 150
+	s := newMesh(daemons, 1, 4, quickTiming())
+	s.run(3 * time.Second)
+	s.queue = nil
+	for _, vm := range s.order {
+		s.start(vm, 2)
+		for _, seed := range s.order[:3] {
+			s.members[vm].Alive(s.now, proto.Alive{VM: seed, Zone: s.zone[seed], Incarnation: 2, Count: 1}, "")
+		}
+	}
+	s.sent = 0
+	s.run(5 * time.Second)
+	for _, vm := range s.order {
+		if live := len(s.members[vm].Live()); live != daemons {
+			t.Errorf("%s knows %d of %d daemons after five seconds", vm, live, daemons)
+		}
+	}
+	// Each daemon's heartbeats are some 140, and the word of all others comes over eight links.
+	if each := s.sent / daemons; each > 600 {
+		t.Errorf("%d messages a daemon in five seconds", each)
+	}
+	t.Logf("%d messages a daemon in five seconds", s.sent/daemons)
+}
--- a/coord/members.go
+++ b/coord/members.go
@@ -53,6 +53,7 @@
 	linked     map[proto.VM]time.Time // since when this daemon links to another
 	linkedOf   uint64                 // the version of the view that linked is of
 	digest     uint64                 // of those that are dead in that view
+	news       gathered
 	started    time.Time
 	lastTick   time.Time
 	lastBeat   time.Time
@@ -259,11 +260,7 @@
 		mem.heard = now
 		mem.alarms = map[proto.VM]proto.Alarm{}
 	}
-	for _, vm := range m.links() {
-		if vm != from && vm != a.VM {
-			m.peers.Send(vm, a)
-		}
-	}
+	m.passAlive(now, a, from)
 	if restarted && from == a.VM {
 		m.introduce(a.VM)
 	}
@@ -271,11 +268,16 @@
 
 // introduce tells a daemon that has just started what this one knows.
 func (m *Members) introduce(vm proto.VM) {
+	m.peers.Send(vm, m.self)
+	var known proto.News
 	for other, mem := range m.members {
-		if other != vm && mem.known && !mem.dead {
-			m.peers.Send(vm, mem.alive)
+		if other != vm && other != m.self.VM && mem.known && !mem.dead {
+			known.Alive = append(known.Alive, mem.alive)
 		}
 	}
+	if len(known.Alive) > 0 {
+		m.peers.Send(vm, known)
+	}
 	m.peers.Send(vm, m.listed())
 }
 
@@ -347,6 +349,7 @@
 		m.checkLink(now, m.members[vm])
 	}
 	m.forget(now)
+	m.passOn(now)
 }
 
 // viewChanged follows the last changes of the view: a daemon whose monitors died with it is judged by those it has now.
--- a/coord/members_test.go
+++ b/coord/members_test.go
@@ -96,6 +96,8 @@
 			to.Alive(s.now, m, msg.from)
 		case proto.Alarm:
 			to.Alarm(s.now, m, msg.from)
+		case proto.News:
+			to.News(s.now, m, msg.from)
 		case proto.Deaths:
 			to.Deaths(s.now, m, msg.from)
 		case proto.Listed:
--- a/coord/node.go
+++ b/coord/node.go
@@ -179,6 +179,8 @@
 		n.Members.Alarm(now, msg, from)
 	case proto.Deaths:
 		n.Members.Deaths(now, msg, from)
+	case proto.News:
+		n.Members.News(now, msg, from)
 	case proto.Listed:
 		n.Members.Listed(now, msg, from)
 	case proto.ChangesAsk:
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -48,6 +48,7 @@
 	MessagePlaceAnswer
 	MessagePlaceNote
 	MessageDeaths
+	MessageNews
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -93,6 +94,12 @@
 	Runs []Run `cbor:"1,keyasint"`
 }
 
+// News passes on what the sender has lately heard of daemons that are not itself.
+type News struct {
+	Alive  []Alive `cbor:"1,keyasint,omitempty"`
+	Alarms []Alarm `cbor:"2,keyasint,omitempty"`
+}
+
 // ChangeKind tells what an accepted change is about.
 type ChangeKind string
 
@@ -332,6 +339,7 @@
 func (PlaceAnswer) messageKind() MessageKind    { return MessagePlaceAnswer }
 func (PlaceNote) messageKind() MessageKind      { return MessagePlaceNote }
 func (Deaths) messageKind() MessageKind         { return MessageDeaths }
+func (News) messageKind() MessageKind           { return MessageNews }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
@@ -431,4 +439,5 @@
 	MessagePlaceAnswer:    reader[PlaceAnswer],
 	MessagePlaceNote:      reader[PlaceNote],
 	MessageDeaths:         reader[Deaths],
+	MessageNews:           reader[News],
 }
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -156,6 +156,8 @@
 		d.peers.members.Alarm(now, msg, from)
 	case proto.Deaths:
 		d.peers.members.Deaths(now, msg, from)
+	case proto.News:
+		d.peers.members.News(now, msg, from)
 	case proto.RoutingAsk:
 		return d.answerAsk(msg)
 	case proto.PiecesAsk:
