--- a/coord/bench_test.go
+++ b/coord/bench_test.go
@@ -231,3 +231,16 @@
 		})
 	}
 }
+
+// BenchmarkOwner is the choice of the daemon that does a task for all, which each request takes some times.
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range []int{8, 75, 300, 2000} {
+		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
+			m, _ := oneOf(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Owner("batch/some-pool", func(proto.VM) bool { return false })
+			}
+		})
+	}
+}
--- a/coord/members.go
+++ b/coord/members.go
@@ -54,6 +54,7 @@
 	linkedOf   uint64                 // the version of the view that linked is of
 	digest     uint64                 // of those that are dead in that view
 	news       gathered
+	orders     orders
 	started    time.Time
 	lastTick   time.Time
 	lastBeat   time.Time
@@ -77,7 +78,7 @@
 func NewMembers(self proto.Alive, timing MemberTiming, rings Rings, peers Peers, beat func() proto.Heartbeat) *Members {
 	m := &Members{
 		self: self, timing: timing, rings: rings, peers: peers, beat: beat,
-		members: map[proto.VM]*member{}, linked: map[proto.VM]time.Time{}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
+		members: map[proto.VM]*member{}, linked: map[proto.VM]time.Time{}, orders: orders{first: map[string][]proto.VM{}}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
 		entries: map[proto.VM]proto.VMEntry{}, entered: map[proto.VM]time.Time{},
 	}
 	m.members[self.VM] = &member{alive: self, known: true, alarms: map[proto.VM]proto.Alarm{}}
@@ -162,24 +163,6 @@
 	return slices.Contains(m.links(), vm) && now.Sub(m.expectedSince(mem)) > since
 }
 
-// Owner returns the daemon that does a task for all, by rendezvous hashing over those that live and are not stopping;
-// views may differ for a moment, so two daemons may hold themselves to be the owner. A skip leaves daemons out.
-func (m *Members) Owner(task string, skip func(proto.VM) bool) proto.VM {
-	live := vmsOf(m.Live(), func(a proto.Alive) bool { return !a.Stopping && !skip(a.VM) })
-	owner, _ := first(task, live)
-	return owner
-}
-
-// Among tells whether this daemon is one of the first so many of its zone for a task, among those that live and are
-// not stopping.
-func (m *Members) Among(task string, most int) bool {
-	m.mu.Lock()
-	self := m.self
-	m.mu.Unlock()
-	zone := vmsOf(m.Live(), func(a proto.Alive) bool { return a.Zone == self.Zone })
-	return len(zone) <= most || slices.Contains(rank(task, zone)[:most], self.VM)
-}
-
 // Alone tells whether there are other live daemons and none has been heard for a time.
 func (m *Members) Alone(now time.Time, since time.Duration) bool {
 	m.mu.Lock()
--- /dev/null
+++ b/coord/owner_test.go
@@ -0,0 +1,54 @@
+package coord
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"emberlead/proto"
+)
+
+func TestADaemonAloneOwnsAll(t *testing.T) {
+	m := NewMembers(proto.Alive{VM: "one", Zone: "r/z"}, quickTiming(), DefaultRings(), meshPeers{}, func() proto.Heartbeat { return proto.Heartbeat{} })
+	if got := m.Owner("task", func(proto.VM) bool { return false }); got != "one" || !m.Among("task", 2) {
+		t.Errorf("owner %q", got)
+	}
+}
+
+// TestOwnersFollowTheView compares the kept orders with ones worked out anew, while daemons come, die, stop and are
+// left out.
+func TestOwnersFollowTheView(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	s := newMesh(40, 1, 4, quickTiming())
+	m := s.members["vm-0"]
+	count := map[proto.VM]uint64{}
+	for step := range 2000 {
+		vm := proto.VM(fmt.Sprintf("vm-%d", 1+random.IntN(60)))
+		switch random.IntN(4) {
+		case 0:
+			count[vm]++
+			m.Alive(s.now, proto.Alive{VM: vm, Zone: "region-0/zone-1", Incarnation: 2, Count: count[vm], Stopping: random.IntN(2) == 0}, vm)
+		case 1:
+			m.Deaths(s.now.Add(quickTiming().Silence), proto.Deaths{Runs: []proto.Run{{VM: vm, Incarnation: 2}}}, "vm-1")
+		}
+		out := map[proto.VM]bool{vm: true}
+		if random.IntN(20) == 0 {
+			for _, a := range m.Live() {
+				out[a.VM] = random.IntN(10) > 0
+			}
+		}
+		task := fmt.Sprint("task-", random.IntN(3))
+		want, _ := first(task, vmsOf(m.Live(), func(a proto.Alive) bool { return !out[a.VM] }))
+		if got := m.Owner(task, func(vm proto.VM) bool { return out[vm] }); got != want {
+			t.Fatalf("step %d: owner %q, want %q", step, got, want)
+		}
+		zone := vmsOf(m.Live(), func(a proto.Alive) bool { return a.Zone == m.self.Zone })
+		among := len(zone) <= 2
+		for _, vm := range rank(task, zone)[:min(2, len(zone))] {
+			among = among || vm == m.self.VM
+		}
+		if got := m.Among(task, 2); got != among {
+			t.Fatalf("step %d: among the first of its zone: %v, want %v", step, got, among)
+		}
+	}
+}
