--- a/coord/members.go
+++ b/coord/members.go
@@ -55,6 +55,7 @@
 	digest     uint64                 // of those that are dead in that view
 	news       gathered
 	orders     orders
+	renumbers  bool
 	started    time.Time
 	lastTick   time.Time
 	lastBeat   time.Time
@@ -74,13 +75,23 @@
 	deniedAt   time.Time
 }
 
+// MembersOption changes a view at construction.
+type MembersOption func(*Members)
+
+// WithRenumbering lets a daemon take a higher number for its run when others know of one that is not below its own, as
+// they do after its clock went back. Nothing else may rest on the number of the run then.
+func WithRenumbering() MembersOption { return func(m *Members) { m.renumbers = true } }
+
 // NewMembers returns a view that holds only the daemon itself; beat supplies what heartbeats say.
-func NewMembers(self proto.Alive, timing MemberTiming, rings Rings, peers Peers, beat func() proto.Heartbeat) *Members {
+func NewMembers(self proto.Alive, timing MemberTiming, rings Rings, peers Peers, beat func() proto.Heartbeat, options ...MembersOption) *Members {
 	m := &Members{
 		self: self, timing: timing, rings: rings, peers: peers, beat: beat,
 		members: map[proto.VM]*member{}, linked: map[proto.VM]time.Time{}, orders: orders{first: map[string][]proto.VM{}}, leaving: map[proto.VM]bool{}, lastListed: map[proto.VM]time.Time{},
 		entries: map[proto.VM]proto.VMEntry{}, entered: map[proto.VM]time.Time{},
 	}
+	for _, option := range options {
+		option(m)
+	}
 	m.members[self.VM] = &member{alive: self, known: true, alarms: map[proto.VM]proto.Alarm{}}
 	return m
 }
@@ -220,6 +231,7 @@
 
 func (m *Members) alive(now time.Time, a proto.Alive, from proto.VM) {
 	if a.VM == m.self.VM {
+		m.renumber(a.Incarnation)
 		return
 	}
 	mem := m.members[a.VM]
@@ -229,6 +241,7 @@
 		m.members[a.VM] = mem
 	}
 	if !isNew && (a.Incarnation < mem.alive.Incarnation || a.Incarnation == mem.alive.Incarnation && a.Count <= mem.alive.Count) {
+		m.correct(mem, a.Incarnation, from)
 		return
 	}
 	restarted := a.Incarnation != mem.alive.Incarnation
@@ -249,6 +262,22 @@
 	}
 }
 
+// correct tells a daemon that speaks for an earlier run than the last one known what is known of it.
+func (m *Members) correct(mem *member, spoken proto.Incarnation, from proto.VM) {
+	if from == mem.alive.VM && spoken < mem.alive.Incarnation {
+		m.peers.Send(from, mem.alive)
+	}
+}
+
+// renumber takes a number above that of a run of this daemon that others know.
+func (m *Members) renumber(known proto.Incarnation) {
+	if !m.renumbers || known <= m.self.Incarnation {
+		return
+	}
+	m.self.Incarnation = known + 1
+	m.announce()
+}
+
 // introduce tells a daemon that has just started what this one knows.
 func (m *Members) introduce(vm proto.VM) {
 	m.peers.Send(vm, m.self)
@@ -269,7 +298,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	mem := m.members[from]
-	if mem == nil || beat.Incarnation < mem.alive.Incarnation {
+	if mem == nil {
+		return
+	}
+	if beat.Incarnation < mem.alive.Incarnation {
+		m.correct(mem, beat.Incarnation, from)
 		return
 	}
 	if beat.Incarnation > mem.alive.Incarnation {
@@ -293,6 +326,7 @@
 func (m *Members) sendBeats(now time.Time) {
 	m.lastBeat = now
 	beat := m.beat()
+	beat.Incarnation = m.self.Incarnation
 	beat.Dead = m.digest
 	m.beats++
 	if m.beats%probeEvery == 0 {
--- a/coord/members_test.go
+++ b/coord/members_test.go
@@ -75,7 +75,7 @@
 	self := proto.Alive{VM: vm, Zone: s.zone[vm], Incarnation: run, Count: 10}
 	s.members[vm] = NewMembers(self, s.timing, DefaultRings(), meshPeers{s, vm}, func() proto.Heartbeat {
 		return proto.Heartbeat{Incarnation: run}
-	})
+	}, WithRenumbering())
 }
 
 func (s *meshSim) gone(vm proto.VM) bool { return s.dead[vm] || s.paused[vm] }
@@ -321,3 +321,28 @@
 		t.Fatal("a VM that left the list 40 s ago must be over, and one on it not")
 	}
 }
+
+// TestADaemonWhoseClockWentBackIsHeard starts a daemon anew with a lower number than its last run had: others would
+// hold all that it says to be that run's.
+func TestADaemonWhoseClockWentBackIsHeard(t *testing.T) {
+	s := newMesh(8, 1, 4, quickTiming())
+	s.start("vm-3", 5)
+	for _, vm := range s.order {
+		s.members["vm-3"].Alive(s.now, proto.Alive{VM: vm, Zone: s.zone[vm], Incarnation: 1, Count: 9}, "")
+	}
+	s.run(2 * time.Second)
+	s.start("vm-3", 2)
+	s.members["vm-3"].Alive(s.now, proto.Alive{VM: "vm-0", Zone: s.zone["vm-0"], Incarnation: 1, Count: 9}, "")
+	s.run(3 * time.Second)
+	for _, vm := range s.order {
+		live := s.members[vm].Live()
+		if len(live) != 8 {
+			t.Errorf("%s knows %d of 8 daemons", vm, len(live))
+		}
+		for _, a := range live {
+			if a.VM == "vm-3" && a.Incarnation <= 5 {
+				t.Errorf("%s knows run %d of vm-3, its last", vm, a.Incarnation)
+			}
+		}
+	}
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -131,7 +131,7 @@
 		Self: d.self.VM, Key: d.linkKey, Log: d.log.Named("links"),
 		Resolve: d.peers.resolve, Handle: d.handle,
 	})
-	d.peers.members = coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), d.peers.links, d.heartbeat)
+	d.peers.members = coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), d.peers.links, d.heartbeat, coord.WithRenumbering())
 }
 
 func (d *Relay) heartbeat() proto.Heartbeat {
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -343,7 +343,7 @@
 func (d *Relay) writeRow(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
-	body, err := json.Marshal(daemonRow{Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.self.Incarnation})
+	body, err := json.Marshal(daemonRow{Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation})
 	if err == nil {
 		err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
 	}
@@ -368,9 +368,9 @@
 			d.log.Warn("a daemon's row cannot be read", "vm", entry.Key, "error", err)
 			continue
 		}
-		if vm := proto.VM(entry.Key); vm != d.self.VM {
-			d.peers.members.Alive(now, proto.Alive{VM: vm, Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}, "")
-		}
+		// The own row may still be that of the last run, whose number must be lower.
+		alive := proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}
+		d.peers.members.Alive(now, alive, "")
 	}
 	return true
 }
