--- a/relay/choice.go
+++ b/relay/choice.go
@@ -75,7 +75,7 @@
 	if p == nil {
 		return nil
 	}
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	if w.Engine {
 		p.notePrompt(now, w)
@@ -97,7 +97,7 @@
 	if p == nil {
 		return nil
 	}
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
 	if t == nil || t.Spec.Leaving {
@@ -200,7 +200,7 @@
 	if p == nil {
 		return ""
 	}
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	if home := p.homeOf(now, w); home != nil {
 		return home.Spec.Zone
@@ -307,7 +307,7 @@
 	if p == nil {
 		return nil
 	}
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	var ids []string
 	for _, t := range p.list {
@@ -323,7 +323,7 @@
 	f.mu.Lock()
 	p := f.poolLocked(pool)
 	f.mu.Unlock()
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	p.memory = tokens
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -51,6 +51,8 @@
 	mu      sync.Mutex
 	targets map[string]*Target
 	list    []*Target
+	// stale says that the list is not that of the targets any more.
+	stale bool
 	// listed counts the changes of the list, and orderedOf is that of the list in order of hash.
 	listed, orderedOf uint64
 	ordered           []*Target
@@ -62,6 +64,15 @@
 	memory int
 }
 
+// lock locks the pool with its list as it should be; the list is made anew once after many changes.
+func (p *targetPool) lock() {
+	p.mu.Lock()
+	if p.stale {
+		p.stale = false
+		p.relist()
+	}
+}
+
 func (p *targetPool) relist() {
 	p.listed++
 	p.list = p.list[:0]
@@ -227,7 +238,7 @@
 		t = &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version}
 		p.targets[c.ID] = t
 		f.where[c.ID] = t
-		p.relist()
+		p.stale = true
 		return []FleetNote{{Target: c.Target, Outcome: outcomeAdded}}
 	}
 	old := t.Spec
@@ -273,7 +284,7 @@
 	t.gone = true
 	delete(t.pool.targets, t.Spec.ID)
 	delete(f.where, t.Spec.ID)
-	t.pool.relist()
+	t.pool.stale = true
 	return FleetNote{Target: t.Spec, Outcome: outcomeRemoved}
 }
 
@@ -300,7 +311,7 @@
 	if p == nil {
 		return nil
 	}
-	p.mu.Lock()
+	p.lock()
 	defer p.mu.Unlock()
 	var specs []proto.RelayTarget
 	for _, t := range p.list {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -218,3 +218,19 @@
 		t.Errorf("version %d: the daemon would ask for the same list again and again", f.Version())
 	}
 }
+
+// BenchmarkFleetStart is a daemon that takes over the targets of a large deployment one after the other.
+func BenchmarkFleetStart(b *testing.B) {
+	for _, n := range []int{300, 3000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f := NewFleet(func(string) {})
+				for i := range n {
+					t := listed(fmt.Sprint("t-", i), "p", "z")
+					f.Change(start, []FleetChange{{ID: t.ID, Version: uint64(i + 1), Target: t}})
+				}
+				f.Usable("p")
+			}
+		})
+	}
+}
