--- a/coord/owner.go
+++ b/coord/owner.go
@@ -77,13 +77,18 @@
 }
 
 // Among tells whether this daemon is one of the first so many of its zone for a task, among those that live and are
-// not stopping.
-func (m *Members) Among(task string, most int) bool {
+// not stopping. A skip leaves daemons out.
+func (m *Members) Among(task string, most int, skip func(proto.VM) bool) bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	order := m.serving(m.candidatesFor(task, m.self.Zone))
+	zone := m.self.Zone
+	order := m.serving(m.candidatesFor(task, zone))
+	m.mu.Unlock()
+	order = slices.DeleteFunc(order, skip)
 	if len(order) < most {
-		order = m.serving(m.order(task, m.self.Zone))
+		m.mu.Lock()
+		order = m.serving(m.order(task, zone))
+		m.mu.Unlock()
+		order = slices.DeleteFunc(order, skip)
 	}
 	return len(order) <= most || slices.Contains(order[:most], m.self.VM)
 }
--- a/coord/owner_test.go
+++ b/coord/owner_test.go
@@ -8,9 +8,11 @@
 	"emberlead/proto"
 )
 
+func nobody(proto.VM) bool { return false }
+
 func TestADaemonAloneOwnsAll(t *testing.T) {
 	m := NewMembers(proto.Alive{VM: "one", Zone: "r/z"}, quickTiming(), DefaultRings(), meshPeers{}, func() proto.Heartbeat { return proto.Heartbeat{} })
-	if got := m.Owner("task", func(proto.VM) bool { return false }); got != "one" || !m.Among("task", 2) {
+	if got := m.Owner("task", nobody); got != "one" || !m.Among("task", 2, nobody) {
 		t.Errorf("owner %q", got)
 	}
 }
@@ -42,12 +44,12 @@
 		if got := m.Owner(task, func(vm proto.VM) bool { return out[vm] }); got != want {
 			t.Fatalf("step %d: owner %q, want %q", step, got, want)
 		}
-		zone := vmsOf(m.Live(), func(a proto.Alive) bool { return a.Zone == m.self.Zone })
+		zone := vmsOf(m.Live(), func(a proto.Alive) bool { return a.Zone == m.self.Zone && !out[a.VM] })
 		among := len(zone) <= 2
 		for _, vm := range rank(task, zone)[:min(2, len(zone))] {
 			among = among || vm == m.self.VM
 		}
-		if got := m.Among(task, 2); got != among {
+		if got := m.Among(task, 2, func(vm proto.VM) bool { return out[vm] }); got != among {
 			t.Fatalf("step %d: among the first of its zone: %v, want %v", step, got, among)
 		}
 	}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -16,12 +16,16 @@
 // logFlush is how long a process that ends waits for the reader of its log.
 const logFlush = 100 * time.Millisecond
 
+// linkKeyVariable is the environment variable that a key for the links may come from.
+const linkKeyVariable = "EMBERLEAD_LINK_KEY"
+
 func relayCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "relay",
 		Usage: "run one daemon on the users' platform; it reads the settings file that the platform names in " + platform.SettingsVariable,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL` of the log: debug, info, warn or error"},
+			&cli.StringFlag{Name: "link-key", Sources: cli.EnvVars(linkKeyVariable), Usage: "`KEY` that daemons show each other; without one it is the store's address"},
 		},
 		Action: runRelay,
 	}
@@ -35,5 +39,9 @@
 	sink := serve.NewLogSink(os.Stdout)
 	defer sink.Close(logFlush)
 	log := hclog.New(&hclog.LoggerOptions{Name: "emberlead", Level: hclog.LevelFromString(c.String("log-level")), JSONFormat: true, Output: sink}).With("vm", settings.VM)
-	return serve.NewRelay(settings, clockwork.NewRealClock(), log, sink).Run(ctx)
+	var options []serve.RelayOption
+	if key := c.String("link-key"); key != "" {
+		options = append(options, serve.WithLinkKey(key))
+	}
+	return serve.NewRelay(settings, clockwork.NewRealClock(), log, sink, options...).Run(ctx)
 }
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -63,12 +63,12 @@
 
 // Owner returns the daemon that does a task for all.
 func (p *relayPeers) Owner(task string, skip map[proto.VM]bool) proto.VM {
-	now := p.clock.Now()
-	return p.members.Owner(task, func(vm proto.VM) bool {
-		return skip[vm] || vm != p.self.VM && p.members.Silent(now, vm, peerSilence)
-	})
+	return p.members.Owner(task, func(vm proto.VM) bool { return skip[vm] || p.silent(vm) })
 }
 
+// silent is Silent, but for this daemon itself.
+func (p *relayPeers) silent(vm proto.VM) bool { return vm != p.self.VM && p.Silent(vm) }
+
 // Silent tells whether a daemon has not been heard for longer than a live one is silent.
 func (p *relayPeers) Silent(vm proto.VM) bool {
 	return p.members.Silent(p.clock.Now(), vm, peerSilence)
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -82,9 +82,11 @@
 // known tells whether the daemon has both tables from somewhere.
 func (d *Relay) known() bool { return d.tables.Current() != nil && d.targetsKnown.Load() }
 
-// isReader tells whether this daemon is one of those in its zone that watch the store.
+// isReader tells whether this daemon is one of those in its zone that watch the store. Daemons that it does not hear
+// read for themselves alone, and one that hears nobody at all is told nothing.
 func (d *Relay) isReader() bool {
-	return d.peers.members.Among("read the store", readersPerZone)
+	members := d.peers.members
+	return members.Among("read the store", readersPerZone, d.peers.silent) || members.Alone(d.clock.Now(), peerSilence)
 }
 
 // step makes one call and returns the version to go on from.
--- a/wire/links.go
+++ b/wire/links.go
@@ -280,6 +280,9 @@
 	conn, resp, err := websocket.Dial(ctx, scheme+"://"+alive.Peer.String()+pathPeer, &websocket.DialOptions{
 		HTTPClient: l.client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled,
 	})
+	if resp != nil && resp.StatusCode == http.StatusUnauthorized {
+		l.log.Warn("another daemon does not accept this one's key or certificate", "to", lk.to, "address", alive.Peer)
+	}
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: proto.KindUnavailable, Err: err}
 	}
