--- a/entry/trace.go
+++ b/entry/trace.go
@@ -53,6 +53,9 @@
 	return t.print(c.Root().Writer)
 }
 
+// traceTime is how a moment is shown.
+const traceTime = "15:04:05.000"
+
 // logLine is one line of a daemon's log.
 type logLine struct {
 	At      time.Time `json:"@timestamp"`
@@ -108,6 +111,8 @@
 	id      string
 	own     []logLine
 	context []logLine
+	// restart is the next start of a daemon that the request was at; nil if there is none.
+	restart *logLine
 }
 
 func newTrace(id string, lines []logLine) *trace {
@@ -125,6 +130,12 @@
 		return t
 	}
 	from, to := t.own[0].At.Add(-traceBefore), t.own[len(t.own)-1].At
+	for i := range lines {
+		if l := &lines[i]; l.Message == "starting" && vms[l.VM] && l.At.After(to) {
+			t.restart = l
+			break
+		}
+	}
 	for _, l := range lines {
 		if l.Request == "" && vms[l.VM] && targets[l.Target] && l.At.After(from) && !l.At.After(to) {
 			t.context = append(t.context, l)
@@ -154,6 +165,9 @@
 	case "caller left":
 		return "The caller left before the answer was whole."
 	}
+	if t.restart != nil {
+		return fmt.Sprintf("Its daemon's process died before the request ended: %s started again at %s.", t.restart.VM, t.restart.At.Format(traceTime))
+	}
 	return "The log does not say how the request ended; its daemon may have died. The last line is: " + last.Message + "."
 }
 
@@ -161,7 +175,7 @@
 	all := append(slices.Clone(t.context), t.own...)
 	slices.SortStableFunc(all, func(a, b logLine) int { return a.At.Compare(b.At) })
 	for _, l := range all {
-		if _, err := fmt.Fprintf(w, "%s  %-24s %s%s\n", l.At.Format("15:04:05.000"), l.VM, l.Message, l.facts()); err != nil {
+		if _, err := fmt.Fprintf(w, "%s  %-24s %s%s\n", l.At.Format(traceTime), l.VM, l.Message, l.facts()); err != nil {
 			return &Error{Op: "print", Kind: proto.KindUnavailable, Err: err}
 		}
 	}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -147,7 +147,7 @@
 	case proto.Heartbeat:
 		d.peers.members.Heartbeat(now, from, msg)
 		newer := msg.Routing > d.tables.Version() || msg.Targets > d.fleet.Version()
-		if d.peers.sawNewer(from, newer, d.isReader()) {
+		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
 		}
 	case proto.Alive:
