--- a/relay/server.go
+++ b/relay/server.go
@@ -31,6 +31,8 @@
 	// streamsTaken is how long after the request to stop streams are taken: the balancer sends no new callers after two
 	// seconds, and a stream with stages takes up to five.
 	streamsTaken = 2500 * time.Millisecond
+	// streamsLength is the time that streams may take at the end; with a short grace time none is taken.
+	streamsLength = 4500 * time.Millisecond
 	// othersLength is the time that other requests may take at the end.
 	othersLength = 1500 * time.Millisecond
 	// waitStopping is when to come back to a deployment of which one daemon stops: at once, to another.
@@ -112,7 +114,11 @@
 // Stop makes each answer from now on close its connection, so that callers go to other daemons. Callers that keep a
 // connection may send for a while; what might not end before the last moment is refused as not run.
 func (s *Server) Stop(began, last time.Time) {
-	s.stopping.Store(&stopPlan{streamsUntil: began.Add(streamsTaken), othersUntil: last.Add(-othersLength)})
+	streams := began.Add(streamsTaken)
+	if end := last.Add(-streamsLength); end.Before(streams) {
+		streams = end
+	}
+	s.stopping.Store(&stopPlan{streamsUntil: streams, othersUntil: last.Add(-othersLength)})
 }
 
 // Counts returns the totals since the start.
