--- /dev/null
+++ b/coord/beats.go
@@ -0,0 +1,133 @@
+package coord
+
+import (
+	"time"
+
+	"emberlead/proto"
+)
+
+// Heartbeat takes in a sign of life that came over a link.
+func (m *Members) Heartbeat(now time.Time, from proto.VM, beat proto.Heartbeat) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mem := m.members[from]
+	if mem == nil {
+		return
+	}
+	if beat.Incarnation < mem.alive.Incarnation {
+		m.correct(mem, beat.Incarnation, from)
+		return
+	}
+	if beat.Incarnation > mem.alive.Incarnation {
+		// The announcement was lost, or went out before this daemon listened.
+		fresh := mem.alive
+		fresh.Incarnation, fresh.Count, fresh.Stopping = beat.Incarnation, 0, beat.Stopping
+		m.alive(now, fresh, from)
+	}
+	mem.heard = now
+	if mem.alarming {
+		mem.alarming = false
+		m.raise(now, mem, false)
+	}
+	m.compare(now, mem, beat.Dead)
+}
+
+func (m *Members) links() []proto.VM {
+	return m.ring().links(m.self.VM)
+}
+
+func (m *Members) sendBeats(now time.Time) {
+	m.lastBeat = now
+	beat := m.beat()
+	beat.Incarnation = m.self.Incarnation
+	beat.Dead = m.digest
+	m.beats++
+	if m.beats%probeEvery == 0 {
+		m.probe()
+	}
+	for _, vm := range m.links() {
+		m.peers.Send(vm, beat)
+		if m.beats%announceEvery == 0 {
+			m.peers.Send(vm, m.self)
+		}
+	}
+}
+
+// Beat sends heartbeats at once, because there is news in them.
+func (m *Members) Beat(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sendBeats(now)
+}
+
+// Tick sends heartbeats and raises alarms; it comes several times a second.
+func (m *Members) Tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.started.IsZero() {
+		m.started = now
+	}
+	if !m.lastTick.IsZero() && now.Sub(m.lastTick) > m.timing.Pause {
+		m.forgive(now)
+	}
+	m.lastTick = now
+	if now.Sub(m.lastBeat) >= m.timing.Heartbeat {
+		m.sendBeats(now)
+	}
+	m.viewChanged(now)
+	for _, vm := range m.links() {
+		m.checkLink(now, m.members[vm])
+	}
+	m.forget(now)
+	m.passOn(now)
+}
+
+// viewChanged follows the last changes of the view: a daemon whose monitors died with it is judged by those it has now.
+func (m *Members) viewChanged(now time.Time) {
+	if m.linkedOf == m.version {
+		return
+	}
+	for _, mem := range m.members {
+		if len(mem.alarms) > 0 {
+			m.judge(now, mem)
+		}
+	}
+	m.linkedOf = m.version
+	m.digest = m.deadDigest()
+	m.relink(now)
+}
+
+// relink notes which links are new since the view changed, and announces this daemon over them: the other end may not
+// know it yet, and would send it nothing.
+func (m *Members) relink(now time.Time) {
+	links := m.links()
+	linked := make(map[proto.VM]time.Time, len(links))
+	for _, vm := range links {
+		since, ok := m.linked[vm]
+		if !ok {
+			since = now
+			m.peers.Send(vm, m.self)
+		}
+		linked[vm] = since
+	}
+	m.linked = linked
+}
+
+// expectedSince is from when on silence of a daemon counts: it was heard then, or came to have a link to this one,
+// before which it owed no heartbeat.
+func (m *Members) expectedSince(mem *member) time.Time {
+	if since := m.linked[mem.alive.VM]; since.After(mem.heard) {
+		return since
+	}
+	return mem.heard
+}
+
+func (m *Members) forget(now time.Time) {
+	for vm, mem := range m.members {
+		if _, listed := m.entries[vm]; mem.dead && !listed && now.Sub(mem.deadAt) > m.timing.Forget {
+			delete(m.members, vm)
+			m.changed()
+			delete(m.lastListed, vm)
+		}
+	}
+}
--- /dev/null
+++ b/relay/accept.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"emberlead/proto"
+)
+
+// accept reads and checks a request; nothing has run when it fails.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Time) (*flow, *failure) {
+	table := s.tables.Current()
+	if table == nil {
+		return nil, &failure{status: http.StatusServiceUnavailable, wait: waitUnknown, reason: "no configuration is known yet"}
+	}
+	req, err := s.dialect.ReadRequest(r)
+	if err != nil {
+		return nil, &failure{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	f := &flow{server: s, w: w, req: req, began: began, version: table.Routing().Version, tried: map[string]bool{}, after: req.After}
+	f.route = table.Match(req.Host, req.Path)
+	if f.route == nil {
+		return f, &failure{status: http.StatusNotFound, reason: "no route has the host and path"}
+	}
+	if fail := f.authorize(table); fail != nil {
+		return f, fail
+	}
+	if fail := f.refuseStopping(); fail != nil {
+		return f, fail
+	}
+	if fail := f.readBody(r, table.Routing().Limits.BodyBytes); fail != nil {
+		return f, fail
+	}
+	f.choosePool(table)
+	f.bound()
+	return f, nil
+}
+
+func (f *flow) authorize(table *Table) *failure {
+	f.owner = table.Owner(f.req.Key)
+	if f.owner != nil {
+		f.workspace = f.owner.Name
+		return nil
+	}
+	if f.route.Public || !table.Keyed() {
+		return nil
+	}
+	return &failure{status: http.StatusUnauthorized, reason: "no workspace holds the key"}
+}
+
+// refuseStopping refuses a request that might still be at work when this daemon has to end.
+func (f *flow) refuseStopping() *failure {
+	plan := f.server.stopping.Load()
+	if plan == nil {
+		return nil
+	}
+	until := plan.othersUntil
+	if f.route.Kind == proto.RouteStream {
+		until = plan.streamsUntil
+	}
+	if f.began.Before(until) {
+		return nil
+	}
+	return &failure{status: http.StatusServiceUnavailable, wait: waitStopping, reason: "the daemon stops and the request might be cut off"}
+}
+
+func (f *flow) readBody(r *http.Request, most int64) *failure {
+	control := http.NewResponseController(f.w)
+	if err := control.SetReadDeadline(f.server.clock.Now().Add(bodyWait)); err != nil {
+		f.server.log.Debug("no deadline can be set on a body", "request", f.req.ID, "error", err)
+	}
+	body := r.Body
+	if most > 0 {
+		body = http.MaxBytesReader(f.w, r.Body, most)
+	}
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &failure{status: http.StatusRequestEntityTooLarge, reason: "the body is larger than the configuration allows"}
+	case err != nil:
+		return &failure{status: http.StatusRequestTimeout, reason: "the body did not arrive: " + err.Error()}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		f.server.log.Debug("a deadline cannot be removed", "request", f.req.ID, "error", err)
+	}
+	f.req.Body = data
+	return nil
+}
+
+// choosePool picks a pool by the route's weights; the request's id decides, so that a choice can be repeated.
+func (f *flow) choosePool(table *Table) {
+	split := f.route.Split
+	sum := 0.0
+	for _, s := range split {
+		sum += s.Weight
+	}
+	point := float64(xxhash.Sum64String(f.req.ID)%10_000) / 10_000 * sum
+	for _, s := range split {
+		f.pool = s.Pool
+		if point -= s.Weight; point < 0 {
+			break
+		}
+	}
+	f.spec = table.Routing().Pools[f.pool]
+	f.rank = table.Rank(f.pool, f.owner, f.route)
+}
+
+func (f *flow) bound() {
+	wait := noTimeout
+	if f.req.Wait > 0 {
+		wait = min(wait, f.req.Wait)
+	}
+	if f.route.Timeout > 0 {
+		wait = min(wait, f.route.Timeout)
+	}
+	f.end = f.began.Add(wait - answerMargin)
+	f.due = f.end
+	if f.route.Goal > 0 {
+		f.due = f.began.Add(min(wait, f.route.Goal))
+	}
+}
--- /dev/null
+++ b/relay/batchfill.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"math"
+	"time"
+)
+
+// fill makes one call from the jobs whose turn it is, or returns nil.
+func (b *Batcher) fill(now time.Time) *Call {
+	for _, j := range b.jobs {
+		if j.left() == 0 || j.done {
+			continue
+		}
+		t := b.targetFor(now, j)
+		if t == nil {
+			continue
+		}
+		return b.load(now, t, j)
+	}
+	return nil
+}
+
+// targetFor returns an idle target for a job: one in the zone of its inputs, or any once it has waited for that.
+func (b *Batcher) targetFor(now time.Time, j *Job) *batchTarget {
+	var best *batchTarget
+	least := math.Inf(1)
+	for _, t := range b.targets {
+		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !b.hasRoom(now, t, j, b.whole(j)) {
+			continue
+		}
+		c := t.pace
+		if t.spec.ID == j.exclude {
+			c += 10
+		}
+		if b.crosses(t, j) {
+			if now.Before(j.since.Add(b.patience(now, j))) {
+				continue
+			}
+			c++
+		}
+		if c < least || c == least && t.spec.ID < best.spec.ID {
+			best, least = t, c
+		}
+	}
+	return best
+}
+
+// whole is how many of a job's pieces a target must have room for to begin with them: the results of a part would only
+// take up room until the rest is made. Jobs that need much of a target's room may begin with any part, or they would
+// wait for long.
+func (b *Batcher) whole(j *Job) int {
+	n := min(j.left(), b.spec.Most)
+	if float64(n*j.Ask.Bytes) > wholeRoom*float64(b.spec.Room) {
+		return 1
+	}
+	return n
+}
+
+func (b *Batcher) crosses(t *batchTarget, j *Job) bool {
+	return j.Ask.Zone != "" && t.spec.Zone != j.Ask.Zone
+}
+
+// patience is how long a job waits for a target in the zone of its inputs, if there is one in service.
+func (b *Batcher) patience(now time.Time, j *Job) time.Duration {
+	for _, t := range b.targets {
+		if !b.crosses(t, j) && !t.spec.Leaving && !now.Before(t.outTo) {
+			return max(0, min(crossWait, j.Due.Sub(now)/4))
+		}
+	}
+	return 0
+}
+
+func (b *Batcher) load(now time.Time, t *batchTarget, first *Job) *Call {
+	c := &Call{Target: t.spec, Began: now}
+	t.call = c
+	b.take(now, t, c, first)
+	// Jobs of the target's own zone go before those whose inputs would cross zones.
+	for _, own := range []bool{true, false} {
+		for _, j := range b.jobs {
+			if len(c.Items) >= b.spec.Most {
+				break
+			}
+			if j.left() > 0 && !j.done && b.crosses(t, j) != own && b.mayFill(now, c, t, j, own) {
+				b.take(now, t, c, j)
+			}
+		}
+	}
+	c.Expected = time.Duration(b.expected(c) * t.pace)
+	return c
+}
+
+// mayFill keeps the pieces of a job together where they fit into a call, since their results are needed together.
+func (b *Batcher) mayFill(now time.Time, c *Call, t *batchTarget, j *Job, own bool) bool {
+	if !own && now.Before(j.since.Add(b.patience(now, j))) {
+		return false
+	}
+	free := b.spec.Most - len(c.Items)
+	return (j.left() <= free || j.left() > b.spec.Most) && b.hasRoom(now, t, j, min(free, j.left()))
+}
+
+func (b *Batcher) take(now time.Time, t *batchTarget, c *Call, j *Job) {
+	for len(c.Items) < b.spec.Most && j.left() > 0 && b.hasRoom(now, t, j, 1) {
+		c.Items = append(c.Items, CallItem{Job: j, Piece: j.todo[0]})
+		t.room += int64(j.Ask.Bytes)
+		j.todo = j.todo[1:]
+	}
+}
+
+func (b *Batcher) expected(c *Call) float64 {
+	sum := float64(b.spec.CallCost)
+	for _, i := range c.Items {
+		sum += b.costOf(i.Job.Ask.Bytes)
+	}
+	return sum
+}
--- /dev/null
+++ b/relay/frees.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"emberlead/proto"
+)
+
+// frees gathers results to be freed by the target that holds them.
+type frees struct {
+	pieces *Pieces
+	mu     sync.Mutex
+	due    map[netip.AddrPort]*freeing
+}
+
+// freeing is what one target is to free next; a worker counts the room of its results until that is done.
+type freeing struct {
+	worker  *worker
+	handles []string
+}
+
+func (f *frees) add(w *worker, handles []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range handles {
+		maker, err := f.pieces.dialect.Maker(h)
+		if err != nil {
+			f.pieces.log.Warn("a result cannot be freed", "handle", h, "error", err)
+			continue
+		}
+		next := f.due[maker]
+		if next == nil {
+			next = &freeing{worker: w}
+			f.due[maker] = next
+			f.pieces.clock.AfterFunc(freeEvery, func() { f.flush(maker) })
+		}
+		next.handles = append(next.handles, h)
+	}
+}
+
+func (f *frees) flush(maker netip.AddrPort) {
+	f.mu.Lock()
+	next := f.due[maker]
+	delete(f.due, maker)
+	f.mu.Unlock()
+	// AfterFunc may run in the goroutine of the clock, which must not wait for a target.
+	go f.send(maker, next)
+}
+
+func (f *frees) send(maker netip.AddrPort, next *freeing) {
+	err := f.call(maker, next.handles)
+	if err != nil {
+		// The target drops results by itself after a time, and their room is counted until then.
+		f.pieces.log.Info("results were not freed", "maker", maker, "results", len(next.handles), "error", err)
+		return
+	}
+	if next.worker != nil {
+		next.worker.freed(next.handles)
+	}
+}
+
+func (f *frees) call(maker netip.AddrPort, handles []string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), freeWait)
+	defer cancel()
+	out, err := f.pieces.dialect.FreeCall(handles)
+	if err != nil {
+		return err
+	}
+	in, err := f.pieces.sender.Send(ctx, maker, &out)
+	if err != nil {
+		return err
+	}
+	defer in.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(in.Body, piecesMost)); err != nil {
+		return &Error{Op: "free results", Kind: proto.KindUnknown, Err: err}
+	}
+	if in.Status != http.StatusOK {
+		return fault("free results", proto.KindUnknown, "the target answered with status %d", in.Status)
+	}
+	return nil
+}
+
+func (w *worker) freed(handles []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.pieces.clock.Now()
+	for _, h := range handles {
+		w.batch.Freed(now, h)
+	}
+	w.turn()
+}
--- /dev/null
+++ b/relay/worker.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"emberlead/proto"
+)
+
+// worker drives the batcher of one pool, under a lock of its own.
+type worker struct {
+	pieces *Pieces
+	pool   string
+
+	mu      sync.Mutex
+	batch   *Batcher
+	waiting map[*Job]chan proto.PiecesAnswer
+	armed   bool
+}
+
+func (w *worker) add(j *Job) (chan proto.PiecesAnswer, *proto.PiecesAnswer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if refused := w.batch.Add(w.pieces.clock.Now(), j); refused != nil {
+		return nil, refused
+	}
+	answers := make(chan proto.PiecesAnswer, 1)
+	w.waiting[j] = answers
+	w.turn()
+	return answers, nil
+}
+
+func (w *worker) drop(d proto.PiecesDrop) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	handles := d.Handles
+	if d.Request != "" {
+		handles = append(handles, w.batch.Withdraw(d.Request, d.Stage)...)
+	}
+	w.pieces.frees.add(w, handles)
+	w.turn()
+}
+
+func (w *worker) retarget() {
+	targets := w.pieces.fleet.Usable(w.pool)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.batch.SetTargets(targets)
+	w.turn()
+}
+
+// turn sends the calls that are due; the lock is held.
+func (w *worker) turn() {
+	calls, ends := w.batch.Next(w.pieces.clock.Now())
+	w.settle(ends)
+	for _, c := range calls {
+		go w.send(c)
+	}
+	if w.batch.Busy() && !w.armed {
+		w.armed = true
+		w.pieces.clock.AfterFunc(expireEvery, w.due)
+	}
+}
+
+func (w *worker) due() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = false
+	w.turn()
+}
+
+func (w *worker) settle(ends []JobEnd) {
+	for _, e := range ends {
+		if answers := w.waiting[e.Job]; answers != nil {
+			e.Answer.Queue = w.batch.Queue(w.pieces.clock.Now(), e.Job)
+			answers <- e.Answer
+			delete(w.waiting, e.Job)
+		}
+		if e.Answer.Fate != proto.PiecesDone {
+			w.pieces.frees.add(w, e.Job.results())
+		}
+	}
+}
+
+func (j *Job) results() []string {
+	var made []string
+	for _, h := range j.handles {
+		if h != "" {
+			made = append(made, h)
+		}
+	}
+	return made
+}
+
+func (w *worker) send(c *Call) {
+	p := w.pieces
+	p.calls.Add(1)
+	p.items.Add(int64(len(c.Items)))
+	results, err := p.call(c)
+	now := p.clock.Now()
+	if err != nil {
+		p.failed.Add(1)
+		p.log.Warn("a call for pieces failed", "pool", w.pool, "target", c.Target.ID, "address", c.Target.Address, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "error", err)
+	} else {
+		p.log.Info("pieces made", "pool", w.pool, "target", c.Target.ID, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "expected", brief(c.Expected))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.settle(w.batch.Failed(now, c, errors.Is(err, errBusy)))
+	} else {
+		ends, unused := w.batch.Done(now, c, results)
+		w.settle(ends)
+		p.frees.add(w, unused)
+	}
+	w.turn()
+}
+
+// errBusy says that a target had no slot for a call.
+var errBusy = errors.New("the target has no free slot")
+
+func (p *Pieces) call(c *Call) ([]ItemResult, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(callLeast, callSlack*c.Expected))
+	defer cancel()
+	out, err := p.dialect.PiecesCall(c, p.clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	in, err := p.sender.Send(ctx, c.Target.Address, &out)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(in.Body, piecesMost))
+	if err != nil {
+		return nil, &Error{Op: "read pieces", Kind: proto.KindUnknown, Err: err}
+	}
+	if in.Status == http.StatusServiceUnavailable {
+		return nil, errBusy
+	}
+	if in.Status != http.StatusOK {
+		return nil, fault("call for pieces", proto.KindUnknown, "the target answered with status %d", in.Status)
+	}
+	return p.dialect.PiecesResult(body, len(c.Items))
+}
