--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -192,7 +192,8 @@
 	defer listener.Close()
 	resolve := func(proto.VM) (proto.Alive, bool) { return proto.Alive{Peer: addressOf(listener.URL)}, true }
 	for key, want := range map[string]bool{"right": true, "wrong": false, "": false} {
-		client := NewLinks(LinksConfig{Self: "abc", Key: key, Log: hclog.NewNullLogger(), Resolve: resolve, Handle: answer})
+		var log bytes.Buffer
+		client := NewLinks(LinksConfig{Self: "abc", Key: key, Log: hclog.New(&hclog.LoggerOptions{Output: &log}), Resolve: resolve, Handle: answer})
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		m, err := client.Call(ctx, "b", proto.ChangesAsk{})
 		cancel()
@@ -200,6 +201,10 @@
 		if got, ok := m.(proto.ChangesAnswer); want != (err == nil && ok && got.Generation == 3) {
 			t.Errorf("key %q: %+v %v", key, m, err)
 		}
+		// Without the line, daemons with different keys would work apart from each other unnoticed.
+		if told := strings.Contains(log.String(), "does not accept this one's key"); told == want {
+			t.Errorf("key %q: the log says so: %v", key, told)
+		}
 	}
 }
 
