--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -147,7 +147,7 @@
 	if placed == nil {
 		return attemptEnd{notRun: true, reason: reasonNoTarget}
 	}
-	spec := placed.Target.Spec
+	spec := placed.Spec
 	f.tried[spec.ID] = true
 	f.target = spec.ID
 	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
@@ -187,7 +187,7 @@
 	s := f.server
 	slow := s.clock.AfterFunc(a.firstWait(), func() { a.cancel(errSlowStart) })
 	defer slow.Stop()
-	in, err := s.sender.Send(ctx, a.placed.Target.Spec.Address, out)
+	in, err := s.sender.Send(ctx, a.placed.Spec.Address, out)
 	if err != nil {
 		return a.noAnswer(ctx, err)
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -294,6 +294,13 @@
 	}
 }
 
+// Spec returns a target's entry as it is now.
+func (f *Fleet) Spec(t *Target) proto.RelayTarget {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.Spec
+}
+
 // Listed tells whether a target may still get new work.
 func (f *Fleet) Listed(t *Target) bool {
 	t.pool.mu.Lock()
--- a/relay/place.go
+++ b/relay/place.go
@@ -49,6 +49,8 @@
 // Placed is a target chosen for an attempt.
 type Placed struct {
 	Target *Target
+	// Spec is the target's entry as it was when it was chosen; the entry may change at any time.
+	Spec proto.RelayTarget
 
 	placer *Placer
 	pool   string
@@ -71,7 +73,7 @@
 	if t == nil {
 		return nil
 	}
-	return &Placed{Target: t, placer: p, pool: pool, want: w}
+	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w}
 }
 
 func (p *Placer) remote(ctx context.Context, owner proto.VM, pool string, w Want) *Placed {
@@ -95,7 +97,7 @@
 		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "target", a.Target, "reason", "it is not listed here")
 		return nil
 	}
-	return &Placed{Target: t, placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}
+	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}
 }
 
 // Began notes that the target has read the prompt.
@@ -126,11 +128,12 @@
 	if t == nil {
 		return proto.PlaceAnswer{}
 	}
+	id := p.fleet.Spec(t).ID
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.next++
 	p.leases[p.next] = placement{target: t, want: w, at: now}
-	return proto.PlaceAnswer{Target: t.Spec.ID, Lease: p.next}
+	return proto.PlaceAnswer{Target: id, Lease: p.next}
 }
 
 // Note takes in how far a placed attempt has come.
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -206,6 +207,35 @@
 	}
 }
 
+// TestAnEntryMayChangeWhileItsTargetIsChosen is for the race detector: the entry of a chosen target is read while the
+// store's answer replaces it.
+func TestAnEntryMayChangeWhileItsTargetIsChosen(t *testing.T) {
+	fleet := NewFleet(func(string) {})
+	spec := listed("t", "p", "z")
+	spec.Address = netip.MustParseAddrPort("10.0.0.1:80")
+	fleet.Change(start, []FleetChange{{ID: "t", Version: 1, Target: spec}})
+	peers := &peersOf{self: "one", owner: "one"}
+	placer := NewPlacer("one", clockwork.NewFakeClock(), hclog.NewNullLogger(), fleet, peers)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for v := range uint64(200) {
+			fleet.Change(start, []FleetChange{{ID: "t", Version: v + 2, Target: spec}})
+		}
+	}()
+	for range 200 {
+		placed := placer.Choose(context.Background(), "p", Want{Zone: "z"})
+		if placed == nil || placed.Spec.ID != "t" || !placed.Spec.Address.IsValid() {
+			t.Fatalf("placed %+v", placed)
+		}
+		if a := placer.Place(proto.PlaceAsk{Pool: "p"}); a.Target != "t" {
+			t.Fatalf("answer %+v", a)
+		}
+		placed.Ended(VerdictGood, Load{})
+	}
+	<-done
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{35, 600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
