--- a/relay/choice.go
+++ b/relay/choice.go
@@ -163,7 +163,7 @@
 	p.turn++
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
-		if t.Spec.Leaving || w.Tried[t.Spec.ID] || !failing && t.health.out(now) {
+		if t.Spec.Leaving || w.Tried[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
 			continue
 		}
 		if c := t.cost(now, w, home, long); c < least {
@@ -183,7 +183,7 @@
 	var home *Target
 	var rank uint64
 	for _, t := range p.list {
-		if t.Spec.Leaving || t.health.out(now) || t.long != long {
+		if t.Spec.Leaving || t.doubted || t.health.out(now) || t.long != long {
 			continue
 		}
 		h := state.Rank(part, t.hash)
@@ -308,7 +308,7 @@
 	return !t.gone && !t.Spec.Leaving
 }
 
-// Out returns the targets of a pool that this daemon leaves out for their failures.
+// Out returns the targets of a pool that this daemon leaves out, for their failures or since they may have left.
 func (f *Fleet) Out(now time.Time, pool string) []string {
 	p := f.pool(pool)
 	if p == nil {
@@ -318,7 +318,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for _, t := range p.list {
-		if t.health.out(now) {
+		if t.doubted || t.health.out(now) {
 			ids = append(ids, t.Spec.ID)
 		}
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -40,6 +40,9 @@
 	// lapsedAt is when the entry went while the store was away; zero if it is listed.
 	lapsedAt  time.Time
 	lapseTold bool
+	// doubted says that another daemon, which reached the store all the time, saw the entry of a lapsed target go: it
+	// has more likely left than lapsed, and gets work only where its pool has no other target.
+	doubted bool
 	// version is the store's version at which the entry last changed.
 	version uint64
 	gone    bool
@@ -192,6 +195,8 @@
 type FleetNote struct {
 	Target  proto.RelayTarget
 	Outcome string
+	// Version is the store's version of the change, 0 if no change of the store brought it.
+	Version uint64
 }
 
 // Outcomes of changes to the fleet.
@@ -200,7 +205,9 @@
 	outcomeLeaving = "leaving"
 	outcomeRemoved = "removed"
 	// OutcomeLapsed means that the entry went, and may come back.
-	OutcomeLapsed  = "lapsed"
+	OutcomeLapsed = "lapsed"
+	// outcomeDoubted means that another daemon holds a lapsed target to have left.
+	outcomeDoubted = "doubted"
 	outcomeUpdated = "updated"
 )
 
@@ -243,7 +250,7 @@
 	}
 	old := t.Spec
 	t.Spec, t.version = c.Target, c.Version
-	t.lapsedAt = time.Time{}
+	t.lapsedAt, t.doubted = time.Time{}, false
 	switch {
 	case c.Target.Leaving && !old.Leaving:
 		return []FleetNote{{Target: c.Target, Outcome: outcomeLeaving}}
@@ -275,7 +282,7 @@
 			return nil
 		}
 		t.lapsedAt, t.lapseTold = now, c.Told
-		return []FleetNote{{Target: t.Spec, Outcome: OutcomeLapsed}}
+		return []FleetNote{{Target: t.Spec, Outcome: OutcomeLapsed, Version: c.Version}}
 	}
 	return []FleetNote{f.forget(t)}
 }
@@ -288,6 +295,41 @@
 	return FleetNote{Target: t.Spec, Outcome: outcomeRemoved}
 }
 
+// Lapsed returns the ids of targets that this daemon itself saw lapse, and the version before the first of them went.
+func (f *Fleet) Lapsed(notes []FleetNote) (ids []string, before uint64) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, n := range notes {
+		t := f.where[n.Target.ID]
+		if n.Outcome != OutcomeLapsed || t == nil || t.lapseTold {
+			continue
+		}
+		if len(ids) == 0 || n.Version-1 < before {
+			before = n.Version - 1
+		}
+		ids = append(ids, n.Target.ID)
+	}
+	return ids, before
+}
+
+// Doubt notes that another daemon saw a lapsed entry go while the store was well there.
+func (f *Fleet) Doubt(id string) []FleetNote {
+	f.mu.Lock()
+	t := f.where[id]
+	var notes []FleetNote
+	if t != nil {
+		t.pool.mu.Lock()
+		if !t.lapsedAt.IsZero() && !t.doubted {
+			t.doubted = true
+			notes = append(notes, FleetNote{Target: t.Spec, Outcome: outcomeDoubted, Version: t.version})
+		}
+		t.pool.mu.Unlock()
+	}
+	f.mu.Unlock()
+	f.announce(notes)
+	return notes
+}
+
 // Sweep removes entries that lapsed and did not come back; it comes several times a second.
 func (f *Fleet) Sweep(now time.Time) []FleetNote {
 	f.mu.Lock()
@@ -313,12 +355,19 @@
 	}
 	p.lock()
 	defer p.mu.Unlock()
-	var specs []proto.RelayTarget
+	var specs, doubted []proto.RelayTarget
 	for _, t := range p.list {
-		if !t.Spec.Leaving {
+		switch {
+		case t.Spec.Leaving:
+		case t.doubted:
+			doubted = append(doubted, t.Spec)
+		default:
 			specs = append(specs, t.Spec)
 		}
 	}
+	if len(specs) == 0 {
+		return doubted
+	}
 	return specs
 }
 
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -132,6 +132,49 @@
 	}
 }
 
+// TestALapsedTargetThatAnotherDaemonSawLeaveIsLeftOut is a daemon that was turned away by a store which served others.
+func TestALapsedTargetThatAnotherDaemonSawLeaveIsLeftOut(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	f.StoreAway(start)
+	notes := f.Change(start, []FleetChange{removed(5, "a")})
+	ids, before := f.Lapsed(notes)
+	if fmt.Sprint(ids) != "[a]" || before != 4 {
+		t.Fatalf("lapsed %v after version %d", ids, before)
+	}
+	if notes := f.Doubt("a"); len(notes) != 1 || names(f, "p") != "b " {
+		t.Errorf("usable %q, notes %v", names(f, "p"), notes)
+	}
+	if notes := f.Doubt("a"); len(notes) != 0 {
+		t.Errorf("doubted twice: %v", notes)
+	}
+	for range 4 {
+		if got := f.Pick(start, "p", Want{}); got.Spec.ID != "b" {
+			t.Fatalf("picked %s", got.Spec.ID)
+		}
+	}
+	f.Change(start, []FleetChange{removed(6, "b")})
+	if got := f.Pick(start, "p", Want{}); got == nil || names(f, "p") != "a b " && names(f, "p") != "b " {
+		t.Errorf("without any other target: %v, usable %q", got, names(f, "p"))
+	}
+	f.Change(start, []FleetChange{put(7, listed("a", "p", "z"))})
+	if names(f, "p") != "a b " {
+		t.Errorf("an entry that is back leaves %q", names(f, "p"))
+	}
+}
+
+func TestALeavingTargetStaysSoWhateverOlderAnswersSay(t *testing.T) {
+	leaving := listed("a", "p", "z")
+	leaving.Leaving = true
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")), put(5, leaving))
+	f.StoreAway(start)
+	f.Change(start, []FleetChange{put(3, listed("a", "p", "z"))})
+	f.Replace(start, 4, []FleetChange{put(1, listed("a", "p", "z"))}, false)
+	f.StoreBack(start)
+	if names(f, "p") != "b " {
+		t.Errorf("usable %q", names(f, "p"))
+	}
+}
+
 func TestAnEntryThatWasLeavingDoesNotLapse(t *testing.T) {
 	leaving := listed("a", "p", "z")
 	leaving.Leaving = true
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	// readersPerZone is how many daemons of a zone watch the store and tell the others: with two, one may fail or be
 	// turned away, and a deployment of some daemons has no other ones.
 	readersPerZone = 2
+	// lapseAsks is how often neighbours are asked how a lapsed entry went: the first time some may not know of it yet.
+	lapseAsks = 2
 	// listEvery is how often the daemons' table is read, for daemons that no other knows.
 	listEvery = 20 * time.Second
 )
@@ -270,6 +273,36 @@
 	if len(notes) > 0 {
 		d.peers.members.Beat(d.clock.Now())
 	}
+	if ids, before := d.fleet.Lapsed(notes); len(ids) > 0 {
+		go d.askOfLapsed(ids, before)
+	}
+}
+
+// askOfLapsed asks the neighbours how they saw entries go that this daemon holds to have lapsed: a store that failed for
+// some daemons only went on serving the others, and what went then has left.
+func (d *Relay) askOfLapsed(ids []string, before uint64) {
+	for range lapseAsks {
+		for _, vm := range d.peers.members.Links() {
+			go d.askNeighbourOfLapsed(vm, ids, before)
+		}
+		d.pause(context.Background(), pullAfter)
+	}
+}
+
+func (d *Relay) askNeighbourOfLapsed(vm proto.VM, ids []string, before uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
+	defer cancel()
+	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: before})
+	a, ok := m.(proto.RoutingAnswer)
+	if err != nil || !ok {
+		d.log.Info("a neighbour did not say how lapsed targets went", "from", vm, "error", err)
+		return
+	}
+	for _, doc := range a.TargetEntries {
+		if doc.Removed && !doc.Lapsed && slices.Contains(ids, doc.ID) {
+			d.noteFleet(d.fleet.Doubt(doc.ID), string(vm))
+		}
+	}
 }
 
 // answerAsk gives another daemon what it lacks: what changed since, or the whole list if that is not known.
