--- a/relay/batch.go
+++ b/relay/batch.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,10 +36,6 @@
 	holdWeight = 0.05
 	// rankReserve is the part of its time that a job must leave free for each step of priority to be admitted.
 	rankReserve = 0.1
-	// paceWeight is the weight of the newest call in a target's pace, so that a slow target shows after a few calls.
-	paceWeight = 0.3
-	// costWeight is the weight of the newest call in the cost of a piece.
-	costWeight = 0.1
 	// retryFloor is the least time to come back that a refusal names.
 	retryFloor = 300 * time.Millisecond
 	// roomWait is how long a target that had no room is left out: results are freed every 20 ms.
@@ -76,20 +72,22 @@
 	spec    proto.BatchSpec
 	targets map[string]*batchTarget
 	jobs    []*Job
-	// pieceCost is about the time that a piece adds, by the size of its result, since stages differ by that.
-	pieceCost map[int]float64
-	kept      map[string]*batchTarget
+	model   *callModel
+	kept    map[string]*batchTarget
 	// hold is how long a result takes up room on average, from its call's start until it is freed.
 	hold float64
 }
 
 // NewBatcher returns a batcher without targets.
 func NewBatcher(spec proto.BatchSpec) *Batcher {
-	return &Batcher{spec: spec, targets: map[string]*batchTarget{}, pieceCost: map[int]float64{}, kept: map[string]*batchTarget{}, hold: float64(holdFirst)}
+	return &Batcher{spec: spec, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}, hold: float64(holdFirst)}
 }
 
 // SetSpec takes over a changed description of the pool.
-func (b *Batcher) SetSpec(spec proto.BatchSpec) { b.spec = spec }
+func (b *Batcher) SetSpec(spec proto.BatchSpec) {
+	b.spec = spec
+	b.model.respec(spec)
+}
 
 // SetTargets takes over the targets that may get new work; calls at work elsewhere go on.
 func (b *Batcher) SetTargets(specs []proto.RelayTarget) {
@@ -117,56 +115,61 @@
 	}
 }
 
-func (b *Batcher) costOf(bytes int) float64 {
-	if c, ok := b.pieceCost[bytes]; ok {
-		return c
-	}
-	return float64(b.spec.PieceCost)
-}
-
 // share is the target time that a piece costs in a full call, or that its result takes of the target's room if that
 // is more.
 func (b *Batcher) share(bytes int) float64 {
-	work := float64(b.spec.CallCost)/float64(max(1, b.spec.Most)) + b.costOf(bytes)
+	work := b.model.call/float64(max(1, b.spec.Most)) + b.model.pieceCost(bytes)
 	if b.spec.Room == 0 {
 		return work
 	}
 	return max(work, b.hold*float64(bytes)/float64(b.spec.Room))
 }
 
-// Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service.
+// Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service. One
+// that is left out for a while counts from then on: a pool that refused one call each is not out of service.
 func (b *Batcher) Wait(now, turn time.Time) time.Duration {
-	ahead, paces, soonest, idle := 0.0, 0.0, math.Inf(1), false
+	var free []freeTarget
 	for _, t := range b.targets {
-		if t.spec.Leaving || now.Before(t.outTo) {
-			continue
-		}
-		paces += 1 / t.pace
-		if t.call == nil {
-			idle = true
-			continue
+		if !t.spec.Leaving {
+			free = append(free, freeTarget{b.freeIn(now, t), t.pace})
 		}
-		rest := max(0, float64(t.call.Began.Add(t.call.Expected).Sub(now)))
-		soonest = min(soonest, rest)
-		ahead += rest
 	}
-	if paces == 0 {
+	if len(free) == 0 {
 		return time.Minute
 	}
-	queued := 0
+	work := 0.0
 	for _, j := range b.jobs {
 		if j.left() > 0 && !j.done && !j.late && !j.order.After(turn) {
-			ahead += float64(j.left()) * b.share(j.Ask.Bytes)
-			queued++
+			work += float64(j.left()) * b.share(j.Ask.Bytes)
 		}
 	}
-	if idle && queued == 0 {
-		return 0
+	return time.Duration(done(free, work))
+}
+
+// freeTarget is when a target can begin a call, in nanoseconds from now, and its pace.
+type freeTarget struct{ in, pace float64 }
+
+func (b *Batcher) freeIn(now time.Time, t *batchTarget) float64 {
+	in := max(0, float64(t.outTo.Sub(now)))
+	if t.call != nil {
+		in = max(in, float64(t.call.Began.Add(t.call.Expected).Sub(now)))
 	}
-	if idle {
-		soonest = 0
+	return in
+}
+
+// done is when the targets have taken up an amount of work, each from when it is free.
+func done(free []freeTarget, work float64) float64 {
+	slices.SortFunc(free, func(x, y freeTarget) int { return cmp.Compare(x.in, y.in) })
+	at, speed := free[0].in, 0.0
+	for i, f := range free {
+		speed += 1 / f.pace
+		if i+1 == len(free) || (free[i+1].in-at)*speed >= work {
+			break
+		}
+		work -= (free[i+1].in - at) * speed
+		at = free[i+1].in
 	}
-	return time.Duration(max(soonest, ahead/paces))
+	return at + work/speed
 }
 
 // Queue is how long a job like this one would wait for its turn if it came now.
@@ -177,8 +180,8 @@
 // length is how long a call with a job's pieces and a usual share of others takes.
 func (b *Batcher) length(j *Job) float64 {
 	n := float64(min(j.Ask.Pieces, b.spec.Most))
-	own := float64(b.spec.CallCost) + n*b.costOf(j.Ask.Bytes)
-	full := float64(b.spec.CallCost) + float64(b.spec.Most)*b.costOf(j.Ask.Bytes)
+	own := b.model.call + n*b.model.pieceCost(j.Ask.Bytes)
+	full := b.model.call + float64(b.spec.Most)*b.model.pieceCost(j.Ask.Bytes)
 	return (own + full) / 2
 }
 
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	c.Expected = time.Duration(b.expected(c) * t.pace)
+	c.Expected = time.Duration(b.model.expected(made(c, nil)) * t.pace)
 	return c
 }
 
@@ -105,11 +105,3 @@
 		j.todo = j.todo[1:]
 	}
 }
-
-func (b *Batcher) expected(c *Call) float64 {
-	sum := float64(b.spec.CallCost)
-	for _, i := range c.Items {
-		sum += b.costOf(i.Job.Ask.Bytes)
-	}
-	return sum
-}
--- a/relay/batchresult.go
+++ b/relay/batchresult.go
@@ -12,7 +12,7 @@
 // that nobody needs any more.
 func (b *Batcher) Done(now time.Time, c *Call, results []ItemResult) (ends []JobEnd, unused []string) {
 	t := b.finish(c)
-	b.learn(t, c, now.Sub(c.Began))
+	b.learn(t, c, results, now.Sub(c.Began))
 	for n, item := range c.Items {
 		r := results[n]
 		j := item.Job
@@ -70,21 +70,6 @@
 	return t
 }
 
-func (b *Batcher) learn(t *batchTarget, c *Call, took time.Duration) {
-	if t == nil {
-		return
-	}
-	t.inRow = 0
-	plain := b.expected(c)
-	t.pace += paceWeight * (float64(took)/plain - t.pace)
-	t.pace = min(8, max(0.5, t.pace))
-	off := (float64(took)/t.pace - plain) / float64(len(c.Items))
-	for _, i := range c.Items {
-		old := b.costOf(i.Job.Ask.Bytes)
-		b.pieceCost[i.Job.Ask.Bytes] = min(2*float64(b.spec.PieceCost), max(0.1*float64(b.spec.PieceCost), old+costWeight*off/float64(len(c.Items))))
-	}
-}
-
 // Failed takes in a call that gave no results. With busy set the target refused it for want of a slot. The pieces
 // are sent again unless they were too often.
 func (b *Batcher) Failed(now time.Time, c *Call, busy bool) []JobEnd {
