--- a/proto/relay.go
+++ b/proto/relay.go
@@ -227,6 +227,9 @@
 	Detail  string        `cbor:"5,keyasint,omitempty"`
 	// Queue is how long an equal job that came now would wait for its turn.
 	Queue time.Duration `cbor:"6,keyasint,omitempty"`
+	// Queued is how long the pieces waited for the call that made the last of them, and Made how long that call took.
+	Queued time.Duration `cbor:"7,keyasint,omitempty"`
+	Made   time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // PiecesDrop tells the daemon that batches a pool's calls that results are not needed any more, or a stage not at all.
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -36,6 +36,11 @@
 	holdWeight = 0.05
 	// rankReserve is the part of its time that a job must leave free for each step of priority to be admitted.
 	rankReserve = 0.1
+	// lateMargin and latePart bound what is taken although it will be late: with the work ahead of it so many times
+	// over, as more urgent work goes on coming, it must be made within that part of the time for which its result is of
+	// use. Its caller would be sent away for at least as long, and half of those who come back late fail.
+	lateMargin = 2
+	latePart   = 0.5
 	// retryFloor is the least time to come back that a refusal names.
 	retryFloor = 300 * time.Millisecond
 	// roomWait is how long a target that had no room is left out: results are freed every 20 ms.
@@ -139,7 +144,7 @@
 	}
 	work := 0.0
 	for _, j := range b.jobs {
-		if j.left() > 0 && !j.done && !j.late && !j.order.After(turn) {
+		if j.left() > 0 && !j.done && (!j.late || turn.Sub(now) > 30*time.Minute) && !j.order.After(turn) {
 			work += float64(j.left()) * b.share(j.Ask.Bytes)
 		}
 	}
@@ -203,13 +208,23 @@
 		reserve := rankReserve * float64(j.Ask.Rank) * float64(j.Due.Sub(now))
 		limit = j.Due.Add(-time.Duration(reserve))
 	}
-	if finish.After(limit) && !(wait == 0 && j.End.After(finish)) {
+	if finish.After(limit) && !(wait == 0 && j.End.After(finish)) && !b.canBeLate(now, j) {
 		return &proto.PiecesAnswer{Fate: proto.PiecesRefused, Queue: wait, Wait: max(retryFloor, finish.Sub(limit)), Detail: "the queue of the pool is longer than the time left"}
 	}
 	b.jobs = append(b.jobs, j)
 	return nil
 }
 
+// canBeLate tells whether a job that will not be in time is still made well before its result is of no use: with all
+// that waits ahead of it, and as much again that may come.
+func (b *Batcher) canBeLate(now time.Time, j *Job) bool {
+	if !j.Ask.First {
+		return false
+	}
+	ahead := b.Wait(now, now.Add(time.Hour))
+	return time.Duration(lateMargin*float64(ahead)+b.length(j)) < time.Duration(latePart*float64(j.End.Sub(now)))
+}
+
 // Next returns the calls to send now, and the jobs whose time is over.
 func (b *Batcher) Next(now time.Time) ([]*Call, []JobEnd) {
 	ends := b.expire(now)
@@ -251,7 +266,7 @@
 		if !now.After(j.End) {
 			return false
 		}
-		ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesLate, Detail: "the time for the stage was over in the queue"}))
+		ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesLate, Queued: now.Sub(j.since), Detail: "the time for the stage was over in the queue"}))
 		return true
 	})
 	for _, t := range b.targets {
--- a/relay/batchresult.go
+++ b/relay/batchresult.go
@@ -30,7 +30,9 @@
 		}
 		j.zone = c.Target.Zone
 		if j.missing == 0 {
-			ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesDone, Handles: j.handles, Zone: j.zone}))
+			ends = append(ends, b.end(j, proto.PiecesAnswer{
+				Fate: proto.PiecesDone, Handles: j.handles, Zone: j.zone, Queued: c.Began.Sub(j.since), Made: now.Sub(c.Began),
+			}))
 		}
 	}
 	return ends, unused
--- a/relay/server.go
+++ b/relay/server.go
@@ -163,6 +163,8 @@
 	tried     map[string]bool
 	committed bool
 	after     int
+	// stages are how those that have ended went, also such as were done anew.
+	stages []stageNote
 	// staged and first are when the stages were done and when the first event went out.
 	staged, first time.Time
 }
@@ -192,7 +194,7 @@
 		return
 	}
 	f.note("request accepted", "route", f.route.Name, "workspace", f.workspace, "rank", f.rank, "pool", f.pool, "routing", f.version,
-		"pieces", f.req.Pieces, "due", brief(f.due.Sub(began)), "left", brief(f.left()))
+		"pieces", f.req.Pieces, "prompt", f.prompt(), "due", brief(f.due.Sub(began)), "left", brief(f.left()))
 	ctx, span := otel.Tracer(tracer).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
@@ -225,6 +227,14 @@
 	}
 }
 
+// prompt names the part of the prompt that is the request's own, by which the log shows that a caller came back.
+func (f *flow) prompt() string {
+	if n := len(f.req.Parts); n > 0 {
+		return f.req.Parts[n-1].ID
+	}
+	return ""
+}
+
 // notRun is the refusal of a request that no target has run or will run.
 func (f *flow) notRun(wait time.Duration, reason string) *failure {
 	if f.runs > 0 {
@@ -263,7 +273,7 @@
 	return []any{
 		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.version, "targets", f.server.fleet.Version(),
 		"rank", f.rank, "took", brief(now.Sub(f.began)), "staged", brief(since(f.began, f.staged)), "first", brief(since(f.began, f.first)), "goal", brief(f.route.Goal),
-		"sent", f.sent, "runs", f.runs, "target", f.target,
+		"sent", f.sent, "runs", f.runs, "target", f.target, "stages", f.stages,
 	}
 }
 
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -37,6 +37,18 @@
 type stageEnd struct {
 	stage  int
 	answer proto.PiecesAnswer
+	took   time.Duration
+}
+
+// stageNote is how the log tells where a stage's time went.
+type stageNote struct {
+	Stage int    `json:"stage"`
+	Pool  string `json:"pool"`
+	Fate  string `json:"fate"`
+	// Queued and Made are what the daemon that batches for the pool says; Took is the whole time until its answer.
+	Queued string `json:"queued"`
+	Made   string `json:"made"`
+	Took   string `json:"took"`
 }
 
 func (f *flow) pieces(stage int) int {
@@ -60,6 +72,7 @@
 	for open > 0 {
 		e := <-ends
 		open--
+		f.noteStage(e)
 		if e.answer.Fate != proto.PiecesDone {
 			cancel()
 			f.drain(ends, open)
@@ -79,6 +92,7 @@
 func (f *flow) drain(ends chan stageEnd, open int) {
 	for ; open > 0; open-- {
 		e := <-ends
+		f.noteStage(e)
 		if e.answer.Fate == proto.PiecesDone {
 			f.inputs[e.stage].done, f.inputs[e.stage].handles = true, e.answer.Handles
 		}
@@ -112,11 +126,25 @@
 		started++
 		ask := f.askFor(i, first, home)
 		due := f.due.Add(-f.restAfter(i))
-		go func() { ends <- stageEnd{i, f.server.pieces.Ask(ctx, ask, due, f.end.Add(-runEstimate/2))} }()
+		go func() { ends <- f.askStage(ctx, ask, due) }()
 	}
 	return started
 }
 
+func (f *flow) askStage(ctx context.Context, ask proto.PiecesAsk, due time.Time) stageEnd {
+	clock := f.server.clock
+	began := clock.Now()
+	answer := f.server.pieces.Ask(ctx, ask, due, f.end.Add(-runEstimate/2))
+	return stageEnd{stage: ask.Stage, answer: answer, took: clock.Now().Sub(began)}
+}
+
+func (f *flow) noteStage(e stageEnd) {
+	f.stages = append(f.stages, stageNote{
+		Stage: e.stage, Pool: f.route.Stages[e.stage].Pool, Fate: e.answer.Fate.String(),
+		Queued: brief(e.answer.Queued), Made: brief(e.answer.Made), Took: brief(e.took),
+	})
+}
+
 // canWait tells whether a stage with large results is better done later: nothing but the request itself needs them,
 // and until it runs they take up room that other requests need.
 func (f *flow) canWait(stage int) bool {
