--- /dev/null
+++ b/entry/losses.go
@@ -0,0 +1,223 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"emberlead/proto"
+)
+
+// lossWindow is the length of the spans of time whose losses are shown, unless another is asked for.
+const lossWindow = 2 * time.Second
+
+func lossesCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "losses",
+		Usage:     "show where requests lost their worth, from the logs of all daemons",
+		ArgsUsage: "FILE...",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "worth", Usage: "`GOAL=FULL/LATE`: what an answer in time and a late one are worth on routes with such a goal, such as 1.1s=4.7/0.7"},
+			&cli.DurationFlag{Name: "every", Value: lossWindow, Usage: "length of the spans of time"},
+		},
+		Action: runLosses,
+	}
+}
+
+func runLosses(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return usage("losses needs at least one file, see emberlead losses --help")
+	}
+	worths, err := readWorths(c.StringSlice("worth"))
+	if err != nil {
+		return err
+	}
+	var lines []logLine
+	for _, path := range c.Args().Slice() {
+		more, err := readLog(path)
+		if err != nil {
+			return exit(ExitUsage, err)
+		}
+		lines = append(lines, more...)
+	}
+	report := newLossReport(requestEnds(lines), worths, c.Duration("every"))
+	return report.print(c.Root().Writer)
+}
+
+// worth is what an answer counts for.
+type worth struct{ full, late float64 }
+
+// routeWorths holds the worth of requests by their routes' goals, since the names of routes change.
+type routeWorths map[time.Duration]worth
+
+// of returns 1 for an answer in time, and nothing for a late one, where nothing else is known.
+func (w routeWorths) of(goal time.Duration) worth {
+	if known, ok := w[goal]; ok {
+		return known
+	}
+	return worth{full: 1}
+}
+
+func readWorths(texts []string) (routeWorths, error) {
+	worths := routeWorths{}
+	for _, text := range texts {
+		goal, values, ok := strings.Cut(text, "=")
+		full, late, both := strings.Cut(values, "/")
+		length, err := time.ParseDuration(goal)
+		if !ok || !both || err != nil {
+			return nil, usage("worth: %q is not of the form 1.1s=4.7/0.7", text)
+		}
+		var w worth
+		for value, into := range map[string]*float64{full: &w.full, late: &w.late} {
+			if *into, err = strconv.ParseFloat(value, 64); err != nil {
+				return nil, usage("worth: %q is not a number in %q", value, text)
+			}
+		}
+		worths[length] = w
+	}
+	return worths, nil
+}
+
+// loss is the worth that requests lost for one reason.
+type loss struct {
+	requests int
+	worth    float64
+}
+
+// lossReport says where worth was lost: by route and reason, and by moment.
+type lossReport struct {
+	asked   map[time.Duration]int
+	owed    map[time.Duration]float64
+	reasons map[lossKey]loss
+	moments map[time.Duration]map[string]loss
+	every   time.Duration
+	lost    float64
+	total   float64
+}
+
+type lossKey struct {
+	goal   time.Duration
+	reason string
+}
+
+func newLossReport(ends []requestEnd, worths routeWorths, every time.Duration) *lossReport {
+	r := &lossReport{
+		asked: map[time.Duration]int{}, owed: map[time.Duration]float64{}, reasons: map[lossKey]loss{},
+		moments: map[time.Duration]map[string]loss{}, every: every,
+	}
+	if len(ends) == 0 {
+		return r
+	}
+	start := ends[0].first
+	for i := range ends {
+		r.take(&ends[i], worths, start)
+	}
+	return r
+}
+
+func (r *lossReport) take(e *requestEnd, worths routeWorths, start time.Time) {
+	w := worths.of(e.goal)
+	got := 0.0
+	switch e.outcome {
+	case outcomeInTime:
+		got = w.full
+	case outcomeLate:
+		got = w.late
+	case outcomeNotOwed:
+		return
+	}
+	r.asked[e.goal]++
+	r.owed[e.goal] += w.full
+	r.total += w.full
+	if got >= w.full {
+		return
+	}
+	lost := w.full - got
+	r.lost += lost
+	key := lossKey{e.goal, e.reason}
+	r.reasons[key] = r.reasons[key].plus(lost)
+	moment := e.first.Sub(start).Truncate(r.every)
+	if r.moments[moment] == nil {
+		r.moments[moment] = map[string]loss{}
+	}
+	r.moments[moment][e.reason] = r.moments[moment][e.reason].plus(lost)
+}
+
+func (l loss) plus(worth float64) loss { return loss{l.requests + 1, l.worth + worth} }
+
+// worstMoments is how many spans of time are shown.
+const worstMoments = 10
+
+func (r *lossReport) print(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(table, "lost %.1f of %.1f owed (%.1f%%)\n\n", r.lost, r.total, share(r.lost, r.total))
+	fmt.Fprintln(table, "goal\tasked\trequests\tlost\tof all lost\treason")
+	for _, k := range r.byLoss() {
+		l := r.reasons[k]
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f\t%.1f%%\t%s\n", k.goal, r.asked[k.goal], l.requests, l.worth, share(l.worth, r.lost), k.reason)
+	}
+	fmt.Fprintln(table, "\nfrom\trequests\tlost\tof all lost\tmost for")
+	for _, m := range r.worst() {
+		all, most := sumLosses(r.moments[m])
+		fmt.Fprintf(table, "%s\t%d\t%.1f\t%.1f%%\t%s\n", m, all.requests, all.worth, share(all.worth, r.lost), most)
+	}
+	if err := table.Flush(); err != nil {
+		return &Error{Op: "print", Kind: proto.KindUnavailable, Err: err}
+	}
+	return nil
+}
+
+func (r *lossReport) byLoss() []lossKey {
+	var keys []lossKey
+	for k := range r.reasons {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b lossKey) int {
+		return cmp.Or(cmp.Compare(r.reasons[b].worth, r.reasons[a].worth), cmp.Compare(a.goal, b.goal), cmp.Compare(a.reason, b.reason))
+	})
+	return keys
+}
+
+func (r *lossReport) worst() []time.Duration {
+	var moments []time.Duration
+	for m := range r.moments {
+		moments = append(moments, m)
+	}
+	slices.SortFunc(moments, func(a, b time.Duration) int {
+		x, _ := sumLosses(r.moments[a])
+		y, _ := sumLosses(r.moments[b])
+		return cmp.Or(cmp.Compare(y.worth, x.worth), cmp.Compare(a, b))
+	})
+	return moments[:min(worstMoments, len(moments))]
+}
+
+func sumLosses(reasons map[string]loss) (all loss, most string) {
+	names := make([]string, 0, len(reasons))
+	for reason, l := range reasons {
+		names = append(names, reason)
+		all.requests += l.requests
+		all.worth += l.worth
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(reasons[b].worth, reasons[a].worth), cmp.Compare(a, b))
+	})
+	if len(names) > 0 {
+		most = names[0]
+	}
+	return all, most
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * part / whole
+}
--- /dev/null
+++ b/entry/lossreason.go
@@ -0,0 +1,265 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// requestOutcome is how a request ended for its caller.
+type requestOutcome uint8
+
+const (
+	outcomeInTime requestOutcome = iota
+	outcomeLate
+	// outcomeLost requests got no answer, or one of failure.
+	outcomeLost
+	// outcomeNotOwed requests could not be answered: their caller left, or asked what is not allowed.
+	outcomeNotOwed
+)
+
+// requestEnd is what the logs say of one request, with the tries of a caller who came back taken as one.
+type requestEnd struct {
+	first   time.Time
+	goal    time.Duration
+	outcome requestOutcome
+	reason  string
+}
+
+// heldFrom is the part of the time that a request had, from which a refusal counts as one after holding it.
+const heldFrom = 0.25
+
+// attemptLog are the lines of one try of a caller.
+type attemptLog struct {
+	id     string
+	lines  []*logLine
+	accept *logLine
+	end    *logLine
+}
+
+// requestEnds reads the fate of each request from the lines of all daemons, oldest first.
+func requestEnds(lines []logLine) []requestEnd {
+	tries := map[string]*attemptLog{}
+	var order []*attemptLog
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.At.Compare(b.At) })
+	for i := range lines {
+		l := &lines[i]
+		if l.Request == "" {
+			continue
+		}
+		t := tries[l.Request]
+		if t == nil {
+			t = &attemptLog{id: l.Request}
+			tries[l.Request] = t
+			order = append(order, t)
+		}
+		t.add(l)
+	}
+	return join(order)
+}
+
+func (t *attemptLog) add(l *logLine) {
+	t.lines = append(t.lines, l)
+	switch l.Message {
+	case "request accepted":
+		t.accept = l
+	case "request delivered", "request refused", "stream broken off", "caller left":
+		t.end = l
+	}
+}
+
+// join takes a try that follows a refusal of the same prompt on the same route, while its caller still waited, as the
+// same request.
+func join(tries []*attemptLog) []requestEnd {
+	type pending struct {
+		at    int
+		until time.Time
+	}
+	var ends []requestEnd
+	refused := map[string]pending{}
+	for _, t := range tries {
+		end, ok := t.judge()
+		if !ok {
+			continue
+		}
+		key := t.caller()
+		if before, ok := refused[key]; ok && key != "" && !end.first.After(before.until) {
+			delete(refused, key)
+			ends[before.at] = ends[before.at].retried(end)
+			continue
+		}
+		ends = append(ends, end)
+		if end.outcome == outcomeLost && key != "" {
+			refused[key] = pending{len(ends) - 1, end.first.Add(t.time("left"))}
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b requestEnd) int { return a.first.Compare(b.first) })
+	return ends
+}
+
+// retried is a request that was refused, with the try that came after it.
+func (e requestEnd) retried(next requestEnd) requestEnd {
+	switch next.outcome {
+	case outcomeLost:
+		e.reason += ", and again"
+	case outcomeNotOwed:
+	default:
+		e.outcome = outcomeLate
+		e.reason += ", served later"
+	}
+	return e
+}
+
+// caller tells requests apart by what their caller asked; empty if the log does not say.
+func (t *attemptLog) caller() string {
+	if t.accept == nil || t.accept.text("prompt") == "" {
+		return ""
+	}
+	return t.accept.text("route") + "/" + t.accept.text("prompt")
+}
+
+// time is a duration that the line of acceptance tells, 0 if it does not.
+func (t *attemptLog) time(name string) time.Duration {
+	if t.accept == nil {
+		return 0
+	}
+	return t.accept.duration(name)
+}
+
+// judge says how a try ended; false if it was not accepted, so that nothing was owed.
+func (t *attemptLog) judge() (requestEnd, bool) {
+	if t.accept == nil {
+		return requestEnd{}, false
+	}
+	e := requestEnd{first: t.accept.At, goal: t.time("due"), outcome: outcomeLost, reason: "its daemon died"}
+	if t.end == nil {
+		return e, true
+	}
+	if goal := t.end.duration("goal"); goal > 0 {
+		e.goal = goal
+	}
+	switch t.end.Message {
+	case "request delivered":
+		e.outcome = outcomeLate
+		if t.end.Fields["inTime"] == true {
+			e.outcome = outcomeInTime
+		}
+		e.reason = "late: " + t.where()
+	case "caller left":
+		e.outcome = outcomeNotOwed
+		if t.end.duration("took") >= t.time("left")*9/10 {
+			e.outcome, e.reason = outcomeLost, "held until its caller's time was over: "+t.where()
+		}
+	case "stream broken off":
+		e.reason = "broken off: " + plain(t.end.Reason)
+	case "request refused":
+		e.reason = t.refusal()
+	}
+	return e, true
+}
+
+func (t *attemptLog) refusal() string {
+	reason := fmt.Sprintf("refused with %d: %s", t.end.Status, plain(t.end.Reason))
+	if took := t.end.duration("took"); t.end.Status == 503 && took > time.Duration(heldFrom*float64(t.time("left"))) {
+		return "held and then " + reason + " (" + t.where() + ")"
+	}
+	return reason
+}
+
+// plain leaves out of a reason what differs from day to day, such as names of pools and addresses.
+func plain(reason string) string {
+	if stage, rest, ok := strings.Cut(reason, ": "); ok && strings.HasPrefix(stage, "stage ") {
+		return "a stage: " + rest
+	}
+	if i := strings.Index(reason, " tcp "); i >= 0 {
+		return reason[:i]
+	}
+	return reason
+}
+
+// part is one of the spans of time that a request went through.
+type part struct {
+	name string
+	took time.Duration
+}
+
+// where is the span in which most of a request's time went, up to its first event.
+func (t *attemptLog) where() string {
+	var parts []part
+	add := func(name string, took time.Duration) { parts = append(parts, part{name, took}) }
+	lost := 0
+	for _, s := range t.end.stages() {
+		queued, made := s.duration("queued"), s.duration("made")
+		add(fmt.Sprintf("queue of stage %d", s.stage), queued)
+		add(fmt.Sprintf("call of stage %d", s.stage), made)
+		add("asking for a stage", s.duration("took")-queued-made)
+		if s.fate == fateLost {
+			lost++
+		}
+	}
+	if lost > 0 {
+		return "inputs made anew"
+	}
+	if staged, first := t.end.duration("staged"), t.end.duration("first"); staged > 0 && first > staged {
+		name := "the target's first event"
+		if t.end.number("sent") > 1 {
+			name = "several attempts"
+		}
+		add(name, first-staged)
+	}
+	if len(parts) == 0 {
+		return "one attempt"
+	}
+	return slices.MaxFunc(parts, func(a, b part) int { return cmp.Compare(a.took, b.took) }).name
+}
+
+// fateLost is the fate of a stage whose inputs were gone, as the log names it.
+const fateLost = "lost"
+
+// stageLine is how one stage of a request went.
+type stageLine struct {
+	stage  int
+	fate   string
+	fields map[string]any
+}
+
+func (s *stageLine) duration(name string) time.Duration { return durationOf(s.fields[name]) }
+
+func (l *logLine) stages() []stageLine {
+	list, _ := l.Fields["stages"].([]any)
+	var stages []stageLine
+	for _, entry := range list {
+		fields, ok := entry.(map[string]any)
+		if !ok {
+			continue
+		}
+		number, _ := fields["stage"].(float64)
+		fate, _ := fields["fate"].(string)
+		stages = append(stages, stageLine{stage: int(number), fate: fate, fields: fields})
+	}
+	return stages
+}
+
+func (l *logLine) text(name string) string {
+	text, _ := l.Fields[name].(string)
+	return text
+}
+
+func (l *logLine) number(name string) float64 {
+	n, _ := l.Fields[name].(float64)
+	return n
+}
+
+func (l *logLine) duration(name string) time.Duration { return durationOf(l.Fields[name]) }
+
+// durationOf reads a duration of the log; a field that is missing counts as none.
+func durationOf(value any) time.Duration {
+	text, _ := value.(string)
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -186,6 +186,8 @@
 	First bool `cbor:"12,keyasint,omitempty"`
 	// Trial tells apart the times that one request asks for the same stage.
 	Trial int `cbor:"13,keyasint,omitempty"`
+	// Begun says that the caller has a part of the answer, so that giving the stage up breaks it off.
+	Begun bool `cbor:"14,keyasint,omitempty"`
 }
 
 // PieceFate tells how a stage's pieces ended.
@@ -258,12 +260,24 @@
 	Inputs int    `cbor:"6,keyasint,omitempty"`
 	// Without holds the targets that the request must not go to.
 	Without []string `cbor:"7,keyasint,omitempty"`
+	// Gap is the longest pause between the stream's events that is still in time; 0 if there is no bound.
+	Gap time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// EngineTimes is what was learnt of the engines of a pool: what each request, each prompt token and each request that
+// runs beside add to the time to a first event.
+type EngineTimes struct {
+	Start  time.Duration `cbor:"1,keyasint"`
+	Token  time.Duration `cbor:"2,keyasint"`
+	Stream time.Duration `cbor:"3,keyasint"`
 }
 
 // PlaceAnswer names the target, and the lease under which its load is counted; Target is empty if there is none.
 type PlaceAnswer struct {
 	Target string `cbor:"1,keyasint,omitempty"`
 	Lease  uint64 `cbor:"2,keyasint,omitempty"`
+	// Times are those that the placing daemon has learnt of the pool.
+	Times EngineTimes `cbor:"3,keyasint"`
 }
 
 // PlaceNote tells how far a placed request has come.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -127,7 +127,7 @@
 const reasonNoTarget = "the pool has no target that may get work"
 
 func (f *flow) want() Want {
-	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name}
+	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, Gap: f.route.Gap}
 	if f.zone != "" {
 		w.Zone, w.Inputs = f.zone, f.bulk
 	}
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -41,6 +41,8 @@
 	// use. Its caller would be sent away for at least as long, and half of those who come back late fail.
 	lateMargin = 2
 	latePart   = 0.5
+	// allTurns is a turn after all others, late ones included.
+	allTurns = time.Hour
 	// retryFloor is the least time to come back that a refusal names.
 	retryFloor = 300 * time.Millisecond
 	// roomWait is how long a target that had no room is left out: results are freed every 20 ms.
@@ -123,7 +125,7 @@
 // share is the target time that a piece costs in a full call, or that its result takes of the target's room if that
 // is more.
 func (b *Batcher) share(bytes int) float64 {
-	work := b.model.call/float64(max(1, b.spec.Most)) + b.model.pieceCost(bytes)
+	work := b.model.callCost()/float64(max(1, b.spec.Most)) + b.model.pieceCost(bytes)
 	if b.spec.Room == 0 {
 		return work
 	}
@@ -133,18 +135,13 @@
 // Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service. One
 // that is left out for a while counts from then on: a pool that refused one call each is not out of service.
 func (b *Batcher) Wait(now, turn time.Time) time.Duration {
-	var free []freeTarget
-	for _, t := range b.targets {
-		if !t.spec.Leaving {
-			free = append(free, freeTarget{b.freeIn(now, t), t.pace})
-		}
-	}
+	free := b.free(now)
 	if len(free) == 0 {
 		return time.Minute
 	}
 	work := 0.0
 	for _, j := range b.jobs {
-		if j.left() > 0 && !j.done && (!j.late || turn.Sub(now) > 30*time.Minute) && !j.order.After(turn) {
+		if j.left() > 0 && !j.done && (!j.late || turn.Sub(now) >= allTurns) && !j.order.After(turn) {
 			work += float64(j.left()) * b.share(j.Ask.Bytes)
 		}
 	}
@@ -154,6 +151,17 @@
 // freeTarget is when a target can begin a call, in nanoseconds from now, and its pace.
 type freeTarget struct{ in, pace float64 }
 
+// free lists when the targets in service can begin a call.
+func (b *Batcher) free(now time.Time) []freeTarget {
+	var free []freeTarget
+	for _, t := range b.targets {
+		if !t.spec.Leaving {
+			free = append(free, freeTarget{b.freeIn(now, t), t.pace})
+		}
+	}
+	return free
+}
+
 func (b *Batcher) freeIn(now time.Time, t *batchTarget) float64 {
 	in := max(0, float64(t.outTo.Sub(now)))
 	if t.call != nil {
@@ -185,8 +193,8 @@
 // length is how long a call with a job's pieces and a usual share of others takes.
 func (b *Batcher) length(j *Job) float64 {
 	n := float64(min(j.Ask.Pieces, b.spec.Most))
-	own := b.model.call + n*b.model.pieceCost(j.Ask.Bytes)
-	full := b.model.call + float64(b.spec.Most)*b.model.pieceCost(j.Ask.Bytes)
+	own := b.model.callCost() + n*b.model.pieceCost(j.Ask.Bytes)
+	full := b.model.callCost() + float64(b.spec.Most)*b.model.pieceCost(j.Ask.Bytes)
 	return (own + full) / 2
 }
 
@@ -218,10 +226,7 @@
 // canBeLate tells whether a job that will not be in time is still made well before its result is of no use: with all
 // that waits ahead of it, and as much again that may come.
 func (b *Batcher) canBeLate(now time.Time, j *Job) bool {
-	if !j.Ask.First {
-		return false
-	}
-	ahead := b.Wait(now, now.Add(time.Hour))
+	ahead := b.Wait(now, now.Add(allTurns))
 	return time.Duration(lateMargin*float64(ahead)+b.length(j)) < time.Duration(latePart*float64(j.End.Sub(now)))
 }
 
@@ -230,6 +235,7 @@
 	ends := b.expire(now)
 	b.requeue(now)
 	b.sort(now)
+	ends = append(ends, b.giveUp(now)...)
 	var calls []*Call
 	for {
 		c := b.fill(now)
@@ -244,7 +250,7 @@
 // late as well.
 func (b *Batcher) sort(now time.Time) {
 	for _, j := range b.jobs {
-		j.late = now.Add(time.Duration(b.length(j))).After(j.Due)
+		j.late = !j.Ask.Begun && now.Add(time.Duration(b.length(j))).After(j.Due)
 	}
 	slices.SortStableFunc(b.jobs, func(x, y *Job) int {
 		if x.late != y.late {
@@ -257,6 +263,34 @@
 	})
 }
 
+// giveUp ends the late jobs that will not be made in the time for which their results are of use, so that their callers
+// hear of it now. The jobs are in the order of their turns.
+func (b *Batcher) giveUp(now time.Time) []JobEnd {
+	free := b.free(now)
+	if len(free) == 0 {
+		return nil
+	}
+	var ends []JobEnd
+	work := 0.0
+	for _, j := range b.jobs {
+		if j.done || j.left() == 0 {
+			continue
+		}
+		own := float64(j.left()) * b.share(j.Ask.Bytes)
+		if j.late && j.missing == j.Ask.Pieces {
+			start := time.Duration(lateMargin * done(slices.Clone(free), work))
+			if now.Add(start + time.Duration(b.length(j))).After(j.End) {
+				ends = append(ends, b.end(j, proto.PiecesAnswer{
+					Fate: proto.PiecesRefused, Queued: now.Sub(j.since), Queue: start, Wait: max(retryFloor, start), Detail: "more urgent work leaves no time for the stage",
+				}))
+				continue
+			}
+		}
+		work += own
+	}
+	return ends
+}
+
 func (b *Batcher) expire(now time.Time) []JobEnd {
 	var ends []JobEnd
 	b.jobs = slices.DeleteFunc(b.jobs, func(j *Job) bool {
--- a/relay/batch_test.go
+++ b/relay/batch_test.go
@@ -214,6 +214,28 @@
 	}
 }
 
+// TestALateJobThatWillNotBeMadeIsGivenUpAtOnce fills the queue with urgent work after a late job was taken.
+func TestALateJobThatWillNotBeMadeIsGivenUpAtOnce(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	add(t, b, job("busy", 8))
+	next(b, start)
+	late, stream := job("late", 8), job("stream", 8)
+	late.Due, late.End = start, start.Add(4*time.Second)
+	stream.Due, stream.End, stream.Ask.Begun = start, start.Add(4*time.Second), true
+	add(t, b, late, stream)
+	if _, ends := b.Next(start); len(ends) != 0 {
+		t.Fatalf("given up with an empty queue: %+v", ends[0].Answer)
+	}
+	for i := range 10 {
+		add(t, b, job(fmt.Sprint("urgent", i), 8))
+	}
+	_, ends := b.Next(start)
+	if len(ends) != 1 || ends[0].Job != late || ends[0].Answer.Fate != proto.PiecesRefused || ends[0].Answer.Wait < time.Second {
+		t.Errorf("ends %+v: the late job, and not the stream that its caller has a part of, is given up", ends)
+	}
+}
+
 func TestAJobIsNotBegunWithAPartOfItsResults(t *testing.T) {
 	b := batcher(listed("t1", "p", "z"))
 	add(t, b, job("a", 8), job("b", 6), job("c", 4))
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	c.Expected = time.Duration(b.model.expected(made(c, nil)) * t.pace)
+	c.Expected = time.Duration(b.model.times.sum(contents(c, nil)) * t.pace)
 	return c
 }
 
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -10,11 +10,6 @@
 
 // Costs in the choice of a target, in nanoseconds of expected delay.
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond; the sites state 32.4.
-	readRate = 32.4
-	// runCost is what each attempt in progress adds at an engine: a step grows by some hundredths of a millisecond,
-	// over some thirty steps.
-	runCost = float64(time.Millisecond)
 	// slotCost is what a full target adds for a plain attempt: about one attempt of waiting.
 	slotCost = float64(20 * time.Millisecond)
 	// crossCost is what another availability zone adds: two ways of a millisecond, and the price of the bytes.
@@ -24,24 +19,14 @@
 	inputCost = float64(9 * time.Millisecond)
 	// othersFade is how long a reported load counts; most attempts are over after that.
 	othersFade = 2 * time.Second
-	// missPrice is what each token of a shared part that is read again counts beside the time: the price of 1,000
-	// tokens is a tenth of a summary's worth, and a delay of its whole goal costs most of that worth.
-	missPrice = 0.06 // milliseconds a token
+	// readAgain is how many times over the reading of a shared part that another engine keeps already counts: it takes
+	// the engine's time from all that wait there, and memory from parts that others will ask for.
+	readAgain = 2.0
 	// homeBonus is the part of a shared prompt's reading that its home is credited, so that daemons which choose
 	// alone choose alike.
-	homeBonus = 0.25
+	homeBonus = 0.6
 	// harmWeight is how much the pauses of the streams beside a prompt count against the prompt's own delay.
 	harmWeight = 0.15
-	// harmPause is the pause, in milliseconds, from which streams are late; the sites state 500 and 600.
-	harmPause = 500.0
-	// startCost is the time to the first event beside the reading, in milliseconds: the sites state 64 and 5.
-	startCost = 70.0
-	// learnRead is the least expected time to the first event, in milliseconds, from which an engine's pace is learnt.
-	learnRead = 60.0
-	// learnWeight is the weight of one request in an engine's pace; it is noisy, since other work interferes.
-	learnWeight = 0.08
-	// paceLeast and paceMost bound a pace, so that a few odd requests do not take an engine out.
-	paceLeast, paceMost = 0.7, 6.0
 	// strayCost is what an engine of the other group adds: a long prompt holds up the streams beside it.
 	strayCost = float64(250 * time.Millisecond)
 	// groupLeast and groupMost bound the part of the engines that takes the routes with long prompts.
@@ -65,6 +50,8 @@
 	Route string
 	// Engine says that targets are model engines.
 	Engine bool
+	// Gap is the longest pause between events that is still in time; 0 if there is no bound.
+	Gap time.Duration
 	// Tried holds the targets that were tried before.
 	Tried map[string]bool
 }
@@ -115,34 +102,18 @@
 	if !w.Engine {
 		return
 	}
-	read := w.OwnTokens + t.cache.missing(w.Shared)
-	t.unread += read
-	t.reads = append(t.reads, reading{own: w.OwnTokens, tokens: read, began: now, expected: float64(t.unread) / readRate})
+	t.strain += w.strain()
+	t.give(now, w)
 	t.cache.read(now, w.Shared, cacheMost)
 }
 
-// reading is a prompt that an engine was given and has not read yet, as far as is known.
-type reading struct {
-	own, tokens int
-	began       time.Time
-	expected    float64 // milliseconds
-}
-
-// finishRead ends the oldest reading of a prompt of such a size.
-func (t *Target) finishRead(now time.Time, w Want, learn bool) {
-	for i, r := range t.reads {
-		if r.own != w.OwnTokens {
-			continue
-		}
-		t.unread -= r.tokens
-		t.reads = append(t.reads[:i], t.reads[i+1:]...)
-		if learn && r.expected > learnRead {
-			took := float64(now.Sub(r.began)) / float64(time.Millisecond)
-			t.pace += learnWeight * (took/(r.expected+startCost) - t.pace)
-			t.pace = min(paceMost, max(paceLeast, t.pace))
-		}
-		return
+// strain is how much a pause of a millisecond counts for a stream: the shorter the pauses that its route allows, the
+// more.
+func (w *Want) strain() float64 {
+	if w.Gap <= 0 {
+		return 0
 	}
+	return float64(time.Millisecond) / float64(w.Gap)
 }
 
 // cacheMost is how many tokens of prompt parts an engine of the pool is taken to keep.
@@ -227,12 +198,15 @@
 	if t == home {
 		missing *= 1 - homeBonus
 	}
-	queued := float64(t.unread) / readRate * t.pace
-	read := (float64(w.OwnTokens) + missing) / readRate * t.pace
-	running := float64(t.active) + others
+	model := &t.pool.model
+	ms := t.pace / float64(time.Millisecond)
+	queued := model.reading(float64(t.unread)) * ms
+	read := model.reading(float64(w.OwnTokens)+missing) * ms
 	// Streams beside a prompt stand still while it is read; what is queued already would hold them up anyway.
-	harm := harmWeight * running * ((queued+read)*(queued+read) - queued*queued) / harmPause
-	return c + (queued+read+harm+missPrice*missing)*float64(time.Millisecond) + t.pace*running*runCost
+	harm := harmWeight * t.strain * ((queued+read)*(queued+read) - queued*queued)
+	again := readAgain * model.reading(missing) / float64(time.Millisecond)
+	running := (float64(t.active) + others) * model.times.of(workStream) * t.pace
+	return c + (queued+read+harm+again)*float64(time.Millisecond) + running
 }
 
 func (t *Target) othersNow(now time.Time) float64 {
@@ -276,6 +250,9 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.active--
+	if w.Engine {
+		t.strain = max(0, t.strain-w.strain())
+	}
 	if !began {
 		t.finishRead(now, w, false)
 	}
@@ -325,6 +302,28 @@
 	return ids
 }
 
+// EngineTimes returns what was learnt of a pool's engines.
+func (f *Fleet) EngineTimes(pool string) proto.EngineTimes {
+	p := f.pool(pool)
+	if p == nil {
+		return proto.EngineTimes{}
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	return p.model.report()
+}
+
+// AdoptEngineTimes takes over what another daemon learnt of a pool's engines.
+func (f *Fleet) AdoptEngineTimes(pool string, times proto.EngineTimes) {
+	p := f.pool(pool)
+	if p == nil {
+		return
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	p.model.adopt(times)
+}
+
 // SetMemory takes over how many tokens an engine of a pool keeps.
 func (f *Fleet) SetMemory(pool string, tokens int) {
 	f.mu.Lock()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -30,8 +30,10 @@
 	active int
 	// unread are the prompt tokens of attempts that have not begun to answer, and reads these attempts.
 	unread int
-	reads  []reading
+	reads  []promptRead
 	cache  promptCache
+	// strain is how much a pause of a millisecond counts for all streams in progress.
+	strain float64
 	// others is how many attempts of other daemons the last answer showed.
 	others   float64
 	othersAt time.Time
@@ -63,6 +65,8 @@
 	turn              int
 	divided           time.Time
 	all               routePrompts
+	model             engineModel
+	paces             []float64
 	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
 	memory int
 }
@@ -224,7 +228,7 @@
 func (f *Fleet) poolLocked(name string) *targetPool {
 	p := f.pools[name]
 	if p == nil {
-		p = &targetPool{targets: map[string]*Target{}}
+		p = &targetPool{targets: map[string]*Target{}, model: newEngineModel()}
 		f.pools[name] = p
 	}
 	return p
--- /dev/null
+++ b/relay/linear_test.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+// near tells whether two values differ by less than a part of the second.
+func near(got, want, part float64) bool { return math.Abs(got-want) < part*want }
+
+// simulated is a pool whose calls take a known time, with noise.
+type simulated struct {
+	call  float64
+	piece map[int]float64
+	noise *rand.Rand
+}
+
+func (s *simulated) took(amounts map[int]float64) float64 {
+	sum := s.call
+	for bytes, n := range amounts {
+		if bytes != theCall {
+			sum += n * s.piece[bytes]
+		}
+	}
+	return sum * (0.9 + 0.2*s.noise.Float64())
+}
+
+// mix is what some call of a busy pool holds.
+func mix(noise *rand.Rand) map[int]float64 {
+	return map[int]float64{theCall: 1, 8_000: float64(noise.IntN(5)), 60_000: 1 + float64(noise.IntN(6))}
+}
+
+func TestWhatCallsTakeIsLearntWithinTwoSeconds(t *testing.T) {
+	const ms = float64(time.Millisecond)
+	scenarios := []struct {
+		name       string
+		call       float64
+		small, big float64
+	}{
+		{"as stated", 200 * ms, 20 * ms, 20 * ms},
+		{"stages differ", 200 * ms, 6 * ms, 25 * ms},
+		{"twice as long", 400 * ms, 40 * ms, 40 * ms},
+		{"half as long", 100 * ms, 10 * ms, 10 * ms},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			noise := rand.New(rand.NewPCG(1, 2))
+			truth := simulated{call: s.call, piece: map[int]float64{8_000: s.small, 60_000: s.big}, noise: noise}
+			m := newCallModel(proto.BatchSpec{CallCost: 200 * time.Millisecond, PieceCost: 20 * time.Millisecond})
+			// Five targets make some four calls each in two seconds.
+			for range 20 {
+				amounts := mix(noise)
+				m.times.observe(amounts, truth.took(amounts))
+			}
+			off := 0.0
+			for range 100 {
+				amounts := mix(noise)
+				off += math.Abs(m.times.sum(amounts)-truth.took(amounts)) / truth.took(amounts) / 100
+			}
+			if off > 0.15 {
+				t.Errorf("calls are expected %.0f%% off on average", 100*off)
+			}
+		})
+	}
+}
+
+func TestOutliersMoveWhatIsLearntLittle(t *testing.T) {
+	m := newCallModel(proto.BatchSpec{CallCost: 200 * time.Millisecond, PieceCost: 20 * time.Millisecond})
+	amounts := map[int]float64{theCall: 1, 60_000: 8}
+	usual := m.times.sum(amounts)
+	m.times.observe(amounts, 1000*usual)
+	if got := m.times.sum(amounts); got > 1.25*usual {
+		t.Errorf("one call of a thousand times its length: expected %.2f times as long now", got/usual)
+	}
+	for range 1000 {
+		m.times.observe(amounts, 1000*usual)
+	}
+	if got := m.times.sum(amounts); got > callSpread*usual*1.01 {
+		t.Errorf("after many such calls %.2f times as long", got/usual)
+	}
+	m.times.observe(map[int]float64{}, 5)
+	m.times.observe(amounts, 0)
+	if got := m.times.sum(amounts); math.IsNaN(got) || got <= 0 {
+		t.Errorf("expected %v", got)
+	}
+}
+
+func TestAChangedDescriptionIsLearntAnew(t *testing.T) {
+	spec := proto.BatchSpec{CallCost: 200 * time.Millisecond, PieceCost: 20 * time.Millisecond}
+	m := newCallModel(spec)
+	for range 50 {
+		m.times.observe(map[int]float64{theCall: 1, 1: 4}, float64(time.Second))
+	}
+	learnt := m.callCost()
+	spec.Most = 12
+	m.respec(spec)
+	if m.callCost() != learnt {
+		t.Error("what was learnt is gone, though only the size of calls changed")
+	}
+	spec.CallCost = 400 * time.Millisecond
+	m.respec(spec)
+	if m.callCost() != float64(spec.CallCost) {
+		t.Errorf("a call takes %v", time.Duration(m.callCost()))
+	}
+}
+
+// engineTruth is how long the first event of a request takes at an engine.
+func engineTruth(start, token time.Duration, noise *rand.Rand) func(map[engineWork]float64) float64 {
+	return func(work map[engineWork]float64) float64 {
+		plain := float64(start) + work[workToken]*float64(token)
+		return plain * (0.7 + 0.6*noise.Float64())
+	}
+}
+
+func TestEnginesAreLearntFromFirstEvents(t *testing.T) {
+	scenarios := []struct {
+		name         string
+		start, token time.Duration
+	}{
+		{"fast", 40 * time.Millisecond, 13 * time.Microsecond},
+		{"usual", 70 * time.Millisecond, 30 * time.Microsecond},
+		{"slow", 130 * time.Millisecond, 60 * time.Microsecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			noise := rand.New(rand.NewPCG(3, 4))
+			truth := engineTruth(s.start, s.token, noise)
+			m := newEngineModel()
+			// Two seconds of forty requests a second.
+			for range 80 {
+				work := map[engineWork]float64{workStart: 1, workToken: 300 + 6000*noise.Float64(), workStream: float64(noise.IntN(10))}
+				m.times.observe(work, truth(work))
+			}
+			for _, tokens := range []float64{500, 3000, 9000} {
+				work := map[engineWork]float64{workStart: 1, workToken: tokens, workStream: 5}
+				want := float64(s.start) + tokens*float64(s.token)
+				if got := m.times.sum(work); !near(got, want, 0.35) {
+					t.Errorf("%v tokens: expected %v, it is %v", tokens, time.Duration(got), time.Duration(want))
+				}
+			}
+		})
+	}
+}
+
+func TestAnEngineThatTurnsSlowIsLeftForOthers(t *testing.T) {
+	f := engines(6)
+	now := start
+	slow := "e02"
+	counts := map[string]int{}
+	for i := range 400 {
+		w := prompt("", 0, 2000)
+		w.Shared = nil
+		target := f.Pick(now, "p", w)
+		took := 150 * time.Millisecond
+		if target.Spec.ID == slow {
+			took *= 5
+		}
+		if i >= 200 {
+			counts[target.Spec.ID]++
+		}
+		f.Began(now.Add(took), target, w)
+		f.Ended(now.Add(took), target, w, true, VerdictGood, Load{})
+		now = now.Add(20 * time.Millisecond)
+	}
+	if counts[slow]*3 > 200/6 {
+		t.Errorf("the slow engine got %d of 200 requests: %v", counts[slow], counts)
+	}
+}
+
+func TestAnotherDaemonStartsFromWhatThePlacerLearnt(t *testing.T) {
+	owner, other := engines(4), engines(4)
+	w := prompt("", 0, 3000)
+	w.Shared = nil
+	for range 60 {
+		target := owner.Pick(start, "p", w)
+		owner.Began(start.Add(600*time.Millisecond), target, w)
+		owner.Ended(start.Add(time.Second), target, w, true, VerdictGood, Load{})
+	}
+	other.AdoptEngineTimes("p", owner.EngineTimes("p"))
+	learnt, adopted := owner.EngineTimes("p"), other.EngineTimes("p")
+	if learnt != adopted || learnt.Token <= priorToken {
+		t.Errorf("learnt %+v, adopted %+v", learnt, adopted)
+	}
+	other.AdoptEngineTimes("p", proto.EngineTimes{})
+	if other.EngineTimes("p") != adopted {
+		t.Error("an answer that says nothing replaced what was known")
+	}
+}
+
+// TestStreamsOfTightRoutesAreSpared offers an engine whose streams allow short pauses and one whose allow long ones.
+func TestStreamsOfTightRoutesAreSpared(t *testing.T) {
+	f := engines(2)
+	tight, loose := prompt("", 0, 10), prompt("", 0, 10)
+	tight.Gap, loose.Gap = 100*time.Millisecond, time.Second
+	for range 8 {
+		f.Began(start, f.Take(start, "p", "e00", tight), tight)
+		f.Began(start, f.Take(start, "p", "e01", loose), loose)
+	}
+	long := prompt("", 0, 6000)
+	if got := f.Pick(start, "p", long); got.Spec.ID != "e01" {
+		t.Errorf("a long prompt went beside the streams with short pauses")
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -84,13 +84,14 @@
 		without = append(without, id)
 	}
 	m, err := p.peers.Call(ctx, owner, proto.PlaceAsk{
-		Pool: pool, Route: w.Route, Shared: w.Shared, Own: w.OwnTokens, Zone: w.Zone, Inputs: w.Inputs, Without: without,
+		Pool: pool, Route: w.Route, Shared: w.Shared, Own: w.OwnTokens, Zone: w.Zone, Inputs: w.Inputs, Without: without, Gap: w.Gap,
 	})
 	a, ok := m.(proto.PlaceAnswer)
 	if err != nil || !ok || a.Target == "" {
 		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err)
 		return nil
 	}
+	p.fleet.AdoptEngineTimes(pool, a.Times)
 	t := p.fleet.Take(p.clock.Now(), pool, a.Target, w)
 	if t == nil {
 		p.peers.Send(owner, proto.PlaceNote{Pool: pool, Lease: a.Lease})
@@ -120,7 +121,7 @@
 // Place chooses a target for another daemon.
 func (p *Placer) Place(ask proto.PlaceAsk) proto.PlaceAnswer {
 	now := p.clock.Now()
-	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Engine: true, Tried: map[string]bool{}}
+	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Engine: true, Tried: map[string]bool{}}
 	for _, id := range ask.Without {
 		w.Tried[id] = true
 	}
@@ -128,12 +129,12 @@
 	if t == nil {
 		return proto.PlaceAnswer{}
 	}
-	id := p.fleet.Spec(t).ID
+	id, times := p.fleet.Spec(t).ID, p.fleet.EngineTimes(ask.Pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.next++
 	p.leases[p.next] = placement{target: t, want: w, at: now}
-	return proto.PlaceAnswer{Target: id, Lease: p.next}
+	return proto.PlaceAnswer{Target: id, Lease: p.next, Times: times}
 }
 
 // Note takes in how far a placed attempt has come.
--- a/relay/queues.go
+++ b/relay/queues.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,10 +21,35 @@
 	at   time.Time
 }
 
-// queues is what a daemon has heard of the queues of pools, whichever daemon batches for them.
+// queues is what a daemon knows of the queues of pools, whichever daemon batches for them: what their answers said, and
+// for how long its own jobs have waited for one.
 type queues struct {
 	mu    sync.Mutex
 	heard map[queueKey]heardQueue
+	// open are when the jobs without an answer were asked for, oldest first.
+	open map[queueKey][]time.Time
+}
+
+// asked notes a job that waits for its answer from now on.
+func (q *queues) asked(now time.Time, key queueKey) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.open == nil {
+		q.open = map[queueKey][]time.Time{}
+	}
+	q.open[key] = append(q.open[key], now)
+}
+
+// answered ends the waiting of a job that was asked for at a time.
+func (q *queues) answered(at time.Time, key queueKey) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if i := slices.Index(q.open[key], at); i >= 0 {
+		q.open[key] = slices.Delete(q.open[key], i, i+1)
+	}
+	if len(q.open[key]) == 0 {
+		delete(q.open, key)
+	}
 }
 
 func (q *queues) note(now time.Time, key queueKey, wait time.Duration) {
@@ -35,14 +61,19 @@
 	q.heard[key] = heardQueue{wait, now}
 }
 
-// read returns the queue that was heard of last, less the older that is.
-func (q *queues) read(now time.Time, key queueKey) time.Duration {
+// read returns the queue that was heard of last, less the older that is, or the longest time that a job has waited
+// beyond the length of a call if that is more: a pool that is stuck says nothing.
+func (q *queues) read(now time.Time, key queueKey, length time.Duration) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	waited := time.Duration(0)
+	if open := q.open[key]; len(open) > 0 {
+		waited = now.Sub(open[0]) - length
+	}
 	h := q.heard[key]
 	age := now.Sub(h.at)
 	if age >= queueFade {
-		return 0
+		return max(0, waited)
 	}
-	return time.Duration(float64(h.wait) * (1 - float64(age)/float64(queueFade)))
+	return max(waited, time.Duration(float64(h.wait)*(1-float64(age)/float64(queueFade))))
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -125,16 +125,21 @@
 		f.inputs[i].asked = true
 		started++
 		ask := f.askFor(i, first, home)
-		due := f.due.Add(-f.restAfter(i))
-		go func() { ends <- f.askStage(ctx, ask, due) }()
+		rest := f.restAfter(i)
+		due, end := f.due.Add(-rest), f.end.Add(-runEstimate/2)
+		if first {
+			// What does not leave time for the later stages is better refused before anything has run.
+			end = f.end.Add(-rest)
+		}
+		go func() { ends <- f.askStage(ctx, ask, due, end) }()
 	}
 	return started
 }
 
-func (f *flow) askStage(ctx context.Context, ask proto.PiecesAsk, due time.Time) stageEnd {
+func (f *flow) askStage(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) stageEnd {
 	clock := f.server.clock
 	began := clock.Now()
-	answer := f.server.pieces.Ask(ctx, ask, due, f.end.Add(-runEstimate/2))
+	answer := f.server.pieces.Ask(ctx, ask, due, end)
 	return stageEnd{stage: ask.Stage, answer: answer, took: clock.Now().Sub(began)}
 }
 
@@ -182,7 +187,7 @@
 	spec := &f.route.Stages[stage]
 	ask := proto.PiecesAsk{
 		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Rank: f.rank,
-		Bytes: spec.Bytes, First: first,
+		Bytes: spec.Bytes, First: first, Begun: f.committed,
 	}
 	bulk := 0
 	for _, before := range spec.After {
@@ -212,8 +217,9 @@
 		if f.pieces(i) == 0 || !contains(f.route.Stages[i].After, stage) {
 			continue
 		}
-		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.rank)
-		longest = max(longest, queue+f.stageLength(i)+f.restAfter(i))
+		length := f.stageLength(i)
+		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.rank, length)
+		longest = max(longest, queue+length+f.restAfter(i))
 	}
 	if longest == 0 {
 		return runEstimate
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -142,15 +142,36 @@
 		{queueFade, 0},
 		{time.Hour, 0},
 	} {
-		if got := q.read(start.Add(s.age), key); got != s.want {
+		if got := q.read(start.Add(s.age), key, 0); got != s.want {
 			t.Errorf("after %v it counts %v, want %v", s.age, got, s.want)
 		}
 	}
-	if got := q.read(start, queueKey{"p", 0}); got != 0 {
+	if got := q.read(start, queueKey{"p", 0}, 0); got != 0 {
 		t.Errorf("another rank's queue counts %v", got)
 	}
 }
 
+func TestAPoolThatSaysNothingHasAQueueAsOldAsTheOldestJob(t *testing.T) {
+	var q queues
+	key := queueKey{"p", 1}
+	const length = 300 * time.Millisecond
+	q.asked(start, key)
+	q.asked(start.Add(time.Second), key)
+	q.note(start, key, 500*time.Millisecond)
+	now := start.Add(2 * time.Second)
+	if got := q.read(now, key, length); got != 1700*time.Millisecond {
+		t.Errorf("queue %v with a job that has waited for 2s", got)
+	}
+	q.answered(start, key)
+	if got := q.read(now, key, length); got != 700*time.Millisecond {
+		t.Errorf("queue %v with a job that has waited for 1s", got)
+	}
+	q.answered(start.Add(time.Second), key)
+	if got := q.read(now, key, length); got != 0 {
+		t.Errorf("queue %v with no job waiting", got)
+	}
+}
+
 func TestTheStagesOfABegunStreamAreNotRefused(t *testing.T) {
 	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
 	f := stagedFlow(peers, 0, 1, 0, 0)
@@ -161,6 +182,9 @@
 	if peers.asked[0].First {
 		t.Error("the stage of a stream that has begun may be refused for a queue")
 	}
+	if !peers.asked[0].Begun {
+		t.Error("the stage of a stream that has begun may be given up in the queue")
+	}
 }
 
 func TestWhenToComeBack(t *testing.T) {
--- /dev/null
+++ b/relay/typical_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestWhatIsNearlyAlwaysEnough(t *testing.T) {
+	noise := rand.New(rand.NewPCG(5, 6))
+	var times typicals[string]
+	const prior = 300 * time.Millisecond
+	if got := times.most("a", prior); got != prior {
+		t.Errorf("before anything was seen %v", got)
+	}
+	sample := func(mean time.Duration) time.Duration {
+		return time.Duration(float64(mean) * (0.6 + 0.8*noise.Float64()))
+	}
+	for _, mean := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond} {
+		for range 30 {
+			times.observe("a", prior, sample(mean))
+		}
+		enough := 0
+		for range 200 {
+			if sample(mean) <= times.most("a", prior) {
+				enough++
+			}
+		}
+		if most := times.most("a", prior); enough < 180 || most > 2*mean {
+			t.Errorf("mean %v: %v is enough for %d of 200", mean, most, enough)
+		}
+	}
+	before := times.most("a", prior)
+	times.observe("a", prior, time.Hour)
+	if got := times.most("a", prior); got > 2*before {
+		t.Errorf("one hour moved %v to %v", before, got)
+	}
+	if got := times.most("b", prior); got != prior {
+		t.Errorf("another key knows %v", got)
+	}
+}
