--- a/entry/lossreason.go
+++ b/entry/lossreason.go
@@ -202,6 +202,9 @@
 	if lost > 0 {
 		return "inputs made anew"
 	}
+	if pause := t.end.duration("pause"); t.end.Message == "request delivered" && pause > 0 && t.end.duration("first") <= t.end.duration("goal") {
+		return "a pause within the stream"
+	}
 	if staged, first := t.end.duration("staged"), t.end.duration("first"); staged > 0 && first > staged {
 		name := "the target's first event"
 		if t.end.number("sent") > 1 {
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -188,6 +188,8 @@
 	Trial int `cbor:"13,keyasint,omitempty"`
 	// Begun says that the caller has a part of the answer, so that giving the stage up breaks it off.
 	Begun bool `cbor:"14,keyasint,omitempty"`
+	// Goal is the time within which the caller's answer has its full worth, counted from its request.
+	Goal time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
 // PieceFate tells how a stage's pieces ended.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -67,11 +67,11 @@
 		var whole []byte
 		whole, held = cutEvents(held)
 		if len(whole) > 0 {
-			if !a.began {
+			if !a.first {
 				a.begin(slow)
 			}
 			if f.route.Repeatable() && f.runs < max(1, f.route.MaxTargets) {
-				silent.Reset(max(gapLeast, time.Duration(gapWaits*float64(f.route.Gap))))
+				silent.Reset(max(gapStarts*f.toFirstEvent(), time.Duration(gapWaits*float64(f.route.Gap))))
 			}
 			if werr := f.passEvents(in.Header, whole); werr != nil {
 				a.verdict = VerdictNone
@@ -90,10 +90,12 @@
 
 func (a *attempt) begin(slow clockwork.Timer) {
 	slow.Stop()
-	a.began = true
+	a.first = true
 	a.placed.Began()
+	f := a.flow
+	f.server.firstEvents.observe(f.route.Name, firstEventPrior, f.server.clock.Now().Sub(a.began))
 	// An engine has fetched all inputs before it reads the prompt.
-	a.flow.freeAll()
+	f.freeAll()
 }
 
 func (a *attempt) streamEnded(ctx context.Context, in *Incoming, err error, held []byte) attemptEnd {
@@ -143,7 +145,11 @@
 		f.w.WriteHeader(http.StatusOK)
 		f.committed = true
 		f.first = f.server.clock.Now()
+		f.passed = f.first
 	}
+	now := f.server.clock.Now()
+	f.pause = max(f.pause, now.Sub(f.passed))
+	f.passed = now
 	for len(events) > 0 {
 		event, rest := firstEvent(events)
 		id, ok := eventID(event)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,15 +15,16 @@
 const (
 	// leastLeft is the least time for which another attempt is worth making: the way there and back, and some work.
 	leastLeft = 20 * time.Millisecond
-	// firstWaitLeast is the least time that an attempt is given to begin its answer before another is made: plain
-	// work takes 15 to 60 ms on average, and up to seven times that.
-	firstWaitLeast = 150 * time.Millisecond
-	// streamWaitLeast is the same for streams, whose prompts may wait beside others.
-	streamWaitLeast = 900 * time.Millisecond
-	// gapWaits is how many times the longest pause in time a stream may be silent before it is continued elsewhere.
+	// startWaits is how many times what is nearly always enough an answer may take to begin before another target is
+	// asked: a second attempt costs as much work as the first, and takes as long.
+	startWaits = 4
+	// answerPrior is the time of a plain answer before the pool was observed.
+	answerPrior = 60 * time.Millisecond
+	// gapWaits is how many times the longest pause in time a stream may be silent before it is continued elsewhere; it
+	// is late by then, and going on elsewhere has its prompt read again.
 	gapWaits = 2.2
-	// gapLeast is the least such silence.
-	gapLeast = 700 * time.Millisecond
+	// gapStarts is how many times what a first event nearly always takes such a silence lasts at the least.
+	gapStarts = 3
 	// attemptsMost bounds the attempts of one request, refused ones included.
 	attemptsMost = 6
 	// answerMost bounds an answer that is held until it is whole.
@@ -156,7 +157,7 @@
 	defer cancel(nil)
 	endTimer := s.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
 	defer endTimer.Stop()
-	a := &attempt{flow: f, placed: placed, cancel: cancel}
+	a := &attempt{flow: f, placed: placed, cancel: cancel, began: now}
 	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.rank}
 	out := &Outgoing{
 		Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
@@ -179,7 +180,9 @@
 	cancel  context.CancelCauseFunc
 	verdict Verdict
 	load    Load
-	began   bool
+	began   time.Time
+	// first says that the first event has come.
+	first bool
 }
 
 func (a *attempt) send(ctx context.Context, out *Outgoing) attemptEnd {
@@ -217,9 +220,9 @@
 		return left
 	}
 	if f.route.Kind == routeStream {
-		return min(left, max(streamWaitLeast, f.route.Goal/2))
+		return min(left, max(startWaits*f.toFirstEvent(), f.route.Goal/2))
 	}
-	return min(left/2, max(firstWaitLeast, f.route.Goal))
+	return min(left/2, max(startWaits*f.server.answers.most(f.pool, answerPrior), f.route.Goal))
 }
 
 func (a *attempt) noAnswer(ctx context.Context, err error) attemptEnd {
@@ -273,6 +276,7 @@
 		return attemptEnd{sent: true, reason: "the answer broke off: " + err.Error()}
 	}
 	a.verdict = VerdictGood
+	a.flow.server.answers.observe(a.flow.pool, answerPrior, a.flow.server.clock.Now().Sub(a.began))
 	answer := &wholeAnswer{status: in.Status, header: in.Header, body: body}
 	if in.Status >= http.StatusInternalServerError && a.flow.route.Repeatable() {
 		return attemptEnd{sent: true, answer: answer, reason: "the target failed: " + http.StatusText(in.Status)}
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -12,27 +12,29 @@
 const (
 	// pieceTries is how often the pieces of one stage are sent anew after a call that failed.
 	pieceTries = 3
-	// crossWait is how much later than its turn a job is taken by a target in another zone than its inputs'.
-	// Bytes between zones are priced, and the targets of its own zone are free again within a call's length.
-	crossWait = 450 * time.Millisecond
+	// crossCalls is for how many full calls' time a job waits for a target in the zone of its inputs: one of them is free
+	// again within a call's length, and what crosses zones is paid for.
+	crossCalls = 1.2
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
 	// wholeRoom is the part of a target's room up to which a job is begun with all of its pieces or not at all. Trials
 	// with a half and with nine tenths earned the same.
 	wholeRoom = 0.5
-	// rankWait is how much earlier a job's turn comes for each step of rank. Trials of 0.6, 1.5 and 3 s earned 0.618,
-	// 0.630 and 0.627 on the institute and 0.709, 0.717 and 0.712 on the scores of today; on the grown scores' scale-2,
-	// 0.6, 1 and 1.5 s earned 0.536, 0.531 and 0.479, and the last left captions below their floor.
-	rankWait = time.Second
-	// begunLead is how much earlier the turn of a request comes for which work was done before.
-	begunLead = 300 * time.Millisecond
+	// rankShare is the part of its goal by which a job's turn comes later for each step of rank. Between a fifth and a
+	// half the worth of all requests changes by under a hundredth; with more, the least urgent wait to their end in a
+	// burst, and with less the most urgent are late beside them.
+	rankShare = 0.4
+	// begunLead is by how many empty calls' time the turn of a request comes earlier for which work was done before: what
+	// it has taken up so far, room above all, is given back sooner.
+	begunLead = 1.5
 	// overdueAt is how many times its expected time a call may take before its pieces are queued again.
 	overdueAt = 2.2
 	// hiddenShare is the part of the time that results are kept unless they are freed, after which unknown ones count
 	// for nothing: most are freed long before.
 	hiddenShare = 0.5
-	// holdFirst is how long a result takes up room before that is learnt, and holdWeight the weight of one result.
-	holdFirst  = 700 * time.Millisecond
+	// holdCalls is for how many full calls' time a result takes up room before that is learnt: that of its own call, and
+	// that of the next stage's. holdWeight is the weight of one result.
+	holdCalls  = 2
 	holdWeight = 0.05
 	// rankReserve is the part of its time that a job must leave free for each step of priority to be admitted.
 	rankReserve = 0.1
@@ -87,7 +89,14 @@
 
 // NewBatcher returns a batcher without targets.
 func NewBatcher(spec proto.BatchSpec) *Batcher {
-	return &Batcher{spec: spec, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}, hold: float64(holdFirst)}
+	b := &Batcher{spec: spec, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}}
+	b.hold = holdCalls * b.fullCall(0)
+	return b
+}
+
+// fullCall is the time of a call full of pieces with results of such a size.
+func (b *Batcher) fullCall(bytes int) float64 {
+	return b.model.callCost() + float64(b.spec.Most)*b.model.pieceCost(bytes)
 }
 
 // SetSpec takes over a changed description of the pool.
@@ -194,16 +203,15 @@
 func (b *Batcher) length(j *Job) float64 {
 	n := float64(min(j.Ask.Pieces, b.spec.Most))
 	own := b.model.callCost() + n*b.model.pieceCost(j.Ask.Bytes)
-	full := b.model.callCost() + float64(b.spec.Most)*b.model.pieceCost(j.Ask.Bytes)
-	return (own + full) / 2
+	return (own + b.fullCall(j.Ask.Bytes)) / 2
 }
 
 // Add queues a job, or returns the answer that refuses it because its results would not come in time.
 func (b *Batcher) Add(now time.Time, j *Job) *proto.PiecesAnswer {
 	j.since = now
-	j.order = j.Due.Add(time.Duration(j.Ask.Rank) * rankWait)
+	j.order = j.Due.Add(time.Duration(rankShare * float64(j.Ask.Rank) * float64(j.Ask.Goal)))
 	if !j.Ask.First {
-		j.order = j.order.Add(-begunLead)
+		j.order = j.order.Add(-time.Duration(begunLead * b.model.callCost()))
 	}
 	j.handles, j.missing = make([]string, j.Ask.Pieces), j.Ask.Pieces
 	for piece := range j.Ask.Pieces {
--- a/relay/batch_test.go
+++ b/relay/batch_test.go
@@ -144,8 +144,10 @@
 		j.Due = start.Add(after)
 		return j
 	}
+	const goal = 2 * time.Second
+	step := time.Duration(rankShare * float64(goal))
 	ranked := func(j *Job, rank int) *Job {
-		j.Ask.Rank = rank
+		j.Ask.Rank, j.Ask.Goal = rank, goal
 		return j
 	}
 	scenarios := []struct {
@@ -154,8 +156,8 @@
 		want string
 	}{
 		{"the one due first", []*Job{due(job("a", 8), 3*time.Second), due(job("b", 8), 2*time.Second)}, "b"},
-		{"a rank counts for some time", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+rankWait/2)}, "b"},
-		{"but not for ever", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+2*rankWait)}, "a"},
+		{"a rank counts for some time", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+step/2)}, "b"},
+		{"but not for ever", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+2*step)}, "a"},
 		{"one that must be late comes last", []*Job{due(job("a", 8), 100*time.Millisecond), due(job("b", 8), 2*time.Second)}, "b"},
 	}
 	for _, s := range scenarios {
@@ -377,7 +379,7 @@
 	if calls = next(b, start); len(calls) != 0 {
 		t.Error("the job did not wait for a target in the zone of its inputs")
 	}
-	if calls = next(b, start.Add(crossWait)); len(calls) != 1 || pieces(calls[0]) != "here0 here1 " {
+	if calls = next(b, start.Add(time.Duration(crossCalls*b.fullCall(1000)))); len(calls) != 1 || pieces(calls[0]) != "here0 here1 " {
 		t.Error("the job waited for longer than it should")
 	}
 }
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -64,7 +64,7 @@
 func (b *Batcher) patience(now time.Time, j *Job) time.Duration {
 	for _, t := range b.targets {
 		if !b.crosses(t, j) && !t.spec.Leaving && !now.Before(t.outTo) {
-			return max(0, min(crossWait, j.Due.Sub(now)/4))
+			return max(0, min(time.Duration(crossCalls*b.fullCall(j.Ask.Bytes)), j.Due.Sub(now)/4))
 		}
 	}
 	return 0
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -20,11 +20,9 @@
 	freeEvery = 20 * time.Millisecond
 	// expireEvery is how often a worker with jobs looks for those whose time is over.
 	expireEvery = 50 * time.Millisecond
-	// callSlack is how much longer than expected a call may take before its target is held to be hung: slow
-	// targets take up to five times as long.
+	// callSlack is how many times its expected time a call may take before its target is held to be hung: a slow target
+	// takes up to five times as long, and what it has done by then would be lost.
 	callSlack = 6
-	// callLeast is the least time that a call is given.
-	callLeast = 1500 * time.Millisecond
 	// freeWait bounds a call that frees results.
 	freeWait = time.Second
 	// piecesMost bounds the answer to a call, in bytes.
--- a/relay/server.go
+++ b/relay/server.go
@@ -23,6 +23,8 @@
 	bodyWait = 5 * time.Second
 	// waitUnknown is when to come back to a daemon that knows no configuration yet.
 	waitUnknown = 400 * time.Millisecond
+	// startWait is how long a request waits for a daemon that is starting, which is a part of the shortest goals.
+	startWait = 100 * time.Millisecond
 	// waitFull is when to come back to a daemon that has as many open requests as it may.
 	waitFull = time.Second
 	// streamsTaken is how long after the request to stop streams are taken: the balancer sends no new callers after two
@@ -60,10 +62,15 @@
 	zone    string
 	counts  Counts
 
+	// firstEvents are the times to the first events of a route's requests at their targets, answers those to the whole
+	// answers of a pool, and callTimes those of a pool's calls for pieces.
+	firstEvents, answers, callTimes typicals[string]
+
 	budgetMu sync.Mutex
 	budgets  map[string]*Budget
 	budget   BudgetTerms
 
+	started  <-chan struct{}
 	open     atomic.Int64
 	stopping atomic.Pointer[stopPlan]
 }
@@ -95,13 +102,15 @@
 	Zone    string
 	Budget  BudgetTerms
 	Limits  Limits
+	// Started is closed once the daemon knows what it needs to serve; nil if it does from the beginning.
+	Started <-chan struct{}
 }
 
 // NewServer returns a server; it refuses requests until a configuration is known.
 func NewServer(c ServerConfig) *Server {
 	return &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, sender: c.Sender, fleet: c.Fleet, tables: c.Tables,
-		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, budget: c.Budget, budgets: map[string]*Budget{},
+		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*Budget{},
 	}
 }
 
@@ -167,6 +176,9 @@
 	stages []stageNote
 	// staged and first are when the stages were done and when the first event went out.
 	staged, first time.Time
+	// passed is when the last event went out, and pause the longest time between two.
+	passed time.Time
+	pause  time.Duration
 }
 
 // failure is a final answer that the daemon gives itself.
@@ -188,6 +200,7 @@
 		return
 	}
 	defer s.open.Add(-1)
+	s.awaitStart(r.Context())
 	f, fail := s.accept(w, r, began)
 	if fail != nil {
 		s.refuse(w, fail, f, began)
@@ -203,6 +216,24 @@
 	f.finish(ctx, f.run(ctx))
 }
 
+// awaitStart holds a request that comes while the daemon is starting: it knows all it needs within some ten
+// milliseconds, and a caller who is sent away comes back after hundreds.
+func (s *Server) awaitStart(ctx context.Context) {
+	if s.started == nil {
+		return
+	}
+	select {
+	case <-s.started:
+		return
+	default:
+	}
+	select {
+	case <-s.started:
+	case <-s.clock.After(startWait):
+	case <-ctx.Done():
+	}
+}
+
 func (f *flow) left() time.Duration { return f.end.Sub(f.server.clock.Now()) }
 
 // run has the stages done and then the request itself; nil means that the whole answer went out.
@@ -219,7 +250,7 @@
 			f.staged = f.server.clock.Now()
 			fail, lost = f.runSelf(ctx)
 		}
-		if !lost || rebuilt >= stageRebuilds || f.left() < runEstimate {
+		if !lost || rebuilt >= stageRebuilds || f.left() < f.toFirstEvent() {
 			return fail
 		}
 		f.note("inputs are made anew", "rebuilt", rebuilt+1, "left", brief(f.left()))
@@ -252,8 +283,8 @@
 	s := f.server
 	now := s.clock.Now()
 	if fail == nil {
-		s.counts.delivered(now.Sub(f.began), !f.answered(now).After(f.due))
-		s.log.Info("request delivered", append(f.facts(now), "inTime", !f.answered(now).After(f.due))...)
+		s.counts.delivered(now.Sub(f.began), f.inTime(now))
+		s.log.Info("request delivered", append(f.facts(now), "inTime", f.inTime(now))...)
 		return
 	}
 	if ctx.Err() != nil {
@@ -272,7 +303,7 @@
 func (f *flow) facts(now time.Time) []any {
 	return []any{
 		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.version, "targets", f.server.fleet.Version(),
-		"rank", f.rank, "took", brief(now.Sub(f.began)), "staged", brief(since(f.began, f.staged)), "first", brief(since(f.began, f.first)), "goal", brief(f.route.Goal),
+		"rank", f.rank, "took", brief(now.Sub(f.began)), "staged", brief(since(f.began, f.staged)), "first", brief(since(f.began, f.first)), "goal", brief(f.route.Goal), "pause", brief(f.pause),
 		"sent", f.sent, "runs", f.runs, "target", f.target, "stages", f.stages,
 	}
 }
@@ -288,6 +319,11 @@
 	return to.Sub(from)
 }
 
+// inTime tells whether a delivered answer was there by its goal, and a stream without a pause that its route calls late.
+func (f *flow) inTime(now time.Time) bool {
+	return !f.answered(now).After(f.due) && (f.route.Gap == 0 || f.pause <= f.route.Gap)
+}
+
 // answered is when a delivered answer counts as there: a stream by its first event.
 func (f *flow) answered(now time.Time) time.Time {
 	if f.first.IsZero() {
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"emberlead/proto"
 )
 
@@ -42,3 +45,54 @@
 		})
 	}
 }
+
+func TestARequestWaitsForADaemonThatIsStarting(t *testing.T) {
+	type world struct {
+		clock   *clockwork.FakeClock
+		started chan struct{}
+		leave   func()
+	}
+	scenarios := []struct {
+		name string
+		end  func(w world)
+	}{
+		{"until it knows what it needs", func(w world) { close(w.started) }},
+		{"until its caller leaves", func(w world) { w.leave() }},
+		{"not for long", func(w world) { w.clock.Advance(startWait) }},
+	}
+	for _, c := range scenarios {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			w := world{clockwork.NewFakeClockAt(start), make(chan struct{}), cancel}
+			s := NewServer(ServerConfig{Clock: w.clock, Started: w.started})
+			done := make(chan struct{})
+			go func() {
+				s.awaitStart(ctx)
+				close(done)
+			}()
+			if err := w.clock.BlockUntilContext(t.Context(), 1); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-done:
+				t.Fatal("it did not wait")
+			default:
+			}
+			c.end(w)
+			<-done
+		})
+	}
+}
+
+func TestAStreamWithALongPauseIsLate(t *testing.T) {
+	f := &flow{route: &proto.Route{Gap: 200 * time.Millisecond}, began: start, due: start.Add(time.Second), first: start.Add(500 * time.Millisecond)}
+	f.pause = f.route.Gap
+	if !f.inTime(start.Add(time.Minute)) {
+		t.Error("late, though its first event and its pauses were in time")
+	}
+	f.pause++
+	if f.inTime(start.Add(time.Minute)) {
+		t.Error("in time in spite of a pause that is too long")
+	}
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -12,14 +12,12 @@
 const (
 	// stageRebuilds is how often a request's stages are done anew after a result was lost.
 	stageRebuilds = 2
-	// runEstimate is about how long an engine takes to its first event: the sites state 64 ms and 5 ms, and some
-	// 3,000 tokens take 100 ms to read; the rest is waiting beside other prompts.
-	runEstimate = 300 * time.Millisecond
-	// comeBackLeast is the least time to come back after a refusal for a full queue: a queue that is too long now
-	// takes a few calls of some 300 ms to drain.
-	comeBackLeast = 1200 * time.Millisecond
-	// comeBackSpread is over how long callers that were refused together come back.
-	comeBackSpread = time.Second
+	// firstEventPrior is the time to an engine's first event, waiting included, before the route was observed.
+	firstEventPrior = 300 * time.Millisecond
+	// comeBackCalls is after how many calls' time a caller comes back at the least: a queue that is too long now takes
+	// a few calls to drain. comeBackSpread is over how many calls' time those who were refused together come back.
+	comeBackCalls  = 4
+	comeBackSpread = 3
 	// comeBackPart is the part of their time left for which callers wait at most.
 	comeBackPart = 3
 	// stageFill is the part of a full call's pieces that a stage's expected length counts.
@@ -78,6 +76,7 @@
 			f.drain(ends, open)
 			return f.stageFailed(e), e.answer.Fate == proto.PiecesLost
 		}
+		f.server.callTimes.observe(stages[e.stage].Pool, f.stageLength(e.stage), e.answer.Made)
 		r := &f.inputs[e.stage]
 		r.done, r.handles, r.zone = true, e.answer.Handles, e.answer.Zone
 		r.bytes = stages[e.stage].Bytes * len(r.handles)
@@ -102,14 +101,17 @@
 func (f *flow) stageFailed(e stageEnd) *failure {
 	pool := f.route.Stages[e.stage].Pool
 	f.note("a stage failed", "stage", e.stage, "pool", pool, "fate", e.answer.Fate.String(), "wait", brief(e.answer.Wait), "detail", e.answer.Detail)
-	return f.notRun(f.comeBack(e.answer.Wait), "stage "+pool+": "+e.answer.Detail)
+	return f.notRun(f.comeBack(f.stageLength(e.stage), e.answer.Wait), "stage "+pool+": "+e.answer.Detail)
 }
 
 // comeBack is when a caller that was refused for a queue should come back: once the queue has drained, and not all
-// at the same moment. Callers wait for a third of their time at most.
-func (f *flow) comeBack(queue time.Duration) time.Duration {
-	spread := time.Duration(xxhash.Sum64String(f.req.ID) % uint64(comeBackSpread))
-	wait := max(comeBackLeast, 2*queue) + spread
+// at the same moment; call is the length of the pool's calls. Callers wait for a third of their time at most.
+func (f *flow) comeBack(call, queue time.Duration) time.Duration {
+	spread := time.Duration(0)
+	if call > 0 {
+		spread = time.Duration(xxhash.Sum64String(f.req.ID) % uint64(comeBackSpread*call))
+	}
+	wait := max(comeBackCalls*call, 2*queue) + spread
 	return max(retryFloor, min(wait, f.left()/comeBackPart))
 }
 
@@ -126,7 +128,7 @@
 		started++
 		ask := f.askFor(i, first, home)
 		rest := f.restAfter(i)
-		due, end := f.due.Add(-rest), f.end.Add(-runEstimate/2)
+		due, end := f.due.Add(-rest), f.end.Add(-f.toFirstEvent()/2)
 		if first {
 			// What does not leave time for the later stages is better refused before anything has run.
 			end = f.end.Add(-rest)
@@ -187,7 +189,7 @@
 	spec := &f.route.Stages[stage]
 	ask := proto.PiecesAsk{
 		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Rank: f.rank,
-		Bytes: spec.Bytes, First: first, Begun: f.committed,
+		Bytes: spec.Bytes, First: first, Begun: f.committed, Goal: f.due.Sub(f.began),
 	}
 	bulk := 0
 	for _, before := range spec.After {
@@ -222,18 +224,25 @@
 		longest = max(longest, queue+length+f.restAfter(i))
 	}
 	if longest == 0 {
-		return runEstimate
+		return f.toFirstEvent()
 	}
 	return longest
 }
 
+// stageLength is the usual length of a call for a stage: by the configuration a rather full one, until calls were seen.
 func (f *flow) stageLength(stage int) time.Duration {
-	table := f.server.tables.Current()
-	spec := table.Routing().Pools[f.route.Stages[stage].Pool]
+	pool := f.route.Stages[stage].Pool
+	spec := f.server.tables.Current().Routing().Pools[pool]
 	if spec == nil || spec.Batch == nil {
 		return 0
 	}
-	return spec.Batch.CallCost + time.Duration(stageFill*float64(spec.Batch.Most)*float64(spec.Batch.PieceCost))
+	stated := spec.Batch.CallCost + time.Duration(stageFill*float64(spec.Batch.Most)*float64(spec.Batch.PieceCost))
+	return f.server.callTimes.most(pool, stated)
+}
+
+// toFirstEvent is how long the request itself nearly always takes to its first event once its stages are done.
+func (f *flow) toFirstEvent() time.Duration {
+	return f.server.firstEvents.most(f.route.Name, firstEventPrior)
 }
 
 func contains(list []int, value int) bool {
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -192,14 +192,14 @@
 	for _, left := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 10 * time.Second, time.Minute} {
 		f.end = f.server.clock.Now().Add(left)
 		for _, queue := range []time.Duration{0, time.Second, time.Minute} {
-			got := f.comeBack(queue)
+			got := f.comeBack(300*time.Millisecond, queue)
 			if got < retryFloor || got > max(retryFloor, left/comeBackPart) {
 				t.Errorf("with %s left and a queue of %s: come back in %s", left, queue, got)
 			}
 		}
 	}
 	f.end = f.server.clock.Now().Add(time.Minute)
-	if got := f.comeBack(2 * time.Second); got < 4*time.Second {
+	if got := f.comeBack(300*time.Millisecond, 2*time.Second); got < 4*time.Second {
 		t.Errorf("come back in %s, before the queue has drained", got)
 	}
 }
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -123,7 +123,7 @@
 var errBusy = errors.New("the target has no free slot")
 
 func (p *Pieces) call(c *Call) ([]ItemResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), max(callLeast, callSlack*c.Expected))
+	ctx, cancel := context.WithTimeout(context.Background(), callSlack*c.Expected)
 	defer cancel()
 	out, err := p.dialect.PiecesCall(c, p.clock.Now())
 	if err != nil {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -74,8 +75,12 @@
 	linkKey      string
 	badSettings  bool // only the loop that watches the settings uses it
 	targetsKnown atomic.Bool
-	pulling      atomic.Bool
-	stopping     atomic.Bool
+	// rowsRead says that the store's list of daemons was read, so that the daemon knows who does what for all.
+	rowsRead  atomic.Bool
+	started   chan struct{}
+	startOnce sync.Once
+	pulling   atomic.Bool
+	stopping  atomic.Bool
 }
 
 // Members returns the number of live daemons that this one knows, itself included.
@@ -100,6 +105,7 @@
 	for _, option := range options {
 		option(d)
 	}
+	d.started = make(chan struct{})
 	d.docs.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.Peers,
@@ -114,8 +120,8 @@
 	d.server = relay.NewServer(relay.ServerConfig{
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.exchange, Fleet: d.fleet, Tables: d.tables,
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
-		Budget: relay.BudgetTerms{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
-		Limits: relay.Limits{Open: max(64, settings.MemoryBytes/1_000_000*openPerMB)},
+		Budget:  relay.BudgetTerms{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
+		Started: d.started, Limits: relay.Limits{Open: max(64, settings.MemoryBytes/1_000_000*openPerMB)},
 	})
 	return d
 }
@@ -172,6 +178,16 @@
 	return proto.Done{}
 }
 
+// noteStart lets requests in once the daemon knows the configuration, the targets and the other daemons.
+func (d *Relay) noteStart() {
+	if d.known() && d.rowsRead.Load() {
+		d.startOnce.Do(func() {
+			d.log.Info("started", "routing", d.tables.Version(), "targets", d.fleet.Version(), "members", d.peers.Count())
+			close(d.started)
+		})
+	}
+}
+
 // Ready tells the balancer whether to send requests, and else why not.
 func (d *Relay) Ready() (ok bool, reason string) {
 	switch {
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -175,6 +175,7 @@
 		}
 	}
 	d.peers.members.Beat(d.clock.Now())
+	d.noteStart()
 }
 
 // changeOf reads one entry of the targets' table.
@@ -236,6 +237,7 @@
 	d.docs.mu.Unlock()
 	d.noteFleet(notes, from)
 	d.targetsKnown.Store(true)
+	d.noteStart()
 	return true
 }
 
@@ -360,8 +362,9 @@
 	Incarnation proto.Incarnation `json:"incarnation"`
 }
 
-// list writes the daemon's own row once and reads the others' now and then.
+// list reads the other daemons' rows, writes the own one once, and reads the others' again now and then.
 func (d *Relay) list(ctx context.Context) {
+	d.readRows(ctx)
 	written := false
 	for ctx.Err() == nil {
 		if !written {
@@ -407,5 +410,7 @@
 		alive := proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}
 		d.peers.members.Alive(now, alive, "")
 	}
+	d.rowsRead.Store(true)
+	d.noteStart()
 	return true
 }
