--- a/relay/batch.go
+++ b/relay/batch.go
@@ -286,7 +286,7 @@
 		}
 		own := float64(j.left()) * b.share(j.Ask.Bytes)
 		if j.late && j.missing == j.Ask.Pieces {
-			start := time.Duration(lateMargin * done(slices.Clone(free), work))
+			start := time.Duration(done(slices.Clone(free), work))
 			if now.Add(start + time.Duration(b.length(j))).After(j.End) {
 				ends = append(ends, b.end(j, proto.PiecesAnswer{
 					Fate: proto.PiecesRefused, Queued: now.Sub(j.since), Queue: start, Wait: max(retryFloor, start), Detail: "more urgent work leaves no time for the stage",
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -62,7 +62,7 @@
 func (p *Pieces) Ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
 	key := queueKey{ask.Pool, ask.Rank}
 	began := p.clock.Now()
-	p.queues.asked(began, key)
+	p.queues.asked(began, due, key)
 	answer := p.ask(ctx, ask, due, end)
 	p.queues.answered(began, key)
 	if answer.Fate == proto.PiecesDone || answer.Fate == proto.PiecesRefused {
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -155,8 +155,9 @@
 	var q queues
 	key := queueKey{"p", 1}
 	const length = 300 * time.Millisecond
-	q.asked(start, key)
-	q.asked(start.Add(time.Second), key)
+	due := start.Add(time.Minute)
+	q.asked(start, due, key)
+	q.asked(start.Add(time.Second), due, key)
 	q.note(start, key, 500*time.Millisecond)
 	now := start.Add(2 * time.Second)
 	if got := q.read(now, key, length); got != 1700*time.Millisecond {
@@ -167,8 +168,9 @@
 		t.Errorf("queue %v with a job that has waited for 1s", got)
 	}
 	q.answered(start.Add(time.Second), key)
+	q.asked(start, now, key)
 	if got := q.read(now, key, length); got != 0 {
-		t.Errorf("queue %v with no job waiting", got)
+		t.Errorf("queue %v with no job waiting but one that is late", got)
 	}
 }
 
