--- a/relay/batch.go
+++ b/relay/batch.go
@@ -16,8 +16,8 @@
 	// again within a call's length, and what crosses zones is paid for.
 	crossCalls = 1.2
 	// spareCalls is how many calls' time a less urgent job must have left to leave the last idle target to others. With
-	// two, the most urgent requests of a customer whose goal is three calls' time earn 0.02 more of their worth, and
-	// those with more time lose none.
+	// two, each kind of request of a customer whose shortest goal is three calls' time earned 0.005 to 0.012 more of its
+	// worth on days of faults.
 	spareCalls = 2
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
