--- a/relay/batch.go
+++ b/relay/batch.go
@@ -47,6 +47,9 @@
 	// use. Its caller would be sent away for at least as long, and half of those who come back late fail.
 	lateMargin = 2
 	latePart   = 0.5
+	// giveUpEvery is how often the queue is searched for jobs that wait in vain, which takes as long as the queue; a
+	// caller hears of it that much later.
+	giveUpEvery = 50 * time.Millisecond
 	// allTurns is a turn after all others, late ones included.
 	allTurns = time.Hour
 	// retryFloor is the least time to come back that a refusal names.
@@ -87,6 +90,10 @@
 	jobs    []*Job
 	model   *callModel
 	kept    map[string]*batchTarget
+	// lastLook is when the queue was last searched for jobs that wait in vain, and resort says that the order of the
+	// jobs may have changed.
+	lastLook time.Time
+	resort   bool
 	// hold is how long a result takes up room on average, from its call's start until it is freed.
 	hold float64
 }
@@ -148,7 +155,7 @@
 // Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service. One
 // that is left out for a while counts from then on: a pool that refused one call each is not out of service.
 func (b *Batcher) Wait(now, turn time.Time) time.Duration {
-	free := b.free(now)
+	free := b.capacity(now)
 	if len(free) == 0 {
 		return time.Minute
 	}
@@ -158,20 +165,23 @@
 			work += float64(j.left()) * b.share(j.Ask.Bytes)
 		}
 	}
-	return time.Duration(done(free, work))
+	return free.taken(work)
 }
 
 // freeTarget is when a target can begin a call, in nanoseconds from now, and its pace.
 type freeTarget struct{ in, pace float64 }
 
-// free lists when the targets in service can begin a call.
-func (b *Batcher) free(now time.Time) []freeTarget {
-	var free []freeTarget
+// capacity is when the targets in service can begin a call, the first one at the front.
+type capacity []freeTarget
+
+func (b *Batcher) capacity(now time.Time) capacity {
+	free := make(capacity, 0, len(b.targets))
 	for _, t := range b.targets {
 		if !t.spec.Leaving {
 			free = append(free, freeTarget{b.freeIn(now, t), t.pace})
 		}
 	}
+	slices.SortFunc(free, func(x, y freeTarget) int { return cmp.Compare(x.in, y.in) })
 	return free
 }
 
@@ -183,19 +193,18 @@
 	return in
 }
 
-// done is when the targets have taken up an amount of work, each from when it is free.
-func done(free []freeTarget, work float64) float64 {
-	slices.SortFunc(free, func(x, y freeTarget) int { return cmp.Compare(x.in, y.in) })
-	at, speed := free[0].in, 0.0
-	for i, f := range free {
+// taken is after what time the targets have taken up an amount of work, each from when it is free.
+func (c capacity) taken(work float64) time.Duration {
+	at, speed := c[0].in, 0.0
+	for i, f := range c {
 		speed += 1 / f.pace
-		if i+1 == len(free) || (free[i+1].in-at)*speed >= work {
+		if i+1 == len(c) || (c[i+1].in-at)*speed >= work {
 			break
 		}
-		work -= (free[i+1].in - at) * speed
-		at = free[i+1].in
+		work -= (c[i+1].in - at) * speed
+		at = c[i+1].in
 	}
-	return at + work/speed
+	return time.Duration(at + work/speed)
 }
 
 // Queue is how long a job like this one would wait for its turn if it came now.
@@ -221,8 +230,9 @@
 	for piece := range j.Ask.Pieces {
 		j.todo = append(j.todo, piece)
 	}
+	j.length = b.length(j)
 	wait := b.Wait(now, j.order)
-	finish := now.Add(wait + time.Duration(b.length(j)))
+	finish := now.Add(wait + time.Duration(j.length))
 	limit := j.End
 	if j.Ask.First {
 		reserve := rankReserve * float64(j.Ask.Rank) * float64(j.Due.Sub(now))
@@ -232,6 +242,7 @@
 		return &proto.PiecesAnswer{Fate: proto.PiecesRefused, Queue: wait, Wait: max(retryFloor, finish.Sub(limit)), Detail: "the queue of the pool is longer than the time left"}
 	}
 	b.jobs = append(b.jobs, j)
+	b.resort = true
 	return nil
 }
 
@@ -239,7 +250,7 @@
 // that waits ahead of it, and as much again that may come.
 func (b *Batcher) canBeLate(now time.Time, j *Job) bool {
 	ahead := b.Wait(now, now.Add(allTurns))
-	return time.Duration(lateMargin*float64(ahead)+b.length(j)) < time.Duration(latePart*float64(j.End.Sub(now)))
+	return time.Duration(lateMargin*float64(ahead)+j.length) < time.Duration(latePart*float64(j.End.Sub(now)))
 }
 
 // Next returns the calls to send now, and the jobs whose time is over.
@@ -262,8 +273,14 @@
 // late as well.
 func (b *Batcher) sort(now time.Time) {
 	for _, j := range b.jobs {
-		j.late = !j.Ask.Begun && now.Add(time.Duration(b.length(j))).After(j.Due)
+		late := !j.Ask.Begun && now.Add(time.Duration(j.length)).After(j.Due)
+		b.resort = b.resort || late != j.late
+		j.late = late
 	}
+	if !b.resort {
+		return
+	}
+	b.resort = false
 	slices.SortStableFunc(b.jobs, func(x, y *Job) int {
 		if x.late != y.late {
 			if x.late {
@@ -276,29 +293,32 @@
 }
 
 // giveUp ends the late jobs that will not be made in the time for which their results are of use, so that their callers
-// hear of it now. The jobs are in the order of their turns.
+// hear of it now. The jobs are in the order of their turns, so the late ones come last.
 func (b *Batcher) giveUp(now time.Time) []JobEnd {
-	free := b.free(now)
+	if now.Sub(b.lastLook) < giveUpEvery {
+		return nil
+	}
+	b.lastLook = now
+	free := b.capacity(now)
 	if len(free) == 0 {
 		return nil
 	}
 	var ends []JobEnd
 	work := 0.0
 	for _, j := range b.jobs {
+		j.length = b.length(j)
 		if j.done || j.left() == 0 {
 			continue
 		}
-		own := float64(j.left()) * b.share(j.Ask.Bytes)
 		if j.late && j.missing == j.Ask.Pieces {
-			start := time.Duration(done(slices.Clone(free), work))
-			if now.Add(start + time.Duration(b.length(j))).After(j.End) {
+			if start := free.taken(work); now.Add(start + time.Duration(j.length)).After(j.End) {
 				ends = append(ends, b.end(j, proto.PiecesAnswer{
 					Fate: proto.PiecesRefused, Queued: now.Sub(j.since), Queue: start, Wait: max(retryFloor, start), Detail: "more urgent work leaves no time for the stage",
 				}))
 				continue
 			}
 		}
-		work += own
+		work += float64(j.left()) * b.share(j.Ask.Bytes)
 	}
 	return ends
 }
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -7,7 +7,11 @@
 
 // fill makes one call from the jobs whose turn it is, or returns nil.
 func (b *Batcher) fill(now time.Time) *Call {
-	keepsLast := b.keepsLast(now)
+	idle, inService := b.idle(now)
+	if idle == 0 {
+		return nil
+	}
+	keepsLast := b.keepsLast(idle, inService)
 	for _, j := range b.jobs {
 		if j.left() == 0 || j.done || keepsLast && b.canWait(now, j) {
 			continue
@@ -21,20 +25,24 @@
 	return nil
 }
 
-// keepsLast tells whether one target is left idle, and what waits does not fill a call: a call for a few pieces takes
-// nearly as long as a full one, and what is urgent would wait for its end.
-func (b *Batcher) keepsLast(now time.Time) bool {
-	idle, all := 0, 0
+// idle counts the targets that can take a call now, and those in service.
+func (b *Batcher) idle(now time.Time) (idle, inService int) {
 	for _, t := range b.targets {
 		if t.spec.Leaving || now.Before(t.outTo) {
 			continue
 		}
-		all++
+		inService++
 		if t.call == nil {
 			idle++
 		}
 	}
-	if all < 2 || idle != 1 {
+	return idle, inService
+}
+
+// keepsLast tells whether one target is left idle, and what waits does not fill a call: a call for a few pieces takes
+// nearly as long as a full one, and what is urgent would wait for its end.
+func (b *Batcher) keepsLast(idle, inService int) bool {
+	if inService < 2 || idle != 1 {
 		return false
 	}
 	_, waiting := b.Queued()
@@ -43,7 +51,7 @@
 
 // canWait tells whether a job that is not of the most urgent ones has time to wait for a call of others.
 func (b *Batcher) canWait(now time.Time, j *Job) bool {
-	return j.Ask.Rank > 0 && j.Due.Sub(now) >= time.Duration(spareCalls*b.length(j))
+	return j.Ask.Rank > 0 && j.Due.Sub(now) >= time.Duration(spareCalls*j.length)
 }
 
 // targetFor returns an idle target for a job: one in the zone of its inputs, or any once it has waited for that.
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -128,6 +128,7 @@
 func (p *targetPool) best(now time.Time, w Want, failing bool) *Target {
 	home := p.homeOf(now, w)
 	long := p.isLong(now, w.Route)
+	p.token, p.stream = p.model.rates()
 	var best *Target
 	least := math.Inf(1)
 	// The search begins at another target each time, so that equal ones share the work.
@@ -198,15 +199,14 @@
 	if t == home {
 		missing *= 1 - homeBonus
 	}
-	model := &t.pool.model
-	ms := t.pace / float64(time.Millisecond)
-	queued := model.reading(float64(t.unread)) * ms
-	read := model.reading(float64(w.OwnTokens)+missing) * ms
+	token, stream := t.pool.token, t.pool.stream
+	queued := float64(t.unread) * token * t.pace
+	read := (float64(w.OwnTokens) + missing) * token * t.pace
 	// Streams beside a prompt stand still while it is read; what is queued already would hold them up anyway.
 	harm := harmWeight * t.strain * ((queued+read)*(queued+read) - queued*queued)
-	again := readAgain * model.reading(missing) / float64(time.Millisecond)
-	running := (float64(t.active) + others) * model.times.of(workStream) * t.pace
-	return c + (queued+read+harm+again)*float64(time.Millisecond) + running
+	again := readAgain * missing * token
+	running := (float64(t.active) + others) * stream * t.pace
+	return c + (queued+read+harm+again+running)*float64(time.Millisecond)
 }
 
 func (t *Target) othersNow(now time.Time) float64 {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -67,6 +67,9 @@
 	all               routePrompts
 	model             engineModel
 	paces             []float64
+	// token and stream are what a prompt token and a stream beside it add to a first event, in milliseconds, as of the
+	// last choice.
+	token, stream float64
 	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
 	memory int
 }
--- a/relay/job.go
+++ b/relay/job.go
@@ -23,6 +23,8 @@
 	zone    string
 	done    bool
 	exclude string
+	// length is how long a call with its pieces and a usual share of others takes, in nanoseconds.
+	length float64
 	// late says that the results can no longer be in time.
 	late bool
 }
