--- a/entry/relay.go
+++ b/entry/relay.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"emberlead/platform"
+	"emberlead/relay"
 	"emberlead/serve"
 )
 
@@ -20,12 +21,15 @@
 const linkKeyVariable = "EMBERLEAD_LINK_KEY"
 
 func relayCommand() *cli.Command {
+	zones := relay.DefaultZoneCosts()
 	return &cli.Command{
 		Name:  "relay",
 		Usage: "run one daemon on the users' platform; it reads the settings file that the platform names in " + platform.SettingsVariable,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "`LEVEL` of the log: debug, info, warn or error"},
 			&cli.StringFlag{Name: "link-key", Sources: cli.EnvVars(linkKeyVariable), Usage: "`KEY` that daemons show each other; without one it is the store's address"},
+			&cli.DurationFlag{Name: "zone-cost", Value: zones.Request, Usage: "`DELAY` that a target in another availability zone counts for"},
+			&cli.DurationFlag{Name: "zone-megabyte-cost", Value: zones.Megabyte, Usage: "`DELAY` that a megabyte of inputs from another zone counts for; higher where such bytes are dear"},
 		},
 		Action: runRelay,
 	}
@@ -39,7 +43,9 @@
 	sink := serve.NewLogSink(os.Stdout)
 	defer sink.Close(logFlush)
 	log := hclog.New(&hclog.LoggerOptions{Name: "emberlead", Level: hclog.LevelFromString(c.String("log-level")), JSONFormat: true, Output: sink}).With("vm", settings.VM)
-	var options []serve.RelayOption
+	options := []serve.RelayOption{
+		serve.WithZoneCosts(relay.ZoneCosts{Request: c.Duration("zone-cost"), Megabyte: c.Duration("zone-megabyte-cost")}),
+	}
 	if key := c.String("link-key"); key != "" {
 		options = append(options, serve.WithLinkKey(key))
 	}
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"emberlead/proto"
 )
 
 // accept reads and checks a request; nothing has run when it fails.
@@ -58,11 +56,7 @@
 	if plan == nil {
 		return nil
 	}
-	until := plan.othersUntil
-	if f.route.Kind == proto.RouteStream {
-		until = plan.streamsUntil
-	}
-	if f.began.Before(until) {
+	if f.began.Before(plan.until(f.route.Kind, f.server.lengths.most(f.route.Name, 0))) {
 		return nil
 	}
 	return &failure{status: http.StatusServiceUnavailable, wait: waitStopping, reason: "the daemon stops and the request might be cut off"}
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -21,8 +21,8 @@
 	spareCalls = 2
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
-	// wholeRoom is the part of a target's room up to which a job is begun with all of its pieces or not at all. Trials
-	// with a half and with nine tenths earned the same.
+	// wholeRoom is the part of a target's room up to which a job is begun with all of its pieces or not at all: a larger
+	// one would wait for long. Between a half and nine tenths the worth of all requests is the same.
 	wholeRoom = 0.5
 	// rankShare is the part of its goal by which a job's turn comes later for each step of rank. Between a fifth and a
 	// half the worth of all requests changes by under a hundredth; with more, the least urgent wait to their end in a
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -12,11 +12,6 @@
 const (
 	// slotCost is what a full target adds for a plain attempt: about one attempt of waiting.
 	slotCost = float64(20 * time.Millisecond)
-	// crossCost is what another availability zone adds: two ways of a millisecond, and the price of the bytes.
-	crossCost = float64(3 * time.Millisecond)
-	// inputCost is what a megabyte of inputs from another zone adds: the price of the bytes is that of reading some
-	// 280 prompt tokens; the way itself takes a millisecond.
-	inputCost = float64(9 * time.Millisecond)
 	// othersFade is how long a reported load counts; most attempts are over after that.
 	othersFade = 2 * time.Second
 	// readAgain is how many times over the reading of a shared part that another engine keeps already counts: it takes
@@ -37,6 +32,21 @@
 	promptHalf = 10 * time.Second
 )
 
+// ZoneCosts are what another availability zone counts for in the choice of a target, as a delay. They are the
+// operator's: a platform where what crosses zones is dear wants them higher, at the expense of slower answers.
+type ZoneCosts struct {
+	// Request is what any request to another zone counts for, two ways included.
+	Request time.Duration
+	// Megabyte is what a megabyte of inputs from another zone counts for.
+	Megabyte time.Duration
+}
+
+// DefaultZoneCosts suits zones a millisecond or two apart: a megabyte counts for as much as reading some 300 prompt
+// tokens, so that inputs cross zones where the engine there keeps a shared part that is longer.
+func DefaultZoneCosts() ZoneCosts {
+	return ZoneCosts{Request: 3 * time.Millisecond, Megabyte: 9 * time.Millisecond}
+}
+
 // Want describes what a target is chosen for.
 type Want struct {
 	// Shared are the parts of the prompt that others may share, and OwnTokens the size of the rest.
@@ -185,7 +195,7 @@
 	c := t.health.cost()
 	cross := t.Spec.Zone != w.Zone
 	if cross {
-		c += crossCost + inputCost*float64(w.Inputs)/1e6
+		c += float64(t.pool.zones.Request) + float64(t.pool.zones.Megabyte)*float64(w.Inputs)/1e6
 	}
 	others := t.othersNow(now)
 	if !w.Engine {
@@ -210,6 +220,9 @@
 }
 
 func (t *Target) othersNow(now time.Time) float64 {
+	if t.others == 0 {
+		return 0
+	}
 	age := now.Sub(t.othersAt)
 	if age >= othersFade {
 		return 0
--- a/relay/enginemodel.go
+++ b/relay/enginemodel.go
@@ -25,8 +25,8 @@
 	paceLeast, paceMost = 0.7, 6.0
 )
 
-// Priors of an engine before it was observed, which the configuration does not state: the middle of what engines of
-// today do with models of 7 to 70 billion weights.
+// Priors of an engine before it was observed, which the configuration does not state: the middle of what engines do
+// with models of 7 to 70 billion weights.
 const (
 	priorStart  = 70 * time.Millisecond
 	priorToken  = 30 * time.Microsecond
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -70,6 +70,7 @@
 	// token and stream are what a prompt token and a stream beside it add to a first event, in milliseconds, as of the
 	// last choice.
 	token, stream float64
+	zones         ZoneCosts
 	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
 	memory int
 }
@@ -102,11 +103,22 @@
 	// version is that of the newest change of any entry, which is the same at all daemons that know as much.
 	version uint64
 	changed func(pool string)
+	zones   ZoneCosts
 }
 
+// FleetOption changes a Fleet at construction.
+type FleetOption func(*Fleet)
+
+// WithZoneCosts sets what other zones count for instead of DefaultZoneCosts.
+func WithZoneCosts(costs ZoneCosts) FleetOption { return func(f *Fleet) { f.zones = costs } }
+
 // NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
-func NewFleet(changed func(pool string)) *Fleet {
-	return &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, changed: changed}
+func NewFleet(changed func(pool string), options ...FleetOption) *Fleet {
+	f := &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, changed: changed, zones: DefaultZoneCosts()}
+	for _, option := range options {
+		option(f)
+	}
+	return f
 }
 
 // Version returns the store's version of the newest change that the fleet knows.
@@ -231,7 +243,7 @@
 func (f *Fleet) poolLocked(name string) *targetPool {
 	p := f.pools[name]
 	if p == nil {
-		p = &targetPool{targets: map[string]*Target{}, model: newEngineModel()}
+		p = &targetPool{targets: map[string]*Target{}, model: newEngineModel(), zones: f.zones}
 		f.pools[name] = p
 	}
 	return p
--- a/relay/server.go
+++ b/relay/server.go
@@ -27,13 +27,14 @@
 	startWait = 100 * time.Millisecond
 	// waitFull is when to come back to a daemon that has as many open requests as it may.
 	waitFull = time.Second
-	// streamsTaken is how long after the request to stop streams are taken: the balancer sends no new callers after two
-	// seconds, and a stream with stages takes up to five.
+	// streamsTaken is how long after the request to stop streams are taken: the balancer asks each second and sends no
+	// new callers after two misses, and those who kept a connection find another daemon as soon as they are refused.
 	streamsTaken = 2500 * time.Millisecond
-	// streamsLength is the time that streams may take at the end; with a short grace time none is taken.
+	// streamsLength and othersLength are the least times that streams and other requests are given before the end, also
+	// where those of the route were shorter so far: cutting one off costs its caller the whole answer, and refusing it
+	// one way to another daemon.
 	streamsLength = 4500 * time.Millisecond
-	// othersLength is the time that other requests may take at the end.
-	othersLength = 1500 * time.Millisecond
+	othersLength  = 1500 * time.Millisecond
 	// waitStopping is when to come back to a deployment of which one daemon stops: at once, to another.
 	waitStopping = 50 * time.Millisecond
 	// noTimeout stands in for the bound of requests that have none.
@@ -63,8 +64,8 @@
 	counts  Counts
 
 	// firstEvents are the times to the first events of a route's requests at their targets, answers those to the whole
-	// answers of a pool, and callTimes those of a pool's calls for pieces.
-	firstEvents, answers, callTimes typicals[string]
+	// answers of a pool, callTimes those of a pool's calls for pieces, and lengths those of whole requests of a route.
+	firstEvents, answers, callTimes, lengths typicals[string]
 
 	budgetMu sync.Mutex
 	budgets  map[string]*Budget
@@ -75,10 +76,20 @@
 	stopping atomic.Pointer[stopPlan]
 }
 
-// stopPlan is how a daemon that stops goes on for a while.
-type stopPlan struct {
-	// streamsUntil and othersUntil are when requests are no longer taken, since they might be cut off at the end.
-	streamsUntil, othersUntil time.Time
+// stopPlan is how a daemon that stops goes on for a while: from began on, until the last moment.
+type stopPlan struct{ began, last time.Time }
+
+// until is when a request of a kind is no longer taken, since it might be cut off at the end; length is how long those
+// of its route nearly always take, as far as that is known.
+func (p *stopPlan) until(kind proto.RouteKind, length time.Duration) time.Time {
+	if kind != proto.RouteStream {
+		return p.last.Add(-max(othersLength, length))
+	}
+	end := p.last.Add(-max(streamsLength, length))
+	if taken := p.began.Add(streamsTaken); taken.Before(end) {
+		return taken
+	}
+	return end
 }
 
 // BudgetTerms are the terms of the retry budget, for all daemons together.
@@ -120,11 +131,7 @@
 // Stop makes each answer from now on close its connection, so that callers go to other daemons. Callers that keep a
 // connection may send for a while; what might not end before the last moment is refused as not run.
 func (s *Server) Stop(began, last time.Time) {
-	streams := began.Add(streamsTaken)
-	if end := last.Add(-streamsLength); end.Before(streams) {
-		streams = end
-	}
-	s.stopping.Store(&stopPlan{streamsUntil: streams, othersUntil: last.Add(-othersLength)})
+	s.stopping.Store(&stopPlan{began: began, last: last})
 }
 
 // Counts returns the totals since the start.
@@ -284,6 +291,7 @@
 	now := s.clock.Now()
 	if fail == nil {
 		s.counts.delivered(now.Sub(f.began), f.inTime(now))
+		s.lengths.observe(f.route.Name, streamsLength, now.Sub(f.began))
 		s.log.Info("request delivered", append(f.facts(now), "inTime", f.inTime(now))...)
 		return
 	}
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+func TestAStoppingDaemonKnowsHowLongARouteTakes(t *testing.T) {
+	s := &Server{}
+	s.Stop(start, start.Add(7*time.Second))
+	f := &flow{server: s, route: &proto.Route{Name: "long", Kind: proto.RouteStream}, began: start.Add(time.Second)}
+	if fail := f.refuseStopping(); fail != nil {
+		t.Fatalf("refused before anything is known: %s", fail.reason)
+	}
+	for range 50 {
+		s.lengths.observe("long", streamsLength, 6500*time.Millisecond)
+	}
+	if f.refuseStopping() == nil {
+		t.Error("taken, though streams of the route take longer than there is time")
+	}
+}
+
 func TestARequestWaitsForADaemonThatIsStarting(t *testing.T) {
 	type world struct {
 		clock   *clockwork.FakeClock
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -73,6 +73,7 @@
 	docs     documents
 
 	linkKey      string
+	zoneCosts    relay.ZoneCosts
 	badSettings  bool // only the loop that watches the settings uses it
 	targetsKnown atomic.Bool
 	// rowsRead says that the store's list of daemons was read, so that the daemon knows who does what for all.
@@ -98,10 +99,13 @@
 // WithLinkKey sets the key that daemons show each other instead of the store's address.
 func WithLinkKey(key string) RelayOption { return func(d *Relay) { d.linkKey = key } }
 
+// WithZoneCosts sets what other availability zones count for in the choice of a target.
+func WithZoneCosts(costs relay.ZoneCosts) RelayOption { return func(d *Relay) { d.zoneCosts = costs } }
+
 // NewRelay returns a daemon that does nothing yet.
 func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink, options ...RelayOption) *Relay {
 	// The platform gives no secret; the store's address keeps daemons of two deployments apart.
-	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store), linkKey: settings.Store.String()}
+	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store), linkKey: settings.Store.String(), zoneCosts: relay.DefaultZoneCosts()}
 	for _, option := range options {
 		option(d)
 	}
@@ -112,7 +116,7 @@
 		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Count: 1,
 	}
 	d.exchange = wire.NewExchange(clock)
-	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) })
+	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts))
 	d.newPeers()
 	dialect := platform.Dialect{}
 	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables)
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without news. Each call is priced, and a watch that hangs is
-	// noticed only after it.
+	// watchWait is how long the store holds a watch without news. Each call counts against the store's rate, and a watch
+	// that hangs is noticed only after it.
 	watchWait = 5 * time.Second
 	// watchSlack is how much later than that an answer may come; the store may be slow by a factor of some tens.
 	watchSlack = 1500 * time.Millisecond
