--- /dev/null
+++ b/relay/batchqueue.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"emberlead/proto"
+)
+
+// share is the target time that a piece costs in a full call, or that its result takes of the target's room if that
+// is more.
+func (b *Batcher) share(bytes int) float64 {
+	work := b.model.callCost()/float64(max(1, b.spec.Most)) + b.model.pieceCost(bytes)
+	if b.spec.Room == 0 {
+		return work
+	}
+	return max(work, b.hold*float64(bytes)/float64(b.spec.Room))
+}
+
+// Wait is the time until a job with such a turn would begin, from the work ahead of it and the targets in service. One
+// that is left out for a while counts from then on: a pool that refused one call each is not out of service.
+func (b *Batcher) Wait(now, turn time.Time) time.Duration {
+	free := b.capacity(now)
+	if len(free) == 0 {
+		return time.Minute
+	}
+	work := 0.0
+	for _, j := range b.jobs {
+		if j.left() > 0 && !j.done && (!j.late || turn.Sub(now) >= allTurns) && !j.order.After(turn) {
+			work += float64(j.left()) * b.share(j.Ask.Bytes)
+		}
+	}
+	return free.taken(work)
+}
+
+// freeTarget is when a target can begin a call, in nanoseconds from now, and its pace.
+type freeTarget struct{ in, pace float64 }
+
+// capacity is when the targets in service can begin a call, the first one at the front.
+type capacity []freeTarget
+
+func (b *Batcher) capacity(now time.Time) capacity {
+	free := make(capacity, 0, len(b.targets))
+	for _, t := range b.targets {
+		if !t.spec.Leaving {
+			free = append(free, freeTarget{b.freeIn(now, t), t.pace})
+		}
+	}
+	slices.SortFunc(free, func(x, y freeTarget) int { return cmp.Compare(x.in, y.in) })
+	return free
+}
+
+func (b *Batcher) freeIn(now time.Time, t *batchTarget) float64 {
+	in := max(0, float64(t.outTo.Sub(now)))
+	if t.call != nil {
+		in = max(in, float64(t.call.Began.Add(t.call.Expected).Sub(now)))
+	}
+	return in
+}
+
+// taken is after what time the targets have taken up an amount of work, each from when it is free.
+func (c capacity) taken(work float64) time.Duration {
+	at, speed := c[0].in, 0.0
+	for i, f := range c {
+		speed += 1 / f.pace
+		if i+1 == len(c) || (c[i+1].in-at)*speed >= work {
+			break
+		}
+		work -= (c[i+1].in - at) * speed
+		at = c[i+1].in
+	}
+	return time.Duration(at + work/speed)
+}
+
+// Queue is how long a job like this one would wait for its turn if it came now.
+func (b *Batcher) Queue(now time.Time, j *Job) time.Duration {
+	return b.Wait(now, now.Add(j.order.Sub(j.since)))
+}
+
+// length is how long a call with a job's pieces and a usual share of others takes.
+func (b *Batcher) length(j *Job) float64 {
+	n := float64(min(j.Ask.Pieces, b.spec.Most))
+	own := b.model.callCost() + n*b.model.pieceCost(j.Ask.Bytes)
+	return (own + b.fullCall(j.Ask.Bytes)) / 2
+}
+
+// canBeLate tells whether a job that will not be in time is still made well before its result is of no use: with all
+// that waits ahead of it, and as much again that may come.
+func (b *Batcher) canBeLate(now time.Time, j *Job) bool {
+	ahead := b.Wait(now, now.Add(allTurns))
+	return time.Duration(lateMargin*float64(ahead)+j.length) < time.Duration(latePart*float64(j.End.Sub(now)))
+}
+
+// sort puts the jobs in their turn. Those that can no longer be in time come last, so that they do not make others
+// late as well.
+func (b *Batcher) sort(now time.Time) {
+	for _, j := range b.jobs {
+		late := !j.Ask.Begun && now.Add(time.Duration(j.length)).After(j.Due)
+		b.resort = b.resort || late != j.late
+		j.late = late
+	}
+	if !b.resort {
+		return
+	}
+	b.resort = false
+	slices.SortStableFunc(b.jobs, func(x, y *Job) int {
+		if x.late != y.late {
+			if x.late {
+				return 1
+			}
+			return -1
+		}
+		return x.order.Compare(y.order)
+	})
+}
+
+// giveUp ends the late jobs that will not be made in the time for which their results are of use, so that their callers
+// hear of it now. The jobs are in the order of their turns, so the late ones come last.
+func (b *Batcher) giveUp(now time.Time) []JobEnd {
+	if now.Sub(b.lastLook) < giveUpEvery {
+		return nil
+	}
+	b.lastLook = now
+	free := b.capacity(now)
+	if len(free) == 0 {
+		return nil
+	}
+	var ends []JobEnd
+	work := 0.0
+	for _, j := range b.jobs {
+		j.length = b.length(j)
+		if j.done || j.left() == 0 {
+			continue
+		}
+		if j.late && j.missing == j.Ask.Pieces {
+			if start := free.taken(work); now.Add(start + time.Duration(j.length)).After(j.End) {
+				ends = append(ends, b.end(j, proto.PiecesAnswer{
+					Fate: proto.PiecesRefused, Queued: now.Sub(j.since), Queue: start, Wait: max(retryFloor, start), Detail: "more urgent work leaves no time for the stage",
+				}))
+				continue
+			}
+		}
+		work += float64(j.left()) * b.share(j.Ask.Bytes)
+	}
+	return ends
+}
+
+func (b *Batcher) expire(now time.Time) []JobEnd {
+	var ends []JobEnd
+	b.jobs = slices.DeleteFunc(b.jobs, func(j *Job) bool {
+		if j.done {
+			return true
+		}
+		if !now.After(j.End) {
+			return false
+		}
+		ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesLate, Queued: now.Sub(j.since), Detail: "the time for the stage was over in the queue"}))
+		return true
+	})
+	for _, t := range b.targets {
+		t.leaves = slices.DeleteFunc(t.leaves, func(k keptResult) bool {
+			if now.Before(k.until) {
+				return false
+			}
+			t.room -= k.bytes
+			delete(b.kept, k.handle)
+			return true
+		})
+	}
+	return ends
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"expvar"
-	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -16,7 +13,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
-	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
 	"emberlead/coord"
@@ -345,84 +341,3 @@
 	}
 	d.log.Info("closing", "open", d.server.Open(), "after", d.clock.Now().Sub(began).String())
 }
-
-func (d *Relay) addRelayServers(g *run.Group) error {
-	health := echo.New()
-	health.HideBanner, health.HidePort = true, true
-	health.GET(platform.HealthPath, func(c echo.Context) error {
-		if ok, reason := d.Ready(); !ok {
-			return c.String(http.StatusServiceUnavailable, reason+"\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
-	})
-	metrics := echo.New()
-	metrics.HideBanner, metrics.HidePort = true, true
-	metrics.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
-	d.publishRelay()
-	for _, s := range []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		// Callers' methods and paths are passed on as they are, so no router comes before the relay.
-		{d.settings.Callers, d.server},
-		{d.settings.Health, health},
-		{d.settings.Peers, d.peers.links.Handler()},
-		{d.settings.Metrics, metrics},
-	} {
-		if err := d.addRelayServer(g, s.address, s.handler); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *Relay) addRelayServer(g *run.Group, address netip.AddrPort, handler http.Handler) error {
-	listener, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: headMost,
-		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-	g.Add(func() error { return server.Serve(listener) }, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), closeWait)
-		defer cancel()
-		wire.Shutdown(ctx, server)
-	})
-	return nil
-}
-
-// RelayVars are the measures of a relaying daemon at /debug/vars.
-type RelayVars struct {
-	Requests relay.CountReport   `json:"requests"`
-	Pieces   relay.PieceCounts   `json:"pieces"`
-	Targets  wire.ExchangeCounts `json:"targetConnections"`
-	Links    wire.LinkCounts     `json:"links"`
-	Members  coord.MemberCounts  `json:"members"`
-	Routing  uint64              `json:"routing"`
-	Fleet    uint64              `json:"fleet"`
-	Open     int64               `json:"openRequests"`
-	Reads    int64               `json:"storeReads"`
-	Writes   int64               `json:"storeWrites"`
-	Dropped  int64               `json:"logLinesDropped"`
-}
-
-func (d *Relay) publishRelay() {
-	wire.PublishVars(d.settings.VM, func() any { return d.vars() })
-}
-
-func (d *Relay) vars() RelayVars {
-	reads, writes := d.store.Counts()
-	return RelayVars{
-		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
-		Members: d.peers.members.Counts(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
-		Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
-	}
-}
-
-func (d *Relay) logStatus() {
-	v := d.vars()
-	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members,
-		"routing", v.Routing, "targets", v.Fleet, "open", v.Open, "storeReads", v.Reads, "storeWrites", v.Writes, "dropped", v.Dropped)
-}
--- /dev/null
+++ b/serve/relaydocs.go
@@ -0,0 +1,296 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/relay"
+)
+
+// documents keeps the platform's own form of what is in force, for daemons that the store does not answer.
+type documents struct {
+	mu      sync.Mutex
+	routing []byte
+	// targets holds removed entries too, from since on.
+	targets map[string]proto.TargetDocument
+	since   uint64
+}
+
+func (d *Relay) routingEntries(e platform.Entries) bool {
+	for i := range e.List {
+		if e.List[i].IsRouting() && !e.List[i].Removed {
+			d.adoptRouting(e.List[i].Body, "store")
+		}
+	}
+	return true
+}
+
+func (d *Relay) adoptRouting(body []byte, from string) {
+	r, err := platform.ReadRouting(body)
+	if err != nil {
+		d.log.Error("a configuration cannot be read", "from", from, "error", err)
+		return
+	}
+	old := d.tables.Version()
+	if !d.tables.Adopt(r) {
+		d.log.Debug("configuration ignored", "from", from, "version", r.Version, "inForce", old)
+		return
+	}
+	d.docs.mu.Lock()
+	if r.Version == d.tables.Version() {
+		d.docs.routing = body
+	}
+	d.docs.mu.Unlock()
+	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", old, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces))
+	for name, pool := range r.Pools {
+		if pool.Engine != nil {
+			d.fleet.SetMemory(name, pool.Engine.CacheTokens)
+		}
+	}
+	d.pieces.RoutingChanged()
+	d.peers.members.Beat(d.clock.Now())
+	d.noteStart()
+}
+
+// changeOf reads one entry of the targets' table.
+func (d *Relay) changeOf(doc proto.TargetDocument) (relay.FleetChange, bool) {
+	c := relay.FleetChange{ID: doc.ID, Version: doc.Version, Removed: doc.Removed, Lapsed: doc.Lapsed}
+	if doc.Removed {
+		return c, true
+	}
+	t, err := platform.ReadTarget(doc.ID, doc.Body)
+	if err != nil {
+		d.log.Error("a target's entry cannot be read", "target", doc.ID, "error", err)
+		return c, false
+	}
+	c.Target = t
+	return c, true
+}
+
+func documentsOf(e platform.Entries) []proto.TargetDocument {
+	docs := make([]proto.TargetDocument, 0, len(e.List))
+	for _, entry := range e.List {
+		docs = append(docs, proto.TargetDocument{ID: entry.Key, Body: entry.Body, Version: entry.Version, Removed: entry.Removed})
+	}
+	return docs
+}
+
+// storeSeen tells the fleet how the store is, after what its answer brought was taken in.
+func (d *Relay) storeSeen(now time.Time, answered bool) {
+	if answered {
+		d.fleet.StoreBack(now)
+		return
+	}
+	d.fleet.StoreAway(now)
+}
+
+func (d *Relay) targetsWhole(e platform.Entries) bool {
+	return d.takeTargets(e.Version, documentsOf(e), "store", false)
+}
+
+// takeTargets takes in a whole list; one of another daemon is complete up to its version.
+func (d *Relay) takeTargets(asOf uint64, docs []proto.TargetDocument, from string, complete bool) bool {
+	var entries []relay.FleetChange
+	kept := map[string]proto.TargetDocument{}
+	for _, doc := range docs {
+		c, ok := d.changeOf(doc)
+		if ok {
+			kept[doc.ID] = doc
+		}
+		if ok && !doc.Removed {
+			entries = append(entries, c)
+		}
+	}
+	notes, taken := d.fleet.Replace(d.clock.Now(), asOf, entries, complete)
+	if !taken {
+		d.log.Info("list of targets ignored", "from", from, "asOf", asOf, "known", d.fleet.Version())
+		return false
+	}
+	d.docs.mu.Lock()
+	d.docs.targets, d.docs.since = kept, d.fleet.Version()
+	d.docs.mu.Unlock()
+	d.noteFleet(notes, from)
+	d.targetsKnown.Store(true)
+	d.noteStart()
+	return true
+}
+
+func (d *Relay) targetsChanged(e platform.Entries) { d.takeChanges(documentsOf(e), "store", false) }
+
+// takeChanges takes in entries that changed.
+func (d *Relay) takeChanges(docs []proto.TargetDocument, from string, told bool) {
+	var changes []relay.FleetChange
+	for _, doc := range docs {
+		if c, ok := d.changeOf(doc); ok {
+			c.Told = told
+			changes = append(changes, c)
+		}
+	}
+	notes := d.fleet.Change(d.clock.Now(), changes)
+	lapsed := map[string]bool{}
+	for _, n := range notes {
+		lapsed[n.Target.ID] = n.Outcome == relay.OutcomeLapsed
+	}
+	d.docs.mu.Lock()
+	for _, doc := range docs {
+		doc.Lapsed = doc.Removed && lapsed[doc.ID]
+		if doc.Version >= d.docs.targets[doc.ID].Version {
+			d.docs.targets[doc.ID] = doc
+		}
+	}
+	d.docs.mu.Unlock()
+	d.noteFleet(notes, from)
+}
+
+func (d *Relay) noteFleet(notes []relay.FleetNote, from string) {
+	for _, n := range notes {
+		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "version", d.fleet.Version(), "from", from)
+	}
+	if len(notes) > 0 {
+		d.peers.members.Beat(d.clock.Now())
+	}
+	if ids, before := d.fleet.Lapsed(notes); len(ids) > 0 {
+		go d.askOfLapsed(ids, before)
+	}
+}
+
+// askOfLapsed asks the neighbours how they saw entries go that this daemon holds to have lapsed: a store that failed for
+// some daemons only went on serving the others, and what went then has left.
+func (d *Relay) askOfLapsed(ids []string, before uint64) {
+	for range lapseAsks {
+		for _, vm := range d.peers.members.Links() {
+			go d.askNeighbourOfLapsed(vm, ids, before)
+		}
+		d.pause(context.Background(), pullAfter)
+	}
+}
+
+func (d *Relay) askNeighbourOfLapsed(vm proto.VM, ids []string, before uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
+	defer cancel()
+	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: before})
+	a, ok := m.(proto.RoutingAnswer)
+	if err != nil || !ok {
+		d.log.Info("a neighbour did not say how lapsed targets went", "from", vm, "error", err)
+		return
+	}
+	for _, doc := range a.TargetEntries {
+		if doc.Removed && !doc.Lapsed && slices.Contains(ids, doc.ID) {
+			d.noteFleet(d.fleet.Doubt(doc.ID), string(vm))
+		}
+	}
+}
+
+// answerAsk gives another daemon what it lacks: what changed since, or the whole list if that is not known.
+func (d *Relay) answerAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
+	d.docs.mu.Lock()
+	defer d.docs.mu.Unlock()
+	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version()}
+	if a.Routing > ask.Routing {
+		a.RoutingBody = d.docs.routing
+	}
+	if a.Targets <= ask.Targets {
+		return a
+	}
+	a.TargetsAreSent, a.Whole = true, ask.Targets < d.docs.since
+	for _, doc := range d.docs.targets {
+		if a.Whole && !doc.Removed || !a.Whole && doc.Version > ask.Targets {
+			a.TargetEntries = append(a.TargetEntries, doc)
+		}
+	}
+	return a
+}
+
+// pull asks another daemon for what it has newer, one at a time, since a list may be large and a link small.
+func (d *Relay) pull(from proto.VM) {
+	if !d.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.pulling.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
+	defer cancel()
+	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version()})
+	a, ok := m.(proto.RoutingAnswer)
+	if err != nil || !ok {
+		d.log.Info("another daemon gave nothing newer", "from", from, "error", err)
+		return
+	}
+	if len(a.RoutingBody) > 0 {
+		d.adoptRouting(a.RoutingBody, string(from))
+	}
+	if !a.TargetsAreSent {
+		return
+	}
+	d.log.Info("targets taken from another daemon", "from", from, "version", a.Targets, "entries", len(a.TargetEntries), "whole", a.Whole)
+	if a.Whole {
+		d.takeTargets(a.Targets, a.TargetEntries, string(from), true)
+		return
+	}
+	d.takeChanges(a.TargetEntries, string(from), true)
+}
+
+// daemonRow is what a daemon says of itself in the store, for daemons that start when all seeds are gone.
+type daemonRow struct {
+	Zone        proto.Zone        `json:"zone"`
+	Peer        netip.AddrPort    `json:"peer"`
+	Incarnation proto.Incarnation `json:"incarnation"`
+}
+
+// list reads the other daemons' rows, writes the own one once, and reads the others' again now and then.
+func (d *Relay) list(ctx context.Context) {
+	d.readRows(ctx)
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			written = d.writeRow(ctx)
+		}
+		wait := listEvery
+		if !d.readRows(ctx) || !written {
+			wait = retryMost
+		}
+		d.pause(ctx, wait)
+	}
+}
+
+func (d *Relay) writeRow(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	body, err := json.Marshal(daemonRow{Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation})
+	if err == nil {
+		err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
+	}
+	if err != nil {
+		d.log.Debug("the own row is not written", "error", err)
+	}
+	return err == nil
+}
+
+func (d *Relay) readRows(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	rows, err := d.store.Daemons().Read(ctx)
+	if err != nil {
+		d.log.Debug("the list of daemons is not read", "error", err)
+		return false
+	}
+	now := d.clock.Now()
+	for _, entry := range rows.List {
+		var row daemonRow
+		if err := json.Unmarshal(entry.Body, &row); err != nil {
+			d.log.Warn("a daemon's row cannot be read", "vm", entry.Key, "error", err)
+			continue
+		}
+		// The own row may still be that of the last run, whose number must be lower.
+		alive := proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}
+		d.peers.members.Alive(now, alive, "")
+	}
+	d.rowsRead.Store(true)
+	d.noteStart()
+	return true
+}
