--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -62,21 +62,16 @@
 
 // Ask has all pieces of a stage made, by the daemon that batches for the pool or, when that is silent, by another.
 func (p *Pieces) Ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
-	key := queueKey{ask.Pool, ask.Rank}
-	began := p.clock.Now()
-	p.queues.asked(began, due, key)
 	answer := p.ask(ctx, ask, due, end)
-	p.queues.answered(began, key)
 	if answer.Fate == proto.PiecesDone || answer.Fate == proto.PiecesRefused {
-		p.queues.note(p.clock.Now(), key, answer.Queue)
+		p.queues.note(p.clock.Now(), queueKey{ask.Pool, ask.Rank}, answer.Queue)
 	}
 	return answer
 }
 
-// Queue is how long a job of such a rank waits for its turn in a pool, as far as this daemon knows; length is that of a
-// usual call.
-func (p *Pieces) Queue(pool string, rank int, length time.Duration) time.Duration {
-	return p.queues.read(p.clock.Now(), queueKey{pool, rank}, length)
+// Queue is how long a job of such a rank waits for its turn in a pool, as far as this daemon has lately heard.
+func (p *Pieces) Queue(pool string, rank int) time.Duration {
+	return p.queues.read(p.clock.Now(), queueKey{pool, rank})
 }
 
 func (p *Pieces) ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -219,9 +219,8 @@
 		if f.pieces(i) == 0 || !contains(f.route.Stages[i].After, stage) {
 			continue
 		}
-		length := f.stageLength(i)
-		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.rank, length)
-		longest = max(longest, queue+length+f.restAfter(i))
+		queue := f.server.pieces.Queue(f.route.Stages[i].Pool, f.rank)
+		longest = max(longest, queue+f.stageLength(i)+f.restAfter(i))
 	}
 	if longest == 0 {
 		return f.toFirstEvent()
