--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -105,7 +105,7 @@
 }
 
 func (b *Batcher) load(now time.Time, t *batchTarget, first *Job) *Call {
-	c := &Call{Target: t.spec, Began: now}
+	c := &Call{Target: t.spec, Began: now, Least: b.spec.CallCost}
 	t.call = c
 	b.take(now, t, c, first)
 	// Jobs of the target's own zone go before those whose inputs would cross zones.
--- a/relay/job.go
+++ b/relay/job.go
@@ -58,6 +58,8 @@
 	Began  time.Time
 	// Expected is how long the call should take.
 	Expected time.Duration
+	// Least is the time of an empty call as the configuration states it.
+	Least time.Duration
 
 	// overdue says that its pieces were queued again, since it takes much longer than expected.
 	overdue bool
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -22,8 +22,9 @@
 	freeEvery = 20 * time.Millisecond
 	// expireEvery is how often a worker with jobs looks for those whose time is over.
 	expireEvery = 50 * time.Millisecond
-	// callSlack is how many times its expected time a call may take before its target is held to be hung: a slow target
-	// takes up to five times as long, and what it has done by then would be lost.
+	// callSlack is how many times its expected time, or that of an empty call as configured if that is more, a call may
+	// take before its target is held to be hung: a slow target takes up to five times as long, and what it has done by
+	// then would be lost.
 	callSlack = 6
 	// freeWait bounds a call that frees results.
 	freeWait = time.Second
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -130,7 +130,7 @@
 var errBusy = errors.New("the target has no free slot")
 
 func (p *Pieces) call(c *Call) ([]ItemResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callSlack*c.Expected)
+	ctx, cancel := context.WithTimeout(context.Background(), callSlack*max(c.Expected, c.Least))
 	defer cancel()
 	out, err := p.dialect.PiecesCall(c, p.clock.Now())
 	if err != nil {
