--- a/entry/losses.go
+++ b/entry/losses.go
@@ -40,13 +40,9 @@
 	if err != nil {
 		return err
 	}
-	var lines []logLine
-	for _, path := range c.Args().Slice() {
-		more, err := readLog(path)
-		if err != nil {
-			return exit(ExitUsage, err)
-		}
-		lines = append(lines, more...)
+	lines, err := readLogs(c.Args().Slice())
+	if err != nil {
+		return exit(ExitUsage, err)
 	}
 	report := newLossReport(requestEnds(lines), worths, c.Duration("every"))
 	return report.print(c.Root().Writer)
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -38,13 +38,9 @@
 		return usage("trace needs the id of a request and at least one file, see emberlead trace --help")
 	}
 	id := c.Args().First()
-	var lines []logLine
-	for _, path := range c.Args().Tail() {
-		more, err := readLog(path)
-		if err != nil {
-			return exit(ExitUsage, err)
-		}
-		lines = append(lines, more...)
+	lines, err := readLogs(c.Args().Tail())
+	if err != nil {
+		return exit(ExitUsage, err)
 	}
 	t := newTrace(id, lines)
 	if len(t.own) == 0 {
@@ -71,6 +67,19 @@
 	Fields map[string]any `json:"-"`
 }
 
+// readLogs reads the files of several daemons.
+func readLogs(paths []string) ([]logLine, error) {
+	var lines []logLine
+	for _, path := range paths {
+		more, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 // readLog reads a file of log lines; what stands before the first brace of a line is passed over.
 func readLog(path string) ([]logLine, error) {
 	file, err := os.Open(path)
