--- a/coord/alarms.go
+++ b/coord/alarms.go
@@ -64,7 +64,7 @@
 	monitors, alarmed := 0, 0
 	for _, vm := range m.monitors(mem) {
 		other := m.members[vm]
-		if other == nil || other.dead {
+		if other == nil || other.dead || other.suspect() {
 			continue
 		}
 		monitors++
@@ -83,6 +83,18 @@
 	m.changed()
 }
 
+// suspect tells whether more than one daemon misses another, which may well be dead: its silence on a third speaks for
+// nothing. When a third of 200 daemons die at once, a quarter of the dead have lost half of those that watch them.
+func (mem *member) suspect() bool {
+	silent := 0
+	for _, a := range mem.alarms {
+		if a.Silent {
+			silent++
+		}
+	}
+	return silent > 1
+}
+
 // monitors are the regional links that the daemon has, or would have if it were alive.
 func (m *Members) monitors(mem *member) []proto.VM {
 	if !mem.dead {
--- a/coord/alarms_test.go
+++ b/coord/alarms_test.go
@@ -70,6 +70,31 @@
 	}
 }
 
+// TestManyDeathsAreKnownSoon has a third of 200 daemons die at once, when a quarter of those have lost half of their
+// monitors. Within a silence, a link's first silence after that and what news takes, nine pairs in ten know.
+func TestManyDeathsAreKnownSoon(t *testing.T) {
+	const daemons = 200
+	s := newMesh(daemons, 1, 4, quickTiming())
+	s.run(5 * time.Second)
+	for i := range daemons / 3 {
+		s.dead[s.order[i*3]] = true
+	}
+	s.run(2*s.timing.Silence + 2*s.timing.Heartbeat/gatherPart)
+	unknowing, pairs := 0, 0
+	for vm := range s.dead {
+		dead, live := s.holdDead(vm)
+		unknowing += live - dead
+		pairs += live
+	}
+	if wrong := s.wronglyDead(); wrong > 0 {
+		t.Errorf("%d times a live daemon is held dead", wrong)
+	}
+	t.Logf("%d of %d pairs do not know", unknowing, pairs)
+	if unknowing*10 > pairs {
+		t.Errorf("%d of %d pairs of a live daemon and a dead one do not know of the death", unknowing, pairs)
+	}
+}
+
 // TestANewLinkIsNotSilent has one daemon die: no daemon raises an alarm about one that it has just been linked to.
 func TestANewLinkIsNotSilent(t *testing.T) {
 	s := newMesh(74, 1, 4, quickTiming())
--- a/coord/beats.go
+++ b/coord/beats.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"slices"
 	"time"
 
 	"emberlead/proto"
@@ -87,16 +88,27 @@
 	if m.linkedOf == m.version {
 		return
 	}
-	for _, mem := range m.members {
-		if len(mem.alarms) > 0 {
-			m.judge(now, mem)
-		}
+	for _, vm := range m.alarmedAbout() {
+		m.judge(now, m.members[vm])
 	}
 	m.linkedOf = m.version
 	m.digest = m.deadDigest()
 	m.relink(now)
 }
 
+// alarmedAbout lists in order those about whom there are alarms: to hold one to be dead changes who judges the next, and
+// daemons with the same alarms are to come to the same view.
+func (m *Members) alarmedAbout() []proto.VM {
+	var about []proto.VM
+	for vm, mem := range m.members {
+		if len(mem.alarms) > 0 {
+			about = append(about, vm)
+		}
+	}
+	slices.Sort(about)
+	return about
+}
+
 // relink notes which links are new since the view changed, and announces this daemon over them: the other end may not
 // know it yet, and would send it nothing.
 func (m *Members) relink(now time.Time) {
