--- /dev/null
+++ b/wire/dial_test.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestAnOpeningPacketThatIsLostIsSentAnewSoon has the first tries bring no answer, as at a VM without power.
+func TestAnOpeningPacketThatIsLostIsSentAnewSoon(t *testing.T) {
+	refused := errors.New("connection refused")
+	scenarios := []struct {
+		name  string
+		lost  int
+		err   error
+		tries int
+	}{
+		{"the first try connects", 0, nil, 1},
+		{"two packets are lost", 2, nil, 3},
+		{"a refusal is an answer", 0, refused, 1},
+		{"a refusal after a lost packet", 1, refused, 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			tries := 0
+			dial := dialFunc(func(ctx context.Context, _, _ string) (net.Conn, error) {
+				tries++
+				if tries <= s.lost {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return nil, s.err
+			})
+			_, err := dial.anew(time.Millisecond)(t.Context(), "tcp4", "192.0.2.1:1")
+			if !errors.Is(err, s.err) || tries != s.tries {
+				t.Errorf("%d tries and %v, want %d and %v", tries, err, s.tries, s.err)
+			}
+		})
+	}
+}
+
+// TestDialingAnewEndsWithItsContext has no try bring an answer.
+func TestDialingAnewEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	tries := 0
+	dial := dialFunc(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		if tries++; tries == 3 {
+			cancel()
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	if _, err := dial.anew(time.Millisecond)(ctx, "tcp4", "192.0.2.1:1"); !errors.Is(err, context.Canceled) || tries != 3 {
+		t.Errorf("%d tries and %v", tries, err)
+	}
+}
--- a/wire/links.go
+++ b/wire/links.go
@@ -79,7 +79,7 @@
 	if l.gate == nil {
 		l.gate = func() {}
 	}
-	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: c.TLS, DialContext: Dialer(dialTimeout).DialContext}}
+	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: c.TLS, DialContext: dialFunc(Dialer(dialTimeout).DialContext).anew(linkConnect)}}
 	return l
 }
 
