--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -314,13 +314,14 @@
 	return FleetNote{Target: t.Spec, Outcome: outcomeRemoved}
 }
 
-// Lapsed returns the ids of targets that this daemon itself saw lapse, and the version before the first of them went.
+// Lapsed returns the ids of targets that are held to have lapsed, and the version before the first of them went. A
+// daemon that was told so may have been told by one that the store had turned away.
 func (f *Fleet) Lapsed(notes []FleetNote) (ids []string, before uint64) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, n := range notes {
 		t := f.where[n.Target.ID]
-		if n.Outcome != OutcomeLapsed || t == nil || t.lapseTold {
+		if n.Outcome != OutcomeLapsed || t == nil {
 			continue
 		}
 		if len(ids) == 0 || n.Version-1 < before {
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -132,6 +132,20 @@
 	}
 }
 
+// TestALapseThatWasToldIsAskedAbout has a daemon that reaches the store hear of a removal first from one that does not.
+func TestALapseThatWasToldIsAskedAbout(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	told := removed(5, "a")
+	told.Told, told.Lapsed = true, true
+	ids, before := f.Lapsed(f.Change(start, []FleetChange{told}))
+	if fmt.Sprint(ids) != "[a]" || before != 4 {
+		t.Fatalf("to be asked about are %v after version %d", ids, before)
+	}
+	if f.Doubt("a"); names(f, "p") != "b " {
+		t.Errorf("usable %q, though another daemon saw it leave", names(f, "p"))
+	}
+}
+
 // TestALapsedTargetThatAnotherDaemonSawLeaveIsLeftOut is a daemon that was turned away by a store which served others.
 func TestALapsedTargetThatAnotherDaemonSawLeaveIsLeftOut(t *testing.T) {
 	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// askOfLapsed asks the neighbours how they saw entries go that this daemon holds to have lapsed: a store that failed for
+// askOfLapsed asks the neighbours how they saw entries go that are held to have lapsed: a store that failed for
 // some daemons only went on serving the others, and what went then has left.
 func (d *Relay) askOfLapsed(ids []string, before uint64) {
 	for range lapseAsks {
