--- a/proto/relay.go
+++ b/proto/relay.go
@@ -193,6 +193,10 @@
 	// InputPool names the pool whose results the inputs are, if nothing else of the request reads them: they are given up
 	// as soon as they were fetched.
 	InputPool string `cbor:"16,keyasint,omitempty"`
+	// Shard is that part of the pool's targets that is to do the work, and InputShard that of InputPool that made the
+	// inputs.
+	Shard      int `cbor:"17,keyasint,omitempty"`
+	InputShard int `cbor:"18,keyasint,omitempty"`
 }
 
 // PieceFate tells how a stage's pieces ended.
@@ -239,6 +243,8 @@
 	Made   time.Duration `cbor:"8,keyasint,omitempty"`
 	// InputsFreed says that the inputs were given up, as the ask allowed.
 	InputsFreed bool `cbor:"9,keyasint,omitempty"`
+	// Shard is the part of the pool that was asked; the asker sets it.
+	Shard int `cbor:"-"`
 }
 
 // PiecesDrop tells the daemon that batches a pool's calls that results are not needed any more, or a stage not at all.
@@ -247,6 +253,8 @@
 	Handles []string `cbor:"2,keyasint,omitempty"`
 	Request string   `cbor:"3,keyasint,omitempty"`
 	Stage   int      `cbor:"4,keyasint,omitempty"`
+	// Shard is the part of the pool's targets that the results or the stage are of.
+	Shard int `cbor:"5,keyasint,omitempty"`
 }
 
 // PromptShare is one part of a prompt that other prompts may share.
--- a/relay/batchinputs.go
+++ b/relay/batchinputs.go
@@ -6,21 +6,22 @@
 	"emberlead/proto"
 )
 
-// Fetched returns the inputs of a call under way that nothing else will read, by the pools whose results they are; its
+// Fetched returns the inputs of a call under way that nothing else will read, by the shards whose results they are; its
 // target has fetched them by now. The room that they take up is what the pool before this one waits for: freed so early
 // instead of after the call, 0.007 to 0.015 more of the worth of all requests is earned on days of faults of three
 // customers, of the least urgent ones most. Where the target may have no room for some results, which are then made
 // again, inputs are kept.
-func (b *Batcher) Fetched(now time.Time, c *Call) map[string][]string {
+func (b *Batcher) Fetched(now time.Time, c *Call) map[shard][]string {
 	t := b.targets[c.Target.ID]
 	if t == nil || t.call != c || b.roomInDoubt(now, t) {
 		return nil
 	}
-	given := map[string][]string{}
+	given := map[shard][]string{}
 	for _, item := range c.Items {
 		if j := item.Job; j.readsLast() {
 			j.inputsFreed = true
-			given[j.Ask.InputPool] = append(given[j.Ask.InputPool], j.Ask.Inputs...)
+			of := shard{j.Ask.InputPool, j.Ask.InputShard}
+			given[of] = append(given[of], j.Ask.Inputs...)
 		}
 	}
 	return given
--- a/relay/batchinputs_test.go
+++ b/relay/batchinputs_test.go
@@ -21,7 +21,7 @@
 	kept.Ask.Inputs = []string{"read by others"}
 	add(t, b, reader("a", 2), kept, reader("large", 10))
 	first := next(b, start)[0]
-	if got := fmt.Sprint(b.Fetched(start, first)); got != "map[before:[input of a]]" {
+	if got := fmt.Sprint(b.Fetched(start, first)); got != "map[{before 0}:[input of a]]" {
 		t.Errorf("given up: %s; others read one job's inputs, and pieces of the large one wait for another call", got)
 	}
 	if again := b.Fetched(start, first); len(again) != 0 {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -367,6 +367,17 @@
 	return notes
 }
 
+// Size returns the number of a pool's targets, leaving and doubted ones included.
+func (f *Fleet) Size(pool string) int {
+	p := f.pool(pool)
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.targets)
+}
+
 // Usable returns the targets of a pool that may get new work.
 func (f *Fleet) Usable(pool string) []proto.RelayTarget {
 	p := f.pool(pool)
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -34,7 +34,7 @@
 	batchTask = "batch/"
 )
 
-// Pieces has the pieces of stages worked on: each pool has one daemon that fills the calls to its targets.
+// Pieces has the pieces of stages worked on: each shard of a pool has one daemon that fills the calls to its targets.
 type Pieces struct {
 	self    proto.VM
 	clock   clockwork.Clock
@@ -46,7 +46,7 @@
 	tables  *Tables
 
 	mu      sync.Mutex
-	workers map[string]*worker
+	workers map[shard]*worker
 	frees   *frees
 
 	queues  queues
@@ -57,29 +57,37 @@
 
 // NewPieces returns a driver without work.
 func NewPieces(self proto.VM, clock clockwork.Clock, log hclog.Logger, dialect Dialect, sender Sender, peers Peers, fleet *Fleet, tables *Tables) *Pieces {
-	p := &Pieces{self: self, clock: clock, log: log, dialect: dialect, sender: sender, peers: peers, fleet: fleet, tables: tables, workers: map[string]*worker{}}
+	p := &Pieces{self: self, clock: clock, log: log, dialect: dialect, sender: sender, peers: peers, fleet: fleet, tables: tables, workers: map[shard]*worker{}}
 	p.frees = &frees{pieces: p, due: map[netip.AddrPort]*freeing{}}
 	return p
 }
 
 // Ask has all pieces of a stage made, by the daemon that batches for the pool or, when that is silent, by another.
 func (p *Pieces) Ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
+	ask.Shard = p.chooseShard(ask.Pool, ask.Request, ask.Rank)
 	answer := p.ask(ctx, ask, due, end)
+	answer.Shard = ask.Shard
 	if answer.Fate == proto.PiecesDone || answer.Fate == proto.PiecesRefused {
-		p.queues.note(p.clock.Now(), queueKey{ask.Pool, ask.Rank}, answer.Queue)
+		p.queues.note(p.clock.Now(), queueKey{shard{ask.Pool, ask.Shard}, ask.Rank}, answer.Queue)
 	}
 	return answer
 }
 
-// Queue is how long a job of such a rank waits for its turn in a pool, as far as this daemon has lately heard.
+// Queue is how long a job of such a rank waits for its turn in a pool, as far as this daemon has lately heard: in the
+// shard with the shortest queue, since it is one of two that gets the job.
 func (p *Pieces) Queue(pool string, rank int) time.Duration {
-	return p.queues.read(p.clock.Now(), queueKey{pool, rank})
+	now := p.clock.Now()
+	least := p.queues.read(now, queueKey{shard{pool, 0}, rank})
+	for i := 1; i < shardsOf(p.fleet.Size(pool)); i++ {
+		least = min(least, p.queues.read(now, queueKey{shard{pool, i}, rank}))
+	}
+	return least
 }
 
 func (p *Pieces) ask(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
 	skip := map[proto.VM]bool{}
 	for ask.Trial = 0; ctx.Err() == nil; ask.Trial++ {
-		owner := p.peers.Owner(batchTask+ask.Pool, skip)
+		owner := p.peers.Owner(shard{ask.Pool, ask.Shard}.task(), skip)
 		if owner == p.self || owner == "" {
 			return p.Work(ctx, ask, due, end)
 		}
@@ -120,12 +128,12 @@
 		select {
 		case a := <-answers:
 			if a.err != nil && ctx.Err() != nil {
-				p.peers.Send(owner, proto.PiecesDrop{Pool: ask.Pool, Request: ask.Request, Stage: ask.Stage})
+				p.peers.Send(owner, proto.PiecesDrop{Pool: ask.Pool, Shard: ask.Shard, Request: ask.Request, Stage: ask.Stage})
 			}
 			return a.answer, a.err
 		case <-ticker.Chan():
 			if p.peers.Silent(owner) {
-				p.peers.Send(owner, proto.PiecesDrop{Pool: ask.Pool, Request: ask.Request, Stage: ask.Stage})
+				p.peers.Send(owner, proto.PiecesDrop{Pool: ask.Pool, Shard: ask.Shard, Request: ask.Request, Stage: ask.Stage})
 				return proto.PiecesAnswer{}, fault("ask for pieces", proto.KindUnavailable, "%s is silent", owner)
 			}
 		}
@@ -134,7 +142,7 @@
 
 // Work batches the pieces here and waits for their results.
 func (p *Pieces) Work(ctx context.Context, ask proto.PiecesAsk, due, end time.Time) proto.PiecesAnswer {
-	w := p.worker(ask.Pool)
+	w := p.worker(shard{ask.Pool, ask.Shard})
 	if w == nil {
 		return proto.PiecesAnswer{Fate: proto.PiecesElsewhere, Detail: "the configuration in force here has no such pool of stages"}
 	}
@@ -148,27 +156,28 @@
 	case a := <-answers:
 		return a
 	case <-ctx.Done():
-		p.Drop(proto.PiecesDrop{Pool: ask.Pool, Request: ask.Request, Stage: ask.Stage})
+		p.Drop(proto.PiecesDrop{Pool: ask.Pool, Shard: ask.Shard, Request: ask.Request, Stage: ask.Stage})
 		return proto.PiecesAnswer{Fate: proto.PiecesLate, Detail: "the request ended"}
 	}
 }
 
-// Free gives results up; the daemon that batches for the pool is told, since it counts their room.
-func (p *Pieces) Free(pool string, handles []string) {
+// Free gives results of a shard of a pool up; the daemon that batches for it is told, since it counts their room.
+func (p *Pieces) Free(pool string, index int, handles []string) {
 	if len(handles) == 0 {
 		return
 	}
-	owner := p.peers.Owner(batchTask+pool, nil)
+	drop := proto.PiecesDrop{Pool: pool, Shard: index, Handles: handles}
+	owner := p.peers.Owner(shard{pool, index}.task(), nil)
 	if owner == p.self || owner == "" {
-		p.Drop(proto.PiecesDrop{Pool: pool, Handles: handles})
+		p.Drop(drop)
 		return
 	}
-	p.peers.Send(owner, proto.PiecesDrop{Pool: pool, Handles: handles})
+	p.peers.Send(owner, drop)
 }
 
 // Drop frees results, or withdraws a stage that nobody waits for any more.
 func (p *Pieces) Drop(d proto.PiecesDrop) {
-	w := p.worker(d.Pool)
+	w := p.worker(shard{d.Pool, d.Shard})
 	if w == nil {
 		p.frees.add(nil, d.Handles)
 		return
@@ -176,13 +185,15 @@
 	w.drop(d)
 }
 
-// TargetsChanged lets the pool's batcher take over the targets that may get work.
+// TargetsChanged lets the pool's batchers take over the targets that may get work.
 func (p *Pieces) TargetsChanged(pool string) {
 	p.mu.Lock()
-	w := p.workers[pool]
+	workers := slices.Collect(maps.Values(p.workers))
 	p.mu.Unlock()
-	if w != nil {
-		w.retarget()
+	for _, w := range workers {
+		if w.pool == pool {
+			w.retarget()
+		}
 	}
 }
 
@@ -211,22 +222,22 @@
 	return PieceCounts{Calls: p.calls.Load(), Pieces: p.items.Load(), Failed: p.failed.Load()}
 }
 
-func (p *Pieces) worker(pool string) *worker {
+func (p *Pieces) worker(of shard) *worker {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w := p.workers[pool]; w != nil {
+	if w := p.workers[of]; w != nil {
 		return w
 	}
 	table := p.tables.Current()
 	if table == nil {
 		return nil
 	}
-	spec := table.Routing().Pools[pool]
+	spec := table.Routing().Pools[of.pool]
 	if spec == nil || spec.Batch == nil {
 		return nil
 	}
-	w := &worker{pieces: p, pool: pool, batch: NewBatcher(*spec.Batch), waiting: map[*Job]chan proto.PiecesAnswer{}}
-	w.batch.SetTargets(p.fleet.Usable(pool))
-	p.workers[pool] = w
+	w := &worker{pieces: p, shard: of, batch: NewBatcher(*spec.Batch), waiting: map[*Job]chan proto.PiecesAnswer{}}
+	w.batch.SetTargets(w.targets())
+	p.workers[of] = w
 	return w
 }
--- a/relay/pieces_test.go
+++ b/relay/pieces_test.go
@@ -158,7 +158,7 @@
 
 func TestAChangedPoolIsTakenOverByItsBatcher(t *testing.T) {
 	p := newPieces(clockwork.NewRealClock(), &ownerPeers{}, &standSender{})
-	w := p.worker("p")
+	w := p.worker(shard{pool: "p"})
 	changed := spec
 	changed.Most, changed.CallCost = 3*spec.Most, 2*spec.CallCost
 	p.tables.Adopt(&proto.Routing{Version: 2, Pools: map[string]*proto.RelayPool{"p": {Name: "p", Batch: &changed}}})
--- a/relay/queues.go
+++ b/relay/queues.go
@@ -9,10 +9,10 @@
 // busy pool is heard of several times a second.
 const queueFade = 1500 * time.Millisecond
 
-// queueKey is a pool as jobs of one rank see it.
+// queueKey is a shard of a pool as jobs of one rank see it.
 type queueKey struct {
-	pool string
-	rank int
+	shard shard
+	rank  int
 }
 
 type heardQueue struct {
@@ -20,7 +20,7 @@
 	at   time.Time
 }
 
-// queues is what a daemon has heard of the queues of pools, whichever daemon batches for them.
+// queues is what a daemon has heard of the queues of pools, whichever daemons batch for them.
 type queues struct {
 	mu    sync.Mutex
 	heard map[queueKey]heardQueue
--- /dev/null
+++ b/relay/shards_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+func poolOf(n int) []proto.RelayTarget {
+	targets := make([]proto.RelayTarget, n)
+	for i := range targets {
+		targets[i] = listed(fmt.Sprint("t", i), "p", "z")
+	}
+	return targets
+}
+
+func TestAPoolIsDividedByItsSize(t *testing.T) {
+	for targets, want := range map[int]int{0: 1, 1: 1, 24: 1, 25: 2, 48: 2, 72: 3, 700: 30} {
+		if got := shardsOf(targets); got != want {
+			t.Errorf("%d targets are divided into %d shards, want %d", targets, got, want)
+		}
+	}
+}
+
+func TestEachTargetIsInOneShard(t *testing.T) {
+	targets := poolOf(100)
+	shards := shardsOf(len(targets))
+	seen := map[string]int{}
+	for i := range shards {
+		own := shardTargetsOf(targets, i, shards)
+		if len(own) < shardTargets/2 || len(own) > 2*shardTargets {
+			t.Errorf("shard %d of %d has %d targets", i, shards, len(own))
+		}
+		for _, target := range own {
+			seen[target.ID]++
+		}
+	}
+	for _, target := range targets {
+		if seen[target.ID] != 1 {
+			t.Errorf("%s is in %d shards", target.ID, seen[target.ID])
+		}
+	}
+	// A shard that is none any more ends its work with targets of another.
+	if own := shardTargetsOf(targets, shards, shards); len(own) == 0 {
+		t.Error("a shard that was given up has no target for what waits in it")
+	}
+}
+
+// TestAnotherShardTakesItsPartFromAllOthers counts the targets that change their shard as a pool grows.
+func TestAnotherShardTakesItsPartFromAllOthers(t *testing.T) {
+	moved := 0
+	const targets, shards = 1000, 9
+	for _, target := range poolOf(targets) {
+		before, after := shardOf(target.ID, shards), shardOf(target.ID, shards+1)
+		if before != after && after != shards {
+			t.Errorf("%s moves from shard %d to %d, which was there before", target.ID, before, after)
+		}
+		if before != after {
+			moved++
+		}
+	}
+	if moved > 2*targets/shards {
+		t.Errorf("%d of %d targets move to one more shard", moved, targets)
+	}
+}
+
+// shardedPieces is a driver that batches for all shards of a pool of so many targets itself.
+func shardedPieces(targets int) *Pieces {
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	p := newPieces(clockwork.NewRealClock(), peers, &standSender{})
+	var changes []FleetChange
+	for i, target := range poolOf(targets) {
+		changes = append(changes, put(uint64(i+1), target))
+	}
+	p.fleet.Change(start, changes)
+	return p
+}
+
+func TestStagesGoToTheShorterOfTwoQueues(t *testing.T) {
+	p := shardedPieces(3 * shardTargets)
+	got := map[int]int{}
+	for i := range 300 {
+		got[p.chooseShard("p", fmt.Sprint("r", i), 0)]++
+	}
+	for i := range 3 {
+		if got[i] < 50 {
+			t.Errorf("shard %d gets %d of 300 requests while no queue is known", i, got[i])
+		}
+	}
+	p.queues.note(p.clock.Now(), queueKey{shard{"p", 1}, 0}, time.Minute)
+	for i := range 300 {
+		if request := fmt.Sprint("r", i); p.chooseShard("p", request, 0) == 1 {
+			t.Fatalf("%s goes to the shard with a queue of a minute", request)
+		}
+	}
+	if got := p.Queue("p", 0); got != 0 {
+		t.Errorf("a queue of %v, though two of three shards have none", got)
+	}
+}
+
+// TestResultsAreFreedAtTheShardThatMadeThem has another daemon batch for all shards.
+func TestResultsAreFreedAtTheShardThatMadeThem(t *testing.T) {
+	p := shardedPieces(3 * shardTargets)
+	peers := p.peers.(*ownerPeers)
+	for i := range 20 {
+		ask := proto.PiecesAsk{Pool: "p", Request: fmt.Sprint("r", i), Pieces: 1}
+		answer := p.Ask(context.Background(), ask, start.Add(time.Hour), start.Add(time.Hour))
+		if asked := peers.asked[i].Shard; answer.Shard != asked {
+			t.Errorf("%s: shard %d was asked, and the answer is of %d", ask.Request, asked, answer.Shard)
+		}
+		p.Free("p", answer.Shard, answer.Handles)
+		if drop, ok := peers.sent[i].(proto.PiecesDrop); !ok || drop.Shard != answer.Shard {
+			t.Errorf("%s: freed by %+v, want shard %d", ask.Request, peers.sent[i], answer.Shard)
+		}
+	}
+}
+
+// TestBatchersFollowAPoolThatGrows has a pool of one shard become one of two.
+func TestBatchersFollowAPoolThatGrows(t *testing.T) {
+	p := shardedPieces(shardTargets)
+	first := p.worker(shard{"p", 0})
+	if n := len(first.targets()); n != shardTargets {
+		t.Fatalf("%d targets", n)
+	}
+	var more []FleetChange
+	for i := range shardTargets {
+		more = append(more, put(uint64(100+i), listed(fmt.Sprint("new", i), "p", "z")))
+	}
+	p.fleet.Change(start, more)
+	p.TargetsChanged("p")
+	second := p.worker(shard{"p", 1})
+	if a, b := len(first.batch.targets), len(second.batch.targets); a+b != 2*shardTargets || a == 0 || b == 0 {
+		t.Errorf("%d and %d targets of %d", a, b, 2*shardTargets)
+	}
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -30,6 +30,8 @@
 	handles            []string
 	zone               string
 	bytes              int
+	// shard is that of the stage's pool that made them.
+	shard int
 }
 
 type stageEnd struct {
@@ -79,7 +81,7 @@
 		}
 		f.server.callTimes.observe(stages[e.stage].Pool, f.stageLength(e.stage), e.answer.Made)
 		r := &f.inputs[e.stage]
-		r.done, r.handles, r.zone = true, e.answer.Handles, e.answer.Zone
+		r.done, r.handles, r.zone, r.shard = true, e.answer.Handles, e.answer.Zone, e.answer.Shard
 		r.bytes = stages[e.stage].Bytes * len(r.handles)
 		f.freeUsed()
 		open += f.startStages(ctx, ends, home)
@@ -95,7 +97,8 @@
 		f.noteStage(e)
 		f.noteFreed(e)
 		if e.answer.Fate == proto.PiecesDone {
-			f.inputs[e.stage].done, f.inputs[e.stage].handles = true, e.answer.Handles
+			r := &f.inputs[e.stage]
+			r.done, r.handles, r.shard = true, e.answer.Handles, e.answer.Shard
 		}
 	}
 }
@@ -202,7 +205,7 @@
 		}
 	}
 	if len(spec.After) == 1 && f.soleReader(stage, spec.After[0]) {
-		ask.InputPool = f.route.Stages[spec.After[0]].Pool
+		ask.InputPool, ask.InputShard = f.route.Stages[spec.After[0]].Pool, f.inputs[spec.After[0]].shard
 	}
 	if bulk*ask.Pieces < bulkInputs {
 		ask.Zone = ""
@@ -337,7 +340,7 @@
 		return
 	}
 	results[stage].freed = true
-	f.server.pieces.Free(f.route.Stages[stage].Pool, results[stage].handles)
+	f.server.pieces.Free(f.route.Stages[stage].Pool, results[stage].shard, results[stage].handles)
 }
 
 // freeAll frees all results that are left, once the request has read its inputs or has ended.
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -166,7 +166,7 @@
 
 func TestAQueueCountsLessTheLongerAgoItWasHeardOf(t *testing.T) {
 	var q queues
-	key := queueKey{"p", 1}
+	key := queueKey{shard{pool: "p"}, 1}
 	q.note(start, key, 2*time.Second)
 	for _, s := range []struct{ age, want time.Duration }{
 		{0, 2 * time.Second},
@@ -178,7 +178,7 @@
 			t.Errorf("after %v it counts %v, want %v", s.age, got, s.want)
 		}
 	}
-	if got := q.read(start, queueKey{"p", 0}); got != 0 {
+	if got := q.read(start, queueKey{shard{pool: "p"}, 0}); got != 0 {
 		t.Errorf("another rank's queue counts %v", got)
 	}
 }
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -10,10 +10,10 @@
 	"emberlead/proto"
 )
 
-// worker drives the batcher of one pool, under a lock of its own.
+// worker drives the batcher of one shard of a pool, under a lock of its own.
 type worker struct {
+	shard
 	pieces *Pieces
-	pool   string
 
 	mu      sync.Mutex
 	batch   *Batcher
@@ -44,8 +44,14 @@
 	w.turn()
 }
 
+// targets are those of the shard that may get work.
+func (w *worker) targets() []proto.RelayTarget {
+	shards := shardsOf(w.pieces.fleet.Size(w.pool))
+	return shardTargetsOf(w.pieces.fleet.Usable(w.pool), w.index, shards)
+}
+
 func (w *worker) retarget() {
-	targets := w.pieces.fleet.Usable(w.pool)
+	targets := w.targets()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.batch.SetTargets(targets)
@@ -113,9 +119,9 @@
 	now := p.clock.Now()
 	if err != nil {
 		p.failed.Add(1)
-		p.log.Warn("a call for pieces failed", "pool", w.pool, "target", c.Target.ID, "address", c.Target.Address, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "error", err)
+		p.log.Warn("a call for pieces failed", "pool", w.pool, "shard", w.index, "target", c.Target.ID, "address", c.Target.Address, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "error", err)
 	} else {
-		p.log.Info("pieces made", "pool", w.pool, "target", c.Target.ID, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "expected", brief(c.Expected))
+		p.log.Info("pieces made", "pool", w.pool, "shard", w.index, "target", c.Target.ID, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "expected", brief(c.Expected))
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -163,8 +169,8 @@
 	w.mu.Lock()
 	given := w.batch.Fetched(w.pieces.clock.Now(), c)
 	w.mu.Unlock()
-	for pool, handles := range given {
-		w.pieces.Free(pool, handles)
+	for of, handles := range given {
+		w.pieces.Free(of.pool, of.index, handles)
 	}
 }
 
