--- a/relay/answer.go
+++ b/relay/answer.go
@@ -95,9 +95,7 @@
 	f := a.flow
 	f.sawFirstEvent(f.server.clock.Now().Sub(a.began))
 	// An engine has fetched all inputs before it reads the prompt.
-	if f.inputsFreed() {
-		f.server.fetches.done(f.pool, true)
-	}
+	f.noteFetched(true)
 	f.freeAll()
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -90,7 +89,7 @@
 			break
 		}
 	}
-	f.ready = last.answer
+	f.keepReady(&last)
 	if f.passReady() {
 		return nil, false
 	}
@@ -104,10 +103,17 @@
 // withoutInputs is the failure of a request that another target may get, but whose inputs were given up; it stands
 // unless they can be made anew.
 func (f *flow) withoutInputs(last *attemptEnd) *failure {
-	f.ready = last.answer
+	f.keepReady(last)
 	return f.notRun(waitBusy, last.reason)
 }
 
+// keepReady keeps the failure answer of an attempt, if there is one.
+func (f *flow) keepReady(last *attemptEnd) {
+	if last.answer != nil {
+		f.ready = last.answer
+	}
+}
+
 // passReady passes on the failure answer of a target that nothing better came after, if there is one.
 func (f *flow) passReady() bool {
 	if f.ready == nil || f.committed {
@@ -210,7 +216,7 @@
 	s := f.server
 	slow := s.clock.AfterFunc(a.firstWait(), func() { a.cancel(errSlowStart) })
 	defer slow.Stop()
-	defer a.freeOnceFetched().Stop()
+	defer a.freeOnceFetched()()
 	in, err := s.sender.Send(ctx, a.placed.Spec.Address, out)
 	if err != nil {
 		return a.noAnswer(ctx, err)
@@ -233,14 +239,29 @@
 	return a.whole(ctx, in)
 }
 
-// freeOnceFetched gives the inputs up when the target has had the time to fetch them.
-func (a *attempt) freeOnceFetched() clockwork.Timer {
+// freeOnceFetched gives the inputs up when the target has had the time to fetch them, unless it is stopped before.
+func (a *attempt) freeOnceFetched() (stop func()) {
 	f := a.flow
+	if len(f.handles) == 0 {
+		return func() {}
+	}
 	inputs := f.inputs
-	return f.server.clock.AfterFunc(f.server.fetches.wait(f.pool), func() {
+	timer := f.server.clock.AfterFunc(f.server.fetches.wait(f.pool), func() {
 		// AfterFunc may run in the goroutine of the clock, which must not wait for a lock.
 		go f.freeResults(inputs)
 	})
+	return func() { timer.Stop() }
+}
+
+// noteFetched learns whether inputs that were given up before the target answered were fetched by then.
+func (f *flow) noteFetched(fetched bool) {
+	if !f.inputsFreed() {
+		return
+	}
+	keep := f.server.fetches.done(f.pool, fetched)
+	if !fetched {
+		f.note("inputs were freed too early", "pool", f.pool, "target", f.target, "keepNext", brief(keep))
+	}
 }
 
 // firstWait is how long the target may take to begin; when no other may run the request, as long as there is time.
@@ -290,9 +311,7 @@
 		end.reason = "another target has the address"
 	case reply.LostInput:
 		end.reason = "an input is gone"
-		if a.flow.inputsFreed() {
-			a.flow.server.fetches.done(a.flow.pool, false)
-		}
+		a.flow.noteFetched(false)
 	default:
 		a.verdict = VerdictFull
 		end.reason = "the target refused the request: " + http.StatusText(in.Status)
--- a/relay/fetches.go
+++ b/relay/fetches.go
@@ -41,8 +41,9 @@
 	return fetchPrior
 }
 
-// done takes in what came of a request whose inputs were freed before its target showed that it has them.
-func (f *fetches) done(pool string, fetched bool) {
+// done takes in what came of a request whose inputs were freed before its target showed that it has them, and returns
+// how long those of the next one are kept.
+func (f *fetches) done(pool string, fetched bool) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.waits == nil {
@@ -52,5 +53,7 @@
 	if !fetched {
 		factor = fetchGrow
 	}
-	f.waits[pool] = max(fetchLeast, min(fetchMost, time.Duration(factor*float64(f.of(pool)))))
+	keep := max(fetchLeast, min(fetchMost, time.Duration(factor*float64(f.of(pool)))))
+	f.waits[pool] = keep
+	return keep
 }
--- a/relay/fetches_test.go
+++ b/relay/fetches_test.go
@@ -45,20 +45,21 @@
 }
 
 // sentFlow is a request whose stage is done and that was just sent to a target.
-func sentFlow(t *testing.T, clock clockwork.Clock) (*flow, clockwork.Timer) {
+func sentFlow(t *testing.T, clock clockwork.Clock) *flow {
 	t.Helper()
 	f := stagedFlow(&ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}, 1)
 	if fail, _ := f.runStages(context.Background()); fail != nil {
 		t.Fatal(fail.reason)
 	}
 	f.server.clock = clock
-	return f, (&attempt{flow: f}).freeOnceFetched()
+	(&attempt{flow: f}).freeOnceFetched()
+	return f
 }
 
 // TestInputsAreFreedOnceTheyAreFetched has a target that is silent while it works.
 func TestInputsAreFreedOnceTheyAreFetched(t *testing.T) {
 	clock := clockwork.NewFakeClockAt(start)
-	f, _ := sentFlow(t, clock)
+	f := sentFlow(t, clock)
 	clock.Advance(fetchPrior - time.Nanosecond)
 	if f.inputsFreed() {
 		t.Fatal("freed before the target could have fetched them")
@@ -86,7 +87,7 @@
 // anew for the next one.
 func TestResultsThatAreMadeAnewAreNotFreedByAnEarlierAttempt(t *testing.T) {
 	clock := clockwork.NewFakeClockAt(start)
-	f, _ := sentFlow(t, clock)
+	f := sentFlow(t, clock)
 	before := f.inputs
 	if fail, _ := f.runStages(context.Background()); fail != nil {
 		t.Fatal(fail.reason)
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -184,7 +184,11 @@
 		gave = true
 		fetched = fetched && results[n].Fate != proto.PiecesLost
 	}
-	if gave {
-		w.pieces.fetches.done(w.pool, fetched)
+	if !gave {
+		return
+	}
+	keep := w.pieces.fetches.done(w.pool, fetched)
+	if !fetched {
+		w.pieces.log.Info("inputs were freed too early", "pool", w.pool, "target", c.Target.ID, "keepNext", brief(keep))
 	}
 }
