--- a/relay/batchinputs_test.go
+++ b/relay/batchinputs_test.go
@@ -21,17 +21,17 @@
 	kept.Ask.Inputs = []string{"read by others"}
 	add(t, b, reader("a", 2), kept, reader("large", 10))
 	first := next(b, start)[0]
-	if got := fmt.Sprint(b.Fetched(start, first)); got != "map[{before 0}:[input of a]]" {
+	if got := fmt.Sprint(b.fetched(start, first)); got != "map[{before 0}:[input of a]]" {
 		t.Errorf("given up: %s; others read one job's inputs, and pieces of the large one wait for another call", got)
 	}
-	if again := b.Fetched(start, first); len(again) != 0 {
+	if again := b.fetched(start, first); len(again) != 0 {
 		t.Errorf("given up again: %v", again)
 	}
 	ends, _ := b.Done(start, first, results(first))
 	if len(ends) == 0 || !ends[0].Answer.InputsFreed {
 		t.Errorf("ends %+v: the asker is not told that the inputs are freed", ends)
 	}
-	if late := b.Fetched(start, first); len(late) != 0 {
+	if late := b.fetched(start, first); len(late) != 0 {
 		t.Errorf("given up after the call: %v", late)
 	}
 }
@@ -49,7 +49,7 @@
 	if len(again) != 1 {
 		t.Fatal("the piece without room is not made again")
 	}
-	if given := b.Fetched(soon, again[0]); len(given) != 0 {
+	if given := b.fetched(soon, again[0]); len(given) != 0 {
 		t.Errorf("given up: %v, though the target had no room a while ago", given)
 	}
 }
@@ -59,13 +59,13 @@
 	b := batcher(listed("t1", "p", "z"))
 	add(t, b, reader("a", 2), reader("b", 7))
 	first := next(b, start)[0]
-	if given := b.Fetched(start.Add(first.Expected/2), first); len(given) != 0 {
+	if given := b.fetched(start.Add(first.Expected/2), first); len(given) != 0 {
 		t.Errorf("given up: %v, though there may be no room for the results", given)
 	}
 	later := start.Add(spec.Keep)
 	b.Done(later, first, results(first))
 	second := next(b, later)[0]
-	if given := b.Fetched(later, second); len(given) != 1 {
+	if given := b.fetched(later, second); len(given) != 1 {
 		t.Errorf("given up: %v, though all that an earlier daemon had made is gone", given)
 	}
 }
@@ -81,7 +81,7 @@
 	if len(second) != 1 {
 		t.Fatal("an overdue call was not made elsewhere")
 	}
-	if given := b.Fetched(late, second[0]); len(given) != 0 {
+	if given := b.fetched(late, second[0]); len(given) != 0 {
 		t.Errorf("given up: %v", given)
 	}
 	if ends := b.Failed(late, first, false); len(ends) != 0 {
@@ -107,7 +107,7 @@
 			b.began = start.Add(-spec.Keep)
 			add(t, b, reader("a", 2))
 			c := next(b, start)[0]
-			b.Fetched(start, c)
+			b.fetched(start, c)
 			if late := next(b, start.Add(10*c.Expected)); len(late) != 0 {
 				t.Fatal("an overdue piece was sent again without its inputs")
 			}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -167,7 +167,7 @@
 // freeFetched gives up the inputs of a call that its target has fetched by now.
 func (w *worker) freeFetched(c *Call) {
 	w.mu.Lock()
-	given := w.batch.Fetched(w.pieces.clock.Now(), c)
+	given := w.batch.fetched(w.pieces.clock.Now(), c)
 	w.mu.Unlock()
 	for of, handles := range given {
 		w.pieces.Free(of.pool, of.index, handles)
