--- a/relay/server.go
+++ b/relay/server.go
@@ -35,6 +35,10 @@
 	// one way to another daemon.
 	streamsLength = 4500 * time.Millisecond
 	othersLength  = 1500 * time.Millisecond
+	// stopAnswer is how long before the last moment of a stopping daemon requests are refused whose stages are not done:
+	// what is refused then still reaches its caller, who goes to another daemon, and what is not would end without an
+	// answer.
+	stopAnswer = 300 * time.Millisecond
 	// waitStopping is when to come back to a deployment of which one daemon stops: at once, to another.
 	waitStopping = 50 * time.Millisecond
 	// noTimeout stands in for the bound of requests that have none.
@@ -75,6 +79,9 @@
 	started  <-chan struct{}
 	open     atomic.Int64
 	stopping atomic.Pointer[stopPlan]
+	// ending ends, by end, when requests that no target has are refused since the daemon stops.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // stopPlan is how a daemon that stops goes on for a while: from began on, until the last moment.
@@ -120,19 +127,23 @@
 
 // NewServer returns a server; it refuses requests until a configuration is known.
 func NewServer(c ServerConfig) *Server {
-	return &Server{
+	s := &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, sender: c.Sender, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*Budget{},
 	}
+	s.ending, s.end = context.WithCancel(context.Background())
+	return s
 }
 
 // Open returns the number of requests in progress.
 func (s *Server) Open() int64 { return s.open.Load() }
 
 // Stop makes each answer from now on close its connection, so that callers go to other daemons. Callers that keep a
-// connection may send for a while; what might not end before the last moment is refused as not run.
+// connection may send for a while; what might not end before the last moment is refused as not run, at once or, if its
+// stages take longer than expected, shortly before that moment.
 func (s *Server) Stop(began, last time.Time) {
 	s.stopping.Store(&stopPlan{began: began, last: last})
+	s.clock.AfterFunc(last.Sub(began)-stopAnswer, s.end)
 }
 
 // Counts returns the totals since the start.
@@ -257,7 +268,7 @@
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
 	defer f.freeAll()
 	for rebuilt := 0; ; rebuilt++ {
-		fail, lost := f.runStages(ctx)
+		fail, lost := f.runStagesUntilTheEnd(ctx)
 		if fail == nil {
 			f.staged = f.server.clock.Now()
 			fail, lost = f.runSelf(ctx)
@@ -273,6 +284,19 @@
 	}
 }
 
+// runStagesUntilTheEnd has the stages done, unless the daemon ends before they are.
+func (f *flow) runStagesUntilTheEnd(ctx context.Context) (fail *failure, lost bool) {
+	ending := f.server.ending
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ending, cancel)()
+	fail, lost = f.runStages(ctx)
+	if fail != nil && ending.Err() != nil {
+		return f.notRun(waitStopping, "the daemon stops before the stages of the request are done"), false
+	}
+	return fail, lost
+}
+
 // prompt names the part of the prompt that is the request's own, by which the log shows that a caller came back.
 func (f *flow) prompt() string {
 	if n := len(f.req.Parts); n > 0 {
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestAStoppingDaemonTakesOnlyWhatCanEnd(t *testing.T) {
-	s := &Server{}
+	s := NewServer(ServerConfig{Clock: clockwork.NewFakeClockAt(start)})
 	const long, short = 7 * time.Second, 2 * time.Second // until the last moment
 	scenarios := []struct {
 		name    string
@@ -46,8 +46,44 @@
 	}
 }
 
+// TestAStoppingDaemonRefusesWhoseStagesAreNotDone has a request wait in the queue of a stage until the daemon ends.
+func TestAStoppingDaemonRefusesWhoseStagesAreNotDone(t *testing.T) {
+	const grace = 7 * time.Second
+	peers := &scriptedPeers{silent: make(chan struct{}), answer: func(ctx context.Context) (proto.Message, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	f := stagedFlow(&ownerPeers{}, 1)
+	clock := clockwork.NewFakeClockAt(start)
+	f.server.clock, f.server.pieces = clock, newPieces(clock, peers, &standSender{})
+	f.server.Stop(start, start.Add(grace))
+	type end struct {
+		fail *failure
+		lost bool
+	}
+	ends := make(chan end, 1)
+	go func() {
+		fail, lost := f.runStagesUntilTheEnd(context.Background())
+		ends <- end{fail, lost}
+	}()
+	// The stop and the look whether the owner of the stage still lives wait for the clock.
+	if err := clock.BlockUntilContext(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(grace - stopAnswer - time.Nanosecond)
+	select {
+	case e := <-ends:
+		t.Fatalf("refused while there is time: %+v", e.fail)
+	default:
+	}
+	clock.Advance(time.Nanosecond)
+	if e := <-ends; e.fail == nil || e.lost || e.fail.status != 503 || e.fail.wait != waitStopping {
+		t.Errorf("end %+v, want a refusal that tells to come back at once", e)
+	}
+}
+
 func TestAStoppingDaemonKnowsHowLongARouteTakes(t *testing.T) {
-	s := &Server{}
+	s := NewServer(ServerConfig{Clock: clockwork.NewFakeClockAt(start)})
 	s.Stop(start, start.Add(7*time.Second))
 	f := &flow{server: s, route: &proto.Route{Name: "long", Kind: proto.RouteStream}, began: start.Add(time.Second)}
 	if fail := f.refuseStopping(); fail != nil {
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -18,6 +18,10 @@
 	watchSlack = 1500 * time.Millisecond
 	// readWait bounds a single read of the store.
 	readWait = 1500 * time.Millisecond
+	// probeWait is how long the store holds a watch that follows a call without an answer. A store that is away may take
+	// a watch in and never answer it, and a long one would be noticed seconds after the store's return; a configuration
+	// must be in force two seconds after that.
+	probeWait = 50 * time.Millisecond
 	// watchPace is the least time between two watches of the targets, so that many small changes come together;
 	// a target that leaves must be known well within two seconds.
 	watchPace = 250 * time.Millisecond
@@ -102,9 +106,13 @@
 		return all.Version, nil
 	}
 	w.daemon.pause(ctx, w.pace)
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait, limit := watchWait, watchWait+watchSlack
+	if !w.up {
+		wait, limit = probeWait, readWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	changed, err := w.table.Watch(ctx, version, watchWait)
+	changed, err := w.table.Watch(ctx, version, wait)
 	if err != nil {
 		return version, err
 	}
