--- /dev/null
+++ b/relay/batchqueue_test.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+func TestTurns(t *testing.T) {
+	due := func(j *Job, after time.Duration) *Job {
+		j.Due = start.Add(after)
+		return j
+	}
+	const goal = 2 * time.Second
+	step := time.Duration(rankShare * float64(goal))
+	ranked := func(j *Job, rank int) *Job {
+		j.Ask.Rank, j.Ask.Goal = rank, goal
+		return j
+	}
+	scenarios := []struct {
+		name string
+		jobs []*Job
+		want string
+	}{
+		{"the one due first", []*Job{due(job("a", 8), 3*time.Second), due(job("b", 8), 2*time.Second)}, "b"},
+		{"a rank counts for some time", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+step/2)}, "b"},
+		{"but not for ever", []*Job{ranked(due(job("a", 8), 2*time.Second), 1), due(job("b", 8), 2*time.Second+2*step)}, "a"},
+		{"one that must be late comes last", []*Job{due(job("a", 8), 100*time.Millisecond), due(job("b", 8), 2*time.Second)}, "b"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := batcher(listed("t1", "p", "z"))
+			add(t, b, s.jobs...)
+			if got := next(b, start)[0].Items[0].Job.Ask.Request; got != s.want {
+				t.Errorf("first %s, want %s", got, s.want)
+			}
+		})
+	}
+}
+
+func TestWhatCannotBeInTimeIsRefusedBeforeAnythingRan(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	add(t, b, job("a", 8), job("b", 8), job("c", 8))
+	next(b, start)
+	late := job("late", 8)
+	late.Due, late.End, late.Ask.First = start.Add(time.Second), start.Add(4*time.Second), true
+	late.order = late.Due
+	for _, j := range b.jobs {
+		j.order = start
+	}
+	refused := b.Add(start, late)
+	if refused == nil || refused.Fate != proto.PiecesRefused || refused.Wait < retryFloor {
+		t.Fatalf("answer %+v", refused)
+	}
+	begun := job("begun", 8)
+	begun.Due = start.Add(time.Second)
+	if b.Add(start, begun) != nil {
+		t.Error("a request for which work was done already was refused, though its result is still of use")
+	}
+}
+
+func TestAJobThatWillBeLateButSurelyMadeIsTaken(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	add(t, b, job("a", 8), job("b", 8), job("c", 8))
+	first := next(b, start)[0]
+	late := job("late", 8)
+	late.Due, late.End, late.Ask.First = start.Add(500*time.Millisecond), start.Add(20*time.Second), true
+	if refused := b.Add(start, late); refused != nil {
+		t.Fatalf("refused: %+v", refused)
+	}
+	now := start
+	for _, want := range []string{"b", "c", "late"} {
+		now = now.Add(first.Expected)
+		b.Done(now, first, results(first))
+		first = next(b, now)[0]
+		if got := first.Items[0].Job.Ask.Request; got != want {
+			t.Errorf("%s is made before %s: what cannot be in time makes others late", got, want)
+		}
+	}
+}
+
+func TestALateJobThatWillNotBeMadeIsGivenUpAtOnce(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	add(t, b, job("busy", 8))
+	next(b, start)
+	late, stream := job("late", 8), job("stream", 8)
+	late.Due, late.End = start, start.Add(4*time.Second)
+	stream.Due, stream.End, stream.Ask.Begun = start, start.Add(4*time.Second), true
+	add(t, b, late, stream)
+	if _, ends := b.Next(start); len(ends) != 0 {
+		t.Fatalf("given up with an empty queue: %+v", ends[0].Answer)
+	}
+	for i := range 10 {
+		add(t, b, job(fmt.Sprint("urgent", i), 8))
+	}
+	_, ends := b.Next(start.Add(giveUpEvery))
+	if len(ends) != 1 || ends[0].Job != late || ends[0].Answer.Fate != proto.PiecesRefused || ends[0].Answer.Wait < time.Second {
+		t.Errorf("ends %+v: the late job, and not the stream that its caller has a part of, is given up", ends)
+	}
+}
+
+func TestTheLastIdleTargetIsLeftToUrgentWork(t *testing.T) {
+	ranked := func(rank, pieces int, due time.Duration) *Job {
+		j := job(fmt.Sprintf("r%d-%d-%v ", rank, pieces, due), pieces)
+		j.Ask.Rank, j.Due = rank, start.Add(due)
+		return j
+	}
+	scenarios := []struct {
+		name  string
+		jobs  []*Job
+		taken bool
+	}{
+		{"urgent work", []*Job{ranked(0, 1, time.Minute)}, true},
+		{"work that can wait", []*Job{ranked(1, 1, time.Minute)}, false},
+		{"work that cannot wait", []*Job{ranked(1, 1, 300*time.Millisecond)}, true},
+		{"as much as fills a call", []*Job{ranked(1, 4, time.Minute), ranked(2, 4, time.Minute)}, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := batcher(listed("t1", "p", "z"), listed("t2", "p", "z"))
+			add(t, b, job("busy", 8))
+			if len(next(b, start)) != 1 {
+				t.Fatal("one target is not busy")
+			}
+			add(t, b, s.jobs...)
+			if calls := next(b, start); (len(calls) == 1) != s.taken {
+				t.Errorf("%d calls", len(calls))
+			}
+		})
+	}
+}
+
+func TestAnswersTellOfTheQueue(t *testing.T) {
+	b := batcher(listed("t1", "p", "z"))
+	b.spec.Room = 0
+	asked := job("a", 8)
+	add(t, b, asked)
+	if got := b.Queue(start, asked); got == 0 {
+		t.Error("no queue although all of the target's next call is taken")
+	}
+	next(b, start)
+	full := b.Queue(start, asked)
+	add(t, b, job("b", 8), job("c", 8))
+	if more := b.Queue(start, asked); more <= full {
+		t.Errorf("a queue of %v with two more calls ahead, %v before", more, full)
+	}
+	late := job("d", 1)
+	late.Ask.First, late.Due, late.End = true, start.Add(10*time.Millisecond), start.Add(4*time.Second)
+	if refused := b.Add(start, late); refused == nil || refused.Queue == 0 {
+		t.Errorf("a refusal does not tell of the queue: %+v", refused)
+	}
+}
