--- /dev/null
+++ b/proto/codec_fuzz_test.go
@@ -0,0 +1,40 @@
+package proto
+
+import (
+	"testing"
+	"time"
+)
+
+// FuzzDecode reads bytes of any form as another daemon might send them: what is read must be a message that can be
+// written and read again.
+func FuzzDecode(f *testing.F) {
+	for _, m := range []Message{
+		Heartbeat{Incarnation: 7, Routing: 3, Targets: 9},
+		PiecesAsk{Pool: "p", Request: "r", Pieces: 2, Inputs: []string{"h"}, Due: time.Second, Shard: 1},
+		PiecesAnswer{Fate: PiecesDone, Handles: []string{"h"}, InputsFreed: true},
+		PiecesDrop{Pool: "p", Handles: []string{"h"}, Shard: 2},
+		PlaceAsk{Pool: "p", Shared: []PromptShare{{ID: "a", Tokens: 5}}},
+		Alarm{About: "vm-1", By: "vm-2", Count: 4, Silent: true},
+	} {
+		data, err := Encode(m, 1, false, "")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Add([]byte{})
+	f.Add([]byte{0xbf, 0x01, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		env, m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(m, env.Call, env.Answer, env.Trace)
+		if err != nil {
+			t.Fatalf("%T was read and cannot be written: %v", m, err)
+		}
+		if _, _, err := Decode(again); err != nil {
+			t.Errorf("%T was written and cannot be read: %v", m, err)
+		}
+	})
+}
