Logs and metrics tell how old a daemon's view of the store is

Cause: nothing told a daemon that learns late from one that has no news: `store lost` did not say when the call was sent, nor until when what is believed was known to be right. Change: `store lost` has `asked` (how long ago the call was sent) and `age`; `status` and /debug/vars have the age of both tables. No decision rests on it.

--- a/serve/relay.go
+++ b/serve/relay.go
@@ -67,6 +67,8 @@
 	server   *relay.Server
 	peers    *relayPeers
 	docs     documents
+	// routingView and targetsView say how old what is known of the store's tables is.
+	routingView, targetsView view
 
 	linkKey      string
 	zoneCosts    relay.ZoneCosts
@@ -238,8 +240,8 @@
 }
 
 func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
-	routing := &watcher{daemon: d, name: "routing", table: d.store.Routing(), whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) }}
-	targets := &watcher{daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, whole: d.targetsWhole, change: d.targetsChanged, seen: d.storeSeen}
+	routing := &watcher{daemon: d, name: "routing", table: d.store.Routing(), view: &d.routingView, whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) }}
+	targets := &watcher{daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, view: &d.targetsView, whole: d.targetsWhole, change: d.targetsChanged, seen: d.storeSeen}
 	for _, loop := range []func(context.Context){
 		routing.run, targets.run, d.list, d.watchSettings,
 		d.every(peerTick, func() {
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
@@ -74,10 +75,14 @@
 	Members  coord.MemberCounts  `json:"members"`
 	Routing  uint64              `json:"routing"`
 	Fleet    uint64              `json:"fleet"`
-	Open     int64               `json:"openRequests"`
-	Reads    int64               `json:"storeReads"`
-	Writes   int64               `json:"storeWrites"`
-	Dropped  int64               `json:"logLinesDropped"`
+	// RoutingAge and TargetsAge are for how long the daemon has not had word of the store on each table, in
+	// milliseconds; -1 if it never had, as for one that learns from other daemons.
+	RoutingAge int64 `json:"routingAgeMs"`
+	TargetsAge int64 `json:"targetsAgeMs"`
+	Open       int64 `json:"openRequests"`
+	Reads      int64 `json:"storeReads"`
+	Writes     int64 `json:"storeWrites"`
+	Dropped    int64 `json:"logLinesDropped"`
 }
 
 func (d *Relay) publishRelay() {
@@ -86,15 +91,25 @@
 
 func (d *Relay) vars() RelayVars {
 	reads, writes := d.store.Counts()
+	now := d.clock.Now()
 	return RelayVars{
+		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
 		Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
 	}
 }
 
+func ageVar(v *view, now time.Time) int64 {
+	age, known := v.age(now)
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members,
-		"routing", v.Routing, "targets", v.Fleet, "open", v.Open, "storeReads", v.Reads, "storeWrites", v.Writes, "dropped", v.Dropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "open", v.Open, "storeReads", v.Reads, "storeWrites", v.Writes, "dropped", v.Dropped)
 }
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -50,8 +50,12 @@
 	change func(platform.Entries)
 	// seen is told after each call whether the store answered.
 	seen func(now time.Time, answered bool)
+	// view is told as of when the store's answers hold.
+	view *view
 
 	up bool
+	// asked is when the last call was sent.
+	asked time.Time
 }
 
 // run reads the table whole and then watches it, until the context ends.
@@ -94,6 +98,7 @@
 // step makes one call and returns the version to go on from.
 func (w *watcher) step(ctx context.Context, version uint64) (uint64, error) {
 	if version == 0 {
+		w.asked = w.daemon.clock.Now()
 		ctx, cancel := context.WithTimeout(ctx, readWait)
 		defer cancel()
 		all, err := w.table.Read(ctx)
@@ -103,6 +108,7 @@
 		if !w.whole(all) {
 			return 0, fault("read "+w.name, proto.KindUnavailable, "the store's answer is older than what is known")
 		}
+		w.view.confirm(w.asked)
 		return all.Version, nil
 	}
 	w.daemon.pause(ctx, w.pace)
@@ -112,6 +118,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	w.asked = w.daemon.clock.Now()
 	changed, err := w.table.Watch(ctx, version, wait)
 	if err != nil {
 		return version, err
@@ -119,6 +126,7 @@
 	if len(changed.List) > 0 {
 		w.change(changed)
 	}
+	w.view.confirm(w.daemon.clock.Now())
 	return changed.Version, nil
 }
 
@@ -130,7 +138,8 @@
 	}
 	switch {
 	case err != nil && w.up:
-		w.daemon.log.Warn("store lost", "table", w.name, "error", err)
+		age, known := w.view.age(now)
+		w.daemon.log.Warn("store lost", "table", w.name, "asked", now.Sub(w.asked).String(), "known", known, "age", age.String(), "error", err)
 	case err == nil && !w.up:
 		w.daemon.log.Info("store reached", "table", w.name)
 	}
--- a/serve/relaywatch_test.go
+++ b/serve/relaywatch_test.go
@@ -35,7 +35,7 @@
 	defer store.Close()
 	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://")))
 	w := &watcher{
-		daemon: &Relay{clock: clockwork.NewRealClock(), log: hclog.NewNullLogger()}, name: "routing", table: client.Routing(),
+		daemon: &Relay{clock: clockwork.NewRealClock(), log: hclog.NewNullLogger()}, name: "routing", table: client.Routing(), view: &view{},
 		whole: func(platform.Entries) bool { return true }, change: func(platform.Entries) {},
 	}
 	version := uint64(0)
