A daemon's view of the store is checked beside its watch

Cause: news came by a call that the store holds open, and by nothing else. A store that goes away never answers the calls that it holds; such a call was given up after 6.5 s, and a second rule (a short call after a failure) held only where a call had failed before. With the history dropped in a silent outage of 2.5 s none fails, and changes were in force 2.6 s after they were confirmed. Ruled out: more readers (they hang in step), a version told by the neighbours alone (none knows), the state of the connection (it is sound, the call is lost). Change: a view carries until when it is known to be right. One that nobody has confirmed for 1 s (and up to 0.3 s more, drawn anew each time) is checked by a call of its own. Heartbeats carry how old a daemon's own confirmation is, so about one daemon checks for all. News that a check finds ends the watch; a watch that ran out of time while checks were answered is no outage. Long watches are held for 10 s instead of 5 s. An old view is a line in the log.

--- a/proto/peer.go
+++ b/proto/peer.go
@@ -62,6 +62,10 @@
 	Targets uint64 `cbor:"6,keyasint,omitempty"`
 	// Dead is a digest of the runs that the sender holds to be dead; 0 if none.
 	Dead uint64 `cbor:"7,keyasint,omitempty"`
+	// RoutingAge and TargetsAge are how long ago the store itself told the sender that it has all changes of each; 0 if it
+	// never did.
+	RoutingAge time.Duration `cbor:"8,keyasint,omitempty"`
+	TargetsAge time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
--- a/serve/relayview.go
+++ b/serve/relayview.go
@@ -3,27 +3,88 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
 )
 
-// view says until when a daemon's copy of a table of the store is known to be right.
+// staleMost is how old what a daemon knows of the store may be before the log says so: a change is to be in force
+// everywhere two seconds after the store has it.
+const staleMost = 2 * time.Second
+
+// view says until when a daemon's copy of a table of the store is known to be right. It has all changes up to then.
 type view struct {
 	mu sync.Mutex
 	// confirmed is the latest moment as of which the store told this daemon what is in the table; zero if it never did.
 	confirmed time.Time
+	// heard is the same, as told by another daemon that had no newer state than this one.
+	heard time.Time
+	// stale says that the log has a line about the age.
+	stale bool
 }
 
 // confirm notes that the store told what was in the table at a moment.
 func (v *view) confirm(at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if at.After(v.confirmed) {
-		v.confirmed = at
-	}
+	v.confirmed = later(v.confirmed, at)
+}
+
+// hear notes that the store told another daemon what was in the table at a moment.
+func (v *view) hear(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.heard = later(v.heard, at)
+}
+
+// asOf returns when the copy was last known to be right, zero if it never was.
+func (v *view) asOf() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return later(v.confirmed, v.heard)
+}
+
+// confirmedAfter tells whether the store has answered a question of this daemon that was sent after a moment.
+func (v *view) confirmedAfter(at time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.confirmed.After(at)
 }
 
 // age returns how long ago the copy was last known to be right, and false if it never was.
 func (v *view) age(now time.Time) (time.Duration, bool) {
+	at := v.asOf()
+	return now.Sub(at), !at.IsZero()
+}
+
+// ownAge returns what other daemons may count on: how long ago the store told this daemon itself, so that no daemon is
+// confirmed by what it said before. It is at least a nanosecond, and 0 if the store never did.
+func (v *view) ownAge(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return now.Sub(v.confirmed), !v.confirmed.IsZero()
+	if v.confirmed.IsZero() {
+		return 0
+	}
+	return max(now.Sub(v.confirmed), 1)
+}
+
+// report logs when the copy becomes too old, and when it is confirmed again.
+func (v *view) report(now time.Time, log hclog.Logger, table string, version uint64) {
+	age, known := v.age(now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case known && age > staleMost && !v.stale:
+		v.stale = true
+		log.Warn("state of the store not confirmed", "table", table, "version", version, "age", age.String())
+	case known && age <= staleMost && v.stale:
+		v.stale = false
+		log.Info("state of the store confirmed again", "table", table, "version", version, "age", age.String())
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
--- /dev/null
+++ b/serve/relayview_test.go
@@ -0,0 +1,256 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/relay"
+)
+
+// countingStore holds long watches for good, as one does that lost them in an outage, and answers all else at once.
+type countingStore struct {
+	mu     sync.Mutex
+	checks int
+	rows   string
+	down   bool
+}
+
+func (s *countingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	wait := r.URL.Query().Get("waitMs")
+	if wait == fmt.Sprint(watchWait.Milliseconds()) {
+		<-r.Context().Done()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if wait != "" {
+		s.checks++
+	}
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintf(w, `{"ver":7,"rows":[%s]}`, s.rows)
+}
+
+func (s *countingStore) checked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.checks
+}
+
+// checkedWatch is a watcher in the middle of a watch that hangs.
+type checkedWatch struct {
+	store   *countingStore
+	clock   *clockwork.FakeClock
+	watcher *watcher
+	told    chan struct{}
+	changes chan int
+	ended   chan error
+}
+
+func startCheckedWatch(t *testing.T, reads bool) *checkedWatch {
+	c := &checkedWatch{
+		store: &countingStore{}, clock: clockwork.NewFakeClock(), told: make(chan struct{}, 100), changes: make(chan int, 100), ended: make(chan error, 1),
+	}
+	server := httptest.NewServer(c.store)
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	c.watcher = &watcher{
+		daemon: &Relay{clock: c.clock, log: hclog.NewNullLogger()}, name: "routing", table: client.Routing(), view: &view{}, up: true,
+		reads: func() bool { return reads }, checked: func() { c.told <- struct{}{} },
+		change: func(e platform.Entries) { c.changes <- len(e.List) },
+	}
+	c.watcher.view.confirm(c.clock.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, err := c.watcher.watch(ctx, 7)
+		c.ended <- err
+	}()
+	t.Cleanup(func() {
+		cancel()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return c
+}
+
+// pass lets time pass up to the next moment at which a check may be due.
+func (c *checkedWatch) pass(t *testing.T, length time.Duration) {
+	t.Helper()
+	if err := c.clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	c.clock.Advance(length)
+}
+
+func TestAHangingWatchIsCheckedBeside(t *testing.T) {
+	c := startCheckedWatch(t, true)
+	for range 3 {
+		c.pass(t, checkAfter+checkSpread)
+		<-c.told
+	}
+	if got := c.store.checked(); got != 3 {
+		t.Errorf("%d checks, want 3", got)
+	}
+	c.store.mu.Lock()
+	c.store.rows = `{"privateKey":"config","value":"e30=","ver":9}`
+	c.store.mu.Unlock()
+	c.pass(t, checkAfter+checkSpread)
+	if got := <-c.changes; got != 1 {
+		t.Errorf("%d changes, want 1", got)
+	}
+	if err := <-c.ended; err != nil {
+		t.Errorf("the watch ended with %v, want a new one", err)
+	}
+}
+
+// TestAViewThatAnotherDaemonConfirmedIsNotChecked has another daemon tell again and again that the store
+// has nothing newer.
+func TestAViewThatAnotherDaemonConfirmedIsNotChecked(t *testing.T) {
+	c := startCheckedWatch(t, true)
+	for range 10 {
+		c.watcher.view.hear(c.clock.Now().Add(checkAfter))
+		c.pass(t, checkAfter+checkSpread)
+	}
+	if err := c.clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.store.checked(); got != 0 {
+		t.Errorf("%d checks, want none", got)
+	}
+}
+
+// TestOnlyReadersCheck has a daemon that others read for come to the end of its last watch.
+func TestOnlyReadersCheck(t *testing.T) {
+	c := startCheckedWatch(t, false)
+	for range 3 {
+		c.pass(t, checkAfter+checkSpread)
+	}
+	if err := c.clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.store.checked(); got != 0 {
+		t.Errorf("%d checks, want none", got)
+	}
+}
+
+// TestACheckWithoutAnAnswerEndsTheWatch has the store turn a check away: what the watch beside it brings cannot be
+// counted on, and the store is asked anew until it answers.
+func TestACheckWithoutAnAnswerEndsTheWatch(t *testing.T) {
+	c := startCheckedWatch(t, true)
+	c.store.mu.Lock()
+	c.store.down = true
+	c.store.mu.Unlock()
+	c.pass(t, checkAfter+checkSpread)
+	if err := <-c.ended; err == nil {
+		t.Error("the watch goes on")
+	}
+}
+
+// TestAHungWatchIsNoOutage tells a watch that ran out of time from a store that is away: entries that go are held to have
+// left after the first, and to come back after the second.
+func TestAHungWatchIsNoOutage(t *testing.T) {
+	began := time.Unix(1000, 0)
+	late := &platform.Error{Err: context.DeadlineExceeded}
+	refused := &platform.Error{Err: http.ErrServerClosed}
+	scenarios := []struct {
+		testName  string
+		confirmed time.Time
+		heard     time.Time
+		err       error
+		want      bool
+	}{
+		{"a check was answered meanwhile", began.Add(time.Second), time.Time{}, late, true},
+		{"no call was answered meanwhile", began.Add(-time.Second), time.Time{}, late, false},
+		{"another daemon's check was", began.Add(-time.Second), began.Add(time.Second), late, false},
+		{"the store refused the watch", began.Add(time.Second), time.Time{}, refused, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			w := &watcher{view: &view{confirmed: s.confirmed, heard: s.heard}}
+			if got := w.hung(reply{asked: began, err: s.err}); got != s.want {
+				t.Errorf("hung: %t, want %t", got, s.want)
+			}
+		})
+	}
+}
+
+func TestOnlyTheStoreItselfIsPassedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := &view{}
+	if got := v.ownAge(now); got != 0 {
+		t.Errorf("age %s before the store answered, want none", got)
+	}
+	v.hear(now)
+	if got := v.ownAge(now); got != 0 {
+		t.Errorf("age %s after another daemon told, want none", got)
+	}
+	v.confirm(now.Add(-time.Second))
+	if got := v.ownAge(now); got != time.Second {
+		t.Errorf("age %s, want 1s", got)
+	}
+	if got, known := v.age(now); got != 0 || !known {
+		t.Errorf("age %s, known %t, want what the other daemon told", got, known)
+	}
+}
+
+func TestAnAgeIsInTheLogOnceEachTime(t *testing.T) {
+	var text strings.Builder
+	log := hclog.New(&hclog.LoggerOptions{Output: &text})
+	at := time.Unix(1000, 0)
+	v := &view{}
+	v.report(at, log, "routing", 3)
+	v.confirm(at)
+	for _, age := range []time.Duration{0, staleMost, staleMost + 1, 2 * staleMost} {
+		v.report(at.Add(age), log, "routing", 3)
+	}
+	v.hear(at.Add(2 * staleMost))
+	v.report(at.Add(2*staleMost), log, "routing", 4)
+	v.report(at.Add(2*staleMost), log, "routing", 4)
+	if lost, back := strings.Count(text.String(), "not confirmed"), strings.Count(text.String(), "confirmed again"); lost != 1 || back != 1 {
+		t.Errorf("%d lines of an old state and %d of its end, want one of each:\n%s", lost, back, &text)
+	}
+}
+
+// TestAnOlderStateIsNotConfirmedByOthers has another daemon tell when the store confirmed its state, which this one has,
+// or not yet.
+func TestAnOlderStateIsNotConfirmedByOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	scenarios := []struct {
+		testName         string
+		beat             proto.Heartbeat
+		routing, targets bool
+	}{
+		{"the same version", proto.Heartbeat{Routing: 5, RoutingAge: time.Second}, true, false},
+		{"an older one", proto.Heartbeat{Routing: 4, RoutingAge: time.Second}, true, false},
+		{"a newer one", proto.Heartbeat{Routing: 6, RoutingAge: time.Second}, false, false},
+		{"one that the store never confirmed", proto.Heartbeat{Routing: 5}, false, false},
+		{"no targets, as here", proto.Heartbeat{TargetsAge: time.Second}, false, true},
+		{"newer targets", proto.Heartbeat{Targets: 1, TargetsAge: time.Second}, false, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			d := &Relay{tables: &relay.Tables{}, fleet: relay.NewFleet(func(string) {})}
+			d.tables.Adopt(&proto.Routing{Version: 5})
+			d.hearViews(now, s.beat)
+			if got := d.routingView.asOf().Equal(now.Add(-time.Second)); got != s.routing {
+				t.Errorf("configuration confirmed: %t, want %t", got, s.routing)
+			}
+			if got := d.targetsView.asOf().Equal(now.Add(-time.Second)); got != s.targets {
+				t.Errorf("targets confirmed: %t, want %t", got, s.targets)
+			}
+		})
+	}
+}
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -2,26 +2,35 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
 
 	"emberlead/platform"
 	"emberlead/proto"
 )
 
 const (
-	// watchWait is how long the store holds a watch without news. Each call counts against the store's rate, and a watch
-	// that hangs is noticed only after it.
-	watchWait = 5 * time.Second
+	// watchWait is how long the store holds a watch without news. Each call counts against the store's rate; a watch that
+	// hangs is found out by checks, long before it ends.
+	watchWait = 10 * time.Second
 	// watchSlack is how much later than that an answer may come; the store may be slow by a factor of some tens.
 	watchSlack = 1500 * time.Millisecond
 	// readWait bounds a single read of the store.
 	readWait = 1500 * time.Millisecond
-	// probeWait is how long the store holds a watch that follows a call without an answer. A store that is away may take
-	// a watch in and never answer it, and a long one would be noticed seconds after the store's return; a configuration
-	// must be in force two seconds after that.
+	// probeWait is how long the store holds a watch that is to be answered soon: a check beside a long watch, and each
+	// watch that follows a call without an answer. A store that is away may take a watch in and never answer it, and no
+	// news is to be late by as much as a long watch may hang.
 	probeWait = 50 * time.Millisecond
+	// checkAfter is how old a daemon's view of a table may become before it checks it beside its watch, and checkSpread by
+	// how much more this differs from check to check, so that one daemon checks and tells the others, instead of all.
+	// News that a hanging watch holds back is known after 1.3 s and an answer, which leaves 0.7 s of two seconds for
+	// the way to other daemons (0.25 s) and for work that was assigned before. It costs all readers together about a
+	// call a second for each table.
+	checkAfter  = time.Second
+	checkSpread = 300 * time.Millisecond
 	// watchPace is the least time between two watches of the targets, so that many small changes come together;
 	// a target that leaves must be known well within two seconds.
 	watchPace = 250 * time.Millisecond
@@ -52,9 +61,13 @@
 	seen func(now time.Time, answered bool)
 	// view is told as of when the store's answers hold.
 	view *view
+	// reads tells whether this daemon is to ask the store, and checked is told after a check that found the view right,
+	// so that other daemons hear of it.
+	reads   func() bool
+	checked func()
 
 	up bool
-	// asked is when the last call was sent.
+	// asked is when the last call that ended was sent.
 	asked time.Time
 }
 
@@ -95,39 +108,123 @@
 	return members.Among("read the store", readersPerZone, d.peers.silent) || members.Alone(d.clock.Now(), peerSilence)
 }
 
-// step makes one call and returns the version to go on from.
+// reply is what became of one watch of the table.
+type reply struct {
+	asked   time.Time
+	ended   time.Time
+	changed platform.Entries
+	err     error
+}
+
+// step makes one call, or a watch with checks beside it, and returns the version to go on from.
 func (w *watcher) step(ctx context.Context, version uint64) (uint64, error) {
 	if version == 0 {
-		w.asked = w.daemon.clock.Now()
-		ctx, cancel := context.WithTimeout(ctx, readWait)
-		defer cancel()
-		all, err := w.table.Read(ctx)
-		if err != nil {
-			return 0, err
-		}
-		if !w.whole(all) {
-			return 0, fault("read "+w.name, proto.KindUnavailable, "the store's answer is older than what is known")
-		}
-		w.view.confirm(w.asked)
-		return all.Version, nil
+		return w.readWhole(ctx)
 	}
 	w.daemon.pause(ctx, w.pace)
-	wait, limit := watchWait, watchWait+watchSlack
 	if !w.up {
-		wait, limit = probeWait, readWait
+		return w.take(<-w.ask(ctx, version, probeWait, readWait), version)
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	return w.watch(ctx, version)
+}
+
+func (w *watcher) readWhole(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
 	w.asked = w.daemon.clock.Now()
-	changed, err := w.table.Watch(ctx, version, wait)
+	all, err := w.table.Read(ctx)
 	if err != nil {
-		return version, err
+		return 0, err
+	}
+	if !w.whole(all) {
+		return 0, fault("read "+w.name, proto.KindUnavailable, "the store's answer is older than what is known")
+	}
+	w.view.confirm(w.asked)
+	return all.Version, nil
+}
+
+// watch waits for news. A watch may hang for as long as it is waited for while the store answers all else, so the view
+// is checked by calls of their own whenever nobody has confirmed it for a while.
+func (w *watcher) watch(ctx context.Context, version uint64) (uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	held := w.ask(ctx, version, watchWait, watchWait+watchSlack)
+	var check <-chan reply
+	checked := w.daemon.clock.Now()
+	for {
+		var due <-chan time.Time
+		if check == nil {
+			next := later(w.view.asOf(), checked).Add(checkAfter + rand.N(checkSpread))
+			due = w.daemon.clock.After(next.Sub(w.daemon.clock.Now()))
+		}
+		select {
+		case r := <-held:
+			if w.hung(r) {
+				w.daemon.log.Info("a watch of the store was not answered, but checks were", "table", w.name, "version", version)
+				return version, nil
+			}
+			return w.take(r, version)
+		case r := <-check:
+			if r.err != nil || len(r.changed.List) > 0 {
+				w.noteCheck(r, version)
+				return w.take(r, version)
+			}
+			check = nil
+			version = max(version, r.changed.Version)
+			w.view.confirm(r.asked)
+			w.checked()
+		case <-due:
+			checked = w.daemon.clock.Now()
+			if w.mustCheck(checked) {
+				check = w.ask(ctx, version, probeWait, readWait)
+			}
+		}
 	}
-	if len(changed.List) > 0 {
-		w.change(changed)
+}
+
+// mustCheck tells whether this daemon is to ask now; others may have confirmed the view since the time was set.
+func (w *watcher) mustCheck(now time.Time) bool {
+	age, _ := w.view.age(now)
+	return age >= checkAfter && w.reads()
+}
+
+// hung tells whether a watch ended without an answer although the store has answered this daemon since it was sent: then
+// nothing is wrong with the store.
+func (w *watcher) hung(r reply) bool {
+	return errors.Is(r.err, context.DeadlineExceeded) && w.view.confirmedAfter(r.asked)
+}
+
+// ask sends a call that the store holds for a time, and gives it up after a limit.
+func (w *watcher) ask(ctx context.Context, version uint64, wait, limit time.Duration) <-chan reply {
+	asked := w.daemon.clock.Now()
+	answered := make(chan reply, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		changed, err := w.table.Watch(ctx, version, wait)
+		answered <- reply{asked: asked, ended: w.daemon.clock.Now(), changed: changed, err: err}
+	}()
+	return answered
+}
+
+// take takes in what an answer brought, and returns the version to go on from.
+func (w *watcher) take(r reply, version uint64) (uint64, error) {
+	w.asked = r.asked
+	if r.err != nil {
+		return version, r.err
 	}
-	w.view.confirm(w.daemon.clock.Now())
-	return changed.Version, nil
+	if len(r.changed.List) > 0 {
+		w.change(r.changed)
+	}
+	w.view.confirm(r.ended)
+	return r.changed.Version, nil
+}
+
+// noteCheck logs what a check found that the watch beside it had not.
+func (w *watcher) noteCheck(r reply, version uint64) {
+	age, _ := w.view.age(w.daemon.clock.Now())
+	w.daemon.log.Info("a check of the store found what its watch had not", "table", w.name, "version", version,
+		"age", age.String(), "changes", len(r.changed.List), "error", r.err)
 }
 
 // note logs when the store is lost or regained.
