Readers of the store tell each other directly what it confirmed

Cause: confirmations went with heartbeats, which go over eight links. Ruled out: passing confirmations on (a view could be kept young by messages that take long, and several hops take as long as the spread between checks); fewer checkers (a store may turn away just those); a longer time before checks (the bound). Change: who checked tells the first two daemons of each zone, by a message of its own.

--- a/coord/owner.go
+++ b/coord/owner.go
@@ -1,6 +1,7 @@
 package coord
 
 import (
+	"maps"
 	"slices"
 
 	"emberlead/proto"
@@ -92,3 +93,27 @@
 	}
 	return len(order) <= most || slices.Contains(order[:most], m.self.VM)
 }
+
+// FirstOfEach returns the first so many daemons of each zone for a task, among those that live and are not stopping, in
+// order of zone.
+func (m *Members) FirstOfEach(task string, most int) []proto.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var firsts []proto.VM
+	for _, zone := range m.zones() {
+		order := m.serving(m.candidatesFor(task, zone))
+		firsts = append(firsts, order[:min(len(order), most)]...)
+	}
+	return firsts
+}
+
+// zones returns the zones of the live daemons in order.
+func (m *Members) zones() []proto.Zone {
+	zones := map[proto.Zone]bool{}
+	for _, mem := range m.members {
+		if !mem.dead {
+			zones[mem.alive.Zone] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
--- a/coord/owner_test.go
+++ b/coord/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"emberlead/proto"
@@ -54,3 +55,25 @@
 		}
 	}
 }
+
+// TestTheFirstOfEachZoneAreThoseWhoHoldThemselvesToBe compares what one daemon says of all zones with what each daemon
+// says of itself.
+func TestTheFirstOfEachZoneAreThoseWhoHoldThemselvesToBe(t *testing.T) {
+	s := newMesh(40, 2, 3, quickTiming())
+	var want []proto.VM
+	for vm, m := range s.members {
+		if m.Among("task", 2, nobody) {
+			want = append(want, vm)
+		}
+	}
+	slices.Sort(want)
+	for vm, m := range s.members {
+		got := slices.Sorted(slices.Values(m.FirstOfEach("task", 2)))
+		if !slices.Equal(got, want) {
+			t.Fatalf("%s says %v, want %v", vm, got, want)
+		}
+	}
+	if len(want) != 2*2*3 {
+		t.Errorf("%d daemons, want two of each zone", len(want))
+	}
+}
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -92,6 +92,7 @@
 	MessagePlaceAsk:       reader[PlaceAsk],
 	MessagePlaceAnswer:    reader[PlaceAnswer],
 	MessagePlaceNote:      reader[PlaceNote],
+	MessageConfirmed:      reader[Confirmed],
 	MessageDeaths:         reader[Deaths],
 	MessageNews:           reader[News],
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -49,6 +49,7 @@
 	MessagePlaceNote
 	MessageDeaths
 	MessageNews
+	MessageConfirmed
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -62,10 +63,6 @@
 	Targets uint64 `cbor:"6,keyasint,omitempty"`
 	// Dead is a digest of the runs that the sender holds to be dead; 0 if none.
 	Dead uint64 `cbor:"7,keyasint,omitempty"`
-	// RoutingAge and TargetsAge are how long ago the store itself told the sender that it has all changes of each; 0 if it
-	// never did.
-	RoutingAge time.Duration `cbor:"8,keyasint,omitempty"`
-	TargetsAge time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
@@ -342,6 +339,7 @@
 func (PlaceAsk) messageKind() MessageKind       { return MessagePlaceAsk }
 func (PlaceAnswer) messageKind() MessageKind    { return MessagePlaceAnswer }
 func (PlaceNote) messageKind() MessageKind      { return MessagePlaceNote }
+func (Confirmed) messageKind() MessageKind      { return MessageConfirmed }
 func (Deaths) messageKind() MessageKind         { return MessageDeaths }
 func (News) messageKind() MessageKind           { return MessageNews }
 
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -304,3 +304,14 @@
 	// Verdict is what the end showed of the target's health.
 	Verdict uint8 `cbor:"4,keyasint,omitempty"`
 }
+
+// Confirmed tells daemons that read the store what the store said of its tables just now, so that they need not ask.
+type Confirmed struct {
+	// Routing and Targets are the versions that the sender has.
+	Routing uint64 `cbor:"1,keyasint,omitempty"`
+	Targets uint64 `cbor:"2,keyasint,omitempty"`
+	// RoutingAge and TargetsAge are how long ago the store itself told the sender that it has all changes of each; 0 if it
+	// never did.
+	RoutingAge time.Duration `cbor:"3,keyasint,omitempty"`
+	TargetsAge time.Duration `cbor:"4,keyasint,omitempty"`
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -143,12 +143,8 @@
 }
 
 func (d *Relay) heartbeat() proto.Heartbeat {
-	now := d.clock.Now()
-	// The ages are taken before the versions: what a version holds may only be newer than the age says.
-	routingAge, targetsAge := d.routingView.ownAge(now), d.targetsView.ownAge(now)
 	return proto.Heartbeat{
 		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(),
-		RoutingAge: routingAge, TargetsAge: targetsAge,
 	}
 }
 
@@ -158,7 +154,6 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.Heartbeat(now, from, msg)
-		d.hearViews(now, msg)
 		newer := msg.Routing > d.tables.Version() || msg.Targets > d.fleet.Version()
 		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
@@ -181,20 +176,12 @@
 		return d.placer.Place(msg)
 	case proto.PlaceNote:
 		d.placer.Note(msg)
+	case proto.Confirmed:
+		d.hearViews(now, msg)
 	}
 	return proto.Done{}
 }
 
-// hearViews takes over until when another daemon knows the store's tables, where this one has no older state.
-func (d *Relay) hearViews(now time.Time, beat proto.Heartbeat) {
-	if beat.RoutingAge > 0 && beat.Routing <= d.tables.Version() {
-		d.routingView.hear(now.Add(-beat.RoutingAge))
-	}
-	if beat.TargetsAge > 0 && beat.Targets <= d.fleet.Version() {
-		d.targetsView.hear(now.Add(-beat.TargetsAge))
-	}
-}
-
 // noteStart lets requests in once the daemon knows the configuration, the targets and the other daemons.
 func (d *Relay) noteStart() {
 	if d.known() && d.rowsRead.Load() {
@@ -255,13 +242,12 @@
 }
 
 func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
-	tell := func() { d.peers.members.Beat(d.clock.Now()) }
 	routing := &watcher{
-		daemon: d, name: "routing", table: d.store.Routing(), view: &d.routingView, reads: d.isReader, checked: tell,
+		daemon: d, name: "routing", table: d.store.Routing(), view: &d.routingView, reads: d.isReader, checked: d.tellReaders,
 		whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) },
 	}
 	targets := &watcher{
-		daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, view: &d.targetsView, reads: d.isReader, checked: tell,
+		daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, view: &d.targetsView, reads: d.isReader, checked: d.tellReaders,
 		whole: d.targetsWhole, change: d.targetsChanged, seen: d.storeSeen,
 	}
 	for _, loop := range []func(context.Context){
@@ -285,16 +271,6 @@
 	}
 }
 
-// reportViews has the log say when a daemon that reads the store does not know how the store is.
-func (d *Relay) reportViews() {
-	if !d.isReader() {
-		return
-	}
-	now := d.clock.Now()
-	d.routingView.report(now, d.log, "routing", d.tables.Version())
-	d.targetsView.report(now, d.log, "targets", d.fleet.Version())
-}
-
 func (d *Relay) every(length time.Duration, fn func()) func(context.Context) {
 	return func(ctx context.Context) {
 		ticker := d.clock.NewTicker(length)
--- a/serve/relayview.go
+++ b/serve/relayview.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"emberlead/proto"
 )
 
 // staleMost is how old what a daemon knows of the store may be before the log says so: a change is to be in force
@@ -88,3 +90,36 @@
 	}
 	return a
 }
+
+// tellReaders tells the other daemons that read the store what it said just now.
+func (d *Relay) tellReaders() {
+	now := d.clock.Now()
+	// The ages are taken before the versions: a version may only hold more than the age says.
+	m := proto.Confirmed{RoutingAge: d.routingView.ownAge(now), TargetsAge: d.targetsView.ownAge(now)}
+	m.Routing, m.Targets = d.tables.Version(), d.fleet.Version()
+	for _, vm := range d.peers.members.FirstOfEach(taskReadStore, readersPerZone) {
+		if vm != d.self.VM {
+			d.peers.Send(vm, m)
+		}
+	}
+}
+
+// hearViews takes over until when another daemon knows the store's tables, where this one has no older state.
+func (d *Relay) hearViews(now time.Time, m proto.Confirmed) {
+	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() {
+		d.routingView.hear(now.Add(-m.RoutingAge))
+	}
+	if m.TargetsAge > 0 && m.Targets <= d.fleet.Version() {
+		d.targetsView.hear(now.Add(-m.TargetsAge))
+	}
+}
+
+// reportViews has the log say when a daemon that reads the store does not know how the store is.
+func (d *Relay) reportViews() {
+	if !d.isReader() {
+		return
+	}
+	now := d.clock.Now()
+	d.routingView.report(now, d.log, "routing", d.tables.Version())
+	d.targetsView.report(now, d.log, "targets", d.fleet.Version())
+}
--- a/serve/relayview_test.go
+++ b/serve/relayview_test.go
@@ -230,21 +230,21 @@
 	now := time.Unix(1000, 0)
 	scenarios := []struct {
 		testName         string
-		beat             proto.Heartbeat
+		told             proto.Confirmed
 		routing, targets bool
 	}{
-		{"the same version", proto.Heartbeat{Routing: 5, RoutingAge: time.Second}, true, false},
-		{"an older one", proto.Heartbeat{Routing: 4, RoutingAge: time.Second}, true, false},
-		{"a newer one", proto.Heartbeat{Routing: 6, RoutingAge: time.Second}, false, false},
-		{"one that the store never confirmed", proto.Heartbeat{Routing: 5}, false, false},
-		{"no targets, as here", proto.Heartbeat{TargetsAge: time.Second}, false, true},
-		{"newer targets", proto.Heartbeat{Targets: 1, TargetsAge: time.Second}, false, false},
+		{"the same version", proto.Confirmed{Routing: 5, RoutingAge: time.Second}, true, false},
+		{"an older one", proto.Confirmed{Routing: 4, RoutingAge: time.Second}, true, false},
+		{"a newer one", proto.Confirmed{Routing: 6, RoutingAge: time.Second}, false, false},
+		{"one that the store never confirmed", proto.Confirmed{Routing: 5}, false, false},
+		{"no targets, as here", proto.Confirmed{TargetsAge: time.Second}, false, true},
+		{"newer targets", proto.Confirmed{Targets: 1, TargetsAge: time.Second}, false, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			d := &Relay{tables: &relay.Tables{}, fleet: relay.NewFleet(func(string) {})}
 			d.tables.Adopt(&proto.Routing{Version: 5})
-			d.hearViews(now, s.beat)
+			d.hearViews(now, s.told)
 			if got := d.routingView.asOf().Equal(now.Add(-time.Second)); got != s.routing {
 				t.Errorf("configuration confirmed: %t, want %t", got, s.routing)
 			}
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -42,6 +42,8 @@
 	// readersPerZone is how many daemons of a zone watch the store and tell the others: with two, one may fail or be
 	// turned away, and a deployment of some daemons has no other ones.
 	readersPerZone = 2
+	// taskReadStore names the task by which the readers of each zone are picked.
+	taskReadStore = "read the store"
 	// lapseAsks is how often neighbours are asked how a lapsed entry went: the first time some may not know of it yet.
 	lapseAsks = 2
 	// listEvery is how often the daemons' table is read, for daemons that no other knows.
@@ -105,7 +107,7 @@
 // read for themselves alone, and one that hears nobody at all is told nothing.
 func (d *Relay) isReader() bool {
 	members := d.peers.members
-	return members.Among("read the store", readersPerZone, d.peers.silent) || members.Alone(d.clock.Now(), peerSilence)
+	return members.Among(taskReadStore, readersPerZone, d.peers.silent) || members.Alone(d.clock.Now(), peerSilence)
 }
 
 // reply is what became of one watch of the table.
