A target that leaves after an outage has left; short calls to the store end after 1 s

Ruled out: a call that was assigned early and made late (the pieces came to be made 1 s after the target had left). Change: the limit of short calls is 1 s instead of 1.5 s, so that the first answer after an outage comes within 2.2 s instead of 2.7 s; three seconds after it daemons are held to what they know.

--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -18,12 +18,16 @@
 	watchWait = 10 * time.Second
 	// watchSlack is how much later than that an answer may come; the store may be slow by a factor of some tens.
 	watchSlack = 1500 * time.Millisecond
-	// readWait bounds a single read of the store.
+	// readWait bounds a read of a whole table, and a write.
 	readWait = 1500 * time.Millisecond
 	// probeWait is how long the store holds a watch that is to be answered soon: a check beside a long watch, and each
 	// watch that follows a call without an answer. A store that is away may take a watch in and never answer it, and no
 	// news is to be late by as much as a long watch may hang.
 	probeWait = 50 * time.Millisecond
+	// probeLimit bounds a call that is to be answered soon. One that was lost in an outage must end, and the next one be
+	// answered, well within the three seconds after which daemons count as reached again: 1 s and a pause of up to 1.2 s.
+	// An answer takes some milliseconds, and hundreds where the store is slow.
+	probeLimit = time.Second
 	// checkAfter is how old a daemon's view of a table may become before it checks it beside its watch, and checkSpread by
 	// how much more this differs from check to check, so that one daemon checks and tells the others, instead of all.
 	// News that a hanging watch holds back is known after 1.3 s and an answer, which leaves 0.7 s of two seconds for
@@ -125,7 +129,7 @@
 	}
 	w.daemon.pause(ctx, w.pace)
 	if !w.up {
-		return w.take(<-w.ask(ctx, version, probeWait, readWait), version)
+		return w.take(<-w.ask(ctx, version, probeWait, probeLimit), version)
 	}
 	return w.watch(ctx, version)
 }
@@ -174,7 +178,7 @@
 		case <-due:
 			checked = w.daemon.clock.Now()
 			if w.mustCheck(checked) {
-				check = w.ask(ctx, version, probeWait, readWait)
+				check = w.ask(ctx, version, probeWait, probeLimit)
 			}
 		}
 	}
