--- a/proto/errors.go
+++ b/proto/errors.go
@@ -37,24 +37,42 @@
 	return ""
 }
 
-// Error is the error type of this package.
-type Error struct {
+// Package names the package whose error an OpError is.
+type Package interface{ Package() string }
+
+// OpError is an operation that failed, with the kind of its error. Each package has its own as Error, told apart by P.
+type OpError[P Package] struct {
 	Op   string
 	Kind Kind
 	Err  error
 }
 
-// Error returns the operation, the kind and the cause as one line.
-func (e *Error) Error() string {
-	return fmt.Sprintf("proto: %s: %s: %v", e.Op, e.Kind, e.Err)
+// NewOpError returns an error whose cause is a text.
+func NewOpError[P Package](op string, kind Kind, format string, args ...any) error {
+	return &OpError[P]{Op: op, Kind: kind, Err: errors.Errorf(format, args...)}
+}
+
+// Error returns the package, the operation, the kind and the cause as one line.
+func (e *OpError[P]) Error() string {
+	var pkg P
+	return fmt.Sprintf("%s: %s: %s: %v", pkg.Package(), e.Op, e.Kind, e.Err)
 }
 
 // Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
+func (e *OpError[P]) Unwrap() error { return e.Err }
+
+// ErrorKind returns the kind.
+func (e *OpError[P]) ErrorKind() Kind { return e.Kind }
+
+// source names this package in its errors.
+type source struct{}
+
+// Package returns the package's name.
+func (source) Package() string { return "proto" }
+
+// Error is the error type of this package.
+type Error = OpError[source]
 
 func fault(op string, kind Kind, format string, args ...any) error {
-	return &Error{Op: op, Kind: kind, Err: errors.Errorf(format, args...)}
+	return NewOpError[source](op, kind, format, args...)
 }
-
-// ErrorKind returns the kind.
-func (e *Error) ErrorKind() Kind { return e.Kind }
--- /dev/null
+++ b/proto/errors_test.go
@@ -0,0 +1,26 @@
+package proto
+
+import (
+	"errors"
+	"testing"
+)
+
+type otherSource struct{}
+
+func (otherSource) Package() string { return "other" }
+
+// TestErrorsOfPackagesAreToldApart holds that a generic error type is one type for each package.
+func TestErrorsOfPackagesAreToldApart(t *testing.T) {
+	cause := errors.New("it broke")
+	var err error = &OpError[otherSource]{Op: "read", Kind: KindUnavailable, Err: cause}
+	if got, want := err.Error(), "other: read: unavailable: it broke"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	var own *Error
+	if errors.As(err, &own) {
+		t.Error("an error of another package is taken for one of this")
+	}
+	if !errors.Is(err, cause) || KindOf(err) != KindUnavailable {
+		t.Errorf("cause or kind %q is lost", KindOf(err))
+	}
+}
