--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -31,8 +31,8 @@
 	// checkAfter is how old a daemon's view of a table may become before it checks it beside its watch, and checkSpread by
 	// how much more this differs from check to check, so that one daemon checks and tells the others, instead of all.
 	// News that a hanging watch holds back is known after 1.3 s and an answer, which leaves 0.7 s of two seconds for
-	// the way to other daemons (0.25 s) and for work that was assigned before. It costs all readers together about a
-	// call a second for each table.
+	// the way to other daemons (0.25 s) and for work that was assigned before. It costs all readers together one to one
+	// and a half calls a second for each table, as their own counters tell of calm deployments of 6 to 74 daemons.
 	checkAfter  = time.Second
 	checkSpread = 300 * time.Millisecond
 	// watchPace is the least time between two watches of the targets, so that many small changes come together;
@@ -63,7 +63,7 @@
 	// whole takes in all rows and reports whether they were new enough; change takes in rows that changed.
 	whole  func(platform.Entries) bool
 	change func(platform.Entries)
-	// seen is told after each call whether the store answered.
+	// seen is told after each step whether the store answered.
 	seen func(now time.Time, answered bool)
 	// view is told as of when the store's answers hold.
 	view *view
