--- a/wire/accept.go
+++ b/wire/accept.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"crypto/tls"
 	"net/http"
 	"sync"
 
@@ -15,14 +13,6 @@
 	"emberlead/proto"
 )
 
-// ServerTLS returns what the listener of Handler is set up with; nil if other daemons come without certificates.
-func (l *Links) ServerTLS() *tls.Config {
-	if l.credentials == nil {
-		return nil
-	}
-	return l.credentials.server()
-}
-
 // Handler returns the route that other daemons dial.
 func (l *Links) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -47,18 +37,6 @@
 	l.serve(r.Context(), conn, from)
 }
 
-// authentic checks the shared key, and with TLS that the certificate is for the VM that the peer says it is.
-func (l *Links) authentic(r *http.Request, from proto.VM) bool {
-	if from == "" {
-		return false
-	}
-	if l.tls != nil {
-		return r.TLS != nil && len(r.TLS.PeerCertificates) > 0 && r.TLS.PeerCertificates[0].Subject.CommonName == string(from)
-	}
-	given := r.Header.Get("Authorization")
-	return subtle.ConstantTimeCompare([]byte(given), []byte("Bearer "+l.key)) == 1
-}
-
 func (l *Links) serve(ctx context.Context, conn *websocket.Conn, from proto.VM) {
 	var writing sync.Mutex
 	for {
--- a/wire/links.go
+++ b/wire/links.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 
 	"github.com/coder/websocket"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -26,8 +24,6 @@
 	linkIdle    = time.Minute
 	redialAfter = 500 * time.Millisecond
 	writeWait   = 5 * time.Second
-	// tlsAlert is how the standard library names an alert of the other end.
-	tlsAlert = "remote error"
 )
 
 // LinkCounts are the totals of all links since the start.
@@ -109,31 +105,6 @@
 	}
 }
 
-// Renew ends all connections, so that each is made anew with the credentials of now.
-func (l *Links) Renew() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, lk := range l.links {
-		lk.cancel()
-	}
-	for conn := range l.accepted {
-		_ = conn.CloseNow() // It may have ended just now.
-	}
-}
-
-// keep notes a connection that another daemon has dialled, until it is forgotten.
-func (l *Links) keep(conn *websocket.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.accepted[conn] = true
-}
-
-func (l *Links) forget(conn *websocket.Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.accepted, conn)
-}
-
 // Cut drops everything to and from a daemon, or stops doing so; tests use it.
 func (l *Links) Cut(vm proto.VM, cut bool) {
 	l.mu.Lock()
@@ -342,35 +313,6 @@
 	return conn, nil
 }
 
-// isRefusal tells whether a connection failed since one end did not accept the other's certificate.
-func isRefusal(err error) bool {
-	var alert *net.OpError
-	return proto.KindOf(err) == proto.KindDenied || errors.As(err, &alert) && alert.Op == tlsAlert
-}
-
-// noteRefusal logs when certificates come to be refused on the way to a daemon, once until one is accepted.
-func (l *Links) noteRefusal(to proto.VM, refused bool, err error) {
-	l.mu.Lock()
-	before := l.refused[to]
-	l.refused[to] = refused
-	l.mu.Unlock()
-	if refused && !before {
-		l.log.Warn("another daemon's certificate, or this one's by it, was not accepted", "to", to, "error", err)
-	}
-}
-
-// checkName tells whether the daemon that answered a call is the one that it is for, by its certificate. Of a seed only the
-// address is known, so that any daemon of the deployment will do.
-func (l *Links) checkName(resp *http.Response, vm proto.VM) error {
-	if l.credentials == nil || vm == "" {
-		return nil
-	}
-	if name := resp.TLS.PeerCertificates[0].Subject.CommonName; name != string(vm) {
-		return fault("dial", proto.KindDenied, "%s is at the address of %s", name, vm)
-	}
-	return nil
-}
-
 func (lk *link) write(conn *websocket.Conn) {
 	idle := time.NewTimer(linkIdle)
 	defer idle.Stop()
