--- a/serve/relayview_test.go
+++ b/serve/relayview_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"net/netip"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -19,41 +16,47 @@
 	"emberlead/relay"
 )
 
-// countingStore holds long watches for good, as one does that lost them in an outage, and answers all else at once.
-type countingStore struct {
-	mu     sync.Mutex
-	checks int
-	rows   string
-	down   bool
+// countingTable holds long watches for good, as one of a store that lost them in an outage, and answers all else at once.
+type countingTable struct {
+	mu      sync.Mutex
+	checks  int
+	changed []platform.Entry
+	down    bool
 }
 
-func (s *countingStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	wait := r.URL.Query().Get("waitMs")
-	if wait == fmt.Sprint(watchWait.Milliseconds()) {
-		<-r.Context().Done()
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if wait != "" {
-		s.checks++
+func (c *countingTable) Read(context.Context) (platform.Entries, error) {
+	return platform.Entries{Version: 7}, nil
+}
+
+func (c *countingTable) Watch(ctx context.Context, _ uint64, wait time.Duration) (platform.Entries, error) {
+	if wait == watchWait {
+		<-ctx.Done()
+		return platform.Entries{}, &platform.Error{Op: "watch", Kind: proto.KindUnavailable, Err: ctx.Err()}
 	}
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checks++
+	if c.down {
+		return platform.Entries{}, &platform.Error{Op: "watch", Kind: proto.KindUnavailable, Err: errors.New("turned away")}
 	}
-	fmt.Fprintf(w, `{"ver":7,"rows":[%s]}`, s.rows)
+	return platform.Entries{Version: 7, List: c.changed}, nil
+}
+
+func (c *countingTable) checked() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.checks
 }
 
-func (s *countingStore) checked() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.checks
+func (c *countingTable) set(fn func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn()
 }
 
 // checkedWatch is a watcher in the middle of a watch that hangs.
 type checkedWatch struct {
-	store   *countingStore
+	table   *countingTable
 	clock   *clockwork.FakeClock
 	watcher *watcher
 	told    chan struct{}
@@ -63,12 +66,10 @@
 
 func startCheckedWatch(t *testing.T, reads bool) *checkedWatch {
 	c := &checkedWatch{
-		store: &countingStore{}, clock: clockwork.NewFakeClock(), told: make(chan struct{}, 100), changes: make(chan int, 100), ended: make(chan error, 1),
+		table: &countingTable{}, clock: clockwork.NewFakeClock(), told: make(chan struct{}, 100), changes: make(chan int, 100), ended: make(chan error, 1),
 	}
-	server := httptest.NewServer(c.store)
-	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	c.watcher = &watcher{
-		daemon: &Relay{clock: c.clock, log: hclog.NewNullLogger()}, name: "routing", table: client.Routing(), view: &view{}, up: true,
+		daemon: &Relay{clock: c.clock, log: hclog.NewNullLogger()}, name: "routing", table: c.table, view: &view{}, up: true,
 		reads: func() bool { return reads }, checked: func() { c.told <- struct{}{} },
 		change: func(e platform.Entries) { c.changes <- len(e.List) },
 	}
@@ -78,11 +79,7 @@
 		_, err := c.watcher.watch(ctx, 7)
 		c.ended <- err
 	}()
-	t.Cleanup(func() {
-		cancel()
-		server.CloseClientConnections()
-		server.Close()
-	})
+	t.Cleanup(cancel)
 	return c
 }
 
@@ -101,12 +98,10 @@
 		c.pass(t, checkAfter+checkSpread)
 		<-c.told
 	}
-	if got := c.store.checked(); got != 3 {
+	if got := c.table.checked(); got != 3 {
 		t.Errorf("%d checks, want 3", got)
 	}
-	c.store.mu.Lock()
-	c.store.rows = `{"privateKey":"config","value":"e30=","ver":9}`
-	c.store.mu.Unlock()
+	c.table.set(func() { c.table.changed = []platform.Entry{{Key: "config", Version: 9}} })
 	c.pass(t, checkAfter+checkSpread)
 	if got := <-c.changes; got != 1 {
 		t.Errorf("%d changes, want 1", got)
@@ -127,7 +122,7 @@
 	if err := c.clock.BlockUntilContext(t.Context(), 1); err != nil {
 		t.Fatal(err)
 	}
-	if got := c.store.checked(); got != 0 {
+	if got := c.table.checked(); got != 0 {
 		t.Errorf("%d checks, want none", got)
 	}
 }
@@ -141,7 +136,7 @@
 	if err := c.clock.BlockUntilContext(t.Context(), 1); err != nil {
 		t.Fatal(err)
 	}
-	if got := c.store.checked(); got != 0 {
+	if got := c.table.checked(); got != 0 {
 		t.Errorf("%d checks, want none", got)
 	}
 }
@@ -150,9 +145,7 @@
 // counted on, and the store is asked anew until it answers.
 func TestACheckWithoutAnAnswerEndsTheWatch(t *testing.T) {
 	c := startCheckedWatch(t, true)
-	c.store.mu.Lock()
-	c.store.down = true
-	c.store.mu.Unlock()
+	c.table.set(func() { c.table.down = true })
 	c.pass(t, checkAfter+checkSpread)
 	if err := <-c.ended; err == nil {
 		t.Error("the watch goes on")
@@ -164,7 +157,7 @@
 func TestAHungWatchIsNoOutage(t *testing.T) {
 	began := time.Unix(1000, 0)
 	late := &platform.Error{Err: context.DeadlineExceeded}
-	refused := &platform.Error{Err: http.ErrServerClosed}
+	refused := &platform.Error{Err: errors.New("refused")}
 	scenarios := []struct {
 		testName  string
 		confirmed time.Time
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -54,11 +54,20 @@
 	listEvery = 20 * time.Second
 )
 
+// storeTable is one table of the store, as a watcher reads it.
+type storeTable interface {
+	// Read returns all rows; it fails with KindUnavailable.
+	Read(ctx context.Context) (platform.Entries, error)
+	// Watch returns the rows that changed after a version, as soon as there is one or the wait is over. It fails with
+	// KindNotFound when the store has forgotten that version, and else with KindUnavailable.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (platform.Entries, error)
+}
+
 // watcher keeps up with one table of the store.
 type watcher struct {
 	daemon *Relay
 	name   string
-	table  platform.Table
+	table  storeTable
 	pace   time.Duration
 	// whole takes in all rows and reports whether they were new enough; change takes in rows that changed.
 	whole  func(platform.Entries) bool
