Retry budget: shares that add up while daemons die, start and lose sight of each other

Cause: a daemon counted what it spent by itself and took slack/members as it saw them. By reading: the dead's share taken over at once, the whole slack for one that has met nobody, both halves of a cut with the whole slack; each has a test of the census. Change: coord.Census counts VMs until a read of their rows proves that a lease is over; a started daemon has no share of the slack until its last run's attempts are out of the window, a VM that is new until all have read of it. relay.Budget checks each window that an attempt may fall into, by requests of that window alone, on the steady clock; budgetShare is gone. Rows are renewed, and removed when too old.

--- /dev/null
+++ b/coord/census.go
@@ -0,0 +1,172 @@
+package coord
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/proto"
+)
+
+// CensusTiming holds the times by which a census counts.
+type CensusTiming struct {
+	// Window is the span over which the common limits are counted.
+	Window time.Duration
+	// Lease is how long a daemon may use its share after the last write of its row that the platform has acknowledged.
+	Lease time.Duration
+	// View is how old the last read of the rows may be for this daemon to use its share. A daemon whose VM is new waits
+	// for as long before it uses one, so that all others have read its row by then or use none themselves.
+	View time.Duration
+}
+
+// Census counts the VMs that may be using a share of a limit that all daemons keep together. It never counts too few:
+// silence proves nothing, since a daemon that is not heard may go on using its share, so a VM is counted until a read
+// of the platform's rows shows that its lease is over, and its use of the last window with it.
+type Census struct {
+	mu     sync.Mutex
+	timing CensusTiming
+	self   proto.VM
+	seen   map[proto.VM]*sharer
+	// row is when the own row that the platform acknowledged last was sent, read when the rows that were read last were
+	// asked for; both zero before.
+	row, read time.Time
+	// listed is when the own row was last known to tell the others of this VM.
+	listed time.Time
+	// from is when this daemon may begin to use its share, zero as long as that is open.
+	from time.Time
+}
+
+// sharer is a VM as the census knows it.
+type sharer struct {
+	// version is that of its row, 0 before one was read, and since is when this daemon first saw that version.
+	version uint64
+	since   time.Time
+}
+
+// NewCensus returns a census that counts only the own VM, which has no share yet.
+func NewCensus(self proto.VM, timing CensusTiming) *Census {
+	return &Census{self: self, timing: timing, seen: map[proto.VM]*sharer{}}
+}
+
+// Met notes VMs whose daemons have announced themselves.
+func (c *Census) Met(now time.Time, vms ...proto.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, vm := range vms {
+		c.meet(now, vm)
+	}
+}
+
+func (c *Census) meet(now time.Time, vm proto.VM) *sharer {
+	s := c.seen[vm]
+	if s == nil && vm != c.self {
+		s = &sharer{since: now}
+		c.seen[vm] = s
+	}
+	return s
+}
+
+// Begin says since when this run could have a share. A daemon that has just started knows nothing of what its last run
+// used, so it has none until that is out of the window; on a VM that the others may not know, it also waits until all of
+// them have read of it.
+func (c *Census) Begin(now time.Time, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.from.IsZero() {
+		return
+	}
+	c.from = now.Add(c.timing.Window)
+	c.listed = now
+	if !known {
+		c.from = c.from.Add(c.timing.View)
+	}
+}
+
+// RowAge returns how old the row of a VM may be for its next run to count as known to the others: they count the VM for
+// as long again.
+func (t CensusTiming) RowAge() time.Duration { return t.Lease / 2 }
+
+// Wrote notes that the platform acknowledged the own row, which was sent at a time.
+func (c *Census) Wrote(sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if sent.Sub(c.listed) > c.timing.RowAge() {
+		// Others may have ceased to count this VM, and have to read of it first.
+		c.from = later(c.from, sent.Add(c.timing.View+c.timing.Window))
+	}
+	c.row, c.listed = sent, sent
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Read takes in all rows, with their versions, as of a moment after asked, and returns the VMs that are counted no more:
+// their rows have not changed for so long that their leases are over.
+func (c *Census) Read(asked, now time.Time, rows map[proto.VM]uint64) (over []proto.VM) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read = asked
+	for vm, version := range rows {
+		if s := c.meet(now, vm); s != nil && s.version != version {
+			s.version, s.since = version, now
+		}
+	}
+	for vm, s := range c.seen {
+		// The row was not written between the two reads; a write before the first one gave a lease that is over.
+		if asked.Sub(s.since) > c.timing.Lease+c.timing.Window {
+			over = append(over, vm)
+		}
+	}
+	slices.Sort(over)
+	for _, vm := range over {
+		delete(c.seen, vm)
+	}
+	return over
+}
+
+// Share is a daemon's part of a limit that all daemons keep together.
+type Share struct {
+	// Counted is the number of VMs that are counted, the own one included.
+	Counted int
+	// Usable says that this daemon may use its part, one of Counted equal ones; Reason says why not.
+	Usable bool
+	Reason ShareReason
+	// RowAge and ReadAge are how long ago the own row was written and all rows were read.
+	RowAge, ReadAge time.Duration
+}
+
+// ShareReason tells why a daemon may not use its share now.
+type ShareReason string
+
+// Reasons for which a share may not be used.
+const (
+	// ShareFull means that the share may be used.
+	ShareFull ShareReason = ""
+	// ShareStarting means that what the last run on the VM used may still count, or that others may not know of the VM.
+	ShareStarting ShareReason = "the daemon has started too lately"
+	// ShareUnlisted means that the own row could not be written for too long.
+	ShareUnlisted ShareReason = "the own row was not written for too long"
+	// ShareUnread means that the rows could not be read for too long.
+	ShareUnread ShareReason = "the rows of the daemons were not read for too long"
+)
+
+// Share returns the own part of a common limit.
+func (c *Census) Share(now time.Time) Share {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Share{Counted: len(c.seen) + 1, RowAge: now.Sub(c.row), ReadAge: now.Sub(c.read)}
+	switch {
+	case c.from.IsZero() || now.Before(c.from):
+		s.Reason = ShareStarting
+	case c.row.IsZero() || s.RowAge > c.timing.Lease:
+		s.Reason = ShareUnlisted
+	case c.read.IsZero() || s.ReadAge > c.timing.View:
+		s.Reason = ShareUnread
+	}
+	s.Usable = s.Reason == ShareFull
+	return s
+}
--- /dev/null
+++ b/coord/census_test.go
@@ -0,0 +1,251 @@
+package coord
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"emberlead/proto"
+)
+
+var (
+	censusTiming = CensusTiming{Window: 11 * time.Second, Lease: 10 * time.Minute, View: 45 * time.Second}
+	censusStart  = time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)
+)
+
+// settledCensus is that of a daemon which has run for long among others.
+func settledCensus(self proto.VM, others ...proto.VM) *Census {
+	c := NewCensus(self, censusTiming)
+	early := censusStart.Add(-time.Hour)
+	c.Begin(early, true)
+	for at := early; !at.After(censusStart); at = at.Add(time.Minute) {
+		rows := map[proto.VM]uint64{self: uint64(at.Unix())}
+		for _, vm := range others {
+			rows[vm] = uint64(at.Unix())
+		}
+		c.Wrote(at)
+		c.Read(at, at, rows)
+	}
+	return c
+}
+
+func wantShare(t *testing.T, c *Census, at time.Time, counted int, reason ShareReason) {
+	t.Helper()
+	if s := c.Share(at); s.Counted != counted || s.Reason != reason || s.Usable != (reason == ShareFull) {
+		t.Errorf("share %+v, want %d counted and reason %q", s, counted, reason)
+	}
+}
+
+func TestAStartedDaemonHasNoShareUntilWhatItSpentIsOver(t *testing.T) {
+	c := NewCensus("a", censusTiming)
+	c.Begin(censusStart, true)
+	c.Wrote(censusStart)
+	c.Read(censusStart, censusStart, map[proto.VM]uint64{"a": 1, "b": 2})
+	wantShare(t, c, censusStart, 2, ShareStarting)
+	wantShare(t, c, censusStart.Add(10*time.Second), 2, ShareStarting)
+	wantShare(t, c, censusStart.Add(11*time.Second), 2, ShareFull)
+}
+
+func TestADaemonThatNobodyKnowsWaitsUntilAllHaveReadOfIt(t *testing.T) {
+	c := NewCensus("a", censusTiming)
+	c.Begin(censusStart, false)
+	c.Wrote(censusStart)
+	for _, at := range []time.Duration{0, 20 * time.Second, 40 * time.Second} {
+		c.Read(censusStart.Add(at), censusStart.Add(at), map[proto.VM]uint64{"a": 1})
+	}
+	wantShare(t, c, censusStart.Add(55*time.Second), 1, ShareStarting)
+	wantShare(t, c, censusStart.Add(56*time.Second), 1, ShareFull)
+}
+
+func TestADaemonThatHasMetNobodyHasNoShare(t *testing.T) {
+	c := NewCensus("a", censusTiming)
+	wantShare(t, c, censusStart.Add(time.Hour), 1, ShareStarting)
+	c.Begin(censusStart, true)
+	wantShare(t, c, censusStart.Add(time.Hour), 1, ShareUnlisted)
+	c.Wrote(censusStart.Add(time.Second))
+	wantShare(t, c, censusStart.Add(20*time.Second), 1, ShareUnread)
+}
+
+func TestSilenceDoesNotGiveTheShareOfTheDead(t *testing.T) {
+	c := settledCensus("a", "b", "c")
+	for at := censusStart; at.Before(censusStart.Add(10 * time.Minute)); at = at.Add(20 * time.Second) {
+		c.Wrote(at)
+		c.Read(at, at, map[proto.VM]uint64{"a": 1, "b": uint64(at.Unix()), "c": uint64(censusStart.Unix())})
+		wantShare(t, c, at, 3, ShareFull)
+	}
+}
+
+func TestAVMWhoseLeaseIsOverIsNotCounted(t *testing.T) {
+	c := settledCensus("a", "b", "c")
+	after := censusStart.Add(censusTiming.Lease + censusTiming.Window + time.Second)
+	c.Wrote(censusStart.Add(censusTiming.Lease / 3))
+	c.Wrote(censusStart.Add(censusTiming.Lease * 2 / 3))
+	over := c.Read(after, after, map[proto.VM]uint64{"a": 1, "b": 7, "c": uint64(censusStart.Unix())})
+	if len(over) != 1 || over[0] != "c" {
+		t.Errorf("over: %v", over)
+	}
+	wantShare(t, c, after, 2, ShareFull)
+}
+
+func TestADaemonThatTheStoreTurnsAwayGivesItsShareUp(t *testing.T) {
+	c := settledCensus("a", "b")
+	wantShare(t, c, censusStart.Add(45*time.Second), 2, ShareFull)
+	wantShare(t, c, censusStart.Add(46*time.Second), 2, ShareUnread)
+	at := censusStart.Add(10*time.Minute + time.Second)
+	c.Read(at, at, map[proto.VM]uint64{"a": 1, "b": 2})
+	wantShare(t, c, at, 2, ShareUnlisted)
+	// The others may have ceased to count it, so it starts like a new one.
+	c.Wrote(at)
+	wantShare(t, c, at, 2, ShareStarting)
+	late := at.Add(56 * time.Second)
+	c.Read(late, late, map[proto.VM]uint64{"a": 1, "b": 3})
+	wantShare(t, c, late, 2, ShareFull)
+}
+
+func TestAShareShrinksAtOnceWhenSomebodyIsMet(t *testing.T) {
+	c := settledCensus("a", "b")
+	wantShare(t, c, censusStart, 2, ShareFull)
+	c.Met(censusStart, "d")
+	wantShare(t, c, censusStart, 3, ShareFull)
+}
+
+// censusWorld plays a deployment whose daemons start, die, are paused and are cut off from the store for a time. Links
+// between daemons carry nothing, so that all they know is what the rows say.
+type censusWorld struct {
+	random *rand.Rand
+	now    time.Time
+	rows   map[proto.VM]uint64
+	wrote  map[proto.VM]time.Time
+	marked map[proto.VM]bool
+	next   uint64
+	alive  map[proto.VM]*censusDaemon
+	// held are the latest moments at which each VM's daemon could use a part of the limit, with the part.
+	used map[proto.VM][]usedPart
+}
+
+type censusDaemon struct {
+	census          *Census
+	read, wrote     time.Time
+	marked          bool
+	cutOff, pausing time.Time
+}
+
+type usedPart struct {
+	at   time.Time
+	part float64
+}
+
+func newCensusWorld(seed uint64, vms int) *censusWorld {
+	w := &censusWorld{
+		random: rand.New(rand.NewPCG(seed, 1)), now: censusStart, rows: map[proto.VM]uint64{}, wrote: map[proto.VM]time.Time{},
+		marked: map[proto.VM]bool{}, alive: map[proto.VM]*censusDaemon{}, used: map[proto.VM][]usedPart{},
+	}
+	for i := range vms {
+		w.start(vmName(i))
+	}
+	return w
+}
+
+func vmName(i int) proto.VM { return proto.VM(fmt.Sprintf("vm-%02d", i)) }
+
+func (w *censusWorld) start(vm proto.VM) {
+	w.alive[vm] = &censusDaemon{census: NewCensus(vm, censusTiming)}
+}
+
+// list does what a daemon does with the rows when it reaches the store.
+func (w *censusWorld) list(vm proto.VM, d *censusDaemon) {
+	if w.now.Before(d.cutOff) || w.now.Before(d.pausing) {
+		return
+	}
+	if d.read.IsZero() || w.now.Sub(d.read) >= 20*time.Second {
+		_, listed := w.rows[vm]
+		d.census.Begin(w.now, listed && w.marked[vm] && w.now.Sub(w.wrote[vm]) < censusTiming.RowAge())
+		rows := map[proto.VM]uint64{}
+		for other, version := range w.rows {
+			rows[other] = version
+		}
+		for _, gone := range d.census.Read(w.now, w.now, rows) {
+			delete(w.rows, gone)
+		}
+		d.read = w.now
+	}
+	usable := d.census.Share(w.now).Usable
+	if d.wrote.IsZero() || w.now.Sub(d.wrote) >= censusTiming.Lease/3 || usable && !d.marked {
+		w.next++
+		w.rows[vm], w.wrote[vm], w.marked[vm] = w.next, w.now, usable
+		d.wrote, d.marked = w.now, usable
+		d.census.Wrote(w.now)
+	}
+}
+
+func (w *censusWorld) disturb(vms int) {
+	vm := vmName(w.random.IntN(2 * vms))
+	d := w.alive[vm]
+	length := time.Duration(w.random.Int64N(int64(15 * time.Minute)))
+	if w.random.IntN(2) == 0 {
+		length = time.Duration(w.random.Int64N(int64(time.Minute)))
+	}
+	switch {
+	case d == nil:
+		w.start(vm)
+	case w.random.IntN(3) == 0:
+		delete(w.alive, vm)
+	case w.random.IntN(3) == 0:
+		w.start(vm)
+	case w.random.IntN(2) == 0:
+		d.cutOff = w.now.Add(length)
+	default:
+		d.pausing = w.now.Add(length)
+	}
+}
+
+// share notes what each daemon may use now, and returns what all may have used within a window, in parts of the limit.
+func (w *censusWorld) share() float64 {
+	for vm, d := range w.alive {
+		if s := d.census.Share(w.now); s.Usable && !w.now.Before(d.pausing) {
+			w.used[vm] = append(w.used[vm], usedPart{w.now, 1 / float64(s.Counted)})
+		}
+	}
+	sum := 0.0
+	for vm, parts := range w.used {
+		for len(parts) > 0 && w.now.Sub(parts[0].at) >= censusTiming.Window {
+			parts = parts[1:]
+		}
+		w.used[vm] = parts
+		most := 0.0
+		for _, p := range parts {
+			most = max(most, p.part)
+		}
+		sum += most
+	}
+	return sum
+}
+
+// TestTheSharesNeverComeToMoreThanTheLimit plays random histories. What a daemon may use in a window is the largest
+// share that it had then.
+func TestTheSharesNeverComeToMoreThanTheLimit(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 40
+	properties := gopter.NewProperties(parameters)
+	properties.Property("shares", prop.ForAll(func(seed uint64, vms int) string {
+		w := newCensusWorld(seed, vms)
+		for end := censusStart.Add(2 * time.Hour); w.now.Before(end); w.now = w.now.Add(2 * time.Second) {
+			for vm, d := range w.alive {
+				w.list(vm, d)
+			}
+			if w.random.IntN(30) == 0 {
+				w.disturb(vms)
+			}
+			if sum := w.share(); sum > 1.000001 {
+				return fmt.Sprintf("after %s the shares come to %.3f", w.now.Sub(censusStart), sum)
+			}
+		}
+		return ""
+	}, gen.UInt64(), gen.IntRange(2, 8)))
+	properties.TestingRun(t)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -142,8 +142,7 @@
 	case !last.notRun && f.runs >= max(1, f.route.MaxTargets):
 		f.note("no retry", "reason", "as many targets as allowed have run it", "runs", f.runs, "last", last.reason)
 		return false
-	case f.sent > 0 && !s.budgetOf(f.pool).Spend(s.clock.Now(), s.peers.Count()):
-		f.note("no retry", "reason", "the retry budget of the pool is spent", "pool", f.pool, "daemons", s.peers.Count(), "last", last.reason)
+	case f.sent > 0 && !f.spendRetry(last):
 		return false
 	}
 	s.counts.again.Add(1)
@@ -151,6 +150,18 @@
 	return true
 }
 
+// spendRetry takes a further attempt out of the pool's budget, if there is one left.
+func (f *flow) spendRetry(last *attemptEnd) bool {
+	s := f.server
+	share := s.peers.Share()
+	budget, ok := s.budgetOf(f.pool).Spend(s.clock.Now(), share.Part)
+	if !ok {
+		f.note("no retry", "reason", "the retry budget of the pool is spent", "pool", f.pool, "spent", budget.Spent, "allowed", budget.Allowed,
+			"share", share.Part, "counted", share.Counted, "noShare", share.Reason, "last", last.reason)
+	}
+	return ok
+}
+
 const reasonNoTarget = "the pool has no target that may get work"
 
 func (f *flow) want() Want {
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -5,65 +5,136 @@
 	"time"
 )
 
-// budgetSteps is how many steps the window of a budget is counted in; finer steps track a sliding window more closely.
-const budgetSteps = 20
+const (
+	// budgetSteps is how many steps the window of a budget is counted in. A step held in part counts against the budget:
+	// with 40 of them, this leaves one attempt in 40 unused.
+	budgetSteps = 40
+	// budgetSpread is by how much the times between the decision to try again and the arrival at the target may differ:
+	// attempts that were decided that much more than a window apart may arrive within one. They arrive within
+	// milliseconds over an open connection, and within a fraction of a second over a new one to a busy target.
+	budgetSpread = 500 * time.Millisecond
+	// budgetLead is the part of a window by which requests may come before the attempts that they earn: an attempt follows
+	// its request, and a daemon without a share of the slack could make none otherwise.
+	budgetLead = budgetSteps / 20
+	// budgetRemembers is how many steps are remembered: a window, its lead, and the steps in which attempts may still
+	// arrive.
+	budgetRemembers = 2 * budgetSteps
+)
 
-// budgetShare is the part of the allowance that is used, since other daemons count their shares at slightly other times.
-const budgetShare = 0.8
+// BudgetTerms are the terms of the retry budget, for all daemons together: in any window no more further attempts than
+// the ratio of a window's requests plus the slack.
+type BudgetTerms struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
 
-// Budget limits how often requests to one pool go to a further target. Each daemon keeps to its share: the ratio of
-// its own requests, and an equal part of the slack.
+// Budget limits how often requests to one pool go to a further target. What the ratio allows, each daemon earns by its
+// own requests, so that no daemon has to know of another; the slack is divided between the daemons.
 type Budget struct {
-	mu     sync.Mutex
-	ratio  float64
-	slack  float64
-	step   time.Duration
-	asked  [budgetSteps]float64
-	spent  [budgetSteps]float64
-	latest int64
+	mu    sync.Mutex
+	terms BudgetTerms
+	// began is the start of the first step. Steps are counted on the steady clock, which no change of the time moves.
+	began        time.Time
+	asked, spent stepTotals
 }
 
-// NewBudget returns a budget of ratio times the requests of a window plus slack, both for all daemons together.
-func NewBudget(ratio, slack float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio, slack: slack, step: window / budgetSteps}
+// NewBudget returns a budget of which nothing is spent.
+func NewBudget(now time.Time, terms BudgetTerms) *Budget {
+	return &Budget{terms: terms, began: now}
 }
 
-func (b *Budget) advance(now time.Time) int {
-	step := now.UnixNano() / int64(b.step)
-	for b.latest < step {
-		if step-b.latest > budgetSteps {
-			b.latest = step - budgetSteps
-		}
-		b.latest++
-		b.asked[b.latest%budgetSteps] = 0
-		b.spent[b.latest%budgetSteps] = 0
-	}
-	return int(b.latest % budgetSteps)
-}
+func (b *Budget) length() time.Duration { return b.terms.Window / budgetSteps }
+
+func (b *Budget) step(now time.Time) int64 { return int64(now.Sub(b.began) / b.length()) }
 
 // Asked counts one request from a caller.
 func (b *Budget) Asked(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.asked[b.advance(now)]++
+	b.asked.add(b.step(now))
 }
 
-// Spend takes one further attempt out of the budget, or tells that none is left; members is the number of daemons.
-func (b *Budget) Spend(now time.Time, members int) bool {
+// BudgetState is what a budget had when a further attempt was asked for, in the window that leaves it least.
+type BudgetState struct {
+	Allowed float64
+	Spent   int
+}
+
+// Spend takes one further attempt out of the budget, or tells that none is left; share is this daemon's part of the
+// slack, from 0 to 1.
+func (b *Budget) Spend(now time.Time, share float64) (BudgetState, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	i := b.advance(now)
-	if total(b.spent[:])+1 > budgetShare*(b.ratio*total(b.asked[:])+b.slack/float64(max(1, members))) {
-		return false
+	step := b.step(now)
+	b.asked.advance(step)
+	b.spent.advance(step)
+	tightest := b.tightest(b.spent.latest, share)
+	if float64(tightest.Spent+1) > tightest.Allowed {
+		return tightest, false
+	}
+	b.spent.add(step)
+	return tightest, true
+}
+
+// tightest looks at all windows that an attempt in the latest step may fall into and returns the one that leaves it least.
+// Only the requests of the window itself count: those before it may have been another daemon's, which spent what they
+// earned before it died, and so the allowances of all daemons add up whoever gets the requests.
+func (b *Budget) tightest(latest int64, share float64) BudgetState {
+	spread := int64((budgetSpread + b.length() - 1) / b.length())
+	var tightest BudgetState
+	for first := latest - budgetSteps; first <= latest; first++ {
+		s := BudgetState{
+			Allowed: b.terms.Ratio*float64(b.requests(first, latest)) + b.terms.Slack*share,
+			Spent:   b.spent.between(first-spread, latest),
+		}
+		if first == latest-budgetSteps || s.Allowed-float64(s.Spent) < tightest.Allowed-float64(tightest.Spent) {
+			tightest = s
+		}
+	}
+	return tightest
+}
+
+// requests returns how many requests count for a window that begins within a step: those in it or in one that begins
+// somewhat earlier, whichever has more, without the steps that they hold in part.
+func (b *Budget) requests(first, latest int64) int {
+	from := first - budgetLead
+	return max(b.asked.between(first+1, latest), b.asked.between(from+1, min(latest, from+budgetSteps-1)))
+}
+
+// stepTotals counts events by steps, of which it remembers those of the last few windows.
+type stepTotals struct {
+	// totals holds how many events there were up to the end of each step.
+	totals [budgetRemembers]int
+	latest int64
+}
+
+// advance begins a step; one before the latest counts as that.
+func (t *stepTotals) advance(step int64) {
+	total := t.totals[t.latest%budgetRemembers]
+	t.latest = max(t.latest, step-budgetRemembers)
+	for t.latest < step {
+		t.latest++
+		t.totals[t.latest%budgetRemembers] = total
+	}
+}
+
+func (t *stepTotals) add(step int64) {
+	t.advance(step)
+	t.totals[t.latest%budgetRemembers]++
+}
+
+// between returns how many events there were from the first step to the last.
+func (t *stepTotals) between(first, last int64) int {
+	if last < first {
+		return 0
 	}
-	b.spent[i]++
-	return true
+	return t.upTo(last) - t.upTo(first-1)
 }
 
-func total(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v
+func (t *stepTotals) upTo(step int64) int {
+	if step < 0 {
+		return 0
 	}
-	return sum
+	return t.totals[min(step, t.latest)%budgetRemembers]
 }
--- a/relay/budget_test.go
+++ b/relay/budget_test.go
@@ -8,66 +8,178 @@
 
 var start = time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)
 
-func TestTheSlackIsDividedBetweenDaemons(t *testing.T) {
-	b := NewBudget(0.2, 50, 10*time.Second)
+var budgetTerms = BudgetTerms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+
+// spendAll takes all attempts that a budget has left.
+func spendAll(b *Budget, at time.Time, share float64) int {
 	spent := 0
-	for b.Spend(start, 5) {
+	for {
+		if _, ok := b.Spend(at, share); !ok {
+			return spent
+		}
 		spent++
 	}
-	if want := int(budgetShare * 50 / 5); spent != want {
-		t.Errorf("%d attempts from the slack, want %d", spent, want)
+}
+
+func TestTheSlackIsDividedBetweenDaemons(t *testing.T) {
+	b := NewBudget(start, budgetTerms)
+	if spent := spendAll(b, start, 0.2); spent != 10 {
+		t.Errorf("%d attempts from the slack, want 10", spent)
 	}
 	for range 100 {
 		b.Asked(start)
 	}
-	earned := 0
-	for b.Spend(start, 5) {
-		earned++
+	if earned := spendAll(b, start, 0.2); earned != 20 {
+		t.Errorf("%d attempts earned by 100 requests, want 20", earned)
 	}
-	if want := int(budgetShare * 0.2 * 100); earned != want {
-		t.Errorf("%d attempts earned by 100 requests, want %d", earned, want)
+	if state, ok := b.Spend(start.Add(9*time.Second), 0.2); ok {
+		t.Errorf("the window has not passed, yet more may be spent: %+v", state)
+	}
+	if state, ok := b.Spend(start.Add(13*time.Second), 0.2); !ok {
+		t.Errorf("nothing may be spent after the window: %+v", state)
+	}
+}
+
+func TestADaemonWithoutAShareSpendsWhatItEarned(t *testing.T) {
+	b := NewBudget(start, budgetTerms)
+	for range 100 {
+		b.Asked(start)
 	}
-	if b.Spend(start.Add(9*time.Second), 5) {
-		t.Error("the window has not passed, yet more may be spent")
+	if spent := spendAll(b, start, 0); spent != 20 {
+		t.Errorf("%d attempts earned by 100 requests, want 20", spent)
 	}
-	if !b.Spend(start.Add(11*time.Second), 5) {
-		t.Error("nothing may be spent after the window")
+}
+
+// TestAnEarlierTimeGivesABudgetNothing has the clock go back, as it may between processors.
+func TestAnEarlierTimeGivesABudgetNothing(t *testing.T) {
+	b := NewBudget(start, budgetTerms)
+	later := start.Add(20 * time.Second)
+	spendAll(b, later, 1)
+	if state, ok := b.Spend(later.Add(-2*time.Second), 1); ok {
+		t.Errorf("an earlier time gave the budget attempts: %+v", state)
 	}
 }
 
-// TestDaemonsTogetherKeepTheBudget lets daemons spend whenever they may and counts every span of the window's length.
+// TestDaemonsTogetherKeepTheBudget lets daemons spend whenever they may, attempts arrive up to budgetSpread later, and
+// every span of the window's length is counted.
 func TestDaemonsTogetherKeepTheBudget(t *testing.T) {
-	const daemons, ratio, slack, window = 6, 0.2, 52.0, 10 * time.Second
-	r := rand.New(rand.NewPCG(3, 4))
-	for range 20 {
-		budgets := make([]*Budget, daemons)
-		for i := range budgets {
-			budgets[i] = NewBudget(ratio, slack, window)
+	for seed := range uint64(60) {
+		h := newBudgetHistory(seed)
+		for h.at < budgetHistory {
+			h.step(h.random.IntN(len(h.budgets)))
 		}
-		var asked, spent []time.Duration
-		for at := time.Duration(0); at < 40*time.Second; at += 5 * time.Millisecond {
-			b := budgets[r.IntN(daemons)]
-			busy := at%(12*time.Second) < 6*time.Second
-			if busy || r.IntN(10) == 0 {
-				b.Asked(start.Add(at))
-				asked = append(asked, at)
-			}
-			if b.Spend(start.Add(at), daemons) {
-				spent = append(spent, at)
+		h.check(t)
+	}
+}
+
+// TestDaemonsThatDieAndStartKeepTheBudget has most daemons die again and again while many attempts fail: what they spent
+// still counts, and those who start, or get the requests of the dead, know nothing of it.
+func TestDaemonsThatDieAndStartKeepTheBudget(t *testing.T) {
+	for seed := range uint64(60) {
+		h := newBudgetHistory(seed)
+		for h.at < budgetHistory {
+			if h.random.IntN(400) == 0 {
+				h.kill(h.random.Float64())
 			}
+			h.step(h.random.IntN(len(h.budgets)))
 		}
-		for end := window; end < 40*time.Second; end += 500 * time.Millisecond {
-			most := 0
-			for _, back := range []time.Duration{0, window / 2, window} {
-				most = max(most, within(asked, end-back-window, end-back))
-			}
-			if got := within(spent, end-window, end); float64(got) > ratio*float64(most)+slack {
-				t.Fatalf("%d further attempts until %s, with %d requests", got, end, most)
-			}
+		h.check(t)
+	}
+}
+
+const (
+	budgetHistory = 40 * time.Second
+	budgetTick    = 5 * time.Millisecond
+)
+
+// budgetPlay is a history of daemons that spend as much as they may.
+type budgetPlay struct {
+	terms   BudgetTerms
+	random  *rand.Rand
+	at      time.Duration
+	budgets []*Budget
+	// shares are the moments from which on the daemons have a share of the slack.
+	shares         []time.Duration
+	asked, arrived []time.Duration
+}
+
+func newBudgetHistory(seed uint64) *budgetPlay {
+	const daemons = 6
+	h := &budgetPlay{
+		terms: BudgetTerms{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, random: rand.New(rand.NewPCG(3, seed)),
+		budgets: make([]*Budget, daemons), shares: make([]time.Duration, daemons),
+	}
+	for i := range h.budgets {
+		h.budgets[i] = NewBudget(start, h.terms)
+	}
+	return h
+}
+
+// step has a request come to a daemon, more often in some spans than in others, and an attempt asked for there.
+func (h *budgetPlay) step(daemon int) {
+	now := start.Add(h.at)
+	b := h.budgets[daemon]
+	if busy := h.at%(12*time.Second) < 6*time.Second; busy || h.random.IntN(10) == 0 {
+		b.Asked(now)
+		h.asked = append(h.asked, h.at)
+	}
+	share := 0.0
+	if h.at >= h.shares[daemon] {
+		share = 1 / float64(len(h.budgets))
+	}
+	if _, ok := b.Spend(now, share); ok {
+		h.arrived = append(h.arrived, h.at+time.Duration(h.random.Int64N(int64(budgetSpread))))
+	}
+	h.at += budgetTick
+}
+
+// kill has a part of the daemons start anew, without a share until what they spent is out of the window.
+func (h *budgetPlay) kill(part float64) {
+	for i := range h.budgets {
+		if h.random.Float64() < part {
+			h.budgets[i] = NewBudget(start.Add(h.at), h.terms)
+			h.shares[i] = h.at + h.terms.Window + budgetSpread
 		}
 	}
 }
 
+func (h *budgetPlay) check(t *testing.T) {
+	t.Helper()
+	window := h.terms.Window
+	for end := window; end < budgetHistory; end += 100 * time.Millisecond {
+		most := 0
+		for _, back := range []time.Duration{0, window / 2, window} {
+			most = max(most, within(h.asked, end-back-window, end-back))
+		}
+		if got := within(h.arrived, end-window, end); float64(got) > h.terms.Ratio*float64(most)+h.terms.Slack {
+			t.Fatalf("%d further attempts until %s, with %d requests", got, end, most)
+		}
+	}
+}
+
+// TestASteadyDeploymentUsesItsBudget has many more attempts asked for than are allowed, at an even rate.
+func TestASteadyDeploymentUsesItsBudget(t *testing.T) {
+	const daemons, length = 6, 60 * time.Second
+	terms := BudgetTerms{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}
+	budgets := make([]*Budget, daemons)
+	for i := range budgets {
+		budgets[i] = NewBudget(start, terms)
+	}
+	requests, spent := 0, 0
+	for at := time.Duration(0); at < length; at += 5 * time.Millisecond {
+		b := budgets[requests%daemons]
+		b.Asked(start.Add(at))
+		requests++
+		if _, ok := b.Spend(start.Add(at), 1.0/daemons); ok {
+			spent++
+		}
+	}
+	allowed := terms.Ratio*float64(requests) + terms.Slack*float64(length/terms.Window)
+	if used := float64(spent) / allowed; used < 0.9 {
+		t.Errorf("%d of %.0f allowed attempts were made, %.2f of them", spent, allowed, used)
+	}
+}
+
 func within(times []time.Duration, from, to time.Duration) int {
 	n := 0
 	for _, at := range times {
--- a/relay/pieces_test.go
+++ b/relay/pieces_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-func (p *scriptedPeers) Count() int { return 2 }
+func (p *scriptedPeers) Share() Share { return Share{Part: 0.5, Counted: 2} }
 
 func (p *scriptedPeers) Send(_ proto.VM, m proto.Message) {
 	p.mu.Lock()
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -131,14 +131,24 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Share is a daemon's part of what all daemons together are allowed.
+type Share struct {
+	// Part is from 0 to 1; the parts of all daemons come to 1 at the most at any time.
+	Part float64 `json:"part"`
+	// Counted is the number of daemons that it is divided between.
+	Counted int `json:"counted"`
+	// Reason says why the part is 0, if it is.
+	Reason string `json:"reason,omitempty"`
+}
+
 // Peers reaches the other daemons.
 type Peers interface {
 	// Owner returns the daemon that does a task for all, leaving out those that were found silent.
 	Owner(task string, skip map[proto.VM]bool) proto.VM
 	// Silent tells whether a daemon has not been heard for longer than a live one is silent.
 	Silent(vm proto.VM) bool
-	// Count returns the number of live daemons, this one included.
-	Count() int
+	// Share returns this daemon's part of what all daemons together are allowed.
+	Share() Share
 	Send(to proto.VM, m proto.Message)
 	Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -100,13 +100,6 @@
 	return end
 }
 
-// BudgetTerms are the terms of the retry budget, for all daemons together.
-type BudgetTerms struct {
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
 // ServerConfig is what a Server is made from.
 type ServerConfig struct {
 	Clock   clockwork.Clock
@@ -154,7 +147,7 @@
 	defer s.budgetMu.Unlock()
 	b := s.budgets[pool]
 	if b == nil {
-		b = NewBudget(s.budget.Ratio, s.budget.Slack, s.budget.Window)
+		b = NewBudget(s.clock.Now(), s.budget)
 		s.budgets[pool] = b
 	}
 	return b
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -74,6 +74,9 @@
 	// credentials are the certificates between daemons; nil if they show each other a key.
 	credentials *wire.Credentials
 	zoneCosts   relay.ZoneCosts
+	// census divides what all daemons are allowed together; lastShare is the part that was logged last.
+	census    *coord.Census
+	lastShare coord.Share
 	// badSettings and badCredentials are only used by the loop that watches the settings.
 	badSettings, badCredentials bool
 
@@ -124,6 +127,7 @@
 	}
 	d.exchange = wire.NewExchange(clock)
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts))
+	d.census = coord.NewCensus(d.self.VM, censusTiming(settings))
 	d.newPeers()
 	dialect := platform.Dialect{}
 	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables)
@@ -138,7 +142,7 @@
 }
 
 func (d *Relay) newPeers() {
-	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, seeds: map[proto.VM]proto.Alive{}, newer: map[proto.VM]time.Time{}}
+	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, census: d.census, seeds: map[proto.VM]proto.Alive{}, newer: map[proto.VM]time.Time{}}
 	for _, seed := range d.settings.Seeds {
 		if seed != d.self.Peer {
 			d.peers.seeds[proto.VM("seed "+seed.String())] = proto.Alive{Peer: seed}
@@ -265,6 +269,7 @@
 		d.every(peerTick, func() {
 			d.peers.members.Tick(d.clock.Now())
 			d.peers.meet()
+			d.reportShare()
 		}),
 		d.every(sweepEvery, func() {
 			d.noteFleet(d.fleet.Sweep(d.clock.Now()), "time")
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -234,63 +232,3 @@
 	}
 	d.takeChanges(a.TargetEntries, string(from), true)
 }
-
-// daemonRow is what a daemon says of itself in the store, for daemons that start when all seeds are gone.
-type daemonRow struct {
-	Zone        proto.Zone        `json:"zone"`
-	Peer        netip.AddrPort    `json:"peer"`
-	Incarnation proto.Incarnation `json:"incarnation"`
-}
-
-// list reads the other daemons' rows, writes the own one once, and reads the others' again now and then.
-func (d *Relay) list(ctx context.Context) {
-	d.readRows(ctx)
-	written := false
-	for ctx.Err() == nil {
-		if !written {
-			written = d.writeRow(ctx)
-		}
-		wait := listEvery
-		if !d.readRows(ctx) || !written {
-			wait = retryMost
-		}
-		d.pause(ctx, wait)
-	}
-}
-
-func (d *Relay) writeRow(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
-	defer cancel()
-	body, err := json.Marshal(daemonRow{Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation})
-	if err == nil {
-		err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
-	}
-	if err != nil {
-		d.log.Debug("the own row is not written", "error", err)
-	}
-	return err == nil
-}
-
-func (d *Relay) readRows(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
-	defer cancel()
-	rows, err := d.store.Daemons().Read(ctx)
-	if err != nil {
-		d.log.Debug("the list of daemons is not read", "error", err)
-		return false
-	}
-	now := d.clock.Now()
-	for _, entry := range rows.List {
-		var row daemonRow
-		if err := json.Unmarshal(entry.Body, &row); err != nil {
-			d.log.Warn("a daemon's row cannot be read", "vm", entry.Key, "error", err)
-			continue
-		}
-		// The own row may still be that of the last run, whose number must be lower.
-		alive := proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}
-		d.peers.members.Alive(now, alive, "")
-	}
-	d.rowsRead.Store(true)
-	d.noteStart()
-	return true
-}
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -78,8 +78,10 @@
 	Targets  wire.ExchangeCounts `json:"targetConnections"`
 	Links    wire.LinkCounts     `json:"links"`
 	Members  coord.MemberCounts  `json:"members"`
-	Routing  uint64              `json:"routing"`
-	Fleet    uint64              `json:"fleet"`
+	// Share is the daemon's part of what all daemons are allowed together.
+	Share   relay.Share `json:"share"`
+	Routing uint64      `json:"routing"`
+	Fleet   uint64      `json:"fleet"`
 	// RoutingAge and TargetsAge are how long ago the store last confirmed what is known of each table, to this daemon or
 	// to one that told it, in milliseconds; -1 if it never did.
 	RoutingAge int64 `json:"routingAgeMs"`
@@ -102,7 +104,7 @@
 	return RelayVars{
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
-		Members: d.peers.members.Counts(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
+		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
 		LinkAuth: d.linkAuth(), Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
 	}
 }
@@ -117,6 +119,6 @@
 
 func (d *Relay) logStatus() {
 	v := d.vars()
-	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members,
+	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members, "share", v.Share,
 		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "linkAuth", v.LinkAuth, "open", v.Open, "storeReads", v.Reads, "storeWrites", v.Writes, "dropped", v.Dropped)
 }
--- /dev/null
+++ b/serve/relaylist.go
@@ -0,0 +1,194 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"emberlead/coord"
+	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/relay"
+)
+
+const (
+	// listEvery is how often the daemons' table is read, for daemons that no other knows.
+	listEvery = 20 * time.Second
+	// rowLease is how long a daemon may use its share of common limits after a write of its row, and about how long others
+	// count a VM that has died for good: until then they have a smaller share each, by one in the number of VMs.
+	rowLease = 10 * time.Minute
+	// rowEvery is how often a daemon writes its row anew; with three times in a lease, two may fail. At 2,000 daemons this
+	// comes to ten writes a second.
+	rowEvery = rowLease / 3
+	// shareSpread is how much longer than the window of the retry budget a started daemon waits before it uses a share,
+	// for attempts of its last run that are still on their way.
+	shareSpread = time.Second
+	// readMost is how old the last read of the daemons' rows may be: two of them, and an outage of the store of 5 s.
+	readMost = 2*listEvery + 5*time.Second
+	// taskOldRows names the task of removing the rows of VMs that are gone.
+	taskOldRows = "remove old rows"
+)
+
+// daemonRow is what a daemon says of itself in the store, for daemons that start when all seeds are gone.
+type daemonRow struct {
+	Zone        proto.Zone        `json:"zone"`
+	Peer        netip.AddrPort    `json:"peer"`
+	Incarnation proto.Incarnation `json:"incarnation"`
+	// Written is when the row was written, by the clock of its VM.
+	Written time.Time `json:"written"`
+	// Counted says that all other daemons know of this VM when they divide what all are allowed together.
+	Counted bool `json:"counted,omitempty"`
+}
+
+// list keeps the daemons' table: it reads the others' rows and renews the own one.
+func (d *Relay) list(ctx context.Context) {
+	l := &rowList{daemon: d}
+	for ctx.Err() == nil {
+		d.pause(ctx, l.step(ctx))
+	}
+}
+
+// rowList is the state of the loop that keeps the daemons' table.
+type rowList struct {
+	daemon *Relay
+	// wrote is when the own row was sent that the store has, and counted what that said.
+	wrote   time.Time
+	counted bool
+	// again says that the rows were read a second time in the first start of all daemons.
+	again bool
+}
+
+// step reads the rows, writes the own one if that is due, and returns how long to wait then.
+func (l *rowList) step(ctx context.Context) time.Duration {
+	d := l.daemon
+	read := d.readRows(ctx)
+	written := !l.due() || l.write(ctx)
+	switch {
+	case !read || !written:
+		return retryMost
+	case d.settings.FirstStart && !l.again:
+		// All have written their rows by then, and none uses a share yet.
+		l.again = true
+		return d.settings.RetryWindow / 2
+	}
+	return listEvery
+}
+
+func (l *rowList) due() bool {
+	now := l.daemon.clock.Now()
+	return l.wrote.IsZero() || now.Sub(l.wrote) >= rowEvery || l.isCounted(now) && !l.counted
+}
+
+// isCounted tells whether the others know of this VM.
+func (l *rowList) isCounted(now time.Time) bool {
+	return l.daemon.settings.FirstStart || l.daemon.census.Share(now).Usable
+}
+
+func (l *rowList) write(ctx context.Context) bool {
+	d := l.daemon
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	sent := d.clock.Now()
+	row := daemonRow{
+		Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation,
+		Written: sent.UTC().Round(0), Counted: l.isCounted(sent),
+	}
+	body, err := json.Marshal(row)
+	if err == nil {
+		err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
+	}
+	if err != nil {
+		d.log.Debug("the own row is not written", "error", err)
+		return false
+	}
+	l.wrote, l.counted = sent, row.Counted
+	d.census.Wrote(sent)
+	return true
+}
+
+func (d *Relay) readRows(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	asked := d.clock.Now()
+	rows, err := d.store.Daemons().Read(ctx)
+	if err != nil {
+		d.log.Debug("the list of daemons is not read", "error", err)
+		return false
+	}
+	now := d.clock.Now()
+	versions := map[proto.VM]uint64{}
+	known := d.settings.FirstStart
+	for _, entry := range rows.List {
+		vm := proto.VM(entry.Key)
+		versions[vm] = entry.Version
+		row, ok := d.takeRow(now, entry)
+		known = known || ok && vm == d.self.VM && row.Counted && now.Sub(row.Written) < censusTiming(d.settings).RowAge()
+	}
+	d.census.Begin(now, known)
+	d.removeOld(d.census.Read(asked, now, versions), versions)
+	d.rowsRead.Store(true)
+	d.noteStart()
+	return true
+}
+
+// takeRow learns of a daemon by its row. The own row may still be that of the last run, whose number must be lower.
+func (d *Relay) takeRow(now time.Time, entry platform.Entry) (daemonRow, bool) {
+	var row daemonRow
+	if err := json.Unmarshal(entry.Body, &row); err != nil {
+		d.log.Warn("a daemon's row cannot be read", "vm", entry.Key, "error", err)
+		return row, false
+	}
+	d.peers.members.Alive(now, proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}, "")
+	return row, true
+}
+
+// removeOld removes the rows of VMs whose leases are over, which one daemon does for all.
+func (d *Relay) removeOld(over []proto.VM, versions map[proto.VM]uint64) {
+	for _, vm := range over {
+		d.log.Info("a daemon's row is too old to count", "vm", vm, "version", versions[vm], "lease", rowLease.String())
+		if versions[vm] == 0 || d.peers.Owner(taskOldRows, nil) != d.self.VM {
+			continue
+		}
+		go d.removeRow(vm, versions[vm])
+	}
+}
+
+func (d *Relay) removeRow(vm proto.VM, version uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), readWait)
+	defer cancel()
+	err := d.store.Daemons().Remove(ctx, string(vm), version)
+	d.log.Info("an old row is removed", "vm", vm, "version", version, "error", err)
+}
+
+func censusTiming(s platform.Settings) coord.CensusTiming {
+	return coord.CensusTiming{Window: s.RetryWindow + shareSpread, Lease: rowLease, View: readMost}
+}
+
+// Share returns this daemon's part of what all daemons together are allowed.
+func (p *relayPeers) Share() relay.Share {
+	s := p.census.Share(p.clock.Now())
+	share := relay.Share{Counted: s.Counted, Reason: string(s.Reason)}
+	if s.Usable {
+		share.Part = 1 / float64(s.Counted)
+	}
+	return share
+}
+
+// reportShare counts the daemons that have come to be known, and logs when the own part changes.
+func (d *Relay) reportShare() {
+	now := d.clock.Now()
+	if version := d.peers.members.Version(); version != d.peers.counted {
+		d.peers.counted = version
+		for _, alive := range d.peers.members.Live() {
+			d.census.Met(now, alive.VM)
+		}
+	}
+	s := d.census.Share(now)
+	if s.Counted == d.lastShare.Counted && s.Reason == d.lastShare.Reason {
+		return
+	}
+	d.lastShare = s
+	d.log.Info("share of common limits changed", "counted", s.Counted, "usable", s.Usable, "reason", s.Reason,
+		"rowAge", s.RowAge.String(), "readAge", s.ReadAge.String(), "members", d.peers.Count())
+}
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -42,7 +42,10 @@
 	log     hclog.Logger
 	self    proto.Alive
 	members *coord.Members
+	census  *coord.Census
 	links   *wire.Links
+	// counted is the version of the members' view that the census has; only the loop that reports the share uses it.
+	counted uint64
 
 	mu sync.Mutex
 	// seeds are addresses of daemons whose names are not known yet, under names made from the addresses.
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -50,8 +50,6 @@
 	taskReadStore = "read the store"
 	// lapseAsks is how often neighbours are asked how a lapsed entry went: the first time some may not know of it yet.
 	lapseAsks = 2
-	// listEvery is how often the daemons' table is read, for daemons that no other knows.
-	listEvery = 20 * time.Second
 )
 
 // storeTable is one table of the store, as a watcher reads it.
