A target that starts again is another run; entries that name no target are not used

Batchers make the pieces again that went with a run; resting connections are closed. Restarts beyond the first count like failures, for a time. An entry without the start that its target always told is unusable; where targets never tell it, nothing changes.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -136,6 +136,9 @@
 	Leaving bool
 	// ColdFor is how much longer the target is slow after its start.
 	ColdFor time.Duration
+	// Born is when this run of the target started, by its own word; zero if targets do not tell. A target may start again
+	// under its id, and then knows nothing of before.
+	Born time.Time
 }
 
 // RoutingAsk asks a daemon for its configuration and list of targets if they are newer than these versions.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -112,7 +112,7 @@
 	}
 	reason := "the stream broke off: " + err.Error()
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errSilent), errors.Is(cause, errSlowStart):
+	case errors.Is(cause, errSilent), errors.Is(cause, errSlowStart), errors.Is(cause, errRestarted):
 		a.verdict, reason = VerdictBad, cause.Error()
 	case errors.Is(cause, errTimeUp):
 		reason = cause.Error()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,6 +29,9 @@
 	attemptsMost = 6
 	// answerMost bounds an answer that is held until it is whole.
 	answerMost = 16 << 20
+	// restartGrace is how long after a target's next run is known an attempt at the last one goes on, so that what that
+	// one sent before its end is still read: a way of some milliseconds, and a busy daemon's delay.
+	restartGrace = 250 * time.Millisecond
 	// waitBusy is when to come back to a pool whose targets refuse work.
 	waitBusy = 300 * time.Millisecond
 )
@@ -38,6 +41,7 @@
 	errSlowStart = errors.New("no answer began in time")
 	errSilent    = errors.New("the stream was silent for too long")
 	errTimeUp    = errors.New("the time for the request is over")
+	errRestarted = errors.New("the target has started again")
 )
 
 // attemptEnd is what came of an attempt.
@@ -194,6 +198,9 @@
 	defer cancel(nil)
 	endTimer := s.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
 	defer endTimer.Stop()
+	defer context.AfterFunc(placed.Target.running, func() {
+		s.clock.AfterFunc(restartGrace, func() { cancel(errRestarted) })
+	})()
 	a := &attempt{flow: f, placed: placed, cancel: cancel, began: now}
 	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.rank}
 	out := &Outgoing{
@@ -300,7 +307,7 @@
 		f.runs++
 	}
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errSlowStart):
+	case errors.Is(cause, errSlowStart), errors.Is(cause, errRestarted):
 		a.verdict, end.reason = VerdictBad, cause.Error()
 	case errors.Is(cause, errTimeUp):
 		// Most of the time may have gone into the stages, so this alone says nothing of the target.
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -118,12 +118,19 @@
 	b.model.respec(spec)
 }
 
-// SetTargets takes over the targets that may get new work; calls at work elsewhere go on.
-func (b *Batcher) SetTargets(specs []proto.RelayTarget) {
+// SetTargets takes over the targets that may get new work; calls at work elsewhere go on, but for those to a target that
+// has started again. It returns the jobs that end by that.
+func (b *Batcher) SetTargets(specs []proto.RelayTarget) []JobEnd {
+	var ends []JobEnd
 	listed := map[string]bool{}
 	for _, s := range specs {
 		listed[s.ID] = true
-		if t := b.targets[s.ID]; t != nil {
+		t := b.targets[s.ID]
+		if t != nil && s.Born.After(t.spec.Born) {
+			ends = append(ends, b.endRun(t)...)
+			t = nil
+		}
+		if t != nil {
 			t.spec = s
 			continue
 		}
@@ -135,6 +142,7 @@
 		}
 		t.spec.Leaving = !listed[id]
 	}
+	return ends
 }
 
 func (b *Batcher) dropTarget(id string, t *batchTarget) {
--- a/relay/batchresult.go
+++ b/relay/batchresult.go
@@ -11,6 +11,9 @@
 // Done takes in the results of a call in the order of its items and returns the jobs that ended, with the handles
 // that nobody needs any more.
 func (b *Batcher) Done(now time.Time, c *Call, results []ItemResult) (ends []JobEnd, unused []string) {
+	if c.void {
+		return nil, nil
+	}
 	t := b.finish(c)
 	b.learn(t, c, results, now.Sub(c.Began))
 	for n, item := range c.Items {
@@ -78,6 +81,9 @@
 // Failed takes in a call that gave no results. With busy set the target refused it for want of a slot. The pieces
 // are sent again unless they were too often.
 func (b *Batcher) Failed(now time.Time, c *Call, busy bool) []JobEnd {
+	if c.void {
+		return nil
+	}
 	t := b.finish(c)
 	if t != nil {
 		b.leaveOut(now, t, busy)
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -194,7 +194,7 @@
 
 // cost is the expected delay of an attempt, and what it costs others.
 func (t *Target) cost(now time.Time, w Want, home *Target, long bool) float64 {
-	c := t.health.cost()
+	c := t.health.cost(now)
 	cross := t.Spec.Zone != w.Zone
 	if cross {
 		c += float64(t.pool.zones.Request) + float64(t.pool.zones.Megabyte)*float64(w.Inputs)/1e6
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 	// version is the store's version at which the entry last changed.
 	version uint64
 	gone    bool
+	// running ends when another run of the target is known, and end ends it.
+	running context.Context
+	end     context.CancelFunc
 	// long engines take the routes with long prompts.
 	long bool
 }
@@ -129,7 +133,9 @@
 	// Told changes come from another daemon, which knows how the store is; Lapsed says that it saw the entry go while
 	// the store was away, so that it may come back.
 	Told, Lapsed bool
-	Target       proto.RelayTarget
+	// Unusable entries name no target: another writer left them, or they cannot be read.
+	Unusable bool
+	Target   proto.RelayTarget
 }
 
 // Change takes in changes and returns what it did with each; one that is older than what is known is ignored.
@@ -196,6 +202,12 @@
 	// outcomeDoubted means that another daemon holds a lapsed target to have left.
 	outcomeDoubted = "doubted"
 	outcomeUpdated = "updated"
+	// OutcomeEnded means that the run ended: the target has started again, or is in another pool.
+	OutcomeEnded = "ended its run"
+	// outcomeStale means that the entry was written by an earlier run, and is not taken in.
+	outcomeStale = "told of an earlier run"
+	// outcomeUnusable means that the entry names no target any more.
+	outcomeUnusable = "has an entry that cannot be used"
 )
 
 func (f *Fleet) announce(notes []FleetNote) {
@@ -222,20 +234,27 @@
 	if t != nil && c.Version < t.version {
 		return nil
 	}
-	if c.Removed {
+	switch {
+	case c.Unusable:
+		return f.dropUnusable(t, c)
+	case c.Removed:
 		return f.remove(now, t, c)
+	case t == nil:
+		return []FleetNote{f.add(c, health{})}
 	}
-	p := f.poolLocked(c.Target.Pool)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if t == nil || t.pool != p {
-		t = &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version}
-		p.targets[c.ID] = t
-		f.where[c.ID] = t
-		p.stale = true
-		return []FleetNote{{Target: c.Target, Outcome: outcomeAdded}}
-	}
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
 	old := t.Spec
+	switch {
+	case c.Target.Born.IsZero() && !old.Born.IsZero():
+		// A target that tells when its run started always does.
+		return f.unusable(t, c)
+	case c.Target.Born.Before(old.Born):
+		t.version = c.Version
+		return []FleetNote{{Target: c.Target, Outcome: outcomeStale, Version: c.Version}}
+	case c.Target.Born.After(old.Born) || c.Target.Pool != old.Pool:
+		return f.restart(now, t, c)
+	}
 	t.Spec, t.version = c.Target, c.Version
 	t.lapsedAt, t.doubted = time.Time{}, false
 	switch {
@@ -247,6 +266,52 @@
 	return nil
 }
 
+// add lists a target of which nothing is known but its health.
+func (f *Fleet) add(c FleetChange, known health) FleetNote {
+	p := f.poolLocked(c.Target.Pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return f.addTo(p, c, known)
+}
+
+func (f *Fleet) addTo(p *targetPool, c FleetChange, known health) FleetNote {
+	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known}
+	t.running, t.end = context.WithCancel(context.Background())
+	p.targets[c.ID] = t
+	f.where[c.ID] = t
+	p.stale = true
+	return FleetNote{Target: c.Target, Outcome: outcomeAdded}
+}
+
+// restart replaces a target by its next run, or by what it is in another pool, of which nothing is known but that the last
+// one ended; the pool of the last one is locked. All that is believed of a target is in its Target, so it goes here at
+// once, and work in progress ends.
+func (f *Fleet) restart(now time.Time, t *Target, c FleetChange) []FleetNote {
+	ended := f.forget(t)
+	ended.Outcome, ended.Version = OutcomeEnded, c.Version
+	t.end()
+	if c.Target.Pool != t.Spec.Pool {
+		return []FleetNote{ended, f.add(c, health{})}
+	}
+	return []FleetNote{ended, f.addTo(t.pool, c, t.health.afterRestart(now))}
+}
+
+// dropUnusable removes a target whose entry names no target any more, whatever the state of the store.
+func (f *Fleet) dropUnusable(t *Target, c FleetChange) []FleetNote {
+	if t == nil {
+		return nil
+	}
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return f.unusable(t, c)
+}
+
+func (f *Fleet) unusable(t *Target, c FleetChange) []FleetNote {
+	note := f.forget(t)
+	note.Outcome, note.Version = outcomeUnusable, c.Version
+	return []FleetNote{note}
+}
+
 // drop removes a target whatever the state of the store.
 func (f *Fleet) drop(t *Target) FleetNote {
 	t.pool.mu.Lock()
--- a/relay/health.go
+++ b/relay/health.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"emberlead/state"
+)
 
 // Figures of ejection. A target that fails is left out for a time that doubles with each failure in a row.
 const (
@@ -12,6 +16,11 @@
 	errorWeight = 0.1
 	// errorCost is what a certain failure counts for in the choice of a target: a wasted attempt costs about a second.
 	errorCost = float64(time.Second)
+	// restartCost is what each restart of a target beyond the first counts for, as much as a failure among the last ten
+	// attempts, and restartHalf how soon it counts for half: one that has started again works as well as any other, and
+	// one that does so every few seconds loses what it is given.
+	restartCost = errorWeight * errorCost
+	restartHalf = 20 * time.Second
 )
 
 // health is what requests of this daemon showed of one target.
@@ -19,6 +28,8 @@
 	inRow    int
 	outUntil time.Time
 	rate     float64
+	// restarts counts the target's ends of a run, older ones for less.
+	restarts state.Decay
 }
 
 func (h *health) succeeded() {
@@ -37,7 +48,17 @@
 	h.outUntil = now.Add(out)
 }
 
+// afterRestart is the health of a target's next run. What the last one did is no fault of this one, but that it ended is
+// remembered.
+func (h *health) afterRestart(now time.Time) health {
+	next := health{restarts: h.restarts}
+	next.restarts.Add(now, restartHalf, 1)
+	return next
+}
+
 func (h *health) out(now time.Time) bool { return now.Before(h.outUntil) }
 
-// cost is what the failure rate adds to the expected time of an attempt.
-func (h *health) cost() float64 { return h.rate * errorCost }
+// cost is what failures and restarts add to the expected time of an attempt.
+func (h *health) cost(now time.Time) float64 {
+	return h.rate*errorCost + max(0, h.restarts.Value(now, restartHalf)-1)*restartCost
+}
--- a/relay/job.go
+++ b/relay/job.go
@@ -44,6 +44,13 @@
 	return true
 }
 
+// unset takes back a result that is lost, and queues its piece again.
+func (j *Job) unset(piece int) {
+	j.handles[piece] = ""
+	j.missing++
+	j.again(piece)
+}
+
 // again queues pieces that have no result.
 func (j *Job) again(pieces ...int) {
 	for _, piece := range pieces {
@@ -65,6 +72,8 @@
 
 	// overdue says that its pieces were queued again, since it takes much longer than expected.
 	overdue bool
+	// void says that the target has started again since: whatever the call brings is of a run that is over.
+	void bool
 }
 
 // CallItem is one piece of a job.
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -54,7 +54,7 @@
 	targets := w.targets()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.batch.SetTargets(targets)
+	w.settle(w.batch.SetTargets(targets))
 	w.turn()
 }
 
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -56,19 +56,20 @@
 	d.noteStart()
 }
 
-// changeOf reads one entry of the targets' table.
-func (d *Relay) changeOf(doc proto.TargetDocument) (relay.FleetChange, bool) {
+// changeOf reads one entry of the targets' table. One that cannot be read names no target, and the others hold.
+func (d *Relay) changeOf(doc proto.TargetDocument, from string) relay.FleetChange {
 	c := relay.FleetChange{ID: doc.ID, Version: doc.Version, Removed: doc.Removed, Lapsed: doc.Lapsed}
 	if doc.Removed {
-		return c, true
+		return c
 	}
 	t, err := platform.ReadTarget(doc.ID, doc.Body)
 	if err != nil {
-		d.log.Error("a target's entry cannot be read", "target", doc.ID, "error", err)
-		return c, false
+		d.log.Warn("an entry names no target", "target", doc.ID, "version", doc.Version, "bytes", len(doc.Body), "from", from, "error", err)
+		c.Unusable = true
+		return c
 	}
 	c.Target = t
-	return c, true
+	return c
 }
 
 func documentsOf(e platform.Entries) []proto.TargetDocument {
@@ -97,11 +98,8 @@
 	var entries []relay.FleetChange
 	kept := map[string]proto.TargetDocument{}
 	for _, doc := range docs {
-		c, ok := d.changeOf(doc)
-		if ok {
-			kept[doc.ID] = doc
-		}
-		if ok && !doc.Removed {
+		kept[doc.ID] = doc
+		if c := d.changeOf(doc, from); !c.Removed {
 			entries = append(entries, c)
 		}
 	}
@@ -125,10 +123,9 @@
 func (d *Relay) takeChanges(docs []proto.TargetDocument, from string, told bool) {
 	var changes []relay.FleetChange
 	for _, doc := range docs {
-		if c, ok := d.changeOf(doc); ok {
-			c.Told = told
-			changes = append(changes, c)
-		}
+		c := d.changeOf(doc, from)
+		c.Told = told
+		changes = append(changes, c)
 	}
 	notes := d.fleet.Change(d.clock.Now(), changes)
 	lapsed := map[string]bool{}
@@ -148,7 +145,10 @@
 
 func (d *Relay) noteFleet(notes []relay.FleetNote, from string) {
 	for _, n := range notes {
-		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "version", d.fleet.Version(), "from", from)
+		if n.Outcome == relay.OutcomeEnded {
+			d.exchange.Forget(n.Target.Address)
+		}
+		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "born", bornText(n.Target.Born), "version", d.fleet.Version(), "from", from)
 	}
 	if len(notes) > 0 {
 		d.peers.members.Beat(d.clock.Now())
@@ -158,6 +158,14 @@
 	}
 }
 
+// bornText is how the log names the start of a target's run; empty if the target does not tell it.
+func bornText(born time.Time) string {
+	if born.IsZero() {
+		return ""
+	}
+	return born.UTC().Format(time.RFC3339Nano)
+}
+
 // askOfLapsed asks the neighbours how they saw entries go that are held to have lapsed: a store that failed for
 // some daemons only went on serving the others, and what went then has left.
 func (d *Relay) askOfLapsed(ids []string, before uint64) {
--- a/wire/exchange.go
+++ b/wire/exchange.go
@@ -144,6 +144,16 @@
 	return idleMost
 }
 
+// Forget closes the resting connections to an address whose target has ended, which may not have closed them.
+func (e *Exchange) Forget(to netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.idle[to] {
+		_ = c.Close()
+	}
+	delete(e.idle, to)
+}
+
 // Sweep closes connections that have rested for too long; it comes every second or so.
 func (e *Exchange) Sweep() {
 	now := e.clock.Now()
