Callers of an outage of everything come back after a third of their time; calls and messages counted by kind

Cause: after all daemons were killed while the store was out, each told callers to come back after 0.4 s; most came back once, into the same outage, and were lost. A third of the caller's time is the last moment that leaves it time to be served; it is spread. Also: a restarted daemon on a known VM writes its row once, not twice; calls to the store by table and kind, messages between daemons by kind, in the status line and /debug/vars.

--- a/proto/codec.go
+++ b/proto/codec.go
@@ -1,6 +1,9 @@
 package proto
 
 import (
+	"fmt"
+	"strings"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -42,6 +45,19 @@
 	return data, nil
 }
 
+// NameOf returns the name of a message's type, for counters.
+func NameOf(m Message) string { return messageNames[m.messageKind()] }
+
+// messageNames are made once, since counters need one for each message.
+var messageNames = func() map[MessageKind]string {
+	names := map[MessageKind]string{}
+	for kind, read := range readers {
+		empty, _ := read(nil) // The value is empty in any case, and only its type is used.
+		names[kind] = strings.TrimPrefix(fmt.Sprintf("%T", empty), "proto.")
+	}
+	return names
+}()
+
 // Decode reads what Encode wrote; it fails with KindInvalid.
 func Decode(data []byte) (Envelope, Message, error) {
 	var env Envelope
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -11,15 +11,16 @@
 
 // accept reads and checks a request; nothing has run when it fails.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, began time.Time) (*flow, *failure) {
-	table := s.tables.Current()
-	if table == nil {
-		return nil, &failure{status: http.StatusServiceUnavailable, wait: waitUnknown, reason: "no configuration is known yet"}
-	}
 	req, err := s.dialect.ReadRequest(r)
 	if err != nil {
 		return nil, &failure{status: http.StatusBadRequest, reason: err.Error()}
 	}
-	f := &flow{server: s, w: w, req: req, began: began, version: table.Routing().Version, tried: map[string]bool{}, after: req.After}
+	f := &flow{server: s, w: w, req: req, began: began, tried: map[string]bool{}, after: req.After}
+	table := s.tables.Current()
+	if table == nil {
+		return f, &failure{status: http.StatusServiceUnavailable, wait: outageWait(req), reason: "no configuration is known yet"}
+	}
+	f.version = table.Routing().Version
 	f.route = table.Match(req.Host, req.Path)
 	if f.route == nil {
 		return f, &failure{status: http.StatusNotFound, reason: "no route has the host and path"}
--- /dev/null
+++ b/relay/outage_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+)
+
+// TestCallersOfAnOutageOfEverythingComeBackWhenTheyMayBeServed has all daemons die while the store is out, so that no
+// daemon knows a configuration. Callers come back once: one who is told 0.4 s, as for a busy daemon, returns into an
+// outage of seconds and is lost, and one who returns too late has no time left to be served. Outages of the platform's
+// store last some seconds; deadlines of streams are 6 to 20 s and those of short requests about 1 s.
+func TestCallersOfAnOutageOfEverythingComeBackWhenTheyMayBeServed(t *testing.T) {
+	scenarios := []struct {
+		wait, least, most time.Duration
+	}{
+		{8 * time.Second, 2100 * time.Millisecond, 2667 * time.Millisecond},
+		{20 * time.Second, 5300 * time.Millisecond, 6667 * time.Millisecond},
+		{time.Second, 260 * time.Millisecond, 334 * time.Millisecond},
+		{300 * time.Millisecond, outageLeast, outageLeast},
+		{0, outageUnknown, outageUnknown},
+	}
+	for _, s := range scenarios {
+		t.Run(s.wait.String(), func(t *testing.T) {
+			earliest, latest := time.Hour, time.Duration(0)
+			for i := range 200 {
+				wait := outageWait(&Request{ID: fmt.Sprint("request-", i), Wait: s.wait})
+				earliest, latest = min(earliest, wait), max(latest, wait)
+			}
+			if earliest < s.least || latest > s.most {
+				t.Errorf("callers come back after %s to %s, want %s to %s", earliest, latest, s.least, s.most)
+			}
+			if s.wait > time.Second && latest-earliest < (s.most-s.least)/2 {
+				t.Errorf("callers of one moment come back within %s of each other", latest-earliest)
+			}
+		})
+	}
+}
+
+// waitDialect reads how long a caller waits, and keeps when it is to come back.
+type waitDialect struct {
+	standDialect
+	wait, back time.Duration
+}
+
+func (d *waitDialect) ReadRequest(*http.Request) (*Request, error) {
+	return &Request{ID: "r", Wait: d.wait}, nil
+}
+
+func (d *waitDialect) Refuse(_ http.Header, wait time.Duration) { d.back = wait }
+
+func TestADaemonWithoutAConfigurationSaysWhenToComeBack(t *testing.T) {
+	dialect := &waitDialect{wait: 6 * time.Second}
+	s := NewServer(ServerConfig{
+		Clock: clockwork.NewFakeClockAt(start), Log: hclog.NewNullLogger(), Dialect: dialect, Tables: &Tables{}, Limits: Limits{Open: 1},
+	})
+	answer := httptest.NewRecorder()
+	s.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/", nil))
+	if answer.Code != http.StatusServiceUnavailable || dialect.back < 1600*time.Millisecond || dialect.back > 2*time.Second {
+		t.Errorf("status %d, come back after %s", answer.Code, dialect.back)
+	}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -21,7 +21,7 @@
 	answerMargin = 15 * time.Millisecond
 	// bodyWait bounds the reading of a body; callers that are within the limits send theirs at once.
 	bodyWait = 5 * time.Second
-	// waitUnknown is when to come back to a daemon that knows no configuration yet.
+	// waitUnknown is when to come back for a pool that the configuration in force does not have yet.
 	waitUnknown = 400 * time.Millisecond
 	// startWait is how long a request waits for a daemon that is starting, which is a part of the shortest goals.
 	startWait = 100 * time.Millisecond
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -89,9 +89,9 @@
 	// LinkAuth is how daemons know each other: storeAddress (which keeps nobody out), key or certificates.
 	LinkAuth linkAuth `json:"linkAuth"`
 	Open     int64    `json:"openRequests"`
-	Reads    int64    `json:"storeReads"`
-	Writes   int64    `json:"storeWrites"`
-	Dropped  int64    `json:"logLinesDropped"`
+	// Store counts the calls to the store by table and kind.
+	Store   platform.CallCounts `json:"store"`
+	Dropped int64               `json:"logLinesDropped"`
 }
 
 func (d *Relay) publishRelay() {
@@ -99,13 +99,12 @@
 }
 
 func (d *Relay) vars() RelayVars {
-	reads, writes := d.store.Counts()
 	now := d.clock.Now()
 	return RelayVars{
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
-		LinkAuth: d.linkAuth(), Reads: reads, Writes: writes, Dropped: d.sink.Dropped(),
+		LinkAuth: d.linkAuth(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
 	}
 }
 
@@ -120,5 +119,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "linkAuth", v.LinkAuth, "open", v.Open, "storeReads", v.Reads, "storeWrites", v.Writes, "dropped", v.Dropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "linkAuth", v.LinkAuth, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
 }
--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -55,6 +55,8 @@
 	// wrote is when the own row was sent that the store has, and counted what that said.
 	wrote   time.Time
 	counted bool
+	// known says that the others knew of this VM when the daemon started.
+	known bool
 	// again says that the rows were read a second time in the first start of all daemons.
 	again bool
 }
@@ -62,7 +64,7 @@
 // step reads the rows, writes the own one if that is due, and returns how long to wait then.
 func (l *rowList) step(ctx context.Context) time.Duration {
 	d := l.daemon
-	read := d.readRows(ctx)
+	read := l.read(ctx)
 	written := !l.due() || l.write(ctx)
 	switch {
 	case !read || !written:
@@ -82,7 +84,7 @@
 
 // isCounted tells whether the others know of this VM.
 func (l *rowList) isCounted(now time.Time) bool {
-	return l.daemon.settings.FirstStart || l.daemon.census.Share(now).Usable
+	return l.known || l.daemon.census.Share(now).Usable
 }
 
 func (l *rowList) write(ctx context.Context) bool {
@@ -107,7 +109,8 @@
 	return true
 }
 
-func (d *Relay) readRows(ctx context.Context) bool {
+func (l *rowList) read(ctx context.Context) bool {
+	d := l.daemon
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
 	asked := d.clock.Now()
@@ -125,6 +128,7 @@
 		row, ok := d.takeRow(now, entry)
 		known = known || ok && vm == d.self.VM && row.Counted && now.Sub(row.Written) < censusTiming(d.settings).RowAge()
 	}
+	l.known = l.known || known && !d.rowsRead.Load()
 	d.census.Begin(now, known)
 	d.removeOld(d.census.Read(asked, now, versions), versions)
 	d.rowsRead.Store(true)
--- a/wire/accept.go
+++ b/wire/accept.go
@@ -67,7 +67,8 @@
 	ctx = propagator.Extract(ctx, propagation.MapCarrier{"traceparent": env.Trace})
 	ctx, s := span(ctx, "peer call", trace.SpanKindServer, attribute.String("emberlead.peer", string(from)))
 	defer s.End()
-	data, err := proto.Encode(l.handle(ctx, from, m), env.Call, true, "")
+	answer := l.handle(ctx, from, m)
+	data, err := proto.Encode(answer, env.Call, true, "")
 	if err != nil {
 		l.log.Error("an answer cannot be encoded", "error", err)
 		return
@@ -79,5 +80,6 @@
 	if conn.Write(ctx, websocket.MessageBinary, data) == nil {
 		l.sent.Add(1)
 		l.bytesOut.Add(int64(len(data)))
+		l.kinds.add(answer, len(data))
 	}
 }
--- a/wire/links.go
+++ b/wire/links.go
@@ -34,6 +34,8 @@
 	BytesOut int64 `json:"bytesOut"`
 	BytesIn  int64 `json:"bytesIn"`
 	Dropped  int64 `json:"dropped"`
+	// Kinds are what was queued to be sent, by kind of message.
+	Kinds map[string]KindCount `json:"kinds,omitempty"`
 }
 
 // Links carries messages to other daemons over WebSocket. Each daemon dials for what it sends; answers come back on the same connection.
@@ -60,6 +62,8 @@
 	calls   atomic.Uint64
 
 	sent, received, bytesOut, bytesIn, dropped atomic.Int64
+
+	kinds kindCounts
 }
 
 // LinksConfig is what Links are made from.
@@ -102,6 +106,7 @@
 	return LinkCounts{
 		Links: n, Sent: l.sent.Load(), Received: l.received.Load(),
 		BytesOut: l.bytesOut.Load(), BytesIn: l.bytesIn.Load(), Dropped: l.dropped.Load(),
+		Kinds: l.kinds.read(),
 	}
 }
 
@@ -184,8 +189,8 @@
 		l.log.Error("a message cannot be encoded", "error", err)
 		return
 	}
-	if lk := l.link(to); lk != nil {
-		lk.queue(data)
+	if lk := l.link(to); lk != nil && lk.queue(data) {
+		l.kinds.add(m, len(data))
 	}
 }
 
@@ -231,6 +236,7 @@
 	if !lk.queue(data) {
 		return nil, fault("call", proto.KindUnavailable, "the queue to %s is full", to)
 	}
+	l.kinds.add(m, len(data))
 	select {
 	case answer, ok := <-waiting:
 		if !ok {
