Daemons that start ask the store less: one loop of a store that is out, the row of the last run kept, the table of daemons each minute

Change: of a daemon that has just started, one loop asks a store that is out, the others follow it, or ask after 2 s and 3 s by themselves, since a table may be out alone; the own row stays if it is fresh and says the same; the table is read each minute. Reads of the configuration by daemons that could ask a peer remain.

--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// listEvery is how often the daemons' table is read, for daemons that no other knows.
-	listEvery = 20 * time.Second
+	// listEvery is how often the daemons' table is read, for daemons that no other knows. All daemons do so, which at some
+	// hundred of them is several calls a second.
+	listEvery = time.Minute
+	// listRetry bounds how long the table is not read after a call that failed, unless another call to the store succeeds:
+	// daemons that all start during an outage would ask in vain several times a second each.
+	listRetry = 3 * time.Second
 	// rowLease is how long a daemon may use its share of common limits after a write of its row, and about how long others
 	// count a VM that has died for good: until then they have a smaller share each, by one in the number of VMs.
 	rowLease = 10 * time.Minute
@@ -68,7 +72,8 @@
 	written := !l.due() || l.write(ctx)
 	switch {
 	case !read || !written:
-		return retryMost
+		d.awaitStore(ctx, listRetry)
+		return retryFirst
 	case d.settings.FirstStart && !l.again:
 		// All have written their rows by then, and none uses a share yet.
 		l.again = true
@@ -82,6 +87,18 @@
 	return l.wrote.IsZero() || now.Sub(l.wrote) >= rowEvery || l.isCounted(now) && !l.counted
 }
 
+// takeOver keeps the row of the VM's last run, if that is not due to be written anew and says the same of the VM: other
+// daemons learn of the new run over their links.
+func (l *rowList) takeOver(now time.Time, row daemonRow) {
+	d := l.daemon
+	age := now.Sub(row.Written)
+	if !l.wrote.IsZero() || row.Zone != d.self.Zone || row.Peer != d.self.Peer || age < 0 || age >= rowEvery {
+		return
+	}
+	l.wrote, l.counted = now.Add(-age), row.Counted
+	d.census.Wrote(l.wrote)
+}
+
 // isCounted tells whether the others know of this VM.
 func (l *rowList) isCounted(now time.Time) bool {
 	return l.known || l.daemon.census.Share(now).Usable
@@ -122,13 +139,17 @@
 	now := d.clock.Now()
 	versions := map[proto.VM]uint64{}
 	known := d.settings.FirstStart
+	var own daemonRow
 	for _, entry := range rows.List {
 		vm := proto.VM(entry.Key)
 		versions[vm] = entry.Version
-		row, ok := d.takeRow(now, entry)
-		known = known || ok && vm == d.self.VM && row.Counted && now.Sub(row.Written) < censusTiming(d.settings).RowAge()
+		if row, ok := d.takeRow(now, entry); ok && vm == d.self.VM {
+			own = row
+		}
 	}
+	known = known || own.Counted && now.Sub(own.Written) < censusTiming(d.settings).RowAge()
 	l.known = l.known || known && !d.rowsRead.Load()
+	l.takeOver(now, own)
 	d.census.Begin(now, known)
 	d.removeOld(d.census.Read(asked, now, versions), versions)
 	d.rowsRead.Store(true)
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -41,6 +41,8 @@
 	// retryFirst and retryMost bound the pause after a call that failed.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// followWait is how long a loop of a daemon that has just started waits for another one to reach the store.
+	followWait = 2 * time.Second
 	// readerCheck is how often a daemon looks whether it has to read the store itself.
 	readerCheck = 500 * time.Millisecond
 	// readersPerZone is how many daemons of a zone watch the store and tell the others: with two, one may fail or be
@@ -70,6 +72,8 @@
 	// whole takes in all rows and reports whether they were new enough; change takes in rows that changed.
 	whole  func(platform.Entries) bool
 	change func(platform.Entries)
+	// follows is set where another watcher asks first whether the store is back.
+	follows bool
 	// seen is told after each step whether the store answered.
 	seen func(now time.Time, answered bool)
 	// view is told as of when the store's answers hold.
@@ -101,7 +105,7 @@
 			if proto.KindOf(err) == proto.KindNotFound {
 				version = 0
 			}
-			w.daemon.pause(ctx, pause.NextBackOff())
+			w.rest(ctx, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
@@ -111,6 +115,27 @@
 	}
 }
 
+// rest waits after a call that failed. A daemon that has just started has one of its loops ask a store that is out; the
+// others wait for that, or for the time after which a table may be out by itself.
+func (w *watcher) rest(ctx context.Context, pause time.Duration) {
+	if w.follows && !w.daemon.known() {
+		w.daemon.awaitStore(ctx, followWait)
+		return
+	}
+	w.daemon.pause(ctx, pause)
+}
+
+// awaitStore waits until the store has answered a watcher of this daemon, but not for long.
+func (d *Relay) awaitStore(ctx context.Context, most time.Duration) {
+	from := d.clock.Now()
+	for now := from; now.Sub(from) < most && ctx.Err() == nil; now = d.clock.Now() {
+		if d.routingView.confirmedAfter(from) || d.targetsView.confirmedAfter(from) {
+			return
+		}
+		d.pause(ctx, retryFirst)
+	}
+}
+
 // known tells whether the daemon has both tables from somewhere.
 func (d *Relay) known() bool { return d.tables.Current() != nil && d.targetsKnown.Load() }
 
