--- a/entry/losses.go
+++ b/entry/losses.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -45,9 +46,10 @@
 	if err != nil {
 		return exit(ExitUsage, err)
 	}
-	ends, uncounted := worths.counted(requestEnds(lines))
+	all, unrouted := requestEnds(lines)
+	ends, uncounted := worths.counted(all)
 	report := newLossReport(ends, worths, c.Duration("every"), c.Float("sized"))
-	report.uncounted = uncounted
+	report.uncounted, report.unrouted = uncounted, unrouted
 	return report.print(c.Root().Writer)
 }
 
@@ -135,6 +137,8 @@
 	total   float64
 	// uncounted are the requests of routes without a worth.
 	uncounted int
+	// unrouted are the tries that were refused before their route was known, by reason.
+	unrouted map[string]int
 }
 
 type lossKey struct {
@@ -200,6 +204,9 @@
 	if r.uncounted > 0 {
 		fmt.Fprintf(table, "%d requests of routes without a --worth are not counted\n", r.uncounted)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.unrouted)) {
+		fmt.Fprintf(table, "%d tries whose route was not known, with no worth above: %s\n", r.unrouted[reason], reason)
+	}
 	fmt.Fprintln(table)
 	fmt.Fprintln(table, "goal\tasked\trequests\tlost\tof all lost\treason")
 	for _, k := range r.byLoss() {
--- a/entry/losses_test.go
+++ b/entry/losses_test.go
@@ -134,3 +134,33 @@
 		})
 	}
 }
+
+// TestLossesCountWhatHasNoRouteAndGroupReasons has an outage in which no configuration was known, and streams that broke
+// off at several targets.
+func TestLossesCountWhatHasNoRouteAndGroupReasons(t *testing.T) {
+	const unknown = `,"status":503,"took":"1ms","reason":"no configuration is known yet"`
+	broken := func(from, to string) string {
+		return fmt.Sprintf(`,"goal":"1s","took":"900ms","reason":"the stream broke off: read tcp4 %s->%s: connection reset by peer"`, from, to)
+	}
+	path := dayLog(t,
+		line(0, "request refused", "one", unknown),
+		line(10, "request refused", "two", unknown),
+		line(20, "request refused", "no route", `,"status":404,"reason":"no route has the host and path"`),
+		accepted(30, "first", "a"),
+		line(900, "stream broken off", "first", broken("10.1.0.17:32803", "10.2.0.9:8080")),
+		accepted(40, "second", "b"),
+		line(910, "stream broken off", "second", broken("10.1.0.17:40111", "10.3.0.7:8080")),
+	)
+	var out bytes.Buffer
+	if code := Main([]string{"emberlead", "losses", path}, &out, &out); code != ExitDone {
+		t.Fatalf("code %d: %s", code, out.String())
+	}
+	for _, want := range []string{
+		"2 tries whose route was not known, with no worth above: refused with 503: no configuration is known yet",
+		"100.0%", "broken off: the stream broke off: read tcp4 ADDRESS: connection reset by peer",
+	} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+}
--- a/entry/lossreason.go
+++ b/entry/lossreason.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"net/http"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -45,8 +47,9 @@
 	end    *logLine
 }
 
-// requestEnds reads the fate of each request from the lines of all daemons, oldest first.
-func requestEnds(lines []logLine) []requestEnd {
+// requestEnds reads the fate of each request from the lines of all daemons, oldest first, and of those that were refused
+// before their routes were known how many there are for each reason.
+func requestEnds(lines []logLine) (ends []requestEnd, unrouted map[string]int) {
 	tries := map[string]*attemptLog{}
 	var order []*attemptLog
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.At.Compare(b.At) })
@@ -63,7 +66,19 @@
 		}
 		t.add(l)
 	}
-	return join(order)
+	return join(order), unroutedRefusals(order)
+}
+
+// unroutedRefusals counts the tries that were refused before their route was known, so that nobody can tell what they
+// were worth. A caller who came back counts for each try.
+func unroutedRefusals(tries []*attemptLog) map[string]int {
+	reasons := map[string]int{}
+	for _, t := range tries {
+		if t.accept == nil && t.end != nil && t.end.Status == http.StatusServiceUnavailable {
+			reasons[refusalOf(t.end)]++
+		}
+	}
+	return reasons
 }
 
 func (t *attemptLog) add(l *logLine) {
@@ -167,23 +182,25 @@
 	return e, true
 }
 
+func refusalOf(end *logLine) string { return fmt.Sprintf("refused with %d: %s", end.Status, plain(end.Reason)) }
+
 func (t *attemptLog) refusal() string {
-	reason := fmt.Sprintf("refused with %d: %s", t.end.Status, plain(t.end.Reason))
+	reason := refusalOf(t.end)
 	if took := t.end.duration("took"); t.end.Status == 503 && took > time.Duration(heldFrom*float64(t.time("left"))) {
 		return "held and then " + reason + " (" + t.where() + ")"
 	}
 	return reason
 }
 
+// anAddress finds an address with its port, or two with an arrow between them.
+var anAddress = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+:\d+(->\d+\.\d+\.\d+\.\d+:\d+)?`)
+
 // plain leaves out of a reason what differs from day to day, such as names of pools and addresses.
 func plain(reason string) string {
 	if stage, rest, ok := strings.Cut(reason, ": "); ok && strings.HasPrefix(stage, "stage ") {
-		return "a stage: " + rest
+		reason = "a stage: " + rest
 	}
-	if i := strings.Index(reason, " tcp "); i >= 0 {
-		return reason[:i]
-	}
-	return reason
+	return anAddress.ReplaceAllString(reason, "ADDRESS")
 }
 
 // part is one of the spans of time that a request went through.
