--- a/entry/lossreason.go
+++ b/entry/lossreason.go
@@ -182,7 +182,9 @@
 	return e, true
 }
 
-func refusalOf(end *logLine) string { return fmt.Sprintf("refused with %d: %s", end.Status, plain(end.Reason)) }
+func refusalOf(end *logLine) string {
+	return fmt.Sprintf("refused with %d: %s", end.Status, plain(end.Reason))
+}
 
 func (t *attemptLog) refusal() string {
 	reason := refusalOf(t.end)
