--- a/serve/relay.go
+++ b/serve/relay.go
@@ -266,7 +266,7 @@
 		whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) },
 	}
 	targets := &watcher{
-		daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, follows: true, view: &d.targetsView, reads: d.isReader, checked: d.tellReaders,
+		daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, follows: routing, view: &d.targetsView, reads: d.isReader, checked: d.tellReaders,
 		whole: d.targetsWhole, change: d.targetsChanged, seen: d.storeSeen,
 	}
 	for _, loop := range []func(context.Context){
--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -128,7 +128,7 @@
 
 func (l *rowList) read(ctx context.Context) bool {
 	d := l.daemon
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	ctx, cancel := context.WithTimeout(ctx, wholeWait)
 	defer cancel()
 	asked := d.clock.Now()
 	rows, err := d.store.Daemons().Read(ctx)
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -18,8 +19,11 @@
 	watchWait = 10 * time.Second
 	// watchSlack is how much later than that an answer may come; the store may be slow by a factor of some tens.
 	watchSlack = 1500 * time.Millisecond
-	// readWait bounds a read of a whole table, and a write.
+	// readWait bounds a write.
 	readWait = 1500 * time.Millisecond
+	// wholeWait bounds a read of a whole table, of which each page has a bound of its own: one that takes longer is better
+	// begun anew, since what it has is old.
+	wholeWait = 10 * time.Second
 	// probeWait is how long the store holds a watch that is to be answered soon: a check beside a long watch, and each
 	// watch that follows a call without an answer. A store that is away may take a watch in and never answer it, and no
 	// news is to be late by as much as a long watch may hang.
@@ -72,8 +76,10 @@
 	// whole takes in all rows and reports whether they were new enough; change takes in rows that changed.
 	whole  func(platform.Entries) bool
 	change func(platform.Entries)
-	// follows is set where another watcher asks first whether the store is back.
-	follows bool
+	// follows is the watcher that asks first whether the store is back, if it is not this one.
+	follows *watcher
+	// reached says that the store answered this watcher last.
+	reached atomic.Bool
 	// seen is told after each step whether the store answered.
 	seen func(now time.Time, answered bool)
 	// view is told as of when the store's answers hold.
@@ -119,7 +125,7 @@
 // loops ask a store that is out; the other loops and daemons wait for that, or for the time after which a table may be out
 // by itself, or the store away for some daemons.
 func (w *watcher) rest(ctx context.Context, pause time.Duration) {
-	if !w.daemon.known() && (w.follows || !w.daemon.isReader()) {
+	if !w.daemon.known() && (w.follows != nil && !w.follows.reached.Load() || !w.daemon.isReader()) {
 		w.daemon.awaitStore(ctx, followWait)
 		return
 	}
@@ -169,7 +175,7 @@
 }
 
 func (w *watcher) readWhole(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait)
+	ctx, cancel := context.WithTimeout(ctx, wholeWait)
 	defer cancel()
 	w.asked = w.daemon.clock.Now()
 	all, err := w.table.Read(ctx)
@@ -286,4 +292,5 @@
 		w.daemon.log.Info("store reached", "table", w.name)
 	}
 	w.up = err == nil
+	w.reached.Store(w.up)
 }
