Only a store that turns calls away is asked less by starting daemons

Change: calls without an answer are made again at once, as before; only an answer that turns a call away slows the loops down.

--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -60,10 +60,10 @@
 
 // storeTable is one table of the store, as a watcher reads it.
 type storeTable interface {
-	// Read returns all rows; it fails with KindUnavailable.
+	// Read returns all rows; it fails with KindDenied when the store turns the call away, and else with KindUnavailable.
 	Read(ctx context.Context) (platform.Entries, error)
 	// Watch returns the rows that changed after a version, as soon as there is one or the wait is over. It fails with
-	// KindNotFound when the store has forgotten that version, and else with KindUnavailable.
+	// KindNotFound when the store has forgotten that version, and else like Read.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (platform.Entries, error)
 }
 
@@ -111,7 +111,7 @@
 			if proto.KindOf(err) == proto.KindNotFound {
 				version = 0
 			}
-			w.rest(ctx, pause.NextBackOff())
+			w.rest(ctx, err, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
@@ -123,9 +123,10 @@
 
 // rest waits after a call that failed. Of the daemons that have just started, those that read for others have one of their
 // loops ask a store that is out; the other loops and daemons wait for that, or for the time after which a table may be out
-// by itself, or the store away for some daemons.
-func (w *watcher) rest(ctx context.Context, pause time.Duration) {
-	if !w.daemon.known() && (w.follows != nil && !w.follows.reached.Load() || !w.daemon.isReader()) {
+// by itself, or the store away for some daemons. A call that got no answer is no sign of that: when all start together, many
+// connections are not made at once.
+func (w *watcher) rest(ctx context.Context, err error, pause time.Duration) {
+	if proto.KindOf(err) == proto.KindDenied && !w.daemon.known() && (w.follows != nil && !w.follows.reached.Load() || !w.daemon.isReader()) {
 		w.daemon.awaitStore(ctx, followWait)
 		return
 	}
