--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -60,7 +60,7 @@
 
 // storeTable is one table of the store, as a watcher reads it.
 type storeTable interface {
-	// Read returns all rows; it fails with KindDenied when the store turns the call away, and else with KindUnavailable.
+	// Read returns all rows; it fails with KindUnavailable.
 	Read(ctx context.Context) (platform.Entries, error)
 	// Watch returns the rows that changed after a version, as soon as there is one or the wait is over. It fails with
 	// KindNotFound when the store has forgotten that version, and else like Read.
@@ -126,7 +126,7 @@
 // by itself, or the store away for some daemons. A call that got no answer is no sign of that: when all start together, many
 // connections are not made at once.
 func (w *watcher) rest(ctx context.Context, err error, pause time.Duration) {
-	if proto.KindOf(err) == proto.KindDenied && !w.daemon.known() && (w.follows != nil && !w.follows.reached.Load() || !w.daemon.isReader()) {
+	if errors.Is(err, platform.ErrTurnedAway) && !w.daemon.known() && (w.follows != nil && !w.follows.reached.Load() || !w.daemon.isReader()) {
 		w.daemon.awaitStore(ctx, followWait)
 		return
 	}
--- a/serve/relaywatch_test.go
+++ b/serve/relaywatch_test.go
@@ -8,11 +8,15 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"emberlead/coord"
 	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/relay"
 )
 
 // TestAWatchAfterAFailureIsShort has the store fail once: the next call may be swallowed as well, so it must not be one
@@ -49,3 +53,43 @@
 		t.Errorf("the store was asked to hold watches for %s ms, want %s", got, want)
 	}
 }
+
+// TestOnlyAStoreThatTurnsCallsAwayIsAskedLess has a loop of a daemon that has just started fail while the other loop that it
+// follows has not reached the store either.
+func TestOnlyAStoreThatTurnsCallsAwayIsAskedLess(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		err     error
+		reached bool
+		most    time.Duration
+	}{
+		{"no answer", context.DeadlineExceeded, false, retryFirst},
+		{"turned away like the other loop", platform.ErrTurnedAway, false, followWait},
+		{"turned away while the other loop is answered", platform.ErrTurnedAway, true, retryFirst},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			d := &Relay{clock: clock, tables: &relay.Tables{}}
+			leader := &watcher{daemon: d}
+			leader.reached.Store(s.reached)
+			if s.reached {
+				d.peers = &relayPeers{clock: clock, self: proto.Alive{VM: "a"}, members: coord.NewMembers(proto.Alive{VM: "a"}, peerTiming(), coord.DefaultRings(), nil, nil)}
+			}
+			w := &watcher{daemon: d, follows: leader}
+			resting, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			began := clock.Now()
+			go func() {
+				w.rest(context.Background(), s.err, retryFirst)
+				cancel()
+			}()
+			for clock.BlockUntilContext(resting, 1) == nil {
+				clock.Advance(retryFirst)
+			}
+			if took := clock.Now().Sub(began); took < s.most || took > s.most+2*retryFirst {
+				t.Errorf("the loop rested %s, want %s", took, s.most)
+			}
+		})
+	}
+}
