--- a/wire/exchange_test.go
+++ b/wire/exchange_test.go
@@ -320,3 +320,21 @@
 	}
 	<-closed
 }
+
+// TestConnectionsToATargetThatEndedAreNotKept has a target end whose resting connections were not closed, as one does
+// whose VM lost power.
+func TestConnectionsToATargetThatEndedAreNotKept(t *testing.T) {
+	e := NewExchange(clockwork.NewFakeClock())
+	to, other := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
+	near, far := net.Pipe()
+	defer far.Close()
+	e.idle[to] = []*targetConn{{Conn: near}}
+	e.idle[other] = []*targetConn{{}}
+	e.Forget(to)
+	if len(e.idle[to]) != 0 || len(e.idle[other]) != 1 {
+		t.Errorf("%d connections rest to the target that ended and %d to another", len(e.idle[to]), len(e.idle[other]))
+	}
+	if _, err := near.Write([]byte{1}); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("the connection is open: %v", err)
+	}
+}
