--- a/relay/accept.go
+++ b/relay/accept.go
@@ -34,6 +34,7 @@
 	if fail := f.readBody(r, table.Routing().Limits.BodyBytes); fail != nil {
 		return f, fail
 	}
+	f.digest = digestOf(req, f.workspace)
 	f.choosePool(table)
 	f.bound()
 	return f, nil
--- a/relay/server.go
+++ b/relay/server.go
@@ -163,6 +163,8 @@
 	spec      *proto.RelayPool
 	workspace string
 	owner     *proto.RelayWorkspace
+	// digest is the same for each try of the request, under whatever id.
+	digest proto.RequestDigest
 	// rank is the request's urgency among those for its pool; 0 is the highest.
 	rank    int
 	version uint64
@@ -223,7 +225,7 @@
 		return
 	}
 	f.note("request accepted", "route", f.route.Name, "workspace", f.workspace, "rank", f.rank, "pool", f.pool, "routing", f.version,
-		"pieces", f.req.Pieces, "prompt", f.prompt(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MostTokens, "due", brief(f.due.Sub(began)), "left", brief(f.left()))
+		"pieces", f.req.Pieces, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.prompt(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MostTokens, "due", brief(f.due.Sub(began)), "left", brief(f.left()))
 	ctx, span := otel.Tracer(tracer).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
