Requests that end targets are refused by all daemons after the third

Cause: what is learnt of a request goes with its id; its next try begins afresh, at whatever daemon. Ruled out: knowledge per daemon that is not shared (a daemon that saw six ends went on), and the pool's budget (its tries are within it). Change: an end of a target is a fact about all requests that were at work there (relay/crashes.go), by a digest of caller, method, host, path and body. Daemons pass on each such fact and compare digests in heartbeats (serve/relayends.go). After three ends without an answer a request is refused at once, before each attempt, stage and call; a whole answer clears it; an hour forgets. Calls for pieces that failed twice are made again job by job.

--- a/proto/codec.go
+++ b/proto/codec.go
@@ -125,4 +125,5 @@
 	MessageConfirmed:      reader[Confirmed],
 	MessageDeaths:         reader[Deaths],
 	MessageNews:           reader[News],
+	MessageTargetEnds:     reader[TargetEnds],
 }
--- a/proto/crash.go
+++ b/proto/crash.go
@@ -1,6 +1,10 @@
 package proto
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"time"
+)
 
 // RequestDigest names a request by caller, method, host, path and body, so that it is the same under each id that the
 // request comes with, at each daemon.
@@ -8,3 +12,31 @@
 
 // String returns the digest as the log shows it.
 func (d RequestDigest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
+
+// RunName names one run of a target, which may start again under its id.
+type RunName string
+
+// RunName returns the name of the target's run.
+func (t *RelayTarget) RunName() RunName {
+	if t.Born.IsZero() {
+		return RunName(t.ID)
+	}
+	return RunName(t.ID + "@" + strconv.FormatInt(t.Born.UnixMilli(), 10))
+}
+
+// TargetEnd tells that a run of a target ended, and which requests were at work there.
+type TargetEnd struct {
+	Run RunName `cbor:"1,keyasint"`
+	// By is the daemon that saw it, and Age how long before the message it did.
+	By  VM            `cbor:"2,keyasint"`
+	Age time.Duration `cbor:"3,keyasint"`
+	// Requests were at work there.
+	Requests []RequestDigest `cbor:"4,keyasint"`
+	// Answered says that other targets have answered the requests since, so that the end does not count against them.
+	Answered bool `cbor:"5,keyasint,omitempty"`
+}
+
+// TargetEnds tells other daemons of ends of targets.
+type TargetEnds struct {
+	Ends []TargetEnd `cbor:"1,keyasint"`
+}
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -50,6 +50,7 @@
 	MessageDeaths
 	MessageNews
 	MessageConfirmed
+	MessageTargetEnds
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -63,6 +64,8 @@
 	Targets uint64 `cbor:"6,keyasint,omitempty"`
 	// Dead is a digest of the runs that the sender holds to be dead; 0 if none.
 	Dead uint64 `cbor:"7,keyasint,omitempty"`
+	// Ends is a digest of the ends of targets that the sender knows of; 0 if none.
+	Ends uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
@@ -342,6 +345,7 @@
 func (Confirmed) messageKind() MessageKind      { return MessageConfirmed }
 func (Deaths) messageKind() MessageKind         { return MessageDeaths }
 func (News) messageKind() MessageKind           { return MessageNews }
+func (TargetEnds) messageKind() MessageKind     { return MessageTargetEnds }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -200,6 +200,8 @@
 	// inputs.
 	Shard      int `cbor:"17,keyasint,omitempty"`
 	InputShard int `cbor:"18,keyasint,omitempty"`
+	// Digest is that of the request.
+	Digest RequestDigest `cbor:"19,keyasint,omitempty"`
 }
 
 // PieceFate tells how a stage's pieces ended.
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -37,7 +37,7 @@
 	f.digest = digestOf(req, f.workspace)
 	f.choosePool(table)
 	f.bound()
-	return f, nil
+	return f, f.refuseCrashing()
 }
 
 func (f *flow) authorize(table *Table) *failure {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -102,7 +102,7 @@
 func (a *attempt) streamEnded(ctx context.Context, in *Incoming, err error, held []byte) attemptEnd {
 	f := a.flow
 	if errors.Is(err, io.EOF) && len(held) == 0 {
-		a.verdict = VerdictGood
+		a.verdict, a.answered = VerdictGood, true
 		if !f.committed {
 			f.copyHeader(in.Header)
 			f.w.WriteHeader(http.StatusOK)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -55,6 +55,9 @@
 	// answer is a whole failure answer of the target that may be passed on if nothing better comes.
 	answer *wholeAnswer
 	reason string
+	// otherTarget says that another target has the address, and err is why the request was not sent or not answered.
+	otherTarget bool
+	err         error
 }
 
 type wholeAnswer struct {
@@ -75,6 +78,13 @@
 		if f.left() < leastLeft {
 			return f.timedOut(last.reason), false
 		}
+		if fail := f.refuseCrashing(); fail != nil {
+			f.keepReady(&last)
+			if f.passReady() {
+				return nil, false
+			}
+			return fail, false
+		}
 		if n > 0 && !f.mayRetry(&last) {
 			break
 		}
@@ -210,6 +220,7 @@
 	}
 	end := a.send(ctx, out)
 	placed.Ended(a.verdict, a.load)
+	a.noteEnd(ctx, &end)
 	if !end.done {
 		f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "sent", end.sent, "notRun", end.notRun,
 			"targets", s.fleet.Version(), "took", brief(s.clock.Now().Sub(now)), "reason", end.reason)
@@ -225,8 +236,8 @@
 	verdict Verdict
 	load    Load
 	began   time.Time
-	// first says that the first event has come.
-	first bool
+	// first says that the first event has come, and answered that the whole answer did, which is no failure.
+	first, answered bool
 }
 
 func (a *attempt) send(ctx context.Context, out *Outgoing) attemptEnd {
@@ -297,7 +308,7 @@
 
 func (a *attempt) noAnswer(ctx context.Context, err error) attemptEnd {
 	f := a.flow
-	end := attemptEnd{reason: err.Error()}
+	end := attemptEnd{reason: err.Error(), err: err}
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Written {
 		end.notRun = true
@@ -322,7 +333,7 @@
 
 func (a *attempt) refused(in *Incoming, reply Reply) attemptEnd {
 	_, _ = io.Copy(io.Discard, io.LimitReader(in.Body, answerMost))
-	end := attemptEnd{notRun: true, sent: true, lostInput: reply.LostInput}
+	end := attemptEnd{notRun: true, sent: true, lostInput: reply.LostInput, otherTarget: reply.OtherTarget}
 	switch {
 	case reply.OtherTarget:
 		a.verdict = VerdictBad
@@ -347,6 +358,7 @@
 		return attemptEnd{sent: true, reason: "the answer broke off: " + err.Error()}
 	}
 	a.verdict = VerdictGood
+	a.answered = in.Status/100 == http.StatusOK/100
 	a.flow.server.answers.observe(a.flow.pool, answerPrior, a.flow.server.clock.Now().Sub(a.began))
 	answer := &wholeAnswer{status: in.Status, header: in.Header, body: body}
 	if in.Status >= http.StatusInternalServerError && a.flow.route.Repeatable() {
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -11,6 +11,10 @@
 	// pieceTries is how often the pieces of one stage are sent anew after a call that failed: three targets that fail one
 	// after the other have a common cause, and the request's time is over by then.
 	pieceTries = 3
+	// aloneAfter is after how many failed calls a job's pieces go in a call of their own. What ends targets by one of its
+	// pieces fails then by itself, and those that were in the call with it are served by their third one. After the first
+	// failure all go together again: most targets end by themselves, and calls for few pieces take as long as full ones.
+	aloneAfter = pieceTries - 1
 	// crossCalls is for how many full calls' time a job waits for a target in the zone of its inputs: one of them is free
 	// again within a call's length, and what crosses zones is paid for.
 	crossCalls = 1.2
@@ -98,12 +102,26 @@
 	began time.Time
 	// hold is how long a result takes up room on average, from its call's start until it is freed.
 	hold float64
+	// refuses tells which requests are not worked on.
+	refuses func(proto.RequestDigest) bool
+}
+
+// BatcherOption changes a Batcher at construction.
+type BatcherOption func(*Batcher)
+
+// WithRefusals has the batcher end the jobs of requests that are not to be worked on.
+func WithRefusals(refuses func(proto.RequestDigest) bool) BatcherOption {
+	return func(b *Batcher) { b.refuses = refuses }
 }
 
 // NewBatcher returns a batcher without targets.
-func NewBatcher(spec proto.BatchSpec) *Batcher {
+func NewBatcher(spec proto.BatchSpec, options ...BatcherOption) *Batcher {
 	b := &Batcher{spec: spec, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}}
 	b.hold = holdCalls * b.fullCall(0)
+	b.refuses = func(proto.RequestDigest) bool { return false }
+	for _, option := range options {
+		option(b)
+	}
 	return b
 }
 
@@ -185,6 +203,7 @@
 // Next returns the calls to send now, and the jobs whose time is over.
 func (b *Batcher) Next(now time.Time) ([]*Call, []JobEnd) {
 	ends := b.expire(now)
+	ends = append(ends, b.refuseJobs()...)
 	b.requeue(now)
 	b.sort(now)
 	ends = append(ends, b.giveUp(now)...)
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -108,6 +108,10 @@
 	c := &Call{Target: t.spec, Began: now, Least: b.spec.CallCost}
 	t.call = c
 	b.take(now, t, c, first)
+	if first.alone {
+		c.Expected = b.expected(c, t)
+		return c
+	}
 	// Jobs of the target's own zone go before those whose inputs would cross zones.
 	for _, own := range []bool{true, false} {
 		for _, j := range b.jobs {
@@ -119,13 +123,18 @@
 			}
 		}
 	}
-	c.Expected = time.Duration(b.model.times.sum(contents(c, nil)) * t.pace)
+	c.Expected = b.expected(c, t)
 	return c
 }
 
+// expected is how long a call should take.
+func (b *Batcher) expected(c *Call, t *batchTarget) time.Duration {
+	return time.Duration(b.model.times.sum(contents(c, nil)) * t.pace)
+}
+
 // mayFill keeps the pieces of a job together where they fit into a call, since their results are needed together.
 func (b *Batcher) mayFill(now time.Time, c *Call, t *batchTarget, j *Job, own bool) bool {
-	if !own && now.Before(j.since.Add(b.patience(now, j))) {
+	if j.alone || !own && now.Before(j.since.Add(b.patience(now, j))) {
 		return false
 	}
 	free := b.spec.Most - len(c.Items)
--- a/relay/batchresult.go
+++ b/relay/batchresult.go
@@ -144,6 +144,18 @@
 		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "calls to several targets failed"})}
 	}
 	j.exclude = target
+	j.alone = j.tries >= aloneAfter
 	j.again(pieces...)
 	return nil
 }
+
+// refuseJobs ends the queued jobs of requests that are not worked on any more.
+func (b *Batcher) refuseJobs() []JobEnd {
+	var ends []JobEnd
+	for _, j := range b.jobs {
+		if !j.done && j.left() > 0 && b.refuses(j.Ask.Digest) {
+			ends = append(ends, b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "targets ended that worked on the request"}))
+		}
+	}
+	return ends
+}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -300,6 +300,14 @@
 	return !t.gone && !t.Spec.Leaving
 }
 
+// InService tells whether the run of a target as it was listed is still listed and has not said that it leaves.
+func (f *Fleet) InService(spec proto.RelayTarget) bool {
+	f.mu.RLock()
+	t := f.where[spec.ID]
+	f.mu.RUnlock()
+	return t != nil && f.Listed(t) && f.Spec(t).Born.Equal(spec.Born)
+}
+
 // Out returns the targets of a pool that this daemon leaves out, for their failures or since they may have left.
 func (f *Fleet) Out(now time.Time, pool string) []string {
 	p := f.pool(pool)
--- /dev/null
+++ b/relay/crashes.go
@@ -0,0 +1,361 @@
+package relay
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+const (
+	// crashLimit is how many targets may end while a request is at work there, without an answer between, before it is
+	// refused. An end accuses all that the target ran, of whom one at most caused it. With two, a request that fails
+	// once by itself and once beside another is refused: in a play of such ends, of 352 requests beside the one that
+	// caused them 33 had lost two attempts or more, and 13 three or more.
+	crashLimit = 3
+	// crashKept is how long an end counts. A request that goes on ending targets costs three of them, and what is on
+	// its way, in each such time; targets may have new software by then.
+	crashKept = time.Hour
+	// crashesMost bounds how many ends of targets under requests are remembered, at about 200 bytes each; it is some
+	// hundred targets' ends with all that these ran.
+	crashesMost = 8192
+	// crashesDropped is the part of them that makes room for new ones.
+	crashesDropped = 4
+)
+
+// Crashes remembers which requests were at work at targets when these ended, whoever saw it. A nil *Crashes knows nothing.
+//
+// An end under a request is a fact that is only ever added, or marked as answered for: daemons that know different ones come
+// to agree by telling each other what they know, in any order and any number of times.
+type Crashes struct {
+	self  proto.VM
+	clock clockwork.Clock
+	log   hclog.Logger
+	// news is told, without a lock held, what this daemon did not know.
+	news func(proto.TargetEnds)
+
+	mu       sync.Mutex
+	requests map[proto.RequestDigest]crashRecord
+	size     int
+	digest   uint64
+	// refused is the number of requests that are refused, and suspected that of requests with ends that count; they
+	// spare requests the lock while there is nothing to look up.
+	refused, suspected atomic.Int64
+}
+
+// crashRecord holds the ends of targets under one request.
+type crashRecord map[proto.RunName]crash
+
+// crash is one end of a target under a request.
+type crash struct {
+	at       time.Time
+	by       proto.VM
+	answered bool
+}
+
+// NewCrashes returns a memory of no ends; news is told of each end that it learns.
+func NewCrashes(self proto.VM, clock clockwork.Clock, log hclog.Logger, news func(proto.TargetEnds)) *Crashes {
+	return &Crashes{self: self, clock: clock, log: log, news: news, requests: map[proto.RequestDigest]crashRecord{}}
+}
+
+// counted returns how many ends count against the request.
+func (r crashRecord) counted() int {
+	n := 0
+	for _, c := range r {
+		if !c.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Evidence is why a request is refused.
+type Evidence struct {
+	// Ends are those that count, oldest first.
+	Ends []EvidenceEnd
+	// ComeBack is how long the request is refused, if no further end comes to be known.
+	ComeBack time.Duration
+}
+
+// EvidenceEnd is one target's end as the log tells it.
+type EvidenceEnd struct {
+	Run proto.RunName `json:"run"`
+	By  proto.VM      `json:"by"`
+	Age string        `json:"age"`
+}
+
+// Refuses tells whether a request ended so many targets that it is run no more, and by what evidence.
+func (c *Crashes) Refuses(request proto.RequestDigest) (Evidence, bool) {
+	if c == nil || c.refused.Load() == 0 {
+		return Evidence{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record := c.requests[request]
+	if record.counted() < crashLimit {
+		return Evidence{}, false
+	}
+	return record.evidence(c.clock.Now()), true
+}
+
+// Suspects tells whether an end of a target counts against a request.
+func (c *Crashes) Suspects(request proto.RequestDigest) bool {
+	if c == nil || c.suspected.Load() == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests[request].counted() > 0
+}
+
+func (r crashRecord) evidence(now time.Time) Evidence {
+	var e Evidence
+	var times []time.Time
+	for run, c := range r {
+		if c.answered {
+			continue
+		}
+		times = append(times, c.at)
+		e.Ends = append(e.Ends, EvidenceEnd{Run: run, By: c.by, Age: brief(now.Sub(c.at))})
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	slices.SortFunc(e.Ends, func(a, b EvidenceEnd) int {
+		return cmp.Or(r[a.Run].at.Compare(r[b.Run].at), cmp.Compare(a.Run, b.Run))
+	})
+	// It is run again once fewer ends than the limit are left.
+	last := times[len(times)-crashLimit]
+	e.ComeBack = max(retryFloor, last.Add(crashKept).Sub(now))
+	return e
+}
+
+// Ended notes that a run of a target ended while requests were at work there.
+func (c *Crashes) Ended(run proto.RunName, at time.Time, requests []proto.RequestDigest) {
+	if c == nil || len(requests) == 0 {
+		return
+	}
+	end := proto.TargetEnd{Run: run, By: c.self, Age: c.clock.Now().Sub(at), Requests: requests}
+	c.Learn(proto.TargetEnds{Ends: []proto.TargetEnd{end}}, c.self)
+}
+
+// Answered notes that a target gave the whole answer to a request: it does not end each target that runs it, so the ends
+// known so far had other causes.
+func (c *Crashes) Answered(request proto.RequestDigest) {
+	if !c.Suspects(request) {
+		return
+	}
+	now := c.clock.Now()
+	var m proto.TargetEnds
+	c.mu.Lock()
+	for run, e := range c.requests[request] {
+		if !e.answered {
+			m.Ends = append(m.Ends, proto.TargetEnd{Run: run, By: e.by, Age: now.Sub(e.at), Requests: []proto.RequestDigest{request}, Answered: true})
+		}
+	}
+	c.mu.Unlock()
+	c.Learn(m, c.self)
+}
+
+// Learn takes in ends that this daemon saw, or another one told.
+func (c *Crashes) Learn(m proto.TargetEnds, from proto.VM) {
+	if c == nil {
+		return
+	}
+	now := c.clock.Now()
+	var fresh proto.TargetEnds
+	for _, end := range m.Ends {
+		if news := c.learnEnd(now, end, from); len(news) > 0 {
+			end.Requests = news
+			fresh.Ends = append(fresh.Ends, end)
+		}
+	}
+	if len(fresh.Ends) > 0 && c.news != nil {
+		c.news(fresh)
+	}
+}
+
+// learnEnd takes in one end and returns the requests for which it is news.
+func (c *Crashes) learnEnd(now time.Time, end proto.TargetEnd, from proto.VM) []proto.RequestDigest {
+	if end.Age > crashKept {
+		return nil
+	}
+	var news, refused []proto.RequestDigest
+	c.mu.Lock()
+	for _, request := range end.Requests {
+		before := c.requests[request].counted()
+		if !c.put(request, end.Run, crash{at: now.Add(-end.Age), by: end.By, answered: end.Answered}) {
+			continue
+		}
+		news = append(news, request)
+		after := c.requests[request].counted()
+		c.recount(before, after)
+		if before < crashLimit && after >= crashLimit {
+			refused = append(refused, request)
+		}
+	}
+	c.makeRoom()
+	c.mu.Unlock()
+	if len(news) > 0 {
+		c.log.Info("requests were at work when a target ended", "run", end.Run, "by", end.By, "age", brief(end.Age), "answered", end.Answered, "requests", len(news), "from", from)
+	}
+	for _, request := range refused {
+		evidence, _ := c.Refuses(request)
+		c.log.Warn("a request is refused from now on, since targets end that run it", "digest", request.String(), "ends", evidence.Ends, "for", brief(evidence.ComeBack), "from", from)
+	}
+	return news
+}
+
+// put adds an end, or marks one as answered for, and tells whether that is news; the lock is held.
+func (c *Crashes) put(request proto.RequestDigest, run proto.RunName, e crash) bool {
+	record := c.requests[request]
+	if record == nil {
+		record = crashRecord{}
+		c.requests[request] = record
+	}
+	old, known := record[run]
+	switch {
+	case known && (old.answered || !e.answered):
+		return false
+	case known:
+		c.digest ^= old.digest(request, run)
+		e.at, e.by = old.at, old.by
+	default:
+		c.size++
+	}
+	record[run] = e
+	c.digest ^= e.digest(request, run)
+	return true
+}
+
+// drop forgets an end; the lock is held.
+func (c *Crashes) drop(request proto.RequestDigest, run proto.RunName) {
+	record := c.requests[request]
+	before := record.counted()
+	c.digest ^= record[run].digest(request, run)
+	c.size--
+	delete(record, run)
+	c.recount(before, record.counted())
+	if len(record) == 0 {
+		delete(c.requests, request)
+	}
+}
+
+// recount keeps the totals when the ends that count against a request change.
+func (c *Crashes) recount(before, after int) {
+	c.suspected.Add(int64(min(1, after) - min(1, before)))
+	c.refused.Add(int64(min(1, after/crashLimit) - min(1, before/crashLimit)))
+}
+
+// digest is that of one end, equal at all daemons that know it.
+func (e crash) digest(request proto.RequestDigest, run proto.RunName) uint64 {
+	var key [9]byte
+	binary.BigEndian.PutUint64(key[:], uint64(request))
+	if e.answered {
+		key[8] = 1
+	}
+	return state.Rank(xxhash.Sum64(key[:]), state.Hash(string(run)))
+}
+
+// Digest is equal at daemons that know the same ends; 0 if none is known.
+func (c *Crashes) Digest() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.digest
+}
+
+// All returns all ends that are known.
+func (c *Crashes) All() proto.TargetEnds {
+	type key struct {
+		run      proto.RunName
+		answered bool
+	}
+	now := c.clock.Now()
+	ends := map[key]*proto.TargetEnd{}
+	c.mu.Lock()
+	for request, record := range c.requests {
+		for run, e := range record {
+			k := key{run, e.answered}
+			if ends[k] == nil {
+				ends[k] = &proto.TargetEnd{Run: run, By: e.by, Age: now.Sub(e.at), Answered: e.answered}
+			}
+			ends[k].Requests = append(ends[k].Requests, request)
+		}
+	}
+	c.mu.Unlock()
+	var m proto.TargetEnds
+	for _, end := range ends {
+		slices.Sort(end.Requests)
+		m.Ends = append(m.Ends, *end)
+	}
+	slices.SortFunc(m.Ends, func(a, b proto.TargetEnd) int { return cmp.Or(cmp.Compare(a.Run, b.Run), cmp.Compare(a.Age, b.Age)) })
+	return m
+}
+
+// Sweep forgets ends that are too old to count; it comes several times a second.
+func (c *Crashes) Sweep() {
+	if c == nil {
+		return
+	}
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for request, record := range c.requests {
+		for run, e := range record {
+			if now.Sub(e.at) > crashKept {
+				c.drop(request, run)
+			}
+		}
+	}
+}
+
+// makeRoom forgets ends under requests that are least suspected, the oldest first, when there are too many; the lock is
+// held. What is refused stays refused.
+func (c *Crashes) makeRoom() {
+	if c.size <= crashesMost {
+		return
+	}
+	type kept struct {
+		request proto.RequestDigest
+		run     proto.RunName
+		counted int
+		at      time.Time
+	}
+	all := make([]kept, 0, c.size)
+	for request, record := range c.requests {
+		counted := record.counted()
+		for run, e := range record {
+			all = append(all, kept{request, run, counted, e.at})
+		}
+	}
+	slices.SortFunc(all, func(a, b kept) int {
+		return cmp.Or(cmp.Compare(a.counted, b.counted), a.at.Compare(b.at), cmp.Compare(a.request, b.request))
+	})
+	for _, k := range all[:len(all)/crashesDropped] {
+		c.drop(k.request, k.run)
+	}
+	c.log.Warn("ends of targets are forgotten, since there are too many", "forgotten", len(all)/crashesDropped, "left", c.size)
+}
+
+// CrashCounts tell how much is remembered.
+type CrashCounts struct {
+	// Ends is the number of ends of targets under requests, Suspected that of requests with ends that count, and
+	// Refused that of requests that are run no more.
+	Ends      int   `json:"ends"`
+	Suspected int64 `json:"suspected"`
+	Refused   int64 `json:"refused"`
+}
+
+// Counts returns what is remembered now.
+func (c *Crashes) Counts() CrashCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return CrashCounts{Ends: c.size, Suspected: c.suspected.Load(), Refused: c.refused.Load()}
+}
--- /dev/null
+++ b/relay/crashing.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"syscall"
+)
+
+// refuseCrashing refuses a request that ended so many targets that it is run no more, at once and with the time after which
+// it may be tried again. It may have run under this id already, if the last of these targets ended by that.
+func (f *flow) refuseCrashing() *failure {
+	evidence, refused := f.server.crashes.Refuses(f.digest)
+	if !refused {
+		return nil
+	}
+	f.server.counts.crashing.Add(1)
+	f.note("a request is not run, since targets end that run it", "digest", f.digest.String(), "ends", evidence.Ends, "runs", f.runs)
+	return f.notRun(evidence.ComeBack, "targets ended that ran it")
+}
+
+// noteEnd notes what an attempt's end says of the request and of the run of its target.
+func (a *attempt) noteEnd(ctx context.Context, end *attemptEnd) {
+	f := a.flow
+	switch {
+	case a.answered:
+		f.server.crashes.Answered(f.digest)
+	case end.otherTarget || errors.Is(end.err, syscall.ECONNREFUSED):
+		a.noteTargetGone(end.reason)
+	case end.done || end.notRun || end.answer != nil:
+		// The target lives, or never had the request.
+	case f.server.fleet.Listed(a.placed.Target) || errors.Is(context.Cause(ctx), errRestarted):
+		// What a target that was to leave has not done by its end says nothing of the request.
+		f.server.ends.Failed(a.placed.Spec, context.Cause(ctx) == nil, f.digest)
+	}
+}
+
+// noteTargetGone notes that a target has ended whose entry says that it is in service.
+func (a *attempt) noteTargetGone(cause string) {
+	s := a.flow.server
+	if s.fleet.Listed(a.placed.Target) {
+		s.ends.Ended(a.placed.Spec, cause)
+	}
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -192,6 +192,11 @@
 	Version uint64
 }
 
+// Crashed tells whether the note says that a run is over which had not said that it would leave.
+func (n *FleetNote) Crashed() bool {
+	return !n.Target.Leaving && (n.Outcome == outcomeRemoved || n.Outcome == OutcomeEnded)
+}
+
 // Outcomes of changes to the fleet.
 const (
 	outcomeAdded   = "added"
--- a/relay/job.go
+++ b/relay/job.go
@@ -29,6 +29,8 @@
 	inputsFreed bool
 	// late says that the results can no longer be in time.
 	late bool
+	// alone says that calls with its pieces failed so often that the next one holds no other job's.
+	alone bool
 }
 
 func (j *Job) left() int { return len(j.todo) }
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -52,13 +52,27 @@
 	queues  queues
 	fetches fetches
 
+	crashes *Crashes
+	ends    *EndWatch
+
 	calls, items, failed atomic.Int64
 }
 
+// PiecesOption changes a Pieces at construction.
+type PiecesOption func(*Pieces)
+
+// WithEnds has no piece made of requests that crashes refuses, and ends told of calls that failed.
+func WithEnds(crashes *Crashes, ends *EndWatch) PiecesOption {
+	return func(p *Pieces) { p.crashes, p.ends = crashes, ends }
+}
+
 // NewPieces returns a driver without work.
-func NewPieces(self proto.VM, clock clockwork.Clock, log hclog.Logger, dialect Dialect, sender Sender, peers Peers, fleet *Fleet, tables *Tables) *Pieces {
+func NewPieces(self proto.VM, clock clockwork.Clock, log hclog.Logger, dialect Dialect, sender Sender, peers Peers, fleet *Fleet, tables *Tables, options ...PiecesOption) *Pieces {
 	p := &Pieces{self: self, clock: clock, log: log, dialect: dialect, sender: sender, peers: peers, fleet: fleet, tables: tables, workers: map[shard]*worker{}}
 	p.frees = &frees{pieces: p, due: map[netip.AddrPort]*freeing{}}
+	for _, option := range options {
+		option(p)
+	}
 	return p
 }
 
@@ -146,6 +160,9 @@
 	if w == nil {
 		return proto.PiecesAnswer{Fate: proto.PiecesElsewhere, Detail: "the configuration in force here has no such pool of stages"}
 	}
+	if p.refuses(ask.Digest) {
+		return proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "targets ended that worked on the request"}
+	}
 	j := &Job{Ask: ask, Due: due, End: end}
 	answers, refused := w.add(j)
 	if refused != nil {
@@ -161,6 +178,12 @@
 	}
 }
 
+// refuses tells whether a request is not worked on, since targets ended that did.
+func (p *Pieces) refuses(request proto.RequestDigest) bool {
+	_, refused := p.crashes.Refuses(request)
+	return refused
+}
+
 // Free gives results of a shard of a pool up; the daemon that batches for it is told, since it counts their room.
 func (p *Pieces) Free(pool string, index int, handles []string) {
 	if len(handles) == 0 {
@@ -236,7 +259,7 @@
 	if spec == nil || spec.Batch == nil {
 		return nil
 	}
-	w := &worker{pieces: p, shard: of, batch: NewBatcher(*spec.Batch), waiting: map[*Job]chan proto.PiecesAnswer{}}
+	w := &worker{pieces: p, shard: of, batch: NewBatcher(*spec.Batch, WithRefusals(p.refuses)), waiting: map[*Job]chan proto.PiecesAnswer{}}
 	w.batch.SetTargets(w.targets())
 	p.workers[of] = w
 	return w
--- a/relay/server.go
+++ b/relay/server.go
@@ -66,6 +66,8 @@
 	limits  Limits
 	zone    string
 	counts  Counts
+	crashes *Crashes
+	ends    *EndWatch
 
 	// firstEvents are the times to the first events of a route's requests at their targets, answers those to the whole
 	// answers of a pool, callTimes those of a pool's calls for pieces, and lengths those of whole requests of a route.
@@ -114,6 +116,9 @@
 	Zone    string
 	Budget  BudgetTerms
 	Limits  Limits
+	// Crashes says which requests are run no more, and Ends is told of attempts that failed; both may be nil.
+	Crashes *Crashes
+	Ends    *EndWatch
 	// Started is closed once the daemon knows what it needs to serve; nil if it does from the beginning.
 	Started <-chan struct{}
 }
@@ -123,6 +128,7 @@
 	s := &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, sender: c.Sender, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*Budget{},
+		crashes: c.Crashes, ends: c.Ends,
 	}
 	s.ending, s.end = context.WithCancel(context.Background())
 	return s
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -105,6 +105,9 @@
 
 func (f *flow) stageFailed(e stageEnd) *failure {
 	pool := f.route.Stages[e.stage].Pool
+	if fail := f.refuseCrashing(); fail != nil {
+		return fail
+	}
 	f.note("a stage failed", "stage", e.stage, "pool", pool, "fate", e.answer.Fate.String(), "wait", brief(e.answer.Wait), "detail", e.answer.Detail)
 	return f.notRun(f.comeBack(f.stageLength(e.stage), e.answer.Wait), "stage "+pool+": "+e.answer.Detail)
 }
@@ -194,7 +197,7 @@
 	spec := &f.route.Stages[stage]
 	ask := proto.PiecesAsk{
 		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Rank: f.rank,
-		Bytes: spec.Bytes, First: first, Begun: f.committed, Goal: f.due.Sub(f.began),
+		Bytes: spec.Bytes, First: first, Begun: f.committed, Goal: f.due.Sub(f.began), Digest: f.digest,
 	}
 	bulk := 0
 	for _, before := range spec.After {
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 
 	"emberlead/proto"
 )
@@ -119,6 +121,7 @@
 	now := p.clock.Now()
 	if err != nil {
 		p.failed.Add(1)
+		w.noteFailed(c, err)
 		p.log.Warn("a call for pieces failed", "pool", w.pool, "shard", w.index, "target", c.Target.ID, "address", c.Target.Address, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "error", err)
 	} else {
 		p.log.Info("pieces made", "pool", w.pool, "shard", w.index, "target", c.Target.ID, "pieces", len(c.Items), "took", brief(now.Sub(c.Began)), "expected", brief(c.Expected))
@@ -136,6 +139,27 @@
 	w.turn()
 }
 
+// noteFailed notes that a target may have ended while it worked on a call.
+func (w *worker) noteFailed(c *Call, err error) {
+	p := w.pieces
+	if errors.Is(err, errBusy) || !p.fleet.InService(c.Target) {
+		return
+	}
+	var sendErr *SendError
+	if errors.As(err, &sendErr) && !sendErr.Written {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.ends.Ended(c.Target, err.Error())
+		}
+		return
+	}
+	var requests []proto.RequestDigest
+	for _, item := range c.Items {
+		requests = append(requests, item.Job.Ask.Digest)
+	}
+	slices.Sort(requests)
+	p.ends.Failed(c.Target, !errors.Is(err, context.DeadlineExceeded), slices.Compact(requests)...)
+}
+
 // errBusy says that a target had no slot for a call.
 var errBusy = errors.New("the target has no free slot")
 
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -67,6 +67,10 @@
 	server   *relay.Server
 	peers    *relayPeers
 	docs     documents
+	// crashes are the ends of targets under requests, ends finds them out, and endNews passes them on.
+	crashes *relay.Crashes
+	ends    *relay.EndWatch
+	endNews *endNews
 	// routingView and targetsView say how old what is known of the store's tables is.
 	routingView, targetsView view
 
@@ -135,13 +139,16 @@
 	d.census = coord.NewCensus(d.self.VM, censusTiming(settings))
 	d.newPeers()
 	dialect := platform.Dialect{}
-	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables)
+	d.endNews = newEndNews(clock, func(m proto.TargetEnds) { d.peers.tellLinks(m) })
+	d.crashes = relay.NewCrashes(d.self.VM, clock, log.Named("crashes"), d.endNews.add)
+	d.ends = relay.NewEndWatch(clock, log.Named("crashes"), d.exchange, d.crashes)
+	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables, relay.WithEnds(d.crashes, d.ends))
 	d.placer = relay.NewPlacer(d.self.VM, clock, log.Named("place"), d.fleet, d.peers)
 	d.server = relay.NewServer(relay.ServerConfig{
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.exchange, Fleet: d.fleet, Tables: d.tables,
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget:  relay.BudgetTerms{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
-		Started: d.started, Limits: relay.Limits{Open: max(64, settings.MemoryBytes/1_000_000*openPerMB)},
+		Crashes: d.crashes, Ends: d.ends, Started: d.started, Limits: relay.Limits{Open: max(64, settings.MemoryBytes/1_000_000*openPerMB)},
 	})
 	return d
 }
@@ -162,7 +169,7 @@
 
 func (d *Relay) heartbeat() proto.Heartbeat {
 	return proto.Heartbeat{
-		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(),
+		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), Ends: d.crashes.Digest(),
 	}
 }
 
@@ -176,6 +183,9 @@
 		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
 		}
+		if d.endNews.differs(now, from, d.crashes.Digest(), msg.Ends) {
+			go d.tellEnds(from)
+		}
 	case proto.Alive:
 		d.peers.members.Alive(now, msg, from)
 	case proto.Alarm:
@@ -196,6 +206,8 @@
 		d.placer.Note(msg)
 	case proto.Confirmed:
 		d.hearViews(now, msg)
+	case proto.TargetEnds:
+		d.crashes.Learn(msg, from)
 	}
 	return proto.Done{}
 }
@@ -280,6 +292,8 @@
 			d.noteFleet(d.fleet.Sweep(d.clock.Now()), "time")
 			d.exchange.Sweep()
 			d.placer.Sweep()
+			d.ends.Sweep()
+			d.crashes.Sweep()
 			d.reportViews()
 		}),
 		d.every(statusEvery, d.logStatus),
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -164,6 +164,9 @@
 		if n.Outcome == relay.OutcomeEnded {
 			d.exchange.Forget(n.Target.Address)
 		}
+		if n.Crashed() {
+			d.ends.Ended(n.Target, "its entry is gone")
+		}
 		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "born", bornText(n.Target.Born), "version", d.fleet.Version(), "from", from)
 	}
 	if len(notes) > 0 {
--- /dev/null
+++ b/serve/relayends.go
@@ -0,0 +1,91 @@
+package serve
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+const (
+	// endsGather is how long ends of targets are gathered before the other daemons are told: all requests that a target
+	// ran fail within some milliseconds. It is the delay of each hop; eight links each reach some thousand daemons in
+	// four.
+	endsGather = 50 * time.Millisecond
+	// endsDiffer is how long the ends that a linked daemon knows may differ before it is told all: what is on its way
+	// arrives within a few hops.
+	endsDiffer = 2 * peerHeartbeat
+	// endsAgain is how often one daemon is told all at the most.
+	endsAgain = time.Second
+)
+
+// endNews passes on what this daemon learns of ends of targets, and finds out who knows something else.
+type endNews struct {
+	clock clockwork.Clock
+	send  func(proto.TargetEnds)
+
+	mu      sync.Mutex
+	waiting proto.TargetEnds
+	// differ is since when other daemons know other ends, and told when they were last told all.
+	differ, told map[proto.VM]time.Time
+}
+
+func newEndNews(clock clockwork.Clock, send func(proto.TargetEnds)) *endNews {
+	return &endNews{clock: clock, send: send, differ: map[proto.VM]time.Time{}, told: map[proto.VM]time.Time{}}
+}
+
+// add takes in what was news here, from whomever; it is not sent back by its receivers, for whom it is none.
+func (e *endNews) add(m proto.TargetEnds) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.waiting.Ends) == 0 {
+		// AfterFunc may run in the goroutine of the clock, which must not wait for a lock.
+		e.clock.AfterFunc(endsGather, func() { go e.flush() })
+	}
+	e.waiting.Ends = append(e.waiting.Ends, m.Ends...)
+}
+
+func (e *endNews) flush() {
+	e.mu.Lock()
+	m := e.waiting
+	e.waiting = proto.TargetEnds{}
+	e.mu.Unlock()
+	e.send(m)
+}
+
+// differs takes in the digest of a linked daemon and tells whether to tell it all now: at once if it knows nothing, as one
+// that has just started.
+func (e *endNews) differs(now time.Time, from proto.VM, own, theirs uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if own == theirs || own == 0 {
+		delete(e.differ, from)
+		return false
+	}
+	since, known := e.differ[from]
+	if !known {
+		since = now
+		e.differ[from] = now
+	}
+	if theirs != 0 && now.Sub(since) < endsDiffer || now.Sub(e.told[from]) < endsAgain {
+		return false
+	}
+	e.told[from] = now
+	return true
+}
+
+// tellEnds tells another daemon all ends of targets that this one knows of.
+func (d *Relay) tellEnds(to proto.VM) {
+	m := d.crashes.All()
+	d.log.Info("another daemon is told all ends of targets", "to", to, "ends", len(m.Ends))
+	d.peers.Send(to, m)
+}
+
+// tellLinks sends a message to the daemons that this one links to.
+func (p *relayPeers) tellLinks(m proto.Message) {
+	for _, vm := range p.members.Links() {
+		p.Send(vm, m)
+	}
+}
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -88,7 +88,9 @@
 	TargetsAge int64 `json:"targetsAgeMs"`
 	// LinkAuth is how daemons know each other: storeAddress (which keeps nobody out), key or certificates.
 	LinkAuth linkAuth `json:"linkAuth"`
-	Open     int64    `json:"openRequests"`
+	// Crashes tells how many ends of targets under requests are remembered, and of how many requests.
+	Crashes relay.CrashCounts `json:"crashes"`
+	Open    int64             `json:"openRequests"`
 	// Store counts the calls to the store by table and kind.
 	Store   platform.CallCounts `json:"store"`
 	Dropped int64               `json:"logLinesDropped"`
@@ -104,7 +106,7 @@
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
-		LinkAuth: d.linkAuth(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
+		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
 	}
 }
 
@@ -119,5 +121,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "linkAuth", v.LinkAuth, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
 }
--- a/wire/exchange.go
+++ b/wire/exchange.go
@@ -211,6 +211,17 @@
 	return &relay.Incoming{Status: resp.StatusCode, Header: resp.Header, Body: x}, nil
 }
 
+// Refuses tells whether an address turns connections away.
+func (e *Exchange) Refuses(ctx context.Context, to netip.AddrPort) bool {
+	conn, err := e.dialer.DialContext(ctx, "tcp4", to.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// Nothing was sent over it.
+	_ = conn.Close()
+	return false
+}
+
 // exchanged is an answer that is being read, and the connection that it comes on.
 type exchanged struct {
 	exchange *Exchange
