One clock for daemons, whose time goes on while the VM is suspended

Cause: Go measures times by the steady clock, which stands still while a VM is suspended; leases, ages and windows came out too young after it, on which other daemons and the limits that all keep together count. Ruled out: taking the time of day (steps move it), and asking the kernel at each reading (a call each). Change: state.Clock is the steady clock, plus suspensions as the kernel's uptime tells them; it looks when the time of day has moved against the steady clock by 10 ms. Its timers fire once a suspension has made them due. Both kinds of daemon use it. Deadlines of connections, which are moments of the system's clock, are taken from that. Tests: the clock under suspensions and steps; seven things that others count on, each of which holds before and not after a suspension: all seven fail without the clock's part.

--- a/entry/relay.go
+++ b/entry/relay.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/jonboulle/clockwork"
 	"github.com/urfave/cli/v3"
 
 	"emberlead/platform"
 	"emberlead/proto"
 	"emberlead/relay"
 	"emberlead/serve"
+	"emberlead/state"
 	"emberlead/wire"
 )
 
@@ -70,7 +70,7 @@
 	if credentials != nil {
 		options = append(options, serve.WithLinkCredentials(credentials))
 	}
-	return serve.NewRelay(settings, clockwork.NewRealClock(), log, sink, options...).Run(ctx)
+	return serve.NewRelay(settings, state.NewClock(), log, sink, options...).Run(ctx)
 }
 
 // linkCredentials reads the certificates between daemons, nil if the flags name none.
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -66,7 +66,8 @@
 
 func (f *flow) readBody(r *http.Request, most int64) *failure {
 	control := http.NewResponseController(f.w)
-	if err := control.SetReadDeadline(f.server.clock.Now().Add(bodyWait)); err != nil {
+	// Deadlines of connections are moments of the system's clock, which the daemon's own may differ from.
+	if err := control.SetReadDeadline(time.Now().Add(bodyWait)); err != nil {
 		f.server.log.Debug("no deadline can be set on a body", "request", f.req.ID, "error", err)
 	}
 	body := r.Body
--- a/serve/daemon.go
+++ b/serve/daemon.go
@@ -17,6 +17,7 @@
 	"emberlead/coord"
 	"emberlead/core"
 	"emberlead/proto"
+	"emberlead/state"
 	"emberlead/wire"
 )
 
@@ -65,7 +66,7 @@
 
 // New returns a daemon whose listeners are open; it fails with KindInvalid or KindUnavailable.
 func New(settings Settings, options ...Option) (*Daemon, error) {
-	d := &Daemon{settings: settings, clock: clockwork.NewRealClock(), log: hclog.NewNullLogger(), gate: func() {}, stop: make(chan struct{})}
+	d := &Daemon{settings: settings, clock: state.NewClock(), log: hclog.NewNullLogger(), gate: func() {}, stop: make(chan struct{})}
 	for _, option := range options {
 		option(d)
 	}
--- /dev/null
+++ b/serve/relayclock_test.go
@@ -0,0 +1,123 @@
+package serve
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/coord"
+	"emberlead/proto"
+	"emberlead/relay"
+	"emberlead/state"
+)
+
+var clockStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// suspendable returns the clock of a VM, and a function that suspends it: its steady clock stands still meanwhile.
+func suspendable() (*state.Clock, *clockwork.FakeClock, func(time.Duration)) {
+	steady := clockwork.NewFakeClockAt(clockStart)
+	var suspended atomic.Int64
+	clock := state.NewClock(state.WithSources(steady,
+		func() (time.Duration, error) {
+			return time.Hour + steady.Now().Sub(clockStart) + time.Duration(suspended.Load()), nil
+		},
+		func() time.Duration { return time.Duration(suspended.Load()) },
+	))
+	return clock, steady, func(d time.Duration) { suspended.Add(int64(d)) }
+}
+
+// TestWhatOthersCountOnIsRightAfterASuspension has a VM be suspended for longer than something holds that other daemons, or
+// the limits that all keep together, count on. Each is checked to hold before, so that the suspension ends it.
+func TestWhatOthersCountOnIsRightAfterASuspension(t *testing.T) {
+	const window = 10 * time.Second
+	timing := coord.CensusTiming{Window: window, Lease: 10 * time.Minute, View: 2 * time.Minute}
+	target := proto.RelayTarget{ID: "t", Pool: "p", Zone: "z", Slots: 1}
+	scenarios := []struct {
+		name    string
+		suspend time.Duration
+		// begin sets something up, and returns what tells whether it holds.
+		begin func(clock *state.Clock, steady *clockwork.FakeClock) (holds func() bool)
+	}{
+		{"the share of common limits, by the own row", timing.Lease, func(clock *state.Clock, steady *clockwork.FakeClock) func() bool {
+			c := coord.NewCensus("vm", timing)
+			c.Begin(clock.Now(), true)
+			c.Wrote(clock.Now())
+			steady.Advance(window)
+			return func() bool {
+				// The rows are read at once when the VM goes on; only the own one is old.
+				c.Read(clock.Now(), clock.Now(), nil)
+				return c.Share(clock.Now()).Usable
+			}
+		}},
+		{"the share of common limits, by the rows of others", timing.View, func(clock *state.Clock, steady *clockwork.FakeClock) func() bool {
+			c := coord.NewCensus("vm", timing)
+			c.Begin(clock.Now(), true)
+			c.Wrote(clock.Now())
+			steady.Advance(window)
+			c.Read(clock.Now(), clock.Now(), nil)
+			return func() bool { return c.Share(clock.Now()).Usable }
+		}},
+		{"what is known of the store", staleMost, func(clock *state.Clock, _ *clockwork.FakeClock) func() bool {
+			v := &view{}
+			v.confirm(clock.Now())
+			return func() bool {
+				age, known := v.age(clock.Now())
+				return known && age <= staleMost
+			}
+		}},
+		{"what a daemon tells of the store", staleMost, func(clock *state.Clock, _ *clockwork.FakeClock) func() bool {
+			v := &view{}
+			v.confirm(clock.Now())
+			return func() bool { return v.ownAge(clock.Now()) <= staleMost }
+		}},
+		{"the wait for an entry that lapsed", 3 * time.Second, func(clock *state.Clock, _ *clockwork.FakeClock) func() bool {
+			f := relay.NewFleet(func(string) {})
+			f.Change(clock.Now(), []relay.FleetChange{{ID: "t", Version: 1, Target: target}})
+			f.StoreAway(clock.Now())
+			f.Change(clock.Now(), []relay.FleetChange{{ID: "t", Version: 2, Removed: true}})
+			f.StoreBack(clock.Now())
+			return func() bool {
+				f.Sweep(clock.Now())
+				return f.Size("p") == 1
+			}
+		}},
+		{"attempts that requests have earned", window + time.Second, func(clock *state.Clock, steady *clockwork.FakeClock) func() bool {
+			b := relay.NewBudget(clock.Now(), relay.BudgetTerms{Ratio: 0.2, Window: window})
+			for range 100 {
+				b.Asked(clock.Now())
+			}
+			steady.Advance(time.Second / 4)
+			return func() bool {
+				_, ok := b.Spend(clock.Now(), 0)
+				return ok
+			}
+		}},
+		{"ends of targets under a request", time.Hour + time.Second, func(clock *state.Clock, _ *clockwork.FakeClock) func() bool {
+			c := relay.NewCrashes("vm", clock, hclog.NewNullLogger(), nil)
+			for _, run := range []proto.RunName{"a", "b", "c"} {
+				c.Ended(run, clock.Now(), []proto.RequestDigest{1})
+			}
+			return func() bool {
+				c.Sweep()
+				_, refused := c.Refuses(1)
+				return refused
+			}
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			clock, steady, suspend := suspendable()
+			holds := s.begin(clock, steady)
+			if !holds() {
+				t.Fatal("it does not hold before the suspension")
+			}
+			suspend(s.suspend + time.Millisecond)
+			if holds() {
+				t.Error("it holds after the suspension")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/state/clock_test.go
@@ -0,0 +1,135 @@
+package state
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+var clockStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// standVM is a VM that can be suspended and have its time of day changed.
+type standVM struct {
+	steady    *clockwork.FakeClock
+	suspended atomic.Int64
+	stepped   atomic.Int64
+	reads     atomic.Int64
+}
+
+func newStandVM() (*standVM, *Clock) {
+	vm := &standVM{steady: clockwork.NewFakeClockAt(clockStart)}
+	return vm, NewClock(WithSources(vm.steady,
+		func() (time.Duration, error) {
+			vm.reads.Add(1)
+			return time.Hour + vm.steady.Now().Sub(clockStart) + time.Duration(vm.suspended.Load()), nil
+		},
+		func() time.Duration { return time.Duration(vm.suspended.Load() + vm.stepped.Load()) },
+	))
+}
+
+func (vm *standVM) suspend(d time.Duration) { vm.suspended.Add(int64(d)) }
+
+func (vm *standVM) step(d time.Duration) { vm.stepped.Add(int64(d)) }
+
+func TestTimeGoesOnWhileTheVMIsSuspended(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		happen func(vm *standVM)
+		passed time.Duration
+	}{
+		{"nothing", func(*standVM) {}, 0},
+		{"time passes", func(vm *standVM) { vm.steady.Advance(time.Second) }, time.Second},
+		{"the VM is suspended", func(vm *standVM) { vm.suspend(7 * time.Second) }, 7 * time.Second},
+		{"time passes around it", func(vm *standVM) {
+			vm.steady.Advance(time.Second)
+			vm.suspend(7 * time.Second)
+			vm.steady.Advance(time.Second)
+		}, 9 * time.Second},
+		{"the time of day is set forward", func(vm *standVM) { vm.step(time.Hour) }, 0},
+		{"the time of day is set back", func(vm *standVM) { vm.step(-time.Hour) }, 0},
+		{"it is suspended, and the time of day is set back further", func(vm *standVM) {
+			vm.suspend(7 * time.Second)
+			vm.step(-time.Minute)
+		}, 7 * time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			vm, clock := newStandVM()
+			before := clock.Now()
+			for n := range 3 {
+				s.happen(vm)
+				if passed := clock.Since(before); passed != time.Duration(n+1)*s.passed {
+					t.Errorf("%v passed, want %v", passed, time.Duration(n+1)*s.passed)
+				}
+			}
+		})
+	}
+}
+
+func TestTheKernelIsAskedOnlyWhenTheTimeOfDayHasMoved(t *testing.T) {
+	vm, clock := newStandVM()
+	atStart := vm.reads.Load()
+	for range 1000 {
+		vm.steady.Advance(time.Millisecond)
+		clock.Now()
+	}
+	if n := vm.reads.Load() - atStart; n != 0 {
+		t.Errorf("%d reads of the uptime", n)
+	}
+	vm.suspend(time.Second)
+	clock.Now()
+	clock.Now()
+	if n := vm.reads.Load() - atStart; n != 1 {
+		t.Errorf("%d reads of the uptime after a suspension, want one", n)
+	}
+}
+
+func TestTimersThatCameDueDuringASuspensionFireAfterIt(t *testing.T) {
+	vm, clock := newStandVM()
+	fired := make(chan string, 10)
+	note := func(name string) func() { return func() { fired <- name } }
+	clock.AfterFunc(5*time.Second, note("due"))
+	clock.AfterFunc(time.Minute, note("later"))
+	clock.AfterFunc(5*time.Second, note("stopped")).Stop()
+	again := clock.AfterFunc(5*time.Second, note("set later"))
+	again.Reset(time.Minute)
+	channel := clock.NewTimer(5 * time.Second)
+	vm.suspend(10 * time.Second)
+	clock.Now()
+	if name := <-fired; name != "due" {
+		t.Errorf("%s fired first", name)
+	}
+	<-channel.Chan()
+	if channel.Stop() {
+		t.Error("a timer that has fired counts as set")
+	}
+	vm.steady.Advance(40 * time.Second)
+	select {
+	case name := <-fired:
+		t.Errorf("%s fired after 50 s", name)
+	case <-time.After(20 * time.Millisecond):
+	}
+	vm.steady.Advance(10 * time.Second)
+	names := map[string]bool{<-fired: true, <-fired: true}
+	if !names["later"] || !names["set later"] {
+		t.Errorf("fired: %v", names)
+	}
+}
+
+// TestTheRealClock only looks whether its sources work here.
+func TestTheRealClock(t *testing.T) {
+	clock := NewClock()
+	if clock.uptimeAtStart == 0 {
+		t.Error("the kernel does not tell its uptime")
+	}
+	before := clock.Now()
+	clock.Sleep(time.Millisecond)
+	if passed := clock.Since(before); passed < time.Millisecond || clock.Suspended() != 0 {
+		t.Errorf("%v passed, suspended for %v", passed, clock.Suspended())
+	}
+	if d := time.Until(clock.Now()); d.Abs() > time.Minute {
+		t.Errorf("the time is off by %v", d)
+	}
+}
--- a/wire/front.go
+++ b/wire/front.go
@@ -211,7 +211,7 @@
 }
 
 func (f *Front) readBody(c echo.Context, a *core.Arrival) *proto.Failure {
-	_ = http.NewResponseController(c.Response()).SetReadDeadline(f.clock.Now().Add(f.limits.ReadWait))
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now().Add(f.limits.ReadWait))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, f.limits.Body))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -315,7 +315,7 @@
 
 // write bounds how long a caller that does not read can hold the handler.
 func (f *Front) write(c echo.Context, fn func() error) error {
-	_ = http.NewResponseController(c.Response()).SetWriteDeadline(f.clock.Now().Add(f.limits.WriteWait))
+	_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Now().Add(f.limits.WriteWait))
 	return fn()
 }
 
