--- a/state/clock.go
+++ b/state/clock.go
@@ -27,7 +27,7 @@
 	drift func() time.Duration
 
 	// start is the time of day at the clock's start, without a reading of the steady clock, and began that reading.
-	start, began time.Time
+	start, began  time.Time
 	uptimeAtStart time.Duration
 
 	mu        sync.Mutex
