--- a/relay/crashing.go
+++ b/relay/crashing.go
@@ -28,9 +28,13 @@
 		a.noteTargetGone(end.reason)
 	case end.done || end.notRun || end.answer != nil:
 		// The target lives, or never had the request.
-	case f.server.fleet.Listed(a.placed.Target) || errors.Is(context.Cause(ctx), errRestarted):
-		// What a target that was to leave has not done by its end says nothing of the request.
-		f.server.ends.Failed(a.placed.Spec, context.Cause(ctx) == nil, f.digest)
+	case context.Cause(ctx) != nil:
+		// It was silent, so it may have ended long before its entry went, or not at all.
+		f.server.ends.Failed(a.placed.Spec, false, f.digest)
+	case f.server.fleet.Listed(a.placed.Target):
+		f.server.ends.Failed(a.placed.Spec, true, f.digest)
+	default:
+		// What a target that leaves has not done by its end says nothing of the request.
 	}
 }
 
--- a/relay/endwatch_test.go
+++ b/relay/endwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,3 +150,75 @@
 		})
 	}
 }
+
+// TestWhatAnAttemptsEndSaysOfTheRequest ends an attempt in each way, and has the target's entry go after it.
+func TestWhatAnAttemptsEndSaysOfTheRequest(t *testing.T) {
+	const request = proto.RequestDigest(7)
+	gone := []FleetChange{{ID: "t", Version: 2, Removed: true}}
+	leaves := listed("t", "p", "z")
+	leaves.Leaving = true
+	refusedConn := &SendError{Err: syscall.ECONNREFUSED}
+	scenarios := []struct {
+		name string
+		// before happens to the target while the attempt is in progress.
+		before   []FleetChange
+		cause    error
+		answered bool
+		end      attemptEnd
+		suspect  bool
+		// known says that the target is known to have ended before its entry goes.
+		known bool
+	}{
+		{name: "the connection breaks", end: attemptEnd{sent: true}, suspect: true},
+		{name: "it breaks at a target that leaves", before: []FleetChange{put(2, leaves)}, end: attemptEnd{sent: true}},
+		{name: "it breaks after the entry went", before: gone, end: attemptEnd{sent: true}},
+		{name: "silence", cause: errSilent, end: attemptEnd{sent: true}, suspect: true},
+		{name: "silence, and the entry went before it was noticed", before: gone, cause: errTimeUp, end: attemptEnd{sent: true}, suspect: true},
+		{name: "silence of a target that leaves", before: []FleetChange{put(2, leaves)}, cause: errSilent, end: attemptEnd{sent: true}},
+		{name: "the target has started again", cause: errRestarted, end: attemptEnd{sent: true}, suspect: true},
+		{name: "the caller left", cause: context.Canceled, end: attemptEnd{sent: true}, suspect: true},
+		{name: "a whole answer", answered: true, end: attemptEnd{done: true, sent: true}},
+		{name: "an answer that says that the target failed", end: attemptEnd{sent: true, answer: &wholeAnswer{status: 500}}},
+		{name: "a refusal", end: attemptEnd{sent: true, notRun: true}},
+		{name: "another target has the address", end: attemptEnd{sent: true, notRun: true, otherTarget: true}, known: true},
+		{name: "the address refuses connections", end: attemptEnd{notRun: true, err: refusedConn}, known: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(start)
+			c := newCrashes(clock)
+			w := NewEndWatch(clock, hclog.NewNullLogger(), &standProber{answers: []bool{false}, done: make(chan struct{}, endChecks)}, c)
+			fleet := newFleet(put(1, listed("t", "p", "z")))
+			target := fleet.Pick(start, "p", Want{Zone: "z"})
+			ctx, cancel := context.WithCancelCause(context.Background())
+			a := &attempt{flow: &flow{server: &Server{crashes: c, ends: w, fleet: fleet}, digest: request}, placed: &Placed{Target: target, Spec: fleet.Spec(target)}, answered: s.answered}
+			change := func(changes []FleetChange) {
+				for _, n := range fleet.Change(clock.Now(), changes) {
+					if n.Crashed() {
+						w.Ended(n.Target, "its entry is gone")
+					}
+				}
+			}
+			change(s.before)
+			if s.cause != nil {
+				cancel(s.cause)
+			}
+			a.noteEnd(ctx, &s.end)
+			if known := w.ended("t"); known != (s.known || len(s.before) > 0 && s.before[0].Removed) {
+				t.Errorf("known to have ended: %v", known)
+			}
+			change([]FleetChange{{ID: "t", Version: 3, Removed: true}})
+			if c.Suspects(request) != s.suspect {
+				t.Errorf("suspected: %v", c.Suspects(request))
+			}
+			cancel(nil)
+		})
+	}
+}
+
+// ended tells whether a run is known to have ended.
+func (w *EndWatch) ended(name proto.RunName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[name] != nil && w.runs[name].ended
+}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -142,7 +142,8 @@
 // noteFailed notes that a target may have ended while it worked on a call.
 func (w *worker) noteFailed(c *Call, err error) {
 	p := w.pieces
-	if errors.Is(err, errBusy) || !p.fleet.InService(c.Target) {
+	silent := errors.Is(err, context.DeadlineExceeded)
+	if errors.Is(err, errBusy) || !silent && !p.fleet.InService(c.Target) {
 		return
 	}
 	var sendErr *SendError
@@ -157,7 +158,7 @@
 		requests = append(requests, item.Job.Ask.Digest)
 	}
 	slices.Sort(requests)
-	p.ends.Failed(c.Target, !errors.Is(err, context.DeadlineExceeded), slices.Compact(requests)...)
+	p.ends.Failed(c.Target, !silent, slices.Compact(requests)...)
 }
 
 // errBusy says that a target had no slot for a call.
