--- /dev/null
+++ b/relay/batchends_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// TestACallThatFailsTwiceIsMadeJobByJob has one request end each target that makes a piece of it, and others in its calls.
+func TestACallThatFailsTwiceIsMadeJobByJob(t *testing.T) {
+	crashes := newCrashes(clockwork.NewFakeClockAt(start))
+	pool := spec
+	pool.Most = 12
+	b := NewBatcher(pool, WithRefusals(func(r proto.RequestDigest) bool {
+		_, refused := crashes.Refuses(r)
+		return refused
+	}))
+	var targets []proto.RelayTarget
+	for n := range 12 {
+		targets = append(targets, listed(fmt.Sprint("t", n), "p", "z"))
+	}
+	b.SetTargets(targets)
+	const guilty, requests = proto.RequestDigest(3), 6
+	for r := range proto.RequestDigest(requests) {
+		ask := proto.PiecesAsk{Request: fmt.Sprint(r), Pieces: 2, Bytes: 10, Digest: r}
+		if refused := b.Add(start, &Job{Ask: ask, Due: start.Add(time.Hour), End: start.Add(time.Hour)}); refused != nil {
+			t.Fatal(refused)
+		}
+	}
+	fates := map[string]proto.PieceFate{}
+	take := func(ends []JobEnd) {
+		for _, e := range ends {
+			fates[e.Job.Ask.Request] = e.Answer.Fate
+		}
+	}
+	now, ended := start, 0
+	for range 40 {
+		calls, ends := b.Next(now)
+		take(ends)
+		now = now.Add(10 * time.Millisecond)
+		for _, c := range calls {
+			var in []proto.RequestDigest
+			for _, item := range c.Items {
+				in = append(in, item.Job.Ask.Digest)
+			}
+			if !slices.Contains(in, guilty) {
+				results := make([]ItemResult, len(c.Items))
+				for i := range results {
+					results[i].Handle = fmt.Sprintf("%s/%p/%d", c.Target.ID, c, i)
+				}
+				made, _ := b.Done(now, c, results)
+				take(made)
+				continue
+			}
+			ended++
+			crashes.Ended(c.Target.RunName(), now, slices.Compact(in))
+			take(b.Failed(now, c, false))
+			targets = slices.DeleteFunc(targets, func(s proto.RelayTarget) bool { return s.ID == c.Target.ID })
+			b.SetTargets(targets)
+		}
+	}
+	if ended != crashLimit {
+		t.Errorf("%d targets ended", ended)
+	}
+	for r := range proto.RequestDigest(requests) {
+		want := proto.PiecesDone
+		if r == guilty {
+			want = proto.PiecesFailed
+		}
+		if got, over := fates[fmt.Sprint(r)]; !over || got != want {
+			t.Errorf("request %d: over %v, %s", r, over, got)
+		}
+	}
+}
