--- /dev/null
+++ b/wire/severed_test.go
@@ -0,0 +1,146 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"emberlead/proto"
+)
+
+// severable passes connections on until it is told to swallow what comes over those that are open.
+type severable struct {
+	listener net.Listener
+	to       string
+	severed  atomic.Int64 // connections up to that number are silent
+	accepted atomic.Int64
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newSeverable(t *testing.T, to string) *severable {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &severable{listener: l, to: to}
+	t.Cleanup(func() {
+		_ = l.Close()
+		p.report()
+	})
+	go p.serve()
+	return p
+}
+
+func (p *severable) serve() {
+	for {
+		from, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		number := p.accepted.Add(1)
+		to, err := net.Dial("tcp4", p.to)
+		if err != nil {
+			_ = from.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.conns = append(p.conns, from, to)
+		p.mu.Unlock()
+		go p.copy(to, from, number)
+		go p.copy(from, to, number)
+	}
+}
+
+func (p *severable) copy(to, from net.Conn, number int64) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if number <= p.severed.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// sever has all open connections fall silent.
+func (p *severable) sever() { p.severed.Store(p.accepted.Load()) }
+
+// report ends the open connections, as the system does with those whose probes bring no answer.
+func (p *severable) report() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+	p.conns = nil
+}
+
+// TestALinkThatFallsSilentIsMadeAnew has the connections between two daemons fall silent for good, while new ones work. The loopback
+// interface acknowledges what a proxy swallows, so the test reports the silence itself; that the system does so is
+// read from the options in TestADialedConnectionNoticesSilence.
+func TestALinkThatFallsSilentIsMadeAnew(t *testing.T) {
+	var heard atomic.Int64
+	other := NewLinks(LinksConfig{Self: "b", Key: "k", Log: hclog.NewNullLogger(), Resolve: func(proto.VM) (proto.Alive, bool) { return proto.Alive{}, false },
+		Handle: func(context.Context, proto.VM, proto.Message) proto.Message {
+			heard.Add(1)
+			return proto.Done{}
+		}})
+	server := httptest.NewServer(other.Handler())
+	t.Cleanup(server.Close)
+	path := newSeverable(t, server.Listener.Addr().String())
+	l := NewLinks(LinksConfig{Self: "a", Key: "k", Log: hclog.NewNullLogger(), Handle: func(context.Context, proto.VM, proto.Message) proto.Message { return proto.Done{} },
+		Resolve: func(proto.VM) (proto.Alive, bool) {
+			return proto.Alive{VM: "b", Peer: netip.MustParseAddrPort(path.listener.Addr().String())}, true
+		}})
+	t.Cleanup(l.Close)
+	reach := func() {
+		t.Helper()
+		before := heard.Load()
+		for end := time.Now().Add(20 * time.Second); heard.Load() == before; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the other daemon hears nothing")
+			}
+			l.Send("b", proto.Heartbeat{})
+		}
+	}
+	reach()
+	// Whatever is still on its way arrives before the connection falls silent.
+	if _, err := l.Call(t.Context(), "b", proto.RoutingAsk{}); err != nil {
+		t.Fatal(err)
+	}
+	path.sever()
+	called := make(chan error, 1)
+	go func() {
+		_, err := l.Call(t.Context(), "b", proto.RoutingAsk{})
+		called <- err
+	}()
+	select {
+	case err := <-called:
+		t.Fatalf("a call over the silent connection ended: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	path.report()
+	if err := <-called; err == nil {
+		t.Error("a call over the silent connection was answered")
+	}
+	reach()
+	if n := path.accepted.Load(); n < 2 {
+		t.Errorf("%d connections were made", n)
+	}
+}
