--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -299,11 +299,8 @@
 	return m
 }
 
-// Sweep forgets ends that are too old to count; it comes several times a second.
+// Sweep forgets ends that are too old to count; it comes every second or so.
 func (c *Crashes) Sweep() {
-	if c == nil {
-		return
-	}
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -183,7 +183,7 @@
 		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
 		}
-		if d.endNews.differs(now, from, d.crashes.Digest(), msg.Ends) {
+		if d.endNews.differs(now, from, d.crashes.Digest(), msg.Ends, d.crashes.Counts().Ends) {
 			go d.tellEnds(from)
 		}
 	case proto.Alive:
@@ -293,9 +293,9 @@
 			d.exchange.Sweep()
 			d.placer.Sweep()
 			d.ends.Sweep()
-			d.crashes.Sweep()
 			d.reportViews()
 		}),
+		d.every(forgetEvery, d.crashes.Sweep),
 		d.every(statusEvery, d.logStatus),
 	} {
 		g.Add(func() error {
--- a/serve/relayends.go
+++ b/serve/relayends.go
@@ -17,8 +17,12 @@
 	// endsDiffer is how long the ends that a linked daemon knows may differ before it is told all: what is on its way
 	// arrives within a few hops.
 	endsDiffer = 2 * peerHeartbeat
-	// endsAgain is how often one daemon is told all at the most.
+	// endsAgain is how often one daemon is told all at the most, and endsPace how many ends a second it is told in the
+	// long run, at some ten bytes each: daemons that had to forget different ones would go on telling each other.
 	endsAgain = time.Second
+	endsPace  = 1000
+	// forgetEvery is how often ends that are too old are looked for; they count for an hour.
+	forgetEvery = time.Second
 )
 
 // endNews passes on what this daemon learns of ends of targets, and finds out who knows something else.
@@ -70,20 +74,21 @@
 }
 
 // differs takes in the digest of a linked daemon and tells whether to tell it all now: at once if it knows nothing, as one
-// that has just started.
-func (e *endNews) differs(now time.Time, from proto.VM, own, theirs uint64) bool {
+// that has just started. known is how many ends it would be told.
+func (e *endNews) differs(now time.Time, from proto.VM, own, theirs uint64, known int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if own == theirs || own == 0 {
 		delete(e.differ, from)
 		return false
 	}
-	since, known := e.differ[from]
-	if !known {
+	since, noted := e.differ[from]
+	if !noted {
 		since = now
 		e.differ[from] = now
 	}
-	if theirs != 0 && now.Sub(since) < endsDiffer || now.Sub(e.told[from]) < endsAgain {
+	again := max(endsAgain, time.Duration(known)*time.Second/endsPace)
+	if theirs != 0 && now.Sub(since) < endsDiffer || now.Sub(e.told[from]) < again {
 		return false
 	}
 	e.told[from] = now
--- a/serve/relayends_test.go
+++ b/serve/relayends_test.go
@@ -160,7 +160,7 @@
 		case proto.TargetEnds:
 			d.crashes.Learn(msg, n.daemons[m.from].vm)
 		case proto.Heartbeat:
-			if d.news.differs(now, n.daemons[m.from].vm, d.crashes.Digest(), msg.Ends) {
+			if d.news.differs(now, n.daemons[m.from].vm, d.crashes.Digest(), msg.Ends, d.crashes.Counts().Ends) {
 				n.send(i, m.from, d.crashes.All())
 			}
 		}
@@ -321,19 +321,36 @@
 		t.Run(s.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClockAt(clockStart)
 			e := newEndNews(clock, nil)
-			first := e.differs(clock.Now(), "vm", s.own, s.theirs)
+			first := e.differs(clock.Now(), "vm", s.own, s.theirs, 10)
 			clock.Advance(s.after)
-			if told := first || e.differs(clock.Now(), "vm", s.own, s.theirs); told != s.told {
+			if told := first || e.differs(clock.Now(), "vm", s.own, s.theirs, 10); told != s.told {
 				t.Errorf("told: %v", told)
 			}
 			clock.Advance(endsAgain / 2)
-			if s.told && e.differs(clock.Now(), "vm", s.own, s.theirs) {
+			if s.told && e.differs(clock.Now(), "vm", s.own, s.theirs, 10) {
 				t.Error("told twice within a second")
 			}
 			clock.Advance(endsAgain)
-			if s.told && !e.differs(clock.Now(), "vm", s.own, s.theirs) {
+			if s.told && !e.differs(clock.Now(), "vm", s.own, s.theirs, 10) {
 				t.Error("not told again while they differ")
 			}
 		})
 	}
 }
+
+// TestDaemonsThatForgotDifferentEndsTellEachOtherSeldom has two daemons differ for ever, with as many ends as are remembered.
+func TestDaemonsThatForgotDifferentEndsTellEachOtherSeldom(t *testing.T) {
+	const known, minute = 8000, 60
+	clock := clockwork.NewFakeClockAt(clockStart)
+	e := newEndNews(clock, nil)
+	told := 0
+	for range minute * time.Second / peerHeartbeat {
+		if e.differs(clock.Now(), "vm", 5, 6, known) {
+			told++
+		}
+		clock.Advance(peerHeartbeat)
+	}
+	if most := minute*endsPace/known + 1; told == 0 || told > most {
+		t.Errorf("told %d times in a minute, want %d at most", told, most)
+	}
+}
