Daemons that do not hear each other learn of ends of targets by the store

Cause: a daemon counts as in touch by its path to the store, and what one learns went over the links alone: a part that is cut off from the others ended three targets of its own. Ruled out: rows for each end at all times (some hundred writes a second in a wave). Change: while a VM that the store lists is not heard, each daemon keeps its own ends in a row, and readers of the store follow the rows. Conclusion: nothing is written or read while all hear each other.

--- a/proto/crash.go
+++ b/proto/crash.go
@@ -39,4 +39,7 @@
 // TargetEnds tells other daemons of ends of targets.
 type TargetEnds struct {
 	Ends []TargetEnd `cbor:"1,keyasint"`
+	// AsOf is the sender's time of day at which the ages hold, if they are kept for others to read; zero if they are told at
+	// once.
+	AsOf time.Time `cbor:"2,keyasint,omitzero"`
 }
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -40,8 +40,7 @@
 	self  proto.VM
 	clock clockwork.Clock
 	log   hclog.Logger
-	// news is told, without a lock held, what this daemon did not know.
-	news func(proto.TargetEnds)
+	news  EndListener
 
 	mu       sync.Mutex
 	requests map[proto.RequestDigest]crashRecord
@@ -52,6 +51,9 @@
 	refused, suspected atomic.Int64
 }
 
+// EndListener is told, without a lock held, which ends this daemon has learnt, and from which one; from itself if it saw them.
+type EndListener func(m proto.TargetEnds, from proto.VM)
+
 // crashRecord holds the ends of targets under one request.
 type crashRecord map[proto.RunName]crash
 
@@ -63,7 +65,7 @@
 }
 
 // NewCrashes returns a memory of no ends; news is told of each end that it learns.
-func NewCrashes(self proto.VM, clock clockwork.Clock, log hclog.Logger, news func(proto.TargetEnds)) *Crashes {
+func NewCrashes(self proto.VM, clock clockwork.Clock, log hclog.Logger, news EndListener) *Crashes {
 	return &Crashes{self: self, clock: clock, log: log, news: news, requests: map[proto.RequestDigest]crashRecord{}}
 }
 
@@ -178,7 +180,7 @@
 		}
 	}
 	if len(fresh.Ends) > 0 && c.news != nil {
-		c.news(fresh)
+		c.news(fresh, from)
 	}
 }
 
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -71,6 +71,8 @@
 	crashes *relay.Crashes
 	ends    *relay.EndWatch
 	endNews *endNews
+	// endRows tells them to daemons that this one does not reach.
+	endRows *endRows
 	// routingView and targetsView say how old what is known of the store's tables is.
 	routingView, targetsView view
 
@@ -140,7 +142,8 @@
 	d.newPeers()
 	dialect := platform.Dialect{}
 	d.endNews = newEndNews(clock, func(m proto.TargetEnds) { d.peers.tellLinks(m) })
-	d.crashes = relay.NewCrashes(d.self.VM, clock, log.Named("crashes"), d.endNews.add)
+	d.endRows = newEndRows(d)
+	d.crashes = relay.NewCrashes(d.self.VM, clock, log.Named("crashes"), d.ended)
 	d.ends = relay.NewEndWatch(clock, log.Named("crashes"), d.exchange, d.crashes)
 	d.pieces = relay.NewPieces(d.self.VM, clock, log.Named("pieces"), dialect, d.exchange, d.peers, d.fleet, d.tables, relay.WithEnds(d.crashes, d.ends))
 	d.placer = relay.NewPlacer(d.self.VM, clock, log.Named("place"), d.fleet, d.peers)
@@ -282,7 +285,7 @@
 		whole: d.targetsWhole, change: d.targetsChanged, seen: d.storeSeen,
 	}
 	for _, loop := range []func(context.Context){
-		d.learn, d.afterLearning(routing.run), d.afterLearning(targets.run), d.list, d.watchSettings,
+		d.learn, d.afterLearning(routing.run), d.afterLearning(targets.run), d.list, d.watchSettings, d.endRows.read,
 		d.every(peerTick, func() {
 			d.peers.members.Tick(d.clock.Now())
 			d.peers.meet()
@@ -296,6 +299,7 @@
 			d.reportViews()
 		}),
 		d.every(forgetEvery, d.crashes.Sweep),
+		d.every(endRowEvery, d.endRows.write),
 		d.every(statusEvery, d.logStatus),
 	} {
 		g.Add(func() error {
--- /dev/null
+++ b/serve/relayendrows_test.go
@@ -0,0 +1,76 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+func oneEnd(run proto.RunName, requests int) proto.TargetEnds {
+	return proto.TargetEnds{Ends: []proto.TargetEnd{{Run: run, Requests: make([]proto.RequestDigest, requests)}}}
+}
+
+// TestEndsAreWrittenToTheStoreOnlyWhileNotAllAreReached goes through the moments at which a row is due.
+func TestEndsAreWrittenToTheStoreOnlyWhileNotAllAreReached(t *testing.T) {
+	const pace = endRowEvery
+	type look struct {
+		after time.Duration
+		// saw is how many requests were at work at a target that ended; 0 if none did.
+		saw   int
+		apart bool
+		// ends is how many ends are written, -1 for nothing.
+		ends int
+	}
+	scenarios := []struct {
+		name  string
+		looks []look
+	}{
+		{"all are reached", []look{{0, 3, false, -1}, {time.Minute, 3, false, -1}}},
+		{"some are not", []look{{0, 3, true, 1}, {pace, 0, true, -1}, {pace, 2, true, 2}}},
+		{"nothing ended", []look{{0, 0, true, -1}}},
+		{"some cease to be reached", []look{{0, 3, false, -1}, {time.Second, 0, true, 1}, {time.Second, 0, true, -1}}},
+		{"they are reached again, and not again", []look{{0, 3, true, 1}, {time.Second, 0, false, -1}, {time.Second, 0, true, 1}}},
+		{"ends come faster than the pace", []look{{0, 1, true, 1}, {pace / 2, 1, true, -1}, {pace / 2, 1, true, 3}}},
+		{"more than a row holds", []look{{0, endRowMost, false, -1}, {time.Second, 1, true, 1}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(clockStart)
+			r := &endRows{daemon: &Relay{clock: clock}}
+			for n, look := range s.looks {
+				clock.Advance(look.after)
+				if look.saw > 0 {
+					r.saw(oneEnd("t", look.saw))
+				}
+				m, due := r.due(clock.Now(), look.apart, pace)
+				if due != (look.ends >= 0) || due && len(m.Ends) != look.ends {
+					t.Fatalf("look %d: due %v with %d ends", n, due, len(m.Ends))
+				}
+				if due && !m.AsOf.Equal(clock.Now()) {
+					t.Errorf("look %d: as of %v", n, m.AsOf)
+				}
+			}
+		})
+	}
+}
+
+func TestARowOfEndsFitsTheStore(t *testing.T) {
+	const rowMost = 64 << 10
+	r := &endRows{daemon: &Relay{clock: clockwork.NewFakeClockAt(clockStart)}}
+	for n := range 3 * endRowMost {
+		m := oneEnd(proto.RunName("target-with-a-long-name@1790000000000"), 1)
+		m.Ends[0].Requests[0] = proto.RequestDigest(uint64(n) * 0x9e3779b97f4a7c15)
+		r.saw(m)
+	}
+	m, due := r.due(clockStart, true, 0)
+	body, err := proto.Encode(m, 0, false, "")
+	if !due || err != nil || len(body) > rowMost {
+		t.Errorf("due %v, %d bytes, %v", due, len(body), err)
+	}
+	if len(m.Ends) != endRowMost {
+		t.Errorf("%d ends", len(m.Ends))
+	}
+}
--- a/serve/relayends_test.go
+++ b/serve/relayends_test.go
@@ -94,7 +94,7 @@
 			n.send(i, to, m)
 		}
 	})
-	d.crashes = relay.NewCrashes(d.vm, n.clock, hclog.NewNullLogger(), func(m proto.TargetEnds) {
+	d.crashes = relay.NewCrashes(d.vm, n.clock, hclog.NewNullLogger(), func(m proto.TargetEnds, _ proto.VM) {
 		// The real one gathers by a timer of the clock, whose goroutine would make the order of things depend on luck.
 		for _, end := range m.Ends {
 			d.news.waiting = append(d.news.waiting, waitingEnd{end, n.clock.Now()})
