--- a/relay/crashing.go
+++ b/relay/crashing.go
@@ -24,10 +24,13 @@
 	switch {
 	case a.answered:
 		f.server.crashes.Answered(f.digest)
+		f.server.ends.Lives(a.placed.Spec)
 	case end.otherTarget || errors.Is(end.err, syscall.ECONNREFUSED):
 		a.noteTargetGone(end.reason)
-	case end.done || end.notRun || end.answer != nil:
-		// The target lives, or never had the request.
+	case end.done || end.answer != nil || end.notRun && end.sent:
+		f.server.ends.Lives(a.placed.Spec)
+	case end.notRun:
+		// The target never had the request.
 	case context.Cause(ctx) != nil:
 		// It was silent, so it may have ended long before its entry went, or not at all.
 		f.server.ends.Failed(a.placed.Spec, false, f.digest)
--- a/relay/endwatch.go
+++ b/relay/endwatch.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -45,6 +46,8 @@
 
 	mu   sync.Mutex
 	runs map[proto.RunName]*watchedRun
+	// watched is the number of runs, which spares answers the lock while there is none.
+	watched atomic.Int64
 }
 
 // watchedRun is a run of a target at which attempts failed, or that ended.
@@ -115,10 +118,25 @@
 	if r == nil {
 		r = &watchedRun{}
 		w.runs[name] = r
+		w.watched.Add(1)
 	}
 	return r
 }
 
+// Lives notes that a run of a target answered, after what looked like its end: its address may have refused connections
+// before it listened there.
+func (w *EndWatch) Lives(target proto.RelayTarget) {
+	if w == nil || w.watched.Load() == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.runs[target.RunName()]; r != nil && r.ended {
+		r.ended = false
+		w.log.Info("a target that was held to have ended answers", "run", target.RunName(), "pool", target.Pool, "address", target.Address)
+	}
+}
+
 // accuse takes the requests that were at work, each once.
 func (r *watchedRun) accuse(now time.Time) []proto.RequestDigest {
 	var requests []proto.RequestDigest
@@ -166,6 +184,7 @@
 		over := !r.ended || now.Sub(r.endedAt) > endTold
 		if over && len(r.open) == 0 && !r.checking {
 			delete(w.runs, name)
+			w.watched.Add(-1)
 		}
 	}
 }
--- a/relay/endwatch_test.go
+++ b/relay/endwatch_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// TestATargetThatAnswersHasNotEnded has a target refuse connections before it listens.
+func TestATargetThatAnswersHasNotEnded(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(start)
+	c := newCrashes(clock)
+	w := NewEndWatch(clock, hclog.NewNullLogger(), &standProber{}, c)
+	target := listed("t", "p", "z")
+	w.Ended(target, "its address refuses connections")
+	w.Lives(target)
+	w.Failed(target, false, 1)
+	if c.Suspects(1) {
+		t.Error("a failure at a target that answered since counts as one at its end")
+	}
+	clock.Advance(endTold + endOpen)
+	w.Sweep()
+	w.Lives(target)
+	if n := w.watched.Load(); n != 0 {
+		t.Errorf("%d runs are watched", n)
+	}
+}
+
 // TestWhichTargetsAreOverWithoutHavingLeft lists what the fleet says of targets that go.
 func TestWhichTargetsAreOverWithoutHavingLeft(t *testing.T) {
 	leaving := run("a", firstBorn)
