--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -28,8 +28,10 @@
 	// crashesMost bounds how many ends of targets under requests are remembered, at about 200 bytes each; it is some
 	// hundred targets' ends with all that these ran.
 	crashesMost = 8192
-	// crashesDropped is the part of them that makes room for new ones.
+	// crashesDropped is one in how many of them makes room for new ones.
 	crashesDropped = 4
+	// crashesLogged bounds the ends that one line of the log names.
+	crashesLogged = 16
 )
 
 // Crashes remembers which requests were at work at targets when these ended, whoever saw it. A nil *Crashes knows nothing.
@@ -173,24 +175,33 @@
 	}
 	now := c.clock.Now()
 	var fresh proto.TargetEnds
+	var refused []proto.RequestDigest
+	c.mu.Lock()
 	for _, end := range m.Ends {
-		if news := c.learnEnd(now, end, from); len(news) > 0 {
+		news, over := c.learnEnd(now, end)
+		refused = append(refused, over...)
+		if len(news) > 0 {
 			end.Requests = news
 			fresh.Ends = append(fresh.Ends, end)
 		}
 	}
-	if len(fresh.Ends) > 0 && c.news != nil {
+	c.makeRoom()
+	c.mu.Unlock()
+	if len(fresh.Ends) == 0 {
+		return
+	}
+	c.noteLearnt(fresh, refused, from)
+	if c.news != nil {
 		c.news(fresh, from)
 	}
 }
 
-// learnEnd takes in one end and returns the requests for which it is news.
-func (c *Crashes) learnEnd(now time.Time, end proto.TargetEnd, from proto.VM) []proto.RequestDigest {
+// learnEnd takes in one end and returns the requests for which it is news, and those that are refused from now on; the lock is
+// held.
+func (c *Crashes) learnEnd(now time.Time, end proto.TargetEnd) (news, refused []proto.RequestDigest) {
 	if end.Age > crashKept {
-		return nil
+		return nil, nil
 	}
-	var news, refused []proto.RequestDigest
-	c.mu.Lock()
 	for _, request := range end.Requests {
 		before := c.requests[request].counted()
 		if !c.put(request, end.Run, crash{at: now.Add(-end.Age), by: end.By, answered: end.Answered}) {
@@ -203,16 +214,29 @@
 			refused = append(refused, request)
 		}
 	}
-	c.makeRoom()
-	c.mu.Unlock()
-	if len(news) > 0 {
-		c.log.Info("requests were at work when a target ended", "run", end.Run, "by", end.By, "age", brief(end.Age), "answered", end.Answered, "requests", len(news), "from", from)
+	return news, refused
+}
+
+// learntEnd is one end as the log tells it.
+type learntEnd struct {
+	EvidenceEnd
+	// Requests is how many were at work there, and Answered says that they have been answered since.
+	Requests int  `json:"requests"`
+	Answered bool `json:"answered,omitempty"`
+}
+
+// noteLearnt logs what is known now that was not before: one line for all ends that came together, since a wave of ends
+// brings some hundred.
+func (c *Crashes) noteLearnt(fresh proto.TargetEnds, refused []proto.RequestDigest, from proto.VM) {
+	var learnt []learntEnd
+	for _, end := range fresh.Ends[:min(crashesLogged, len(fresh.Ends))] {
+		learnt = append(learnt, learntEnd{EvidenceEnd{end.Run, end.By, brief(end.Age)}, len(end.Requests), end.Answered})
 	}
+	c.log.Info("requests were at work when targets ended", "from", from, "count", len(fresh.Ends), "ends", learnt)
 	for _, request := range refused {
 		evidence, _ := c.Refuses(request)
 		c.log.Warn("a request is refused from now on, since targets end that run it", "digest", request.String(), "ends", evidence.Ends, "for", brief(evidence.ComeBack), "from", from)
 	}
-	return news
 }
 
 // put adds an end, or marks one as answered for, and tells whether that is news; the lock is held.
--- a/wire/severed_test.go
+++ b/wire/severed_test.go
@@ -96,18 +96,22 @@
 // read from the options in TestADialedConnectionNoticesSilence.
 func TestALinkThatFallsSilentIsMadeAnew(t *testing.T) {
 	var heard atomic.Int64
-	other := NewLinks(LinksConfig{Self: "b", Key: "k", Log: hclog.NewNullLogger(), Resolve: func(proto.VM) (proto.Alive, bool) { return proto.Alive{}, false },
+	other := NewLinks(LinksConfig{
+		Self: "b", Key: "k", Log: hclog.NewNullLogger(), Resolve: func(proto.VM) (proto.Alive, bool) { return proto.Alive{}, false },
 		Handle: func(context.Context, proto.VM, proto.Message) proto.Message {
 			heard.Add(1)
 			return proto.Done{}
-		}})
+		},
+	})
 	server := httptest.NewServer(other.Handler())
 	t.Cleanup(server.Close)
 	path := newSeverable(t, server.Listener.Addr().String())
-	l := NewLinks(LinksConfig{Self: "a", Key: "k", Log: hclog.NewNullLogger(), Handle: func(context.Context, proto.VM, proto.Message) proto.Message { return proto.Done{} },
+	l := NewLinks(LinksConfig{
+		Self: "a", Key: "k", Log: hclog.NewNullLogger(), Handle: func(context.Context, proto.VM, proto.Message) proto.Message { return proto.Done{} },
 		Resolve: func(proto.VM) (proto.Alive, bool) {
 			return proto.Alive{VM: "b", Peer: netip.MustParseAddrPort(path.listener.Addr().String())}, true
-		}})
+		},
+	})
 	t.Cleanup(l.Close)
 	reach := func() {
 		t.Helper()
