Requests that all callers send alike are served through ends of targets; keys are dated by the time of day

Cause 1: a request that all callers send alike is at work at every target of a pool, so that three ends within a second had it refused for an hour, though it had been answered a moment before: an answer spoke only for ends that came before it. Change: a request that a target has answered within the last minute is not refused before twelve ends. Cause 2, by reading: the daemons' clock does not follow the time of day, by which callers date their keys; a VM whose clock is set after the daemon's start would have taken keys to be from the future or too old. Change: keys, and what a roster forgets, are set against the time of day.

--- a/coord/claim.go
+++ b/coord/claim.go
@@ -229,7 +229,7 @@
 
 func (c *Claimer) ask(ctx context.Context, member proto.RosterMember, ask proto.ClaimAsk, replies chan<- reply) {
 	if member == c.self {
-		replies <- reply{from: member.VM, answer: c.local.Claim(c.clock.Now(), ask)}
+		replies <- reply{from: member.VM, answer: c.local.Claim(timeOfDay(c.clock), ask)}
 		return
 	}
 	if c.dead(member.VM, member.Incarnation) {
--- a/coord/node.go
+++ b/coord/node.go
@@ -133,7 +133,7 @@
 	n.Store = NewStore(deps.Platform, deps.Clock)
 	n.Members = NewMembers(deps.Self, c.member, c.rings, deps.Peers, n.heartbeat)
 	n.Replica = NewReplica(self, c.claim)
-	n.Roster = NewRosterKeeper(deps.Platform, c.roster, c.claim, n.Members, n.Replica)
+	n.Roster = NewRosterKeeper(deps.Platform, c.roster, c.claim, n.Members, n.Replica, WithDates(func(time.Time) time.Time { return timeOfDay(deps.Clock) }))
 	n.Claimer = NewClaimer(self, n.Replica, deps.Peers, deps.Clock, c.claim, n.pullRoster, n.Members.Dead)
 	return n
 }
@@ -188,7 +188,7 @@
 	case proto.RosterAsk:
 		return proto.RosterAnswer{Roster: n.Replica.Roster()}
 	case proto.ClaimAsk:
-		return n.Replica.Claim(now, msg)
+		return n.Replica.Claim(timeOfDay(n.deps.Clock), msg)
 	case proto.Settle:
 		n.Replica.Settle(msg)
 	case proto.TransferAsk:
--- a/coord/replica.go
+++ b/coord/replica.go
@@ -167,7 +167,7 @@
 	return pending
 }
 
-// Claim answers an ask to grant a key.
+// Claim answers an ask to grant a key; now is the time of day, by which callers date keys.
 func (r *Replica) Claim(now time.Time, ask proto.ClaimAsk) proto.ClaimAnswer {
 	answer := proto.ClaimAnswer{Result: proto.ClaimNotReady, Roster: r.Epoch()}
 	s := r.slot(ask.Slot)
--- a/coord/roster.go
+++ b/coord/roster.go
@@ -41,9 +41,11 @@
 
 // planner works out the next roster from the last one.
 type planner struct {
-	plan    RosterPlan
-	timing  ClaimTiming
-	now     time.Time
+	plan   RosterPlan
+	timing ClaimTiming
+	now    time.Time
+	// today is the time of day, by which callers date keys.
+	today   time.Time
 	members View
 	live    []proto.RosterMember
 	load    map[proto.VM]int
@@ -169,7 +171,7 @@
 	}
 	fresh := proto.Slot{Group: group, Since: epoch, Forced: forced}
 	if forced && !p.first {
-		fresh.ForgottenBefore = p.now.Add(2 * p.timing.Skew)
+		fresh.ForgottenBefore = p.today.Add(2 * p.timing.Skew)
 	}
 	if !forced {
 		fresh.Previous, fresh.PreviousSince = slot.Group, slot.Since
@@ -237,11 +239,26 @@
 	members View
 	replica *Replica
 	reports *readyReports
+	// dates returns the time of day at a moment.
+	dates func(now time.Time) time.Time
+}
+
+// RosterOption changes a RosterKeeper at construction.
+type RosterOption func(*RosterKeeper)
+
+// WithDates has the keeper date what it forgets by a time of day that differs from its clock's time.
+func WithDates(dates func(now time.Time) time.Time) RosterOption {
+	return func(k *RosterKeeper) { k.dates = dates }
 }
 
 // NewRosterKeeper returns a keeper of the roster's row.
-func NewRosterKeeper(table Table, plan RosterPlan, timing ClaimTiming, members View, replica *Replica) *RosterKeeper {
-	return &RosterKeeper{table: table, plan: plan, timing: timing, members: members, replica: replica, reports: newReadyReports()}
+func NewRosterKeeper(table Table, plan RosterPlan, timing ClaimTiming, members View, replica *Replica, options ...RosterOption) *RosterKeeper {
+	k := &RosterKeeper{table: table, plan: plan, timing: timing, members: members, replica: replica, reports: newReadyReports()}
+	k.dates = func(now time.Time) time.Time { return now }
+	for _, option := range options {
+		option(k)
+	}
+	return k
 }
 
 // Read adopts the roster in the table; it fails with KindUnavailable.
@@ -287,7 +304,7 @@
 
 // Next returns the roster that should follow the one that the replica has.
 func (k *RosterKeeper) Next(now time.Time) (proto.Roster, bool) {
-	p := &planner{plan: k.plan, timing: k.timing, now: now, members: k.members, ready: k.reports.of}
+	p := &planner{plan: k.plan, timing: k.timing, now: now, today: k.dates(now), members: k.members, ready: k.reports.of}
 	for _, alive := range k.members.Live() {
 		if !alive.Stopping && alive.Incarnation != 0 && k.members.IsListed(alive.VM) {
 			p.live = append(p.live, proto.RosterMember{VM: alive.VM, Zone: alive.Zone, Incarnation: alive.Incarnation})
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -22,6 +22,16 @@
 	// targets end by themselves each second and a half, and requests run as long, seven requests in a thousand are
 	// refused with three and 44 with two (TestRequestsAreServedThroughWavesOfEnds).
 	crashLimit = 3
+	// answerCounts is for how long an answer by any target speaks for a request, and crashPopular is how many targets may end
+	// after it before it is refused all the same. A request that callers send all the time, such as a page that all read,
+	// is at work at most targets at any moment, and so at all that end together; it is answered each moment, while one
+	// that ends its targets is answered by none. Without this, requests that all callers send alike were refused for
+	// an hour when all three targets of a pool ended within a second.
+	answerCounts = time.Minute
+	crashPopular = 4 * crashLimit
+	// answersMost bounds how many answered requests are remembered, at some 50 bytes each: those of the last seconds of a
+	// busy daemon, and whatever comes again and again.
+	answersMost = 8192
 	// crashKept is how long an end counts. A request that goes on ending targets costs three of them, and what is on
 	// its way, in each such time; targets may have new software by then.
 	crashKept = time.Hour
@@ -44,6 +54,9 @@
 	log   hclog.Logger
 	news  EndListener
 
+	// answers are when requests were last answered here.
+	answers answerTimes
+
 	mu       sync.Mutex
 	requests map[proto.RequestDigest]crashRecord
 	size     int
@@ -153,10 +166,19 @@
 // Answered notes that a target gave the whole answer to a request: it does not end each target that runs it, so the ends
 // known so far had other causes.
 func (c *Crashes) Answered(request proto.RequestDigest) {
-	if !c.Suspects(request) {
+	if c == nil {
 		return
 	}
 	now := c.clock.Now()
+	c.answers.note(now, request)
+	c.clear(now, request)
+}
+
+// clear marks the ends under a request as answered for.
+func (c *Crashes) clear(now time.Time, request proto.RequestDigest) {
+	if !c.Suspects(request) {
+		return
+	}
 	var m proto.TargetEnds
 	c.mu.Lock()
 	for run, e := range c.requests[request] {
@@ -194,6 +216,32 @@
 	if c.news != nil {
 		c.news(fresh, from)
 	}
+	c.speakFor(now, refused)
+}
+
+// speakFor clears requests that would be refused and that a target has answered here a short time before, unless too many
+// targets ended since.
+func (c *Crashes) speakFor(now time.Time, requests []proto.RequestDigest) {
+	for _, request := range requests {
+		answered, known := c.answers.last(request)
+		if known && now.Sub(answered) <= answerCounts && c.endsSince(request, answered) < crashPopular {
+			c.log.Info("a request is not refused, since a target has answered it lately", "digest", request.String(), "age", brief(now.Sub(answered)))
+			c.clear(now, request)
+		}
+	}
+}
+
+// endsSince returns how many targets ended under a request after a moment, also those that do not count any more.
+func (c *Crashes) endsSince(request proto.RequestDigest, at time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, e := range c.requests[request] {
+		if e.at.After(at) {
+			n++
+		}
+	}
+	return n
 }
 
 // learnEnd takes in one end and returns the requests for which it is news, and those that are refused from now on; the lock is
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -51,6 +51,13 @@
 		{"answered between", []step{ended(1), ended(2), answered, ended(3)}, false, true},
 		{"answered at last", []step{ended(1), ended(2), ended(3), answered}, false, false},
 		{"an answered end is told again", []step{ended(1), ended(2), ended(3), answered, told(2, time.Second)}, false, false},
+		{"answered a moment before", []step{answered, ended(1), ended(2), ended(3)}, false, false},
+		{"answered long before", []step{answered, after(answerCounts + time.Second), ended(1), ended(2), ended(3)}, true, true},
+		{"answered before, and ended on and on since", []step{
+			answered, after(time.Second), ended(1), ended(2), ended(3), ended(4), ended(5), ended(6), ended(7), ended(8), ended(9),
+			ended(10), ended(11), ended(12),
+		}, true, true},
+		{"others tell of ends of what was answered here", []step{answered, told(1, 0), told(2, 0), told(3, 0)}, false, false},
 		{"an hour later", []step{ended(1), ended(2), ended(3), after(crashKept + time.Second)}, false, false},
 		{"the first an hour ago", []step{ended(1), after(crashKept / 2), ended(2), ended(3), after(crashKept/2 + time.Second)}, false, true},
 		{"told of what is too old", []step{ended(1), ended(2), told(3, crashKept+time.Second)}, false, true},
@@ -302,3 +309,41 @@
 		t.Errorf("%d of %d requests were refused for what they did not do", refused, begun)
 	}
 }
+
+// TestARequestThatAllSendAlikeIsServed has a request be at work at all targets at any moment, as a page that all callers read, when
+// these end together; what is on its way is all lost, so that nothing is answered after the ends and before the next try.
+func TestARequestThatAllSendAlikeIsServed(t *testing.T) {
+	const alike = proto.RequestDigest(5)
+	clock := clockwork.NewFakeClockAt(start)
+	c := newCrashes(clock)
+	runs := 0
+	for range 20 {
+		if _, refused := c.Refuses(alike); refused {
+			t.Fatalf("refused after %d ends", runs)
+		}
+		c.Answered(alike)
+		clock.Advance(time.Second)
+		for range 5 {
+			runs++
+			c.Ended(runName(runs), clock.Now(), []proto.RequestDigest{alike, proto.RequestDigest(1000 + runs)})
+		}
+		clock.Advance(time.Second)
+	}
+}
+
+func TestTheMemoryOfAnswersIsBounded(t *testing.T) {
+	var a answerTimes
+	for n := range proto.RequestDigest(3 * answersMost) {
+		a.note(start, n)
+		a.note(start, 1<<60)
+	}
+	if n := len(a.newer) + len(a.former); n > answersMost+2 {
+		t.Errorf("%d answers are remembered", n)
+	}
+	if _, known := a.last(1 << 60); !known {
+		t.Error("what is answered again and again is forgotten")
+	}
+	if _, known := a.last(0); known {
+		t.Error("what was answered longest ago is remembered")
+	}
+}
--- a/state/clock.go
+++ b/state/clock.go
@@ -29,6 +29,7 @@
 	// start is the time of day at the clock's start, without a reading of the steady clock, and began that reading.
 	start, began  time.Time
 	uptimeAtStart time.Duration
+	driftAtStart  time.Duration
 
 	mu        sync.Mutex
 	seen      time.Duration
@@ -59,7 +60,8 @@
 	}
 	c.began = c.Clock.Now()
 	c.start = c.began.Round(0)
-	c.seen = c.drift()
+	c.driftAtStart = c.drift()
+	c.seen = c.driftAtStart
 	// Without an uptime the clock is the steady one.
 	if uptime, err := c.uptime(); err == nil {
 		c.uptimeAtStart = uptime
@@ -113,6 +115,14 @@
 	return true
 }
 
+// TimeOfDay returns the time of day, by which others date what they send. It follows changes of that, and is no measure of how
+// much time has passed.
+func (c *Clock) TimeOfDay() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.start.Add(c.Clock.Now().Sub(c.began) + c.drift() - c.driftAtStart)
+}
+
 // Suspended returns for how long the VM was suspended since the clock's start, as far as that was noticed.
 func (c *Clock) Suspended() time.Duration {
 	c.mu.Lock()
--- a/state/clock_test.go
+++ b/state/clock_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// TestTheTimeOfDayFollowsItsChanges sets the time of day and suspends the VM.
+func TestTheTimeOfDayFollowsItsChanges(t *testing.T) {
+	vm, clock := newStandVM()
+	vm.steady.Advance(time.Second)
+	vm.suspend(time.Minute)
+	vm.step(-time.Hour)
+	if got, want := clock.TimeOfDay(), clockStart.Add(time.Second+time.Minute-time.Hour); !got.Equal(want) {
+		t.Errorf("the time of day is %v, want %v", got, want)
+	}
+	if got, want := clock.Now(), clockStart.Add(time.Second+time.Minute); !got.Equal(want) {
+		t.Errorf("the time is %v, want %v", got, want)
+	}
+}
+
 func TestTheKernelIsAskedOnlyWhenTheTimeOfDayHasMoved(t *testing.T) {
 	vm, clock := newStandVM()
 	atStart := vm.reads.Load()
