Void entries: daemons tell each other which revisions of targets' entries name no target

So a daemon that starts used what the others had dropped. Ruled out: an inference from the other targets of the platform, which cannot tell where the spoilt entry is read first or alone.

Change: what a daemon finds void it remembers by id and revision, gives with each list and shows by a digest in heartbeats. As a first step versions of the store become one type, proto.Revision, of an era and a version, compared in one place.

--- a/coord/census.go
+++ b/coord/census.go
@@ -38,8 +38,8 @@
 
 // sharer is a VM as the census knows it.
 type sharer struct {
-	// version is that of its row, 0 before one was read, and since is when this daemon first saw that version.
-	version uint64
+	// version is that of its row, zero before one was read, and since is when this daemon first saw that version.
+	version proto.Revision
 	since   time.Time
 }
 
@@ -106,7 +106,7 @@
 
 // Read takes in all rows, with their versions, as of a moment after asked, and returns the VMs that are counted no more:
 // their rows have not changed for so long that their leases are over.
-func (c *Census) Read(asked, now time.Time, rows map[proto.VM]uint64) (over []proto.VM) {
+func (c *Census) Read(asked, now time.Time, rows map[proto.VM]proto.Revision) (over []proto.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read = asked
--- a/coord/census_test.go
+++ b/coord/census_test.go
@@ -18,6 +18,15 @@
 	censusStart  = time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)
 )
 
+// revisions are those of rows of a store that tells of no eras.
+func revisions(versions map[proto.VM]uint64) map[proto.VM]proto.Revision {
+	rows := map[proto.VM]proto.Revision{}
+	for vm, version := range versions {
+		rows[vm] = proto.Revision{Version: version}
+	}
+	return rows
+}
+
 // settledCensus is that of a daemon which has run for long among others.
 func settledCensus(self proto.VM, others ...proto.VM) *Census {
 	c := NewCensus(self, censusTiming)
@@ -29,7 +38,7 @@
 			rows[vm] = uint64(at.Unix())
 		}
 		c.Wrote(at)
-		c.Read(at, at, rows)
+		c.Read(at, at, revisions(rows))
 	}
 	return c
 }
@@ -45,7 +54,7 @@
 	c := NewCensus("a", censusTiming)
 	c.Begin(censusStart, true)
 	c.Wrote(censusStart)
-	c.Read(censusStart, censusStart, map[proto.VM]uint64{"a": 1, "b": 2})
+	c.Read(censusStart, censusStart, revisions(map[proto.VM]uint64{"a": 1, "b": 2}))
 	wantShare(t, c, censusStart, 2, ShareStarting)
 	wantShare(t, c, censusStart.Add(10*time.Second), 2, ShareStarting)
 	wantShare(t, c, censusStart.Add(11*time.Second), 2, ShareFull)
@@ -56,7 +65,7 @@
 	c.Begin(censusStart, false)
 	c.Wrote(censusStart)
 	for _, at := range []time.Duration{0, 20 * time.Second, 40 * time.Second} {
-		c.Read(censusStart.Add(at), censusStart.Add(at), map[proto.VM]uint64{"a": 1})
+		c.Read(censusStart.Add(at), censusStart.Add(at), revisions(map[proto.VM]uint64{"a": 1}))
 	}
 	wantShare(t, c, censusStart.Add(55*time.Second), 1, ShareStarting)
 	wantShare(t, c, censusStart.Add(56*time.Second), 1, ShareFull)
@@ -75,7 +84,7 @@
 	c := settledCensus("a", "b", "c")
 	for at := censusStart; at.Before(censusStart.Add(10 * time.Minute)); at = at.Add(20 * time.Second) {
 		c.Wrote(at)
-		c.Read(at, at, map[proto.VM]uint64{"a": 1, "b": uint64(at.Unix()), "c": uint64(censusStart.Unix())})
+		c.Read(at, at, revisions(map[proto.VM]uint64{"a": 1, "b": uint64(at.Unix()), "c": uint64(censusStart.Unix())}))
 		wantShare(t, c, at, 3, ShareFull)
 	}
 }
@@ -85,7 +94,7 @@
 	after := censusStart.Add(censusTiming.Lease + censusTiming.Window + time.Second)
 	c.Wrote(censusStart.Add(censusTiming.Lease / 3))
 	c.Wrote(censusStart.Add(censusTiming.Lease * 2 / 3))
-	over := c.Read(after, after, map[proto.VM]uint64{"a": 1, "b": 7, "c": uint64(censusStart.Unix())})
+	over := c.Read(after, after, revisions(map[proto.VM]uint64{"a": 1, "b": 7, "c": uint64(censusStart.Unix())}))
 	if len(over) != 1 || over[0] != "c" {
 		t.Errorf("over: %v", over)
 	}
@@ -97,13 +106,13 @@
 	wantShare(t, c, censusStart.Add(45*time.Second), 2, ShareFull)
 	wantShare(t, c, censusStart.Add(46*time.Second), 2, ShareUnread)
 	at := censusStart.Add(10*time.Minute + time.Second)
-	c.Read(at, at, map[proto.VM]uint64{"a": 1, "b": 2})
+	c.Read(at, at, revisions(map[proto.VM]uint64{"a": 1, "b": 2}))
 	wantShare(t, c, at, 2, ShareUnlisted)
 	// The others may have ceased to count it, so it starts like a new one.
 	c.Wrote(at)
 	wantShare(t, c, at, 2, ShareStarting)
 	late := at.Add(56 * time.Second)
-	c.Read(late, late, map[proto.VM]uint64{"a": 1, "b": 3})
+	c.Read(late, late, revisions(map[proto.VM]uint64{"a": 1, "b": 3}))
 	wantShare(t, c, late, 2, ShareFull)
 }
 
@@ -169,7 +178,7 @@
 		for other, version := range w.rows {
 			rows[other] = version
 		}
-		for _, gone := range d.census.Read(w.now, w.now, rows) {
+		for _, gone := range d.census.Read(w.now, w.now, revisions(rows)) {
 			delete(w.rows, gone)
 		}
 		d.read = w.now
--- a/proto/codec_fuzz_test.go
+++ b/proto/codec_fuzz_test.go
@@ -9,7 +9,7 @@
 // written and read again.
 func FuzzDecode(f *testing.F) {
 	for _, m := range []Message{
-		Heartbeat{Incarnation: 7, Routing: 3, Targets: 9},
+		Heartbeat{Incarnation: 7, Routing: 3, Targets: Revision{Era: 1, Version: 9}},
 		PiecesAsk{Pool: "p", Request: "r", Pieces: 2, Inputs: []string{"h"}, Due: time.Second, Shard: 1},
 		PiecesAnswer{Fate: PiecesDone, Handles: []string{"h"}, InputsFreed: true},
 		PiecesDrop{Pool: "p", Handles: []string{"h"}, Shard: 2},
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -59,13 +59,15 @@
 	Generation  Generation  `cbor:"2,keyasint"`
 	Roster      Epoch       `cbor:"3,keyasint"`
 	Stopping    bool        `cbor:"4,keyasint,omitempty"`
-	// Routing and Targets are the versions that a relaying daemon has of what the platform keeps.
-	Routing uint64 `cbor:"5,keyasint,omitempty"`
-	Targets uint64 `cbor:"6,keyasint,omitempty"`
+	// Routing is the version of the configuration that a relaying daemon has, and Targets the revision of its list of targets.
+	Routing uint64   `cbor:"5,keyasint,omitempty"`
+	Targets Revision `cbor:"6,keyasint,omitzero"`
 	// Dead is a digest of the runs that the sender holds to be dead; 0 if none.
 	Dead uint64 `cbor:"7,keyasint,omitempty"`
 	// Ends is a digest of the ends of targets that the sender knows of; 0 if none.
 	Ends uint64 `cbor:"8,keyasint,omitempty"`
+	// Void is a digest of the void entries of targets that the sender knows of; 0 if none.
+	Void uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -143,29 +143,38 @@
 
 // RoutingAsk asks a daemon for its configuration and list of targets if they are newer than these versions.
 type RoutingAsk struct {
-	Routing uint64 `cbor:"1,keyasint"`
-	Targets uint64 `cbor:"2,keyasint"`
+	Routing uint64   `cbor:"1,keyasint"`
+	Targets Revision `cbor:"2,keyasint"`
 }
 
 // TargetDocument is a target's entry in the platform's own format.
 type TargetDocument struct {
-	ID      string `cbor:"1,keyasint"`
-	Body    []byte `cbor:"2,keyasint"`
-	Version uint64 `cbor:"3,keyasint"`
+	ID      string   `cbor:"1,keyasint"`
+	Body    []byte   `cbor:"2,keyasint"`
+	Version Revision `cbor:"3,keyasint"`
 	// Removed entries have no body; Lapsed ones of them may come back, since they went while the store was away.
 	Removed bool `cbor:"4,keyasint,omitempty"`
 	Lapsed  bool `cbor:"5,keyasint,omitempty"`
 }
 
+// VoidEntry is a revision of a target's entry that names no target to use, although it reads as if it did: only daemons that knew
+// the target before can tell.
+type VoidEntry struct {
+	ID      string   `cbor:"1,keyasint"`
+	Version Revision `cbor:"2,keyasint"`
+}
+
 // RoutingAnswer carries what is newer, in the platform's own format.
 type RoutingAnswer struct {
 	Routing        uint64           `cbor:"1,keyasint"`
 	RoutingBody    []byte           `cbor:"2,keyasint,omitempty"`
-	Targets        uint64           `cbor:"3,keyasint"`
+	Targets        Revision         `cbor:"3,keyasint"`
 	TargetEntries  []TargetDocument `cbor:"4,keyasint,omitempty"`
 	TargetsAreSent bool             `cbor:"5,keyasint,omitempty"`
 	// Whole says that the entries are the whole list, and else what changed since the version that was asked with.
 	Whole bool `cbor:"6,keyasint,omitempty"`
+	// Void holds all void entries that the sender knows of, whatever is newer.
+	Void []VoidEntry `cbor:"7,keyasint,omitempty"`
 }
 
 // PiecesAsk asks the daemon that batches a pool's calls for all pieces of one stage of a request.
@@ -313,8 +322,8 @@
 // Confirmed tells daemons that read the store what the store said of its tables just now, so that they need not ask.
 type Confirmed struct {
 	// Routing and Targets are the versions that the sender has.
-	Routing uint64 `cbor:"1,keyasint,omitempty"`
-	Targets uint64 `cbor:"2,keyasint,omitempty"`
+	Routing uint64   `cbor:"1,keyasint,omitempty"`
+	Targets Revision `cbor:"2,keyasint,omitzero"`
 	// RoutingAge and TargetsAge are how long ago the store itself told the sender that it has all changes of each; 0 if it
 	// never did.
 	RoutingAge time.Duration `cbor:"3,keyasint,omitempty"`
--- a/relay/endwatch_test.go
+++ b/relay/endwatch_test.go
@@ -151,11 +151,11 @@
 		changes []FleetChange
 		crashed bool
 	}{
-		{"its entry goes", []FleetChange{{ID: "a", Version: 3, Removed: true}}, true},
+		{"its entry goes", []FleetChange{{ID: "a", Version: rev(3), Removed: true}}, true},
 		{"it starts again", []FleetChange{put(3, run("a", secondBorn))}, true},
-		{"it leaves and goes", []FleetChange{put(3, leaving), {ID: "a", Version: 4, Removed: true}}, false},
+		{"it leaves and goes", []FleetChange{put(3, leaving), {ID: "a", Version: rev(4), Removed: true}}, false},
 		{"it leaves and starts again", []FleetChange{put(3, leaving), put(4, run("a", secondBorn))}, false},
-		{"its entry cannot be used", []FleetChange{{ID: "a", Version: 3, Unusable: true}}, false},
+		{"its entry cannot be used", []FleetChange{{ID: "a", Version: rev(3), Unusable: true}}, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
@@ -174,7 +174,7 @@
 // TestWhatAnAttemptsEndSaysOfTheRequest ends an attempt in each way, and has the target's entry go after it.
 func TestWhatAnAttemptsEndSaysOfTheRequest(t *testing.T) {
 	const request = proto.RequestDigest(7)
-	gone := []FleetChange{{ID: "t", Version: 2, Removed: true}}
+	gone := []FleetChange{{ID: "t", Version: rev(2), Removed: true}}
 	leaves := listed("t", "p", "z")
 	leaves.Leaving = true
 	refusedConn := &SendError{Err: syscall.ECONNREFUSED}
@@ -227,7 +227,7 @@
 			if known := w.ended("t"); known != (s.known || len(s.before) > 0 && s.before[0].Removed) {
 				t.Errorf("known to have ended: %v", known)
 			}
-			change([]FleetChange{{ID: "t", Version: 3, Removed: true}})
+			change([]FleetChange{{ID: "t", Version: rev(3), Removed: true}})
 			if c.Suspects(request) != s.suspect {
 				t.Errorf("suspected: %v", c.Suspects(request))
 			}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -39,7 +39,7 @@
 	// has more likely left than lapsed, and gets work only where its pool has no other target.
 	doubted bool
 	// version is the store's version at which the entry last changed.
-	version uint64
+	version proto.Revision
 	gone    bool
 	// running ends when another run of the target is known, and end ends it.
 	running context.Context
@@ -97,9 +97,11 @@
 	// awayAt and backAt are when the store was last found away, and when it answered again after that.
 	awayAt, backAt time.Time
 	// version is that of the newest change of any entry, which is the same at all daemons that know as much.
-	version uint64
+	version proto.Revision
 	changed func(pool string)
 	zones   ZoneCosts
+	// void holds the revisions of entries that name no target to use although they read as if they did.
+	void map[string]proto.Revision
 }
 
 // FleetOption changes a Fleet at construction.
@@ -110,7 +112,7 @@
 
 // NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
 func NewFleet(changed func(pool string), options ...FleetOption) *Fleet {
-	f := &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, changed: changed, zones: DefaultZoneCosts()}
+	f := &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]proto.Revision{}, changed: changed, zones: DefaultZoneCosts()}
 	for _, option := range options {
 		option(f)
 	}
@@ -118,7 +120,7 @@
 }
 
 // Version returns the store's version of the newest change that the fleet knows.
-func (f *Fleet) Version() uint64 {
+func (f *Fleet) Version() proto.Revision {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	return f.version
@@ -127,8 +129,8 @@
 // FleetChange is one entry of the store's list that was put or removed.
 type FleetChange struct {
 	ID string
-	// Version is the store's version of the change.
-	Version uint64
+	// Version is the store's revision of the change.
+	Version proto.Revision
 	Removed bool
 	// Told changes come from another daemon, which knows how the store is; Lapsed says that it saw the entry go while
 	// the store was away, so that it may come back.
@@ -143,7 +145,7 @@
 	f.mu.Lock()
 	var notes []FleetNote
 	for _, c := range changes {
-		f.version = max(f.version, c.Version)
+		f.version = proto.Latest(f.version, c.Version)
 		notes = append(notes, f.apply(now, c)...)
 	}
 	f.mu.Unlock()
@@ -154,16 +156,16 @@
 // Replace takes in the whole list as of a version; entries that it lacks are removed. A list that is older than what
 // is known is refused.
 // A list of another daemon that has all changes up to that version is complete.
-func (f *Fleet) Replace(now time.Time, asOf uint64, entries []FleetChange, complete bool) ([]FleetNote, bool) {
+func (f *Fleet) Replace(now time.Time, asOf proto.Revision, entries []FleetChange, complete bool) ([]FleetNote, bool) {
 	f.mu.Lock()
-	if asOf < f.version {
+	if f.version.After(asOf) {
 		f.mu.Unlock()
 		return nil, false
 	}
 	listed := map[string]bool{}
 	var notes []FleetNote
 	for _, c := range entries {
-		f.version = max(f.version, c.Version)
+		f.version = proto.Latest(f.version, c.Version)
 		listed[c.ID] = true
 		notes = append(notes, f.apply(now, c)...)
 	}
@@ -176,8 +178,9 @@
 			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true, Version: asOf})...)
 		}
 	}
+	f.dropVoid(asOf, listed)
 	if complete {
-		f.version = max(f.version, asOf)
+		f.version = proto.Latest(f.version, asOf)
 	}
 	f.mu.Unlock()
 	f.announce(notes)
@@ -188,8 +191,8 @@
 type FleetNote struct {
 	Target  proto.RelayTarget
 	Outcome string
-	// Version is the store's version of the change, 0 if no change of the store brought it.
-	Version uint64
+	// Version is the store's revision of the change, zero if no change of the store brought it.
+	Version proto.Revision
 }
 
 // Crashed tells whether the note says that a run is over which had not said that it would leave.
@@ -236,11 +239,11 @@
 
 func (f *Fleet) apply(now time.Time, c FleetChange) []FleetNote {
 	t := f.where[c.ID]
-	if t != nil && c.Version < t.version {
+	if t != nil && t.version.After(c.Version) {
 		return nil
 	}
 	switch {
-	case c.Unusable:
+	case c.Unusable || f.isVoid(c):
 		return f.dropUnusable(t, c)
 	case c.Removed:
 		return f.remove(now, t, c)
@@ -252,7 +255,8 @@
 	old := t.Spec
 	switch {
 	case c.Target.Born.IsZero() && !old.Born.IsZero():
-		// A target that tells when its run started always does.
+		// A target that tells when its run started always does. Daemons that did not know it then must be told.
+		f.void[c.ID] = c.Version
 		return f.unusable(t, c)
 	case c.Target.Born.Before(old.Born):
 		t.version = c.Version
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -12,12 +12,15 @@
 	return proto.RelayTarget{ID: id, Pool: pool, Zone: zone, Slots: 4}
 }
 
+// rev is a revision of a store that tells of no eras.
+func rev(version uint64) proto.Revision { return proto.Revision{Version: version} }
+
 func put(version uint64, t proto.RelayTarget) FleetChange {
-	return FleetChange{ID: t.ID, Version: version, Target: t}
+	return FleetChange{ID: t.ID, Version: rev(version), Target: t}
 }
 
 func removed(version uint64, id string) FleetChange {
-	return FleetChange{ID: id, Version: version, Removed: true}
+	return FleetChange{ID: id, Version: rev(version), Removed: true}
 }
 
 func newFleet(changes ...FleetChange) *Fleet {
@@ -59,13 +62,13 @@
 	if got := names(f, "p"); got != "b " {
 		t.Errorf("usable after an older entry: %q", got)
 	}
-	if _, taken := f.Replace(start, 8, []FleetChange{put(5, listed("a", "p", "z"))}, false); taken {
+	if _, taken := f.Replace(start, rev(8), []FleetChange{put(5, listed("a", "p", "z"))}, false); taken {
 		t.Error("a list from before the newest change was taken")
 	}
 	if got := names(f, "p"); got != "b " {
 		t.Errorf("usable after an older list: %q", got)
 	}
-	if _, taken := f.Replace(start, 9, []FleetChange{put(9, leaving)}, false); !taken || names(f, "p") != "" {
+	if _, taken := f.Replace(start, rev(9), []FleetChange{put(9, leaving)}, false); !taken || names(f, "p") != "" {
 		t.Errorf("a list that lacks b leaves %q", names(f, "p"))
 	}
 }
@@ -73,10 +76,10 @@
 func TestTwoDaemonsThatKnowTheSameShowTheSameVersion(t *testing.T) {
 	changes := []FleetChange{put(3, listed("a", "p", "z")), put(7, listed("b", "p", "z")), removed(11, "a")}
 	byWatch, byList := newFleet(changes...), NewFleet(func(string) {})
-	byList.Replace(start, 40, []FleetChange{put(7, listed("b", "p", "z"))}, false)
+	byList.Replace(start, rev(40), []FleetChange{put(7, listed("b", "p", "z"))}, false)
 	byList.Change(start, []FleetChange{removed(11, "a")})
 	if byWatch.Version() != byList.Version() {
-		t.Errorf("versions %d and %d", byWatch.Version(), byList.Version())
+		t.Errorf("versions %s and %s", byWatch.Version(), byList.Version())
 	}
 }
 
@@ -112,7 +115,7 @@
 		}},
 		{"lapsed by the word of another daemon", []step{
 			{0, func(f *Fleet, now time.Time) {
-				f.Change(now, []FleetChange{{ID: "a", Version: 5, Removed: true, Told: true, Lapsed: true}})
+				f.Change(now, []FleetChange{{ID: "a", Version: rev(5), Removed: true, Told: true, Lapsed: true}})
 			}, "a b "},
 			{time.Second, sweep, "a b "},
 			{lapseWait, sweep, "b "},
@@ -138,8 +141,8 @@
 	told := removed(5, "a")
 	told.Told, told.Lapsed = true, true
 	ids, before := f.Lapsed(f.Change(start, []FleetChange{told}))
-	if fmt.Sprint(ids) != "[a]" || before != 4 {
-		t.Fatalf("to be asked about are %v after version %d", ids, before)
+	if fmt.Sprint(ids) != "[a]" || before != rev(4) {
+		t.Fatalf("to be asked about are %v after version %s", ids, before)
 	}
 	if f.Doubt("a"); names(f, "p") != "b " {
 		t.Errorf("usable %q, though another daemon saw it leave", names(f, "p"))
@@ -152,8 +155,8 @@
 	f.StoreAway(start)
 	notes := f.Change(start, []FleetChange{removed(5, "a")})
 	ids, before := f.Lapsed(notes)
-	if fmt.Sprint(ids) != "[a]" || before != 4 {
-		t.Fatalf("lapsed %v after version %d", ids, before)
+	if fmt.Sprint(ids) != "[a]" || before != rev(4) {
+		t.Fatalf("lapsed %v after version %s", ids, before)
 	}
 	if notes := f.Doubt("a"); len(notes) != 1 || names(f, "p") != "b " {
 		t.Errorf("usable %q, notes %v", names(f, "p"), notes)
@@ -182,7 +185,7 @@
 	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")), put(5, leaving))
 	f.StoreAway(start)
 	f.Change(start, []FleetChange{put(3, listed("a", "p", "z"))})
-	f.Replace(start, 4, []FleetChange{put(1, listed("a", "p", "z"))}, false)
+	f.Replace(start, rev(4), []FleetChange{put(1, listed("a", "p", "z"))}, false)
 	f.StoreBack(start)
 	if names(f, "p") != "b " {
 		t.Errorf("usable %q", names(f, "p"))
@@ -268,11 +271,11 @@
 func TestACompleteListIsBelievedWhileTheStoreIsAway(t *testing.T) {
 	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
 	f.StoreAway(start)
-	if _, taken := f.Replace(start, 9, []FleetChange{put(2, listed("b", "p", "z"))}, true); !taken || names(f, "p") != "b " {
+	if _, taken := f.Replace(start, rev(9), []FleetChange{put(2, listed("b", "p", "z"))}, true); !taken || names(f, "p") != "b " {
 		t.Errorf("usable %q", names(f, "p"))
 	}
-	if f.Version() != 9 {
-		t.Errorf("version %d: the daemon would ask for the same list again and again", f.Version())
+	if f.Version() != rev(9) {
+		t.Errorf("version %s: the daemon would ask for the same list again and again", f.Version())
 	}
 }
 
@@ -284,7 +287,7 @@
 				f := NewFleet(func(string) {})
 				for i := range n {
 					t := listed(fmt.Sprint("t-", i), "p", "z")
-					f.Change(start, []FleetChange{{ID: t.ID, Version: uint64(i + 1), Target: t}})
+					f.Change(start, []FleetChange{{ID: t.ID, Version: rev(uint64(i + 1)), Target: t}})
 				}
 				f.Usable("p")
 			}
--- a/relay/fleetlapse.go
+++ b/relay/fleetlapse.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"emberlead/proto"
+)
 
 // lapseSeen is how soon after the store's return an entry must be found gone to count as lapsed: what went while the
 // store was away shows in the first answer, and one that goes later has left.
@@ -36,7 +40,7 @@
 
 // Lapsed returns the ids of targets that are held to have lapsed, and the version before the first of them went. A
 // daemon that was told so may have been told by one that the store had turned away.
-func (f *Fleet) Lapsed(notes []FleetNote) (ids []string, before uint64) {
+func (f *Fleet) Lapsed(notes []FleetNote) (ids []string, before proto.Revision) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, n := range notes {
@@ -44,8 +48,9 @@
 		if n.Outcome != OutcomeLapsed || t == nil {
 			continue
 		}
-		if len(ids) == 0 || n.Version-1 < before {
-			before = n.Version - 1
+		last := proto.Revision{Era: n.Version.Era, Version: n.Version.Version - 1}
+		if len(ids) == 0 || before.After(last) {
+			before = last
 		}
 		ids = append(ids, n.Target.ID)
 	}
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -213,14 +213,14 @@
 	fleet := NewFleet(func(string) {})
 	spec := listed("t", "p", "z")
 	spec.Address = netip.MustParseAddrPort("10.0.0.1:80")
-	fleet.Change(start, []FleetChange{{ID: "t", Version: 1, Target: spec}})
+	fleet.Change(start, []FleetChange{{ID: "t", Version: rev(1), Target: spec}})
 	peers := &peersOf{self: "one", owner: "one"}
 	placer := NewPlacer("one", clockwork.NewFakeClock(), hclog.NewNullLogger(), fleet, peers)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for v := range uint64(200) {
-			fleet.Change(start, []FleetChange{{ID: "t", Version: v + 2, Target: spec}})
+			fleet.Change(start, []FleetChange{{ID: "t", Version: rev(v + 2), Target: spec}})
 		}
 	}()
 	for range 200 {
--- a/relay/restart_test.go
+++ b/relay/restart_test.go
@@ -116,7 +116,7 @@
 			return f.Change(start, []FleetChange{c})
 		}, outcomeStale},
 		{"in a whole list", func(f *Fleet) []FleetNote {
-			notes, _ := f.Replace(start, 9, []FleetChange{put(9, leaving)}, false)
+			notes, _ := f.Replace(start, rev(9), []FleetChange{put(9, leaving)}, false)
 			return notes
 		}, outcomeStale},
 		{"an older version of the store", func(f *Fleet) []FleetNote {
@@ -151,7 +151,7 @@
 }
 
 func TestAnEntryThatNamesNoTargetIsNotUsedAndTheOthersHold(t *testing.T) {
-	unusable := FleetChange{ID: "a", Version: 9, Unusable: true}
+	unusable := FleetChange{ID: "a", Version: rev(9), Unusable: true}
 	scenarios := []struct {
 		name string
 		take func(f *Fleet)
@@ -163,7 +163,7 @@
 		}},
 		{"in a whole list", func(f *Fleet) {
 			f.StoreAway(start)
-			f.Replace(start, 9, []FleetChange{unusable, put(2, run("b", firstBorn))}, false)
+			f.Replace(start, rev(9), []FleetChange{unusable, put(2, run("b", firstBorn))}, false)
 		}},
 		{"without the start that its target always tells", func(f *Fleet) {
 			f.Change(start, []FleetChange{put(9, listed("a", "p", "z"))})
@@ -173,8 +173,8 @@
 		t.Run(s.name, func(t *testing.T) {
 			f := newFleet(put(1, run("a", firstBorn)), put(2, run("b", firstBorn)))
 			s.take(f)
-			if got := names(f, "p"); got != "b " || f.Version() != 9 {
-				t.Errorf("usable %q as of %d", got, f.Version())
+			if got := names(f, "p"); got != "b " || f.Version() != rev(9) {
+				t.Errorf("usable %q as of %s", got, f.Version())
 			}
 			f.Change(start, []FleetChange{put(10, run("a", firstBorn))})
 			if got := names(f, "p"); got != "a b " {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -157,7 +157,7 @@
 }
 
 func (d *Relay) newPeers() {
-	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, census: d.census, seeds: map[proto.VM]proto.Alive{}, newer: map[proto.VM]time.Time{}}
+	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, census: d.census, seeds: map[proto.VM]proto.Alive{}, newer: map[proto.VM]time.Time{}, voidAsked: map[proto.VM]time.Time{}}
 	for _, seed := range d.settings.Seeds {
 		if seed != d.self.Peer {
 			d.peers.seeds[proto.VM("seed "+seed.String())] = proto.Alive{Peer: seed}
@@ -172,7 +172,7 @@
 
 func (d *Relay) heartbeat() proto.Heartbeat {
 	return proto.Heartbeat{
-		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), Ends: d.crashes.Digest(),
+		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), Ends: d.crashes.Digest(), Void: d.fleet.VoidDigest(),
 	}
 }
 
@@ -182,10 +182,13 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.Heartbeat(now, from, msg)
-		newer := msg.Routing > d.tables.Version() || msg.Targets > d.fleet.Version()
+		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version())
 		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
 		}
+		if d.peers.mayAskVoid(now, from, d.fleet.VoidDigest(), msg.Void) {
+			go d.pull(from)
+		}
 		if d.endNews.differs(now, from, d.crashes.Digest(), msg.Ends, d.crashes.Counts().Ends) {
 			go d.tellEnds(from)
 		}
--- a/serve/relayclock_test.go
+++ b/serve/relayclock_test.go
@@ -75,9 +75,9 @@
 		}},
 		{"the wait for an entry that lapsed", 3 * time.Second, func(clock *state.Clock, _ *clockwork.FakeClock) func() bool {
 			f := relay.NewFleet(func(string) {})
-			f.Change(clock.Now(), []relay.FleetChange{{ID: "t", Version: 1, Target: target}})
+			f.Change(clock.Now(), []relay.FleetChange{{ID: "t", Version: proto.Revision{Version: 1}, Target: target}})
 			f.StoreAway(clock.Now())
-			f.Change(clock.Now(), []relay.FleetChange{{ID: "t", Version: 2, Removed: true}})
+			f.Change(clock.Now(), []relay.FleetChange{{ID: "t", Version: proto.Revision{Version: 2}, Removed: true}})
 			f.StoreBack(clock.Now())
 			return func() bool {
 				f.Sweep(clock.Now())
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -17,7 +17,7 @@
 	routing []byte
 	// targets holds removed entries too, from since on.
 	targets map[string]proto.TargetDocument
-	since   uint64
+	since   proto.Revision
 	// gave is when a daemon that knew nothing was given all of them last.
 	gave time.Time
 }
@@ -110,7 +110,7 @@
 }
 
 // takeTargets takes in a whole list; one of another daemon is complete up to its version.
-func (d *Relay) takeTargets(asOf uint64, docs []proto.TargetDocument, from string, complete bool) bool {
+func (d *Relay) takeTargets(asOf proto.Revision, docs []proto.TargetDocument, from string, complete bool) bool {
 	var entries []relay.FleetChange
 	kept := map[string]proto.TargetDocument{}
 	for _, doc := range docs {
@@ -151,7 +151,7 @@
 	d.docs.mu.Lock()
 	for _, doc := range docs {
 		doc.Lapsed = doc.Removed && lapsed[doc.ID]
-		if doc.Version >= d.docs.targets[doc.ID].Version {
+		if !d.docs.targets[doc.ID].Version.After(doc.Version) {
 			d.docs.targets[doc.ID] = doc
 		}
 	}
@@ -187,7 +187,7 @@
 
 // askOfLapsed asks the neighbours how they saw entries go that are held to have lapsed: a store that failed for
 // some daemons only went on serving the others, and what went then has left.
-func (d *Relay) askOfLapsed(ids []string, before uint64) {
+func (d *Relay) askOfLapsed(ids []string, before proto.Revision) {
 	for range lapseAsks {
 		for _, vm := range d.peers.members.Links() {
 			go d.askNeighbourOfLapsed(vm, ids, before)
@@ -196,7 +196,7 @@
 	}
 }
 
-func (d *Relay) askNeighbourOfLapsed(vm proto.VM, ids []string, before uint64) {
+func (d *Relay) askNeighbourOfLapsed(vm proto.VM, ids []string, before proto.Revision) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
 	defer cancel()
 	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: before})
@@ -216,19 +216,19 @@
 func (d *Relay) answerAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
 	d.docs.mu.Lock()
 	defer d.docs.mu.Unlock()
-	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version()}
+	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version(), Void: d.fleet.Void()}
 	if ask == (proto.RoutingAsk{}) && !d.docs.givesAll(d.clock.Now()) {
 		return a
 	}
 	if a.Routing > ask.Routing {
 		a.RoutingBody = d.docs.routing
 	}
-	if a.Targets <= ask.Targets {
+	if !a.Targets.After(ask.Targets) {
 		return a
 	}
-	a.TargetsAreSent, a.Whole = true, ask.Targets < d.docs.since
+	a.TargetsAreSent, a.Whole = true, d.docs.since.After(ask.Targets)
 	for _, doc := range d.docs.targets {
-		if a.Whole && !doc.Removed || !a.Whole && doc.Version > ask.Targets {
+		if a.Whole && !doc.Removed || !a.Whole && doc.Version.After(ask.Targets) {
 			a.TargetEntries = append(a.TargetEntries, doc)
 		}
 	}
@@ -249,6 +249,7 @@
 		d.log.Info("another daemon gave nothing newer", "from", from, "error", err)
 		return
 	}
+	d.noteFleet(d.fleet.LearnVoid(a.Void), string(from))
 	if len(a.RoutingBody) > 0 {
 		d.adoptRouting(a.RoutingBody, string(from))
 	}
--- a/serve/relayendrows.go
+++ b/serve/relayendrows.go
@@ -128,17 +128,17 @@
 // other, the ones that read the store do so and tell the others.
 func (r *endRows) read(ctx context.Context) {
 	d := r.daemon
-	version := uint64(0)
+	var version proto.Revision
 	for ctx.Err() == nil {
 		if apart, _ := d.apart(); !apart || !d.isReader() {
-			version = 0
+			version = proto.Revision{}
 			d.pause(ctx, readerCheck)
 			continue
 		}
 		next, err := r.next(ctx, version)
 		if err != nil {
 			d.log.Debug("the rows of ends of targets are not read", "version", version, "error", err)
-			next = 0
+			next = proto.Revision{}
 			d.pause(ctx, endRowRetry)
 		}
 		version = next
@@ -146,27 +146,27 @@
 }
 
 // next reads all rows, or waits for those that change after a version, and returns the version to go on from.
-func (r *endRows) next(ctx context.Context, version uint64) (uint64, error) {
+func (r *endRows) next(ctx context.Context, version proto.Revision) (proto.Revision, error) {
 	wait := endRowWait
-	if version == 0 {
+	if version.IsZero() {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	rows, err := r.rows(ctx, version, wait)
 	if err != nil {
-		return 0, err
+		return proto.Revision{}, err
 	}
 	for _, row := range rows.List {
 		if proto.VM(row.Key) != r.daemon.self.VM && !row.Removed {
 			r.take(row)
 		}
 	}
-	return max(version, rows.Version), nil
+	return proto.Latest(version, rows.Version), nil
 }
 
-func (r *endRows) rows(ctx context.Context, version uint64, wait time.Duration) (platform.Entries, error) {
-	if version == 0 {
+func (r *endRows) rows(ctx context.Context, version proto.Revision, wait time.Duration) (platform.Entries, error) {
+	if version.IsZero() {
 		return r.table.Read(ctx)
 	}
 	return r.table.Watch(ctx, version, wait)
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -81,7 +81,8 @@
 	// Share is the daemon's part of what all daemons are allowed together.
 	Share   relay.Share `json:"share"`
 	Routing uint64      `json:"routing"`
-	Fleet   uint64      `json:"fleet"`
+	// Fleet is the revision of the list of targets, as the log writes it.
+	Fleet string `json:"fleet"`
 	// RoutingAge and TargetsAge are how long ago the store last confirmed what is known of each table, to this daemon or
 	// to one that told it, in milliseconds; -1 if it never did.
 	RoutingAge int64 `json:"routingAgeMs"`
@@ -105,7 +106,7 @@
 	return RelayVars{
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
-		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version(), Open: d.server.Open(),
+		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Open: d.server.Open(),
 		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
 	}
 }
--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	now := d.clock.Now()
-	versions := map[proto.VM]uint64{}
+	versions := map[proto.VM]proto.Revision{}
 	known := d.settings.FirstStart
 	var own daemonRow
 	for _, entry := range rows.List {
@@ -169,17 +169,17 @@
 }
 
 // removeOld removes the rows of VMs whose leases are over, which one daemon does for all.
-func (d *Relay) removeOld(over []proto.VM, versions map[proto.VM]uint64) {
+func (d *Relay) removeOld(over []proto.VM, versions map[proto.VM]proto.Revision) {
 	for _, vm := range over {
 		d.log.Info("a daemon's row is too old to count", "vm", vm, "version", versions[vm], "lease", rowLease.String())
-		if versions[vm] == 0 || d.peers.Owner(taskOldRows, nil) != d.self.VM {
+		if versions[vm].IsZero() || d.peers.Owner(taskOldRows, nil) != d.self.VM {
 			continue
 		}
 		go d.removeRow(vm, versions[vm])
 	}
 }
 
-func (d *Relay) removeRow(vm proto.VM, version uint64) {
+func (d *Relay) removeRow(vm proto.VM, version proto.Revision) {
 	ctx, cancel := context.WithTimeout(context.Background(), readWait)
 	defer cancel()
 	err := d.store.Daemons().Remove(ctx, string(vm), version)
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -30,6 +30,9 @@
 	pullAfter = 250 * time.Millisecond
 	// pullWait bounds the asking.
 	pullWait = time.Second
+	// voidAgain is how often a daemon is asked whose void entries differ from those known here: what is on its way
+	// arrives within a few heartbeats.
+	voidAgain = time.Second
 )
 
 func peerTiming() coord.MemberTiming {
@@ -52,6 +55,8 @@
 	seeds map[proto.VM]proto.Alive
 	// newer is since when another daemon's heartbeats show newer state.
 	newer map[proto.VM]time.Time
+	// voidAsked is when other daemons were last asked for the void entries that they know of.
+	voidAsked map[proto.VM]time.Time
 }
 
 func (p *relayPeers) resolve(vm proto.VM) (proto.Alive, bool) {
@@ -131,3 +136,17 @@
 	p.newer[from] = now
 	return true
 }
+
+// mayAskVoid tells whether to ask another daemon now for the void entries that it knows of, by their digests.
+func (p *relayPeers) mayAskVoid(now time.Time, from proto.VM, own, theirs uint64) bool {
+	if theirs == 0 || theirs == own {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.voidAsked[from]) < voidAgain {
+		return false
+	}
+	p.voidAsked[from] = now
+	return true
+}
--- a/serve/relayview.go
+++ b/serve/relayview.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -70,7 +71,7 @@
 }
 
 // report logs when the copy becomes too old, and when it is confirmed again.
-func (v *view) report(now time.Time, log hclog.Logger, table string, version uint64) {
+func (v *view) report(now time.Time, log hclog.Logger, table string, version fmt.Stringer) {
 	age, known := v.age(now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -109,7 +110,7 @@
 	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() {
 		d.routingView.hear(now.Add(-m.RoutingAge))
 	}
-	if m.TargetsAge > 0 && m.Targets <= d.fleet.Version() {
+	if m.TargetsAge > 0 && !m.Targets.After(d.fleet.Version()) {
 		d.targetsView.hear(now.Add(-m.TargetsAge))
 	}
 }
@@ -129,6 +130,6 @@
 		return
 	}
 	now := d.clock.Now()
-	d.routingView.report(now, d.log, "routing", d.tables.Version())
+	d.routingView.report(now, d.log, "routing", proto.Revision{Version: d.tables.Version()})
 	d.targetsView.report(now, d.log, "targets", d.fleet.Version())
 }
--- a/serve/relayview_test.go
+++ b/serve/relayview_test.go
@@ -25,10 +25,10 @@
 }
 
 func (c *countingTable) Read(context.Context) (platform.Entries, error) {
-	return platform.Entries{Version: 7}, nil
+	return platform.Entries{Version: proto.Revision{Version: 7}}, nil
 }
 
-func (c *countingTable) Watch(ctx context.Context, _ uint64, wait time.Duration) (platform.Entries, error) {
+func (c *countingTable) Watch(ctx context.Context, _ proto.Revision, wait time.Duration) (platform.Entries, error) {
 	if wait == watchWait {
 		<-ctx.Done()
 		return platform.Entries{}, &platform.Error{Op: "watch", Kind: proto.KindUnavailable, Err: ctx.Err()}
@@ -39,7 +39,7 @@
 	if c.down {
 		return platform.Entries{}, &platform.Error{Op: "watch", Kind: proto.KindUnavailable, Err: errors.New("turned away")}
 	}
-	return platform.Entries{Version: 7, List: c.changed}, nil
+	return platform.Entries{Version: proto.Revision{Version: 7}, List: c.changed}, nil
 }
 
 func (c *countingTable) checked() int {
@@ -76,7 +76,7 @@
 	c.watcher.view.confirm(c.clock.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		_, err := c.watcher.watch(ctx, 7)
+		_, err := c.watcher.watch(ctx, proto.Revision{Version: 7})
 		c.ended <- err
 	}()
 	t.Cleanup(cancel)
@@ -101,7 +101,7 @@
 	if got := c.table.checked(); got != 3 {
 		t.Errorf("%d checks, want 3", got)
 	}
-	c.table.set(func() { c.table.changed = []platform.Entry{{Key: "config", Version: 9}} })
+	c.table.set(func() { c.table.changed = []platform.Entry{{Key: "config", Version: proto.Revision{Version: 9}}} })
 	c.pass(t, checkAfter+checkSpread)
 	if got := <-c.changes; got != 1 {
 		t.Errorf("%d changes, want 1", got)
@@ -173,9 +173,9 @@
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			w := &watcher{daemon: &Relay{log: hclog.NewNullLogger()}, view: &view{confirmed: s.confirmed, heard: s.heard}}
-			version, err := w.endWatch(reply{asked: began, err: s.err}, 7)
-			if got := err == nil; got != s.want || version != 7 {
-				t.Errorf("hung: %t, to go on from %d, want %t and 7", got, version, s.want)
+			version, err := w.endWatch(reply{asked: began, err: s.err}, proto.Revision{Version: 7})
+			if got := err == nil; got != s.want || version != (proto.Revision{Version: 7}) {
+				t.Errorf("hung: %t, to go on from %s, want %t and 7", got, version, s.want)
 			}
 		})
 	}
@@ -205,14 +205,14 @@
 	log := hclog.New(&hclog.LoggerOptions{Output: &text})
 	at := time.Unix(1000, 0)
 	v := &view{}
-	v.report(at, log, "routing", 3)
+	v.report(at, log, "routing", proto.Revision{Version: 3})
 	v.confirm(at)
 	for _, age := range []time.Duration{0, staleMost, staleMost + 1, 2 * staleMost} {
-		v.report(at.Add(age), log, "routing", 3)
+		v.report(at.Add(age), log, "routing", proto.Revision{Version: 3})
 	}
 	v.hear(at.Add(2 * staleMost))
-	v.report(at.Add(2*staleMost), log, "routing", 4)
-	v.report(at.Add(2*staleMost), log, "routing", 4)
+	v.report(at.Add(2*staleMost), log, "routing", proto.Revision{Version: 4})
+	v.report(at.Add(2*staleMost), log, "routing", proto.Revision{Version: 4})
 	if lost, back := strings.Count(text.String(), "not confirmed"), strings.Count(text.String(), "confirmed again"); lost != 1 || back != 1 {
 		t.Errorf("%d lines of an old state and %d of its end, want one of each:\n%s", lost, back, &text)
 	}
@@ -232,7 +232,7 @@
 		{"a newer one", proto.Confirmed{Routing: 6, RoutingAge: time.Second}, false, false},
 		{"one that the store never confirmed", proto.Confirmed{Routing: 5}, false, false},
 		{"no targets, as here", proto.Confirmed{TargetsAge: time.Second}, false, true},
-		{"newer targets", proto.Confirmed{Targets: 1, TargetsAge: time.Second}, false, false},
+		{"newer targets", proto.Confirmed{Targets: proto.Revision{Version: 1}, TargetsAge: time.Second}, false, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
--- a/serve/relaywatch.go
+++ b/serve/relaywatch.go
@@ -64,7 +64,7 @@
 	Read(ctx context.Context) (platform.Entries, error)
 	// Watch returns the rows that changed after a version, as soon as there is one or the wait is over. It fails with
 	// KindNotFound when the store has forgotten that version, and else like Read.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (platform.Entries, error)
+	Watch(ctx context.Context, after proto.Revision, wait time.Duration) (platform.Entries, error)
 }
 
 // watcher keeps up with one table of the store.
@@ -98,10 +98,10 @@
 func (w *watcher) run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
-	version := uint64(0)
+	var version proto.Revision
 	for ctx.Err() == nil {
 		if w.daemon.known() && !w.daemon.isReader() {
-			version = 0
+			version = proto.Revision{}
 			w.daemon.pause(ctx, readerCheck)
 			continue
 		}
@@ -109,13 +109,13 @@
 		w.note(err)
 		if err != nil {
 			if proto.KindOf(err) == proto.KindNotFound {
-				version = 0
+				version = proto.Revision{}
 			}
 			w.rest(ctx, err, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
-		if next > version {
+		if next.After(version) {
 			version = next
 		}
 	}
@@ -164,8 +164,8 @@
 }
 
 // step makes one call, or a watch with checks beside it, and returns the version to go on from.
-func (w *watcher) step(ctx context.Context, version uint64) (uint64, error) {
-	if version == 0 {
+func (w *watcher) step(ctx context.Context, version proto.Revision) (proto.Revision, error) {
+	if version.IsZero() {
 		return w.readWhole(ctx)
 	}
 	w.daemon.pause(ctx, w.pace)
@@ -175,16 +175,16 @@
 	return w.watch(ctx, version)
 }
 
-func (w *watcher) readWhole(ctx context.Context) (uint64, error) {
+func (w *watcher) readWhole(ctx context.Context) (proto.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wholeWait)
 	defer cancel()
 	w.asked = w.daemon.clock.Now()
 	all, err := w.table.Read(ctx)
 	if err != nil {
-		return 0, err
+		return proto.Revision{}, err
 	}
 	if !w.whole(all) {
-		return 0, fault("read "+w.name, proto.KindUnavailable, "the store's answer is older than what is known")
+		return proto.Revision{}, fault("read "+w.name, proto.KindUnavailable, "the store's answer is older than what is known")
 	}
 	w.view.confirm(w.asked)
 	return all.Version, nil
@@ -192,7 +192,7 @@
 
 // watch waits for news. A watch may hang for as long as it is waited for while the store answers all else, so the view
 // is checked by calls of their own whenever nobody has confirmed it for a while.
-func (w *watcher) watch(ctx context.Context, version uint64) (uint64, error) {
+func (w *watcher) watch(ctx context.Context, version proto.Revision) (proto.Revision, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	held := w.ask(ctx, version, watchWait, watchWait+watchSlack)
@@ -213,7 +213,7 @@
 				return w.take(r, version)
 			}
 			check = nil
-			version = max(version, r.changed.Version)
+			version = proto.Latest(version, r.changed.Version)
 			w.view.confirm(r.asked)
 			w.checked()
 		case <-due:
@@ -232,7 +232,7 @@
 }
 
 // endWatch takes in the answer of a watch, or ends one that hung as if it had brought no news.
-func (w *watcher) endWatch(r reply, version uint64) (uint64, error) {
+func (w *watcher) endWatch(r reply, version proto.Revision) (proto.Revision, error) {
 	if w.hung(r) {
 		w.daemon.log.Info("a watch of the store was not answered, but checks were", "table", w.name, "version", version)
 		return version, nil
@@ -247,7 +247,7 @@
 }
 
 // ask sends a call that the store holds for a time, and gives it up after a limit.
-func (w *watcher) ask(ctx context.Context, version uint64, wait, limit time.Duration) <-chan reply {
+func (w *watcher) ask(ctx context.Context, version proto.Revision, wait, limit time.Duration) <-chan reply {
 	asked := w.daemon.clock.Now()
 	answered := make(chan reply, 1)
 	go func() {
@@ -260,7 +260,7 @@
 }
 
 // take takes in what an answer brought, and returns the version to go on from.
-func (w *watcher) take(r reply, version uint64) (uint64, error) {
+func (w *watcher) take(r reply, version proto.Revision) (proto.Revision, error) {
 	w.asked = r.asked
 	if r.err != nil {
 		return version, r.err
@@ -273,7 +273,7 @@
 }
 
 // noteCheck logs what a check found that the watch beside it had not.
-func (w *watcher) noteCheck(r reply, version uint64) {
+func (w *watcher) noteCheck(r reply, version proto.Revision) {
 	age, _ := w.view.age(w.daemon.clock.Now())
 	w.daemon.log.Info("a check of the store found what its watch had not", "table", w.name, "version", version,
 		"age", age.String(), "changes", len(r.changed.List), "error", r.err)
--- a/serve/relaywatch_test.go
+++ b/serve/relaywatch_test.go
@@ -42,11 +42,11 @@
 		daemon: &Relay{clock: clockwork.NewRealClock(), log: hclog.NewNullLogger()}, name: "routing", table: client.Routing(), view: &view{},
 		whole: func(platform.Entries) bool { return true }, change: func(platform.Entries) {},
 	}
-	version := uint64(0)
+	var version proto.Revision
 	for range 5 {
 		next, err := w.step(context.Background(), version)
 		w.note(err)
-		version = max(version, next)
+		version = proto.Latest(version, next)
 	}
 	long, short := fmt.Sprint(watchWait.Milliseconds()), fmt.Sprint(probeWait.Milliseconds())
 	if got, want := fmt.Sprint(waits), fmt.Sprint([]string{long, long, short, long}); got != want {
