An evacuated availability zone gets nothing more

Cause: rows that evacuate a zone lie in the operator's table, which was read for the configuration alone.

Change: evacuations are read with the configuration, by watch, checks and whole lists, told in heartbeats by the revision of the newest and given to daemons that ask or start; of each zone the newest word holds.

--- a/proto/peer.go
+++ b/proto/peer.go
@@ -68,6 +68,8 @@
 	Ends uint64 `cbor:"8,keyasint,omitempty"`
 	// Void is a digest of the void entries of targets that the sender knows of; 0 if none.
 	Void uint64 `cbor:"9,keyasint,omitempty"`
+	// Evacuations is the revision of the newest evacuation, or end of one, that the sender knows.
+	Evacuations Revision `cbor:"10,keyasint,omitzero"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -141,10 +141,20 @@
 	Born time.Time
 }
 
-// RoutingAsk asks a daemon for its configuration and list of targets if they are newer than these versions.
+// Evacuation says whether the targets of an availability zone are to get nothing more.
+type Evacuation struct {
+	Zone string `cbor:"1,keyasint"`
+	// Version is the store's revision of the change that says so.
+	Version Revision `cbor:"2,keyasint"`
+	// Over says that the evacuation was taken back.
+	Over bool `cbor:"3,keyasint,omitempty"`
+}
+
+// RoutingAsk asks a daemon for its configuration, list of targets and evacuations if they are newer than these versions.
 type RoutingAsk struct {
-	Routing uint64   `cbor:"1,keyasint"`
-	Targets Revision `cbor:"2,keyasint"`
+	Routing     uint64   `cbor:"1,keyasint"`
+	Targets     Revision `cbor:"2,keyasint"`
+	Evacuations Revision `cbor:"3,keyasint,omitzero"`
 }
 
 // TargetDocument is a target's entry in the platform's own format.
@@ -175,6 +185,8 @@
 	Whole bool `cbor:"6,keyasint,omitempty"`
 	// Void holds all void entries that the sender knows of, whatever is newer.
 	Void []VoidEntry `cbor:"7,keyasint,omitempty"`
+	// Evacuations holds what the sender knows of each zone that ever was evacuated, if the asker has older news.
+	Evacuations []Evacuation `cbor:"8,keyasint,omitempty"`
 }
 
 // PiecesAsk asks the daemon that batches a pool's calls for all pieces of one stage of a request.
@@ -328,4 +340,6 @@
 	// never did.
 	RoutingAge time.Duration `cbor:"3,keyasint,omitempty"`
 	TargetsAge time.Duration `cbor:"4,keyasint,omitempty"`
+	// Evacuations is the revision of the newest one that the sender knows; they are in the table of the configuration.
+	Evacuations Revision `cbor:"5,keyasint,omitzero"`
 }
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -99,7 +99,7 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.Spec.Leaving {
+	if t == nil || t.closed() {
 		return nil
 	}
 	if w.Engine {
@@ -147,7 +147,7 @@
 	p.turn++
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
-		if t.Spec.Leaving || w.Tried[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
+		if t.closed() || w.Tried[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
 			continue
 		}
 		if c := t.cost(now, w, home, long); c < least {
@@ -167,7 +167,7 @@
 	var home *Target
 	var rank uint64
 	for _, t := range p.list {
-		if t.Spec.Leaving || t.doubted || t.health.out(now) || t.long != long {
+		if t.closed() || t.doubted || t.health.out(now) || t.long != long {
 			continue
 		}
 		h := state.Rank(part, t.hash)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -46,8 +46,13 @@
 	end     context.CancelFunc
 	// long engines take the routes with long prompts.
 	long bool
+	// evacuated targets are in a zone that is to get nothing more.
+	evacuated bool
 }
 
+// closed tells whether the target is to get no new work, whatever its health.
+func (t *Target) closed() bool { return t.Spec.Leaving || t.evacuated }
+
 type targetPool struct {
 	mu      sync.Mutex
 	targets map[string]*Target
@@ -102,6 +107,9 @@
 	zones   ZoneCosts
 	// void holds the revisions of entries that name no target to use although they read as if they did.
 	void map[string]proto.Revision
+	// evacuations holds the zones that are or were evacuated, and evacuatedAt is the revision of the newest change.
+	evacuations map[string]proto.Evacuation
+	evacuatedAt proto.Revision
 }
 
 // FleetOption changes a Fleet at construction.
@@ -112,7 +120,7 @@
 
 // NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
 func NewFleet(changed func(pool string), options ...FleetOption) *Fleet {
-	f := &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]proto.Revision{}, changed: changed, zones: DefaultZoneCosts()}
+	f := &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]proto.Revision{}, evacuations: map[string]proto.Evacuation{}, changed: changed, zones: DefaultZoneCosts()}
 	for _, option := range options {
 		option(f)
 	}
@@ -264,7 +272,7 @@
 	case c.Target.Born.After(old.Born) || c.Target.Pool != old.Pool:
 		return f.restart(now, t, c)
 	}
-	t.Spec, t.version = c.Target, c.Version
+	t.Spec, t.version, t.evacuated = c.Target, c.Version, f.isEvacuated(c.Target.Zone)
 	t.lapsedAt, t.doubted = time.Time{}, false
 	switch {
 	case c.Target.Leaving && !old.Leaving:
@@ -284,7 +292,7 @@
 }
 
 func (f *Fleet) addTo(p *targetPool, c FleetChange, known health) FleetNote {
-	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known}
+	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known, evacuated: f.isEvacuated(c.Target.Zone)}
 	t.running, t.end = context.WithCancel(context.Background())
 	p.targets[c.ID] = t
 	f.where[c.ID] = t
@@ -378,7 +386,7 @@
 	var specs, doubted []proto.RelayTarget
 	for _, t := range p.list {
 		switch {
-		case t.Spec.Leaving:
+		case t.closed():
 		case t.doubted:
 			doubted = append(doubted, t.Spec)
 		default:
--- /dev/null
+++ b/relay/fleetzones_test.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// evacuation is that of zone y, at a revision.
+func evacuation(version uint64, over bool) []proto.Evacuation {
+	return []proto.Evacuation{{Zone: "y", Version: rev(version), Over: over}}
+}
+
+// TestAnEvacuatedZoneGetsNothing asks for a target in each way that work takes, with all targets of the other zone failing,
+// doubted or tried before: a bad target is better than none, but not one that the operator has closed.
+func TestAnEvacuatedZoneGetsNothing(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		pick     func(f *Fleet) string
+	}{
+		{"a plain request", func(f *Fleet) string { return f.Pick(start, "p", Want{Zone: "y"}).Spec.ID }},
+		{"a prompt whose part is kept there", func(f *Fleet) string { return f.Pick(start, "p", prompt("part", 5000, 10)).Spec.ID }},
+		{"all others fail", func(f *Fleet) string {
+			other := f.Pick(start, "p", Want{Zone: "z"})
+			for range 9 {
+				f.Ended(start, other, Want{}, false, VerdictBad, Load{})
+			}
+			return f.Pick(start, "p", Want{Zone: "y"}).Spec.ID
+		}},
+		{"placed for another daemon", func(f *Fleet) string {
+			all, _ := placers(clockwork.NewFakeClockAt(start), f, engines(4))
+			return all["vm-1"].Choose(context.Background(), "p", prompt("part", 5000, 10)).Spec.ID
+		}},
+		{"a call for pieces", func(f *Fleet) string { return f.Usable("p")[0].ID }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := engines(4)
+			f.Pick(start, "p", prompt("part", 5000, 10))
+			f.Evacuate(start, evacuation(50, false))
+			for range 8 {
+				if got := s.pick(f); got == "e00" || got == "e02" {
+					t.Fatalf("%s is in the evacuated zone", got)
+				}
+			}
+		})
+	}
+}
+
+func TestAPoolWhoseZonesAreAllEvacuatedHasNoTarget(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "y")))
+	f.Evacuate(start, evacuation(2, false))
+	if got := f.Pick(start, "p", Want{}); got != nil || f.Take(start, "p", "a", Want{}) != nil || len(f.Usable("p")) > 0 {
+		t.Errorf("the evacuated target gets work: %v", got)
+	}
+}
+
+// TestTheNewestWordOnAZoneHolds has news of an evacuation arrive in all orders, whole and in parts.
+func TestTheNewestWordOnAZoneHolds(t *testing.T) {
+	news := []proto.Evacuation{{Zone: "y", Version: rev(10)}, {Zone: "y", Version: rev(20), Over: true}, {Zone: "y", Version: rev(30)}}
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		f := newFleet(put(1, listed("a", "p", "y")), put(2, listed("b", "p", "z")))
+		for _, i := range order {
+			f.Evacuate(start, news[i:i+1])
+		}
+		if got := names(f, "p"); got != "b " || f.EvacuationsVersion() != rev(30) {
+			t.Errorf("order %v: usable %q as of %s", order, got, f.EvacuationsVersion())
+		}
+	}
+}
+
+// TestTargetsThatComeDuringAnEvacuationAreClosed lists a new target in the zone, and moves one there.
+func TestTargetsThatComeDuringAnEvacuationAreClosed(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")))
+	f.Evacuate(start, evacuation(5, false))
+	f.Change(start, []FleetChange{put(6, listed("new", "p", "y")), put(7, listed("a", "p", "y"))})
+	if got := names(f, "p"); got != "b " {
+		t.Errorf("usable: %q", got)
+	}
+	f.Evacuate(start, evacuation(8, true))
+	if got := names(f, "p"); got != "a b new " {
+		t.Errorf("usable after the evacuation: %q", got)
+	}
+}
+
+func TestAWholeListTellsWhichEvacuationsAreOver(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		known    []proto.Evacuation
+		asOf     uint64
+		listed   []proto.Evacuation
+		want     string
+	}{
+		{"the row is there", evacuation(5, false), 9, evacuation(5, false), "[y]"},
+		{"the row is gone", evacuation(5, false), 9, nil, "[]"},
+		{"the list is from before the evacuation", evacuation(5, false), 4, nil, "[y]"},
+		{"asked again since", evacuation(5, true), 9, evacuation(7, false), "[y]"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newFleet(put(1, listed("a", "p", "y")))
+			f.Evacuate(start, s.known)
+			f.Evacuate(start, f.EvacuationsMissing(rev(s.asOf), s.listed))
+			f.Evacuate(start, s.listed)
+			if got := fmt.Sprint(f.Evacuated()); got != s.want {
+				t.Errorf("evacuated: %s, want %s", got, s.want)
+			}
+		})
+	}
+}
+
+// TestWorkInProgressInAnEvacuatedZoneGoesOn ends an attempt and a call there as usual.
+func TestWorkInProgressInAnEvacuatedZoneGoesOn(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "y")))
+	attempt := f.Pick(start, "p", Want{})
+	b := NewBatcher(proto.BatchSpec{Slots: 1, Most: 2, CallCost: time.Millisecond, PieceCost: time.Millisecond, Keep: time.Second})
+	b.SetTargets(f.Usable("p"))
+	b.Add(start, job("r", 2))
+	calls, _ := b.Next(start)
+	f.Evacuate(start, evacuation(2, false))
+	b.SetTargets(f.Usable("p"))
+	f.Ended(start, attempt, Want{}, false, VerdictGood, Load{})
+	ends, _ := b.Done(start, calls[0], []ItemResult{{Handle: "h0"}, {Handle: "h1"}})
+	if len(ends) != 1 || ends[0].Answer.Fate != proto.PiecesDone || attempt.running.Err() != nil {
+		t.Errorf("ends %+v, the attempt's target %v", ends, attempt.running.Err())
+	}
+	b.Add(start, job("s", 2))
+	if calls, _ := b.Next(start); len(calls) > 0 {
+		t.Error("a call goes to the evacuated zone")
+	}
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -173,6 +173,7 @@
 func (d *Relay) heartbeat() proto.Heartbeat {
 	return proto.Heartbeat{
 		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), Ends: d.crashes.Digest(), Void: d.fleet.VoidDigest(),
+		Evacuations: d.fleet.EvacuationsVersion(),
 	}
 }
 
@@ -182,7 +183,7 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.Heartbeat(now, from, msg)
-		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version())
+		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version()) || msg.Evacuations.After(d.fleet.EvacuationsVersion())
 		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
 		}
@@ -281,7 +282,7 @@
 func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
 	routing := &watcher{
 		daemon: d, name: "routing", table: d.store.Routing(), view: &d.routingView, reads: d.isReader, checked: d.tellReaders,
-		whole: d.routingEntries, change: func(e platform.Entries) { d.routingEntries(e) },
+		whole: d.routingWhole, change: d.routingChanged,
 	}
 	targets := &watcher{
 		daemon: d, name: "targets", table: d.store.Targets(), pace: watchPace, follows: routing, view: &d.targetsView, reads: d.isReader, checked: d.tellReaders,
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -36,12 +36,20 @@
 	return true
 }
 
-func (d *Relay) routingEntries(e platform.Entries) bool {
+// routingChanged takes in rows of the operator's table that changed.
+func (d *Relay) routingChanged(e platform.Entries) {
+	d.takeEvacuations(d.evacuationsOf(e), "store")
 	for i := range e.List {
 		if e.List[i].IsRouting() && !e.List[i].Removed {
 			d.adoptRouting(e.List[i].Body, "store")
 		}
 	}
+}
+
+// routingWhole takes in all rows of the operator's table; zones that have none are not evacuated.
+func (d *Relay) routingWhole(e platform.Entries) bool {
+	d.takeEvacuations(d.fleet.EvacuationsMissing(e.Version, d.evacuationsOf(e)), "store")
+	d.routingChanged(e)
 	return true
 }
 
@@ -199,7 +207,7 @@
 func (d *Relay) askNeighbourOfLapsed(vm proto.VM, ids []string, before proto.Revision) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
 	defer cancel()
-	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: before})
+	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: before, Evacuations: d.fleet.EvacuationsVersion()})
 	a, ok := m.(proto.RoutingAnswer)
 	if err != nil || !ok {
 		d.log.Info("a neighbour did not say how lapsed targets went", "from", vm, "error", err)
@@ -217,6 +225,9 @@
 	d.docs.mu.Lock()
 	defer d.docs.mu.Unlock()
 	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version(), Void: d.fleet.Void()}
+	if d.fleet.EvacuationsVersion().After(ask.Evacuations) {
+		a.Evacuations = d.fleet.Evacuations()
+	}
 	if ask == (proto.RoutingAsk{}) && !d.docs.givesAll(d.clock.Now()) {
 		return a
 	}
@@ -243,13 +254,14 @@
 	defer d.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullWait)
 	defer cancel()
-	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version()})
+	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version(), Evacuations: d.fleet.EvacuationsVersion()})
 	a, ok := m.(proto.RoutingAnswer)
 	if err != nil || !ok {
 		d.log.Info("another daemon gave nothing newer", "from", from, "error", err)
 		return
 	}
 	d.noteFleet(d.fleet.LearnVoid(a.Void), string(from))
+	d.takeEvacuations(a.Evacuations, string(from))
 	if len(a.RoutingBody) > 0 {
 		d.adoptRouting(a.RoutingBody, string(from))
 	}
--- a/serve/relayview.go
+++ b/serve/relayview.go
@@ -97,7 +97,7 @@
 	now := d.clock.Now()
 	// The ages are taken before the versions: a version may only hold more than the age says.
 	m := proto.Confirmed{RoutingAge: d.routingView.ownAge(now), TargetsAge: d.targetsView.ownAge(now)}
-	m.Routing, m.Targets = d.tables.Version(), d.fleet.Version()
+	m.Routing, m.Targets, m.Evacuations = d.tables.Version(), d.fleet.Version(), d.fleet.EvacuationsVersion()
 	for _, vm := range d.peers.members.FirstOfEach(taskReadStore, readersPerZone) {
 		if vm != d.self.VM {
 			d.peers.Send(vm, m)
@@ -107,7 +107,7 @@
 
 // hearViews takes over until when another daemon knows the store's tables, where this one has no older state.
 func (d *Relay) hearViews(now time.Time, m proto.Confirmed) {
-	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() {
+	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() && !m.Evacuations.After(d.fleet.EvacuationsVersion()) {
 		d.routingView.hear(now.Add(-m.RoutingAge))
 	}
 	if m.TargetsAge > 0 && !m.Targets.After(d.fleet.Version()) {
--- /dev/null
+++ b/serve/relayzones.go
@@ -0,0 +1,49 @@
+package serve
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"emberlead/platform"
+	"emberlead/proto"
+)
+
+// evacuationsOf reads the evacuations among the rows of the operator's table. A row evacuates the zone that its key names as
+// long as it is there; what its body holds changes nothing, but is logged if it is no JSON object.
+func (d *Relay) evacuationsOf(e platform.Entries) []proto.Evacuation {
+	var list []proto.Evacuation
+	for i := range e.List {
+		row := &e.List[i]
+		zone, ok := row.Evacuates()
+		if !ok {
+			if !row.IsRouting() {
+				d.log.Warn("a row of the operator's table is passed over", "key", row.Key, "version", row.Version, "bytes", len(row.Body))
+			}
+			continue
+		}
+		if body := bytes.TrimSpace(row.Body); !row.Removed && (!json.Valid(body) || body[0] != '{') {
+			d.log.Warn("the row of an evacuation holds no JSON object, its zone is evacuated all the same", "zone", zone, "version", row.Version, "bytes", len(row.Body))
+		}
+		list = append(list, proto.Evacuation{Zone: zone, Version: row.Version, Over: row.Removed})
+	}
+	return list
+}
+
+// takeEvacuations puts evacuations and ends of them in force, and has the other daemons hear of what is new.
+func (d *Relay) takeEvacuations(list []proto.Evacuation, from string) {
+	if len(list) == 0 {
+		return
+	}
+	now := d.clock.Now()
+	changed := d.fleet.Evacuate(now, list)
+	for _, e := range changed {
+		message := "availability zone evacuated"
+		if e.Over {
+			message = "availability zone in service again"
+		}
+		d.log.Info(message, "zone", e.Zone, "version", e.Version, "targets", d.fleet.InZone(e.Zone), "from", from)
+	}
+	if len(changed) > 0 {
+		d.peers.members.Beat(now)
+	}
+}
