What all daemons send to a cold target stays below its bound, in touch or not

Cause: nothing kept the bound on cold targets. It is on what arrives from all daemons within any second, so a rate for each daemon does not keep it: 86 that send one each to the newest, emptiest target break it.

Ways weighed: (1) shares of the allowance by the census, as for the retry budget: 15 requests divided by 86 daemons is no whole request for anyone, and one each at the same moment is 86. (2) The owner of the pool hands out sends: two owners while daemons are split. (3) Kept: each cold target belongs to one daemon, the first for it by rendezvous hashing over the VMs that the census counts; each daemon that may use anything counts all others that may, so there is never a second one. No message, no write.

The owner keeps what was sent within a second and what may still be on its way each below half of the bound, so that the sum holds however late requests arrive. Warm targets come first while the wait there is shorter; a third of the allowance is for the most urgent; a target gets no more from the placing daemon within a second than a cold one may, since it may have become cold unknown. A zone that is in service again counts as cold. Refusals for cold targets name the time until the first is warm.

Tests: 200 random histories of sends, a pool of 120 cold engines among 20 daemons that are split (0.9 of what cold engines work through is served), tasks of one in random histories of daemons that die, freeze, are cut off.

--- a/coord/census.go
+++ b/coord/census.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"emberlead/proto"
+	"emberlead/state"
 )
 
 // CensusTiming holds the times by which a census counts.
@@ -32,8 +33,11 @@
 	row, read time.Time
 	// listed is when the own row was last known to tell the others of this VM.
 	listed time.Time
-	// from is when this daemon may begin to use its share, zero as long as that is open.
-	from time.Time
+	// sure is since when all others count this VM, and this daemon all of them, as far as both use anything; zero as long as
+	// that is open. What this daemon may use it does so a while later, since it knows nothing of what its last run used.
+	sure time.Time
+	// first holds for which tasks this VM comes first of those that are counted.
+	first map[string]bool
 }
 
 // sharer is a VM as the census knows it.
@@ -45,7 +49,7 @@
 
 // NewCensus returns a census that counts only the own VM, which has no share yet.
 func NewCensus(self proto.VM, timing CensusTiming) *Census {
-	return &Census{self: self, timing: timing, seen: map[proto.VM]*sharer{}}
+	return &Census{self: self, timing: timing, seen: map[proto.VM]*sharer{}, first: map[string]bool{}}
 }
 
 // Met notes VMs whose daemons have announced themselves.
@@ -62,6 +66,7 @@
 	if s == nil && vm != c.self {
 		s = &sharer{since: now}
 		c.seen[vm] = s
+		clear(c.first)
 	}
 	return s
 }
@@ -72,13 +77,13 @@
 func (c *Census) Begin(now time.Time, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.from.IsZero() {
+	if !c.sure.IsZero() {
 		return
 	}
-	c.from = now.Add(c.timing.Window)
+	c.sure = now
 	c.listed = now
 	if !known {
-		c.from = c.from.Add(c.timing.View)
+		c.sure = now.Add(c.timing.View)
 	}
 }
 
@@ -92,7 +97,7 @@
 	defer c.mu.Unlock()
 	if sent.Sub(c.listed) > c.timing.RowAge() {
 		// Others may have ceased to count this VM, and have to read of it first.
-		c.from = later(c.from, sent.Add(c.timing.View+c.timing.Window))
+		c.sure = later(c.sure, sent.Add(c.timing.View))
 	}
 	c.row, c.listed = sent, sent
 }
@@ -124,6 +129,7 @@
 	slices.Sort(over)
 	for _, vm := range over {
 		delete(c.seen, vm)
+		clear(c.first)
 	}
 	return over
 }
@@ -158,15 +164,56 @@
 func (c *Census) Share(now time.Time) Share {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Share{Counted: len(c.seen) + 1, RowAge: now.Sub(c.row), ReadAge: now.Sub(c.read)}
-	switch {
-	case c.from.IsZero() || now.Before(c.from):
-		s.Reason = ShareStarting
-	case c.row.IsZero() || s.RowAge > c.timing.Lease:
-		s.Reason = ShareUnlisted
-	case c.read.IsZero() || s.ReadAge > c.timing.View:
-		s.Reason = ShareUnread
-	}
+	s := Share{Counted: len(c.seen) + 1, RowAge: now.Sub(c.row), ReadAge: now.Sub(c.read), Reason: c.reason(now, c.timing.Window)}
 	s.Usable = s.Reason == ShareFull
 	return s
 }
+
+// reason tells why this daemon may not use now what is counted over a window.
+func (c *Census) reason(now time.Time, window time.Duration) ShareReason {
+	switch {
+	case c.sure.IsZero() || now.Before(c.sure.Add(window)):
+		return ShareStarting
+	case c.row.IsZero() || now.Sub(c.row) > c.timing.Lease:
+		return ShareUnlisted
+	case c.read.IsZero() || now.Sub(c.read) > c.timing.View:
+		return ShareUnread
+	}
+	return ShareFull
+}
+
+// tasksKept bounds for how many tasks it is remembered whether the own VM comes first; a task is named for each cold target.
+const tasksKept = 20_000
+
+// Sole tells whether this daemon may do now what only one of all daemons may do at a time, in touch with the others or not: its
+// VM comes first for the task of all that are counted. Each daemon that may use anything is counted by all others that may, so
+// two never hold this at once; and after another one held it, at least the settling time passes. A VM that has died for good keeps
+// its tasks until its lease is over, and nobody does them until then.
+func (c *Census) Sole(now time.Time, task string, settle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason(now, settle) != ShareFull {
+		return false
+	}
+	first, known := c.first[task]
+	if !known {
+		if len(c.first) >= tasksKept {
+			clear(c.first)
+		}
+		first = c.comesFirst(task)
+		c.first[task] = first
+	}
+	return first
+}
+
+func (c *Census) comesFirst(task string) bool {
+	hash := state.Hash(task)
+	own := state.Rank(hash, state.Hash(string(c.self)))
+	for vm := range c.seen {
+		other := state.Rank(hash, state.Hash(string(vm)))
+		if other > own || other == own && vm < c.self {
+			return false
+		}
+	}
+	return true
+}
--- a/coord/census_test.go
+++ b/coord/census_test.go
@@ -132,9 +132,39 @@
 	wrote  map[proto.VM]time.Time
 	marked map[proto.VM]bool
 	next   uint64
-	alive  map[proto.VM]*censusDaemon
+	// done is how often a task was done.
+	done  int
+	alive map[proto.VM]*censusDaemon
 	// held are the latest moments at which each VM's daemon could use a part of the limit, with the part.
 	used map[proto.VM][]usedPart
+	// sole holds for each task who did it last, and when.
+	sole map[string]lastSole
+}
+
+type lastSole struct {
+	vm proto.VM
+	at time.Time
+}
+
+// taskSettle is how long a task of the histories rests between two VMs that do it.
+const taskSettle = 9 * time.Second
+
+// doTasks has each daemon that may do a task do it, and tells of two VMs that do so within the settling time.
+func (w *censusWorld) doTasks() string {
+	for i := range 6 {
+		task := fmt.Sprint("task-", i)
+		for vm, d := range w.alive {
+			if w.now.Before(d.pausing) || !d.census.Sole(w.now, task, taskSettle) {
+				continue
+			}
+			if last, done := w.sole[task]; done && last.vm != vm && w.now.Sub(last.at) < taskSettle {
+				return fmt.Sprintf("after %s %s does %s, which %s did %s before", w.now.Sub(censusStart), vm, task, last.vm, w.now.Sub(last.at))
+			}
+			w.sole[task] = lastSole{vm, w.now}
+			w.done++
+		}
+	}
+	return ""
 }
 
 type censusDaemon struct {
@@ -152,7 +182,7 @@
 func newCensusWorld(seed uint64, vms int) *censusWorld {
 	w := &censusWorld{
 		random: rand.New(rand.NewPCG(seed, 1)), now: censusStart, rows: map[proto.VM]uint64{}, wrote: map[proto.VM]time.Time{},
-		marked: map[proto.VM]bool{}, alive: map[proto.VM]*censusDaemon{}, used: map[proto.VM][]usedPart{},
+		marked: map[proto.VM]bool{}, alive: map[proto.VM]*censusDaemon{}, used: map[proto.VM][]usedPart{}, sole: map[string]lastSole{},
 	}
 	for i := range vms {
 		w.start(vmName(i))
@@ -258,3 +288,53 @@
 	}, gen.UInt64(), gen.IntRange(2, 8)))
 	properties.TestingRun(t)
 }
+
+// TestATaskForOneIsDoneByOne plays random histories of tasks that one VM may do at a time.
+func TestATaskForOneIsDoneByOne(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(11)
+	parameters.MinSuccessfulTests = 30
+	properties := gopter.NewProperties(parameters)
+	properties.Property("tasks", prop.ForAll(func(seed uint64, vms int) string {
+		w := newCensusWorld(seed, vms)
+		for end := censusStart.Add(2 * time.Hour); w.now.Before(end); w.now = w.now.Add(2 * time.Second) {
+			for vm, d := range w.alive {
+				w.list(vm, d)
+			}
+			if w.random.IntN(30) == 0 {
+				w.disturb(vms)
+			}
+			if fault := w.doTasks(); fault != "" {
+				return fault
+			}
+		}
+		if w.done == 0 {
+			return "no task was ever done"
+		}
+		return ""
+	}, gen.UInt64(), gen.IntRange(2, 8)))
+	properties.TestingRun(t)
+}
+
+// TestTheTasksAreDividedBetweenAll has all daemons run undisturbed: each task is done by one of them, and all have some.
+func TestTheTasksAreDividedBetweenAll(t *testing.T) {
+	vms := []proto.VM{"a", "b", "c", "d"}
+	counts := map[proto.VM]int{}
+	for i := range 400 {
+		task := fmt.Sprint("task-", i)
+		doing := 0
+		for _, vm := range vms {
+			if settledCensus(vm, vms...).Sole(censusStart, task, taskSettle) {
+				doing++
+				counts[vm]++
+			}
+		}
+		if doing != 1 {
+			t.Fatalf("%d daemons do %s", doing, task)
+		}
+	}
+	for _, vm := range vms {
+		if counts[vm] < 70 || counts[vm] > 130 {
+			t.Errorf("%s does %d of 400 tasks", vm, counts[vm])
+		}
+	}
+}
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -82,6 +82,15 @@
 	Batch *BatchSpec
 	// Engine is set for pools of model engines.
 	Engine *EngineSpec
+	Cold   ColdSpec
+}
+
+// ColdSpec describes how the targets of a pool warm up.
+type ColdSpec struct {
+	// For is how long a target is cold after a start.
+	For time.Duration
+	// PerSecond is how many requests a cold target works through in a second; it falls over under many more. 0 sets no bound.
+	PerSecond float64
 }
 
 // BatchSpec describes one target of a pool that works on pieces in batches.
@@ -134,7 +143,7 @@
 	Slots   int
 	// Leaving targets get no new work.
 	Leaving bool
-	// ColdFor is how much longer the target is slow after its start.
+	// ColdFor is how much longer the target is cold, as of when the entry was written.
 	ColdFor time.Duration
 	// Born is when this run of the target started, by its own word; zero if targets do not tell. A target may start again
 	// under its id, and then knows nothing of before.
@@ -303,6 +312,8 @@
 	Without []string `cbor:"7,keyasint,omitempty"`
 	// Gap is the longest pause between the stream's events that is still in time; 0 if there is no bound.
 	Gap time.Duration `cbor:"8,keyasint,omitempty"`
+	// Cold holds the cold targets that the asker, and no other daemon, may send a request to now.
+	Cold []string `cbor:"9,keyasint,omitempty"`
 }
 
 // EngineTimes is what was learnt of the engines of a pool: what each request, each prompt token and each request that
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -57,7 +57,9 @@
 	reason string
 	// otherTarget says that another target has the address, and err is why the request was not sent or not answered.
 	otherTarget bool
-	err         error
+	// noTarget says that no target of the pool may get work now.
+	noTarget bool
+	err      error
 }
 
 type wholeAnswer struct {
@@ -99,7 +101,7 @@
 		if end.lostInput {
 			return f.notRun(waitBusy, "an input of the request is gone"), true
 		}
-		if end.reason == reasonNoTarget {
+		if end.noTarget {
 			break
 		}
 	}
@@ -111,7 +113,7 @@
 	if f.left() < leastLeft {
 		return f.timedOut(last.reason), false
 	}
-	return f.notRun(waitBusy, last.reason), false
+	return f.notRun(f.waitForTarget(&last), last.reason), false
 }
 
 // withoutInputs is the failure of a request that another target may get, but whose inputs were given up; it stands
@@ -176,10 +178,31 @@
 	return ok
 }
 
-const reasonNoTarget = "the pool has no target that may get work"
+// Reasons for which no target is chosen.
+const (
+	reasonNoTarget = "the pool has no target that may get work"
+	reasonCold     = "the targets of the pool are cold, and get no more for the moment"
+)
+
+func (f *flow) noTarget() string {
+	if _, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool); cold {
+		return reasonCold
+	}
+	return reasonNoTarget
+}
+
+// waitForTarget is when a caller should come back for whom no target took the request: where targets are cold, when the first
+// of them is warm.
+func (f *flow) waitForTarget(last *attemptEnd) time.Duration {
+	in, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool)
+	if !last.noTarget || !cold {
+		return waitBusy
+	}
+	return max(waitBusy, min(in, f.left()/comeBackPart))
+}
 
 func (f *flow) want() Want {
-	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, Gap: f.route.Gap}
+	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, Gap: f.route.Gap, Rank: f.rank}
 	if f.zone != "" {
 		w.Zone, w.Inputs = f.zone, f.bulk
 	}
@@ -197,7 +220,7 @@
 	w := f.want()
 	placed := s.placer.Choose(ctx, f.pool, w)
 	if placed == nil {
-		return attemptEnd{notRun: true, reason: reasonNoTarget}
+		return attemptEnd{notRun: true, noTarget: true, reason: f.noTarget()}
 	}
 	spec := placed.Spec
 	f.tried[spec.ID] = true
@@ -222,7 +245,7 @@
 	placed.Ended(a.verdict, a.load)
 	a.noteEnd(ctx, &end)
 	if !end.done {
-		f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "sent", end.sent, "notRun", end.notRun,
+		f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "cold", placed.Cold, "sent", end.sent, "notRun", end.notRun,
 			"targets", s.fleet.Version(), "took", brief(s.clock.Now().Sub(now)), "reason", end.reason)
 	}
 	return end
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -66,6 +66,10 @@
 	Gap time.Duration
 	// Tried holds the targets that were tried before.
 	Tried map[string]bool
+	// Rank is the urgency of the request, 0 first.
+	Rank int
+	// Cold holds the cold targets that may be chosen.
+	Cold map[string]bool
 }
 
 // Pick returns the target with the least expected delay, with an attempt begun on it, or nil if there is none.
@@ -86,6 +90,7 @@
 	if best == nil {
 		return nil
 	}
+	best.noteChosen(now)
 	best.take(now, w, p.cacheMost())
 	return best
 }
@@ -99,12 +104,13 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.closed() {
+	if t == nil || t.closed() || p.isCold(now, t) && !w.Cold[id] {
 		return nil
 	}
 	if w.Engine {
 		p.notePrompt(now, w)
 	}
+	t.noteChosen(now)
 	t.take(now, w, p.cacheMost())
 	return t
 }
@@ -147,10 +153,15 @@
 	p.turn++
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
-		if t.closed() || w.Tried[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
+		cold := p.isCold(now, t)
+		if t.closed() || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || !failing && (t.doubted || t.health.out(now) || p.crowded(now, t)) {
 			continue
 		}
-		if c := t.cost(now, w, home, long); c < least {
+		c := t.cost(now, w, home, long)
+		if cold {
+			c += coldCost
+		}
+		if c < least {
 			best, least = t, c
 		}
 	}
@@ -167,7 +178,7 @@
 	var home *Target
 	var rank uint64
 	for _, t := range p.list {
-		if t.closed() || t.doubted || t.health.out(now) || t.long != long {
+		if t.closed() || p.isCold(now, t) || t.doubted || t.health.out(now) || t.long != long {
 			continue
 		}
 		h := state.Rank(part, t.hash)
--- /dev/null
+++ b/relay/coldsends_test.go
@@ -0,0 +1,256 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// A cold target takes 6.7 requests a second; all daemons together may send it half as many again and five more.
+var (
+	coldSpec  = proto.ColdSpec{For: 3 * time.Second, PerSecond: 6.7}
+	coldTerms = ColdTerms{Over: 1.5, Slack: 5}
+	coldMost  = coldTerms.most(coldSpec)
+)
+
+// coldPeers are daemons that do not reach each other, and divide the targets as daemons do that count each other.
+type coldPeers struct {
+	self proto.VM
+	all  []proto.VM
+}
+
+func (p *coldPeers) Owner(string, map[proto.VM]bool) proto.VM { return p.self }
+func (p *coldPeers) Silent(proto.VM) bool                     { return true }
+func (p *coldPeers) Share() Share                             { return Share{} }
+func (p *coldPeers) Send(proto.VM, proto.Message)             {}
+func (p *coldPeers) Call(context.Context, proto.VM, proto.Message) (proto.Message, error) {
+	return nil, fmt.Errorf("cut off")
+}
+
+func (p *coldPeers) Sole(task string, _ time.Duration) bool {
+	best := slices.MaxFunc(p.all, func(a, b proto.VM) int {
+		ra, rb := state.Rank(state.Hash(task), state.Hash(string(a))), state.Rank(state.Hash(task), state.Hash(string(b)))
+		if ra < rb {
+			return -1
+		}
+		return 1
+	})
+	return best == p.self
+}
+
+// coldFleet has engines of which some are cold.
+func coldFleet(engines, cold int) *Fleet {
+	f := NewFleet(func(string) {}, WithColdTerms(coldTerms))
+	f.SetCold("p", coldSpec)
+	for i := range engines {
+		t := listed(fmt.Sprintf("e%03d", i), "p", "z")
+		t.Slots = 24
+		if i < cold {
+			t.ColdFor = coldSpec.For
+		}
+		f.Change(start, []FleetChange{put(uint64(i+1), t)})
+	}
+	return f
+}
+
+// mostWithinASpan is the largest number of arrivals within a second, whatever its beginning.
+func mostWithinASpan(arrivals []time.Time) int {
+	slices.SortFunc(arrivals, time.Time.Compare)
+	most, from := 0, 0
+	for to := range arrivals {
+		for arrivals[to].Sub(arrivals[from]) > coldSpan {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// TestAColdTargetNeverGetsMoreThanItMay sends as often as is allowed, with requests that are on their way for up to some
+// seconds, also many at once: the bound is on what arrives.
+func TestAColdTargetNeverGetsMoreThanItMay(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		c := coldSends{targets: map[string]*coldTarget{}}
+		type onWay struct{ until time.Time }
+		var ways []onWay
+		var arrivals []time.Time
+		stuckUntil := start
+		for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(time.Duration(random.Int64N(int64(30 * time.Millisecond)))) {
+			ways = slices.DeleteFunc(ways, func(w onWay) bool {
+				if now.Before(w.until) {
+					return false
+				}
+				arrivals = append(arrivals, w.until)
+				c.arrived("t")
+				return true
+			})
+			if random.IntN(200) == 0 {
+				stuckUntil = now.Add(time.Duration(random.Int64N(int64(4 * time.Second))))
+			}
+			if c.take(now, "t", coldMost) {
+				until := now.Add(time.Duration(random.Int64N(int64(5 * time.Millisecond))))
+				if until.Before(stuckUntil) {
+					until = stuckUntil
+				}
+				ways = append(ways, onWay{until})
+			}
+		}
+		if got := mostWithinASpan(arrivals); got > coldMost || got == 0 {
+			t.Fatalf("seed %d: %d requests arrived within a second, %d may", seed, got, coldMost)
+		}
+	}
+}
+
+// TestAPoolThatComesBackColdAmongDaemonsThatAreSplit is the load after a zone or a pool came back at once: 120 engines, all cold,
+// and 20 daemons that do not hear each other, each with an equal part of four times what cold engines may get. The figures are those
+// of a pool of model engines in service: seven a second each while cold.
+func TestAPoolThatComesBackColdAmongDaemonsThatAreSplit(t *testing.T) {
+	const engineCount, daemons, perSecond = 120, 20, 3400
+	clock := clockwork.NewFakeClockAt(start)
+	random := rand.New(rand.NewPCG(5, 5))
+	var all []proto.VM
+	for i := range daemons {
+		all = append(all, proto.VM(fmt.Sprint("vm-", i)))
+	}
+	var placers []*Placer
+	for _, vm := range all {
+		placers = append(placers, NewPlacer(vm, clock, hclog.NewNullLogger(), coldFleet(engineCount, engineCount), &coldPeers{self: vm, all: all}))
+	}
+	arrivals := map[string][]time.Time{}
+	var open []*Placed
+	served := 0
+	length := coldSpec.For - 10*time.Millisecond
+	for range int(float64(perSecond) * length.Seconds()) {
+		clock.Advance(time.Second / perSecond)
+		placed := placers[random.IntN(daemons)].Choose(context.Background(), "p", Want{Engine: true, Route: "r", OwnTokens: 1500})
+		if placed != nil {
+			served++
+			arrivals[placed.Spec.ID] = append(arrivals[placed.Spec.ID], clock.Now())
+			open = append(open, placed)
+		}
+		// An answer begins after a tenth of a second.
+		if len(open) > perSecond/10 {
+			open[0].Ended(VerdictGood, Load{})
+			open = open[1:]
+		}
+	}
+	for id, at := range arrivals {
+		if got := mostWithinASpan(at); got > coldMost {
+			t.Errorf("%s got %d requests within a second, %d may", id, got, coldMost)
+		}
+	}
+	works := coldSpec.PerSecond * engineCount * length.Seconds()
+	if float64(served) < 0.9*works {
+		t.Errorf("%d requests were served, the cold engines work through %.0f", served, works)
+	}
+}
+
+func TestWarmTargetsComeFirstWhileTheyHaveRoom(t *testing.T) {
+	p := NewPlacer("vm", clockwork.NewFakeClockAt(start), hclog.NewNullLogger(), coldFleet(4, 2), &coldPeers{self: "vm", all: []proto.VM{"vm"}})
+	chosen := map[string]int{}
+	for range 12 {
+		chosen[p.Choose(context.Background(), "p", Want{Engine: true, Route: "r", OwnTokens: 300}).Spec.ID]++
+	}
+	if chosen["e000"]+chosen["e001"] > 0 {
+		t.Errorf("cold targets were chosen while warm ones had room: %v", chosen)
+	}
+	for range 200 {
+		if placed := p.Choose(context.Background(), "p", Want{Engine: true, Route: "r", OwnTokens: 3000}); placed != nil {
+			chosen[placed.Spec.ID]++
+		}
+	}
+	if n := chosen["e000"]; n == 0 || n > coldMost/2 {
+		t.Errorf("a cold target got %d requests at once beside busy ones: %v", n, chosen)
+	}
+}
+
+func TestUrgentRequestsHaveAPartOfTheAllowance(t *testing.T) {
+	p := NewPlacer("vm", clockwork.NewFakeClockAt(start), hclog.NewNullLogger(), coldFleet(1, 1), &coldPeers{self: "vm", all: []proto.VM{"vm"}})
+	count := func(rank int) int {
+		n := 0
+		for p.Choose(context.Background(), "p", Want{Engine: true, Route: "r", OwnTokens: 10, Rank: rank}) != nil {
+			n++
+		}
+		return n
+	}
+	if less, urgent := count(2), count(0); less != 5 || urgent != 2 {
+		t.Errorf("%d less urgent requests and %d urgent ones after them were sent, want 5 and 2", less, urgent)
+	}
+}
+
+// TestATargetIsColdForAsLongAsItSays follows what entries say, over time.
+func TestATargetIsColdForAsLongAsItSays(t *testing.T) {
+	entry := func(version uint64, coldFor time.Duration) []FleetChange {
+		spec := listed("e000", "p", "z")
+		spec.ColdFor = coldFor
+		return []FleetChange{put(version, spec)}
+	}
+	scenarios := []struct {
+		testName string
+		change   func(f *Fleet)
+		after    time.Duration
+		cold     bool
+	}{
+		{"it has just started", func(*Fleet) {}, 0, true},
+		{"its time is over", func(*Fleet) {}, coldSpec.For, false},
+		{"it says that it is warm", func(f *Fleet) { f.Change(start, entry(9, 0)) }, 0, false},
+		{"it says that it is cold again", func(f *Fleet) {
+			f.Change(start, entry(9, 0))
+			f.Change(start.Add(time.Second), entry(10, 2*time.Second))
+		}, 2 * time.Second, true},
+		{"the same entry is read again later", func(f *Fleet) { f.Change(start.Add(2*time.Second), entry(1, coldSpec.For)) }, coldSpec.For, false},
+		{"the pool has no bound", func(f *Fleet) { f.SetCold("p", proto.ColdSpec{}) }, 0, false},
+		{"its zone is in service again", func(f *Fleet) {
+			f.Change(start, entry(9, 0))
+			f.Evacuate(start, []proto.Evacuation{{Zone: "z", Version: rev(20)}})
+			f.Evacuate(start.Add(time.Second), []proto.Evacuation{{Zone: "z", Version: rev(21), Over: true}})
+		}, time.Second + coldSpec.For/2, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := coldFleet(1, 1)
+			s.change(f)
+			now := start.Add(s.after)
+			_, cold := f.WarmIn(now, "p")
+			if usable := len(f.Usable(now, "p")) > 0; cold != s.cold || usable == s.cold {
+				t.Errorf("cold: %t, used for pieces: %t, want cold %t", cold, usable, s.cold)
+			}
+			if got := f.Pick(now, "p", Want{}); (got == nil) != s.cold {
+				t.Errorf("a daemon that may send nothing to a cold target picks %v", got)
+			}
+		})
+	}
+}
+
+// TestNoTargetGetsMoreThanAColdOneMay has all requests share one long part of their prompts: their home may have become cold
+// a second ago, and nobody knows it yet.
+func TestNoTargetGetsMoreThanAColdOneMay(t *testing.T) {
+	f := coldFleet(6, 0)
+	var chosen []time.Time
+	first := ""
+	for i := range 60 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		target := f.Pick(now, "p", Want{Engine: true, Route: "r", OwnTokens: 20, Shared: []proto.PromptShare{{ID: "s", Tokens: 9000}}})
+		if first == "" {
+			first = target.Spec.ID
+		}
+		if target.Spec.ID == first {
+			chosen = append(chosen, now)
+		}
+		f.Began(now, target, Want{Engine: true, OwnTokens: 20})
+		f.Ended(now, target, Want{Engine: true}, true, VerdictGood, Load{})
+	}
+	if got := mostWithinASpan(chosen); got >= coldMost {
+		t.Errorf("one target got %d requests within a second, a cold one may get %d", got, coldMost)
+	}
+}
--- a/relay/enginemodel.go
+++ b/relay/enginemodel.go
@@ -89,6 +89,8 @@
 type promptRead struct {
 	own, tokens int
 	began       time.Time
+	// cold says that the engine was cold, so that its time says nothing of what it does later.
+	cold bool
 	// work is what was ahead of its first event.
 	work map[engineWork]float64
 }
@@ -98,7 +100,7 @@
 	read := w.OwnTokens + t.cache.missing(w.Shared)
 	t.unread += read
 	work := map[engineWork]float64{workStart: 1, workToken: float64(t.unread), workStream: float64(t.active)}
-	t.reads = append(t.reads, promptRead{own: w.OwnTokens, tokens: read, began: now, work: work})
+	t.reads = append(t.reads, promptRead{own: w.OwnTokens, tokens: read, began: now, cold: now.Before(t.coldUntil), work: work})
 }
 
 // finishRead ends the oldest reading of a prompt of such a size, and learns from it if it ended well.
@@ -110,7 +112,7 @@
 	r := t.reads[i]
 	t.unread -= r.tokens
 	t.reads = slices.Delete(t.reads, i, i+1)
-	if !learn {
+	if !learn || r.cold {
 		return
 	}
 	model := &t.pool.model
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -48,6 +48,10 @@
 	long bool
 	// evacuated targets are in a zone that is to get nothing more.
 	evacuated bool
+	// coldUntil is until when the target is cold; zero if it is warm.
+	coldUntil time.Time
+	// lately is when the target was chosen within the last second, in pools whose targets may be cold.
+	lately []time.Time
 }
 
 // closed tells whether the target is to get no new work, whatever its health.
@@ -74,6 +78,11 @@
 	zones         ZoneCosts
 	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
 	memory int
+	// cold says how targets warm up, and coldMost how many requests a cold one may get within a second from all daemons.
+	cold     proto.ColdSpec
+	coldMost int
+	// coldTo is when the last of the targets that are known to be cold is warm.
+	coldTo time.Time
 }
 
 // lock locks the pool with its list as it should be; the list is made anew once after many changes.
@@ -110,6 +119,7 @@
 	// evacuations holds the zones that are or were evacuated, and evacuatedAt is the revision of the newest change.
 	evacuations map[string]proto.Evacuation
 	evacuatedAt proto.Revision
+	coldTerms   ColdTerms
 }
 
 // FleetOption changes a Fleet at construction.
@@ -218,6 +228,8 @@
 	// outcomeDoubted means that another daemon holds a lapsed target to have left.
 	outcomeDoubted = "doubted"
 	outcomeUpdated = "updated"
+	// outcomeCold means that a target that was warm has become cold.
+	outcomeCold = "cold"
 	// OutcomeEnded means that the run ended: the target has started again, or is in another pool.
 	OutcomeEnded = "ended its run"
 	// outcomeStale means that the entry was written by an earlier run, and is not taken in.
@@ -256,7 +268,7 @@
 	case c.Removed:
 		return f.remove(now, t, c)
 	case t == nil:
-		return []FleetNote{f.add(c, health{})}
+		return []FleetNote{f.add(now, c, health{})}
 	}
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
@@ -272,6 +284,9 @@
 	case c.Target.Born.After(old.Born) || c.Target.Pool != old.Pool:
 		return f.restart(now, t, c)
 	}
+	if c.Version.After(t.version) {
+		t.warmsIn(now, c.Target.ColdFor)
+	}
 	t.Spec, t.version, t.evacuated = c.Target, c.Version, f.isEvacuated(c.Target.Zone)
 	t.lapsedAt, t.doubted = time.Time{}, false
 	switch {
@@ -279,21 +294,24 @@
 		return []FleetNote{{Target: c.Target, Outcome: outcomeLeaving}}
 	case old.Leaving != c.Target.Leaving || old.Address != c.Target.Address || old.Slots != c.Target.Slots:
 		return []FleetNote{{Target: c.Target, Outcome: outcomeUpdated}}
+	case c.Target.ColdFor > 0 && old.ColdFor == 0:
+		return []FleetNote{{Target: c.Target, Outcome: outcomeCold}}
 	}
 	return nil
 }
 
 // add lists a target of which nothing is known but its health.
-func (f *Fleet) add(c FleetChange, known health) FleetNote {
+func (f *Fleet) add(now time.Time, c FleetChange, known health) FleetNote {
 	p := f.poolLocked(c.Target.Pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return f.addTo(p, c, known)
+	return f.addTo(now, p, c, known)
 }
 
-func (f *Fleet) addTo(p *targetPool, c FleetChange, known health) FleetNote {
+func (f *Fleet) addTo(now time.Time, p *targetPool, c FleetChange, known health) FleetNote {
 	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known, evacuated: f.isEvacuated(c.Target.Zone)}
 	t.running, t.end = context.WithCancel(context.Background())
+	t.warmsIn(now, c.Target.ColdFor)
 	p.targets[c.ID] = t
 	f.where[c.ID] = t
 	p.stale = true
@@ -308,9 +326,9 @@
 	ended.Outcome, ended.Version = OutcomeEnded, c.Version
 	t.end()
 	if c.Target.Pool != t.Spec.Pool {
-		return []FleetNote{ended, f.add(c, health{})}
+		return []FleetNote{ended, f.add(now, c, health{})}
 	}
-	return []FleetNote{ended, f.addTo(t.pool, c, t.health.afterRestart(now))}
+	return []FleetNote{ended, f.addTo(now, t.pool, c, t.health.afterRestart(now))}
 }
 
 // dropUnusable removes a target whose entry names no target any more, whatever the state of the store.
@@ -375,8 +393,8 @@
 	return len(p.targets)
 }
 
-// Usable returns the targets of a pool that may get new work.
-func (f *Fleet) Usable(pool string) []proto.RelayTarget {
+// Usable returns the targets of a pool that may get new work at a moment, without cold ones where these have a bound.
+func (f *Fleet) Usable(now time.Time, pool string) []proto.RelayTarget {
 	p := f.pool(pool)
 	if p == nil {
 		return nil
@@ -386,7 +404,7 @@
 	var specs, doubted []proto.RelayTarget
 	for _, t := range p.list {
 		switch {
-		case t.closed():
+		case t.closed() || p.isCold(now, t):
 		case t.doubted:
 			doubted = append(doubted, t.Spec)
 		default:
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -31,7 +31,7 @@
 
 func names(f *Fleet, pool string) string {
 	all := ""
-	for _, t := range f.Usable(pool) {
+	for _, t := range f.Usable(start, pool) {
 		all += t.ID + " "
 	}
 	return all
@@ -289,7 +289,7 @@
 					t := listed(fmt.Sprint("t-", i), "p", "z")
 					f.Change(start, []FleetChange{{ID: t.ID, Version: rev(uint64(i + 1)), Target: t}})
 				}
-				f.Usable("p")
+				f.Usable(start, "p")
 			}
 		})
 	}
--- /dev/null
+++ b/relay/fleetcold.go
@@ -0,0 +1,139 @@
+package relay
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"emberlead/proto"
+)
+
+const (
+	// coldSpan is the span in which the requests that arrive at a cold target are counted, whatever its beginning.
+	coldSpan = time.Second
+	// coldCost is what a cold target adds to the expected time of an attempt: it is slow, and some seconds later it will not
+	// be, so that a queue of less than this at a warm one is better.
+	coldCost = float64(400 * time.Millisecond)
+)
+
+// ColdTerms bound how many requests all daemons together may send to a cold target within a second: Over times what the
+// target works through, plus Slack.
+type ColdTerms struct{ Over, Slack float64 }
+
+// WithColdTerms sets the terms; without them a cold target gets what it works through.
+func WithColdTerms(terms ColdTerms) FleetOption { return func(f *Fleet) { f.coldTerms = terms } }
+
+// most is how many requests a cold target of a pool may get within a second; 0 if there is no bound.
+func (t ColdTerms) most(spec proto.ColdSpec) int {
+	if spec.PerSecond <= 0 {
+		return 0
+	}
+	return max(1, int(math.Floor(t.Over*spec.PerSecond+t.Slack)))
+}
+
+// SetCold takes over how the targets of a pool warm up.
+func (f *Fleet) SetCold(pool string, spec proto.ColdSpec) {
+	f.mu.Lock()
+	p := f.poolLocked(pool)
+	f.mu.Unlock()
+	p.lock()
+	defer p.mu.Unlock()
+	p.cold, p.coldMost = spec, f.coldTerms.most(spec)
+}
+
+// warmsIn notes that the target is cold for so long, or warm; its pool is locked.
+func (t *Target) warmsIn(now time.Time, left time.Duration) {
+	t.coldUntil = time.Time{}
+	if left <= 0 {
+		return
+	}
+	t.coldUntil = now.Add(left)
+	if t.coldUntil.After(t.pool.coldTo) {
+		t.pool.coldTo = t.coldUntil
+	}
+}
+
+// warmed tells whether a target that was cold has become warm since that was last asked.
+func (t *Target) warmed(now time.Time) bool {
+	if t.coldUntil.IsZero() || now.Before(t.coldUntil) {
+		return false
+	}
+	t.coldUntil = time.Time{}
+	return t.pool.coldMost > 0
+}
+
+// isCold tells whether a target is cold and the requests for it are bounded by that.
+func (p *targetPool) isCold(now time.Time, t *Target) bool {
+	return p.coldMost > 0 && now.Before(t.coldUntil)
+}
+
+// crowded tells whether a target was chosen so often within the last second that it would get too many if it were cold. A
+// target may become cold at any moment, and that is not known before it has written its entry anew, one or two seconds later.
+func (p *targetPool) crowded(now time.Time, t *Target) bool {
+	return p.coldMost > 0 && len(t.lately) >= p.coldMost-1 && now.Sub(t.lately[len(t.lately)-p.coldMost+1]) <= coldSpan
+}
+
+// noteChosen notes that a target gets a request; its pool is locked.
+func (t *Target) noteChosen(now time.Time) {
+	if t.pool.coldMost == 0 {
+		return
+	}
+	t.lately = slices.DeleteFunc(t.lately, func(at time.Time) bool { return now.Sub(at) > coldSpan })
+	t.lately = append(t.lately, now)
+}
+
+// Cold returns the targets of a pool that are cold and may get work otherwise, and how many requests one of them may get
+// within a second from all daemons.
+func (f *Fleet) Cold(now time.Time, pool string) (ids []string, most int) {
+	p := f.pool(pool)
+	if p == nil {
+		return nil, 0
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	if p.coldMost == 0 || !now.Before(p.coldTo) {
+		return nil, 0
+	}
+	for _, t := range p.list {
+		if !t.closed() && p.isCold(now, t) {
+			ids = append(ids, t.Spec.ID)
+		}
+	}
+	return ids, p.coldMost
+}
+
+// WarmIn returns how long it takes until a target of a pool that is cold now is warm, and false if none is cold.
+func (f *Fleet) WarmIn(now time.Time, pool string) (in time.Duration, cold bool) {
+	p := f.pool(pool)
+	if p == nil {
+		return 0, false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	for _, t := range p.list {
+		if t.closed() || !p.isCold(now, t) {
+			continue
+		}
+		if left := t.coldUntil.Sub(now); !cold || left < in {
+			in, cold = left, true
+		}
+	}
+	return in, cold
+}
+
+// Open returns the number of a pool's targets that are not closed, in whatever health.
+func (f *Fleet) Open(pool string) int {
+	p := f.pool(pool)
+	if p == nil {
+		return 0
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	open := 0
+	for _, t := range p.list {
+		if !t.closed() {
+			open++
+		}
+	}
+	return open
+}
--- a/relay/fleetlapse.go
+++ b/relay/fleetlapse.go
@@ -75,19 +75,26 @@
 	return notes
 }
 
-// Sweep removes entries that lapsed and did not come back; it comes several times a second.
+// Sweep removes entries that lapsed and did not come back, and notes which targets have become warm; it comes several times a second.
 func (f *Fleet) Sweep(now time.Time) []FleetNote {
 	f.mu.Lock()
 	own := !f.mayHaveLapsed(now)
 	var notes []FleetNote
+	warmed := map[string]bool{}
 	for _, t := range f.where {
 		t.pool.mu.Lock()
 		if !t.lapsedAt.IsZero() && (own || t.lapseTold) && now.Sub(t.lapsedAt) >= lapseWait {
 			notes = append(notes, f.forget(t))
 		}
+		if t.warmed(now) {
+			warmed[t.Spec.Pool] = true
+		}
 		t.pool.mu.Unlock()
 	}
 	f.mu.Unlock()
 	f.announce(notes)
+	for pool := range warmed {
+		f.changed(pool)
+	}
 	return notes
 }
--- a/relay/fleetzones.go
+++ b/relay/fleetzones.go
@@ -39,12 +39,16 @@
 	return changed
 }
 
-// markZone opens or closes the targets of a zone, and notes their pools.
-func (f *Fleet) markZone(_ time.Time, e proto.Evacuation, pools map[string]bool) {
+// markZone opens or closes the targets of a zone, and notes their pools. Those that come back count as cold: they may have
+// lost what they kept, and would draw all work at once since they have none.
+func (f *Fleet) markZone(now time.Time, e proto.Evacuation, pools map[string]bool) {
 	for _, t := range f.where {
 		t.pool.mu.Lock()
 		if t.Spec.Zone == e.Zone {
 			t.evacuated = !e.Over
+			if e.Over {
+				t.warmsIn(now, t.pool.cold.For)
+			}
 			pools[t.Spec.Pool] = true
 		}
 		t.pool.mu.Unlock()
--- a/relay/fleetzones_test.go
+++ b/relay/fleetzones_test.go
@@ -36,7 +36,7 @@
 			all, _ := placers(clockwork.NewFakeClockAt(start), f, engines(4))
 			return all["vm-1"].Choose(context.Background(), "p", prompt("part", 5000, 10)).Spec.ID
 		}},
-		{"a call for pieces", func(f *Fleet) string { return f.Usable("p")[0].ID }},
+		{"a call for pieces", func(f *Fleet) string { return f.Usable(start, "p")[0].ID }},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -55,7 +55,7 @@
 func TestAPoolWhoseZonesAreAllEvacuatedHasNoTarget(t *testing.T) {
 	f := newFleet(put(1, listed("a", "p", "y")))
 	f.Evacuate(start, evacuation(2, false))
-	if got := f.Pick(start, "p", Want{}); got != nil || f.Take(start, "p", "a", Want{}) != nil || len(f.Usable("p")) > 0 {
+	if got := f.Pick(start, "p", Want{}); got != nil || f.Take(start, "p", "a", Want{}) != nil || len(f.Usable(start, "p")) > 0 {
 		t.Errorf("the evacuated target gets work: %v", got)
 	}
 }
@@ -119,11 +119,11 @@
 	f := newFleet(put(1, listed("a", "p", "y")))
 	attempt := f.Pick(start, "p", Want{})
 	b := NewBatcher(proto.BatchSpec{Slots: 1, Most: 2, CallCost: time.Millisecond, PieceCost: time.Millisecond, Keep: time.Second})
-	b.SetTargets(f.Usable("p"))
+	b.SetTargets(f.Usable(start, "p"))
 	b.Add(start, job("r", 2))
 	calls, _ := b.Next(start)
 	f.Evacuate(start, evacuation(2, false))
-	b.SetTargets(f.Usable("p"))
+	b.SetTargets(f.Usable(start, "p"))
 	f.Ended(start, attempt, Want{}, false, VerdictGood, Load{})
 	ends, _ := b.Done(start, calls[0], []ItemResult{{Handle: "h0"}, {Handle: "h1"}})
 	if len(ends) != 1 || ends[0].Answer.Fate != proto.PiecesDone || attempt.running.Err() != nil {
--- a/relay/pieces_test.go
+++ b/relay/pieces_test.go
@@ -78,6 +78,8 @@
 	}
 }
 
+func (p *scriptedPeers) Sole(string, time.Duration) bool { return true }
+
 func (p *scriptedPeers) Share() Share { return Share{Part: 0.5, Counted: 2} }
 
 func (p *scriptedPeers) Send(_ proto.VM, m proto.Message) {
--- a/relay/place.go
+++ b/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	fleet *Fleet
 	peers Peers
 
+	// cold counts what this daemon sends to cold targets.
+	cold coldSends
+
 	mu     sync.Mutex
 	next   uint64
 	leases map[uint64]placement
@@ -43,7 +47,7 @@
 
 // NewPlacer returns a placer that has placed nothing.
 func NewPlacer(self proto.VM, clock clockwork.Clock, log hclog.Logger, fleet *Fleet, peers Peers) *Placer {
-	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}}
+	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}, cold: coldSends{targets: map[string]*coldTarget{}}}
 }
 
 // Placed is a target chosen for an attempt.
@@ -58,10 +62,28 @@
 	owner  proto.VM // another daemon that counts the attempt, or ""
 	lease  uint64
 	began  bool
+	// Cold says that the target is cold, and counted that the request counts as on its way there.
+	Cold    bool
+	counted bool
 }
 
 // Choose returns the target for an attempt, or nil if there is none; Ended must be called for it.
 func (p *Placer) Choose(ctx context.Context, pool string, w Want) *Placed {
+	for range coldTries {
+		now := p.clock.Now()
+		w.Cold = p.mayBeSent(now, pool, w.Rank)
+		placed := p.choose(ctx, pool, w)
+		if placed == nil || !w.Cold[placed.Spec.ID] || p.countCold(now, placed) {
+			return placed
+		}
+		// Other requests have taken what was left of the target's allowance.
+		placed.Ended(VerdictNone, Load{})
+	}
+	w.Cold = nil
+	return p.choose(ctx, pool, w)
+}
+
+func (p *Placer) choose(ctx context.Context, pool string, w Want) *Placed {
 	if w.Engine {
 		if owner := p.peers.Owner("place/"+pool, nil); owner != "" && owner != p.self {
 			if placed := p.remote(ctx, owner, pool, w); placed != nil {
@@ -85,6 +107,7 @@
 	}
 	m, err := p.peers.Call(ctx, owner, proto.PlaceAsk{
 		Pool: pool, Route: w.Route, Shared: w.Shared, Own: w.OwnTokens, Zone: w.Zone, Inputs: w.Inputs, Without: without, Gap: w.Gap,
+		Cold: slices.Collect(maps.Keys(w.Cold)),
 	})
 	a, ok := m.(proto.PlaceAnswer)
 	if err != nil || !ok || a.Target == "" {
@@ -104,6 +127,7 @@
 // Began notes that the target has read the prompt.
 func (p *Placed) Began() {
 	p.began = true
+	p.arrived()
 	p.placer.fleet.Began(p.placer.clock.Now(), p.Target, p.want)
 	if p.owner != "" {
 		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Began: true})
@@ -112,6 +136,7 @@
 
 // Ended notes how the attempt ended.
 func (p *Placed) Ended(v Verdict, load Load) {
+	p.arrived()
 	p.placer.fleet.Ended(p.placer.clock.Now(), p.Target, p.want, p.began, v, load)
 	if p.owner != "" {
 		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Verdict: uint8(v)})
@@ -121,10 +146,13 @@
 // Place chooses a target for another daemon.
 func (p *Placer) Place(ask proto.PlaceAsk) proto.PlaceAnswer {
 	now := p.clock.Now()
-	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Engine: true, Tried: map[string]bool{}}
+	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Engine: true, Tried: map[string]bool{}, Cold: map[string]bool{}}
 	for _, id := range ask.Without {
 		w.Tried[id] = true
 	}
+	for _, id := range ask.Cold {
+		w.Cold[id] = true
+	}
 	t := p.fleet.Pick(now, ask.Pool, w)
 	if t == nil {
 		return proto.PlaceAnswer{}
@@ -160,6 +188,7 @@
 // Sweep ends the leases of which nothing was heard for too long; it comes several times a second.
 func (p *Placer) Sweep() {
 	now := p.clock.Now()
+	p.cold.sweep(now)
 	p.mu.Lock()
 	var over []placement
 	for id, l := range p.leases {
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -24,7 +24,9 @@
 
 func (p *peersOf) Owner(string, map[proto.VM]bool) proto.VM { return p.owner }
 func (p *peersOf) Silent(proto.VM) bool                     { return p.cut }
-func (p *peersOf) Share() Share                             { return Share{Part: 1 / float64(len(p.all)), Counted: len(p.all)} }
+func (p *peersOf) Sole(string, time.Duration) bool          { return !p.cut }
+
+func (p *peersOf) Share() Share { return Share{Part: 1 / float64(len(p.all)), Counted: len(p.all)} }
 
 func (p *peersOf) Send(to proto.VM, m proto.Message) {
 	if n, ok := m.(proto.PlaceNote); ok && !p.cut {
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -149,6 +149,9 @@
 	Silent(vm proto.VM) bool
 	// Share returns this daemon's part of what all daemons together are allowed.
 	Share() Share
+	// Sole tells whether this daemon may do now what only one of all may do at a time, whether they reach each other or not; after
+	// another one did, at least the settling time passes.
+	Sole(task string, settle time.Duration) bool
 	Send(to proto.VM, m proto.Message)
 	Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -266,6 +266,10 @@
 	if f.spec == nil {
 		return f.notRun(waitUnknown, "the configuration has no pool "+f.pool)
 	}
+	if f.server.fleet.Open(f.pool) == 0 {
+		// Its stages would be made in vain.
+		return f.notRun(waitUnknown, reasonNoTarget)
+	}
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
 	defer f.freeAll()
 	for rebuilt := 0; ; rebuilt++ {
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -49,7 +49,7 @@
 // targets are those of the shard that may get work.
 func (w *worker) targets() []proto.RelayTarget {
 	shards := shardsOf(w.pieces.fleet.Size(w.pool))
-	return shardTargetsOf(w.pieces.fleet.Usable(w.pool), w.index, shards)
+	return shardTargetsOf(w.pieces.fleet.Usable(w.pieces.clock.Now(), w.pool), w.index, shards)
 }
 
 func (w *worker) retarget() {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -137,7 +137,8 @@
 		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Count: 1,
 	}
 	d.exchange = wire.NewExchange(clock)
-	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts))
+	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
+		relay.WithColdTerms(relay.ColdTerms{Over: settings.ColdOver, Slack: settings.ColdSlack}))
 	d.census = coord.NewCensus(d.self.VM, censusTiming(settings))
 	d.newPeers()
 	dialect := platform.Dialect{}
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -74,6 +74,7 @@
 		if pool.Engine != nil {
 			d.fleet.SetMemory(name, pool.Engine.CacheTokens)
 		}
+		d.fleet.SetCold(name, pool.Cold)
 	}
 	d.pieces.RoutingChanged()
 	d.peers.members.Beat(d.clock.Now())
@@ -175,7 +176,7 @@
 		if n.Crashed() {
 			d.ends.Ended(n.Target, "its entry is gone")
 		}
-		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "born", bornText(n.Target.Born), "version", d.fleet.Version(), "from", from)
+		d.log.Info("target "+n.Outcome, "target", n.Target.ID, "pool", n.Target.Pool, "address", n.Target.Address, "zone", n.Target.Zone, "born", bornText(n.Target.Born), "coldFor", n.Target.ColdFor.String(), "version", d.fleet.Version(), "from", from)
 	}
 	if len(notes) > 0 {
 		d.peers.members.Beat(d.clock.Now())
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -93,7 +93,9 @@
 	LinkAuth linkAuth `json:"linkAuth"`
 	// Crashes tells how many ends of targets under requests are remembered, and of how many requests.
 	Crashes relay.CrashCounts `json:"crashes"`
-	Open    int64             `json:"openRequests"`
+	// Cold counts what this daemon sent to cold targets, and how often others had taken what was left.
+	Cold relay.ColdCounts `json:"cold"`
+	Open int64            `json:"openRequests"`
 	// Store counts the calls to the store by table and kind.
 	Store   platform.CallCounts `json:"store"`
 	Dropped int64               `json:"logLinesDropped"`
@@ -109,7 +111,7 @@
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Evacuated: d.fleet.Evacuated(), Open: d.server.Open(),
-		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
+		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Cold: d.placer.ColdCounts(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
 	}
 }
 
@@ -124,5 +126,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "cold", v.Cold, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
 }
--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -200,6 +200,11 @@
 	return share
 }
 
+// Sole tells whether this daemon may do now what only one of all may do at a time.
+func (p *relayPeers) Sole(task string, settle time.Duration) bool {
+	return p.census.Sole(p.clock.Now(), task, settle)
+}
+
 // reportShare counts the daemons that have come to be known, and logs when the own part changes.
 func (d *Relay) reportShare() {
 	now := d.clock.Now()
