Requests stay in the regions that their route and workspace name

Cause: the configuration's bounds to regions were not read. Both those of the route and of the workspace hold. Targets for the request and for its pieces are chosen in these regions only, also by the daemon that places or batches for others, on retries, and when all at home fail; without one the request is refused at once. A request's body goes to no other daemon, so daemons need no choice.

Tests: three regions in a module without network (seven ways to choose, pieces), two regions with a daemon.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -50,6 +50,8 @@
 	Public bool
 	// Resumable streams may be continued at another target.
 	Resumable bool
+	// Homes bind the requests to regions.
+	Homes Homes
 }
 
 // Repeatable tells whether a request of the route may run more than once.
@@ -132,6 +134,8 @@
 	Keys []string
 	// Priority goes before that of the route if it is set.
 	Priority *int
+	// Homes bind the customer's requests to regions, beside those of the route.
+	Homes Homes
 }
 
 // RelayTarget is one run of a target as it listed itself with the platform.
@@ -140,7 +144,9 @@
 	Pool    string
 	Address netip.AddrPort
 	Zone    string
-	Slots   int
+	// Region is that of the zone, empty if the settings do not name the zone.
+	Region string
+	Slots  int
 	// Leaving targets get no new work.
 	Leaving bool
 	// ColdFor is how much longer the target is cold, as of when the entry was written.
@@ -232,6 +238,7 @@
 	InputShard int `cbor:"18,keyasint,omitempty"`
 	// Digest is that of the request.
 	Digest RequestDigest `cbor:"19,keyasint,omitempty"`
+	Homes  Homes         `cbor:"20,keyasint,omitzero"`
 }
 
 // PieceFate tells how a stage's pieces ended.
@@ -313,7 +320,8 @@
 	// Gap is the longest pause between the stream's events that is still in time; 0 if there is no bound.
 	Gap time.Duration `cbor:"8,keyasint,omitempty"`
 	// Cold holds the cold targets that the asker, and no other daemon, may send a request to now.
-	Cold []string `cbor:"9,keyasint,omitempty"`
+	Cold  []string `cbor:"9,keyasint,omitempty"`
+	Homes Homes    `cbor:"10,keyasint,omitzero"`
 }
 
 // EngineTimes is what was learnt of the engines of a pool: what each request, each prompt token and each request that
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -105,6 +105,10 @@
 	}
 	f.spec = table.Routing().Pools[f.pool]
 	f.rank = table.Rank(f.pool, f.owner, f.route)
+	f.homes = f.route.Homes
+	if f.owner != nil {
+		f.homes = f.homes.And(f.owner.Homes)
+	}
 }
 
 func (f *flow) bound() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -181,10 +181,14 @@
 // Reasons for which no target is chosen.
 const (
 	reasonNoTarget = "the pool has no target that may get work"
+	reasonHomes    = "the pool has no target in the regions that the request is bound to"
 	reasonCold     = "the targets of the pool are cold, and get no more for the moment"
 )
 
 func (f *flow) noTarget() string {
+	if f.homes.Bound && f.server.fleet.Open(f.pool, f.homes) == 0 {
+		return reasonHomes
+	}
 	if _, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool); cold {
 		return reasonCold
 	}
@@ -202,7 +206,7 @@
 }
 
 func (f *flow) want() Want {
-	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, Gap: f.route.Gap, Rank: f.rank}
+	w := Want{Zone: f.server.zone, Tried: f.tried, Engine: f.spec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, Gap: f.route.Gap, Rank: f.rank, Homes: f.homes}
 	if f.zone != "" {
 		w.Zone, w.Inputs = f.zone, f.bulk
 	}
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -185,6 +185,9 @@
 		j.todo = append(j.todo, piece)
 	}
 	j.length = b.length(j)
+	if b.homeless(j) {
+		return &proto.PiecesAnswer{Fate: proto.PiecesRefused, Wait: waitUnknown, Detail: reasonHomes}
+	}
 	wait := b.Wait(now, j.order)
 	finish := now.Add(wait + time.Duration(j.length))
 	limit := j.End
@@ -200,6 +203,16 @@
 	return nil
 }
 
+// homeless tells whether no target is in the regions that a job is bound to.
+func (b *Batcher) homeless(j *Job) bool {
+	for _, t := range b.targets {
+		if !t.spec.Leaving && j.Ask.Homes.Allow(t.spec.Region) {
+			return false
+		}
+	}
+	return j.Ask.Homes.Bound
+}
+
 // Next returns the calls to send now, and the jobs whose time is over.
 func (b *Batcher) Next(now time.Time) ([]*Call, []JobEnd) {
 	ends := b.expire(now)
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -59,7 +59,7 @@
 	var best *batchTarget
 	least := math.Inf(1)
 	for _, t := range b.targets {
-		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !b.hasRoom(now, t, j, b.whole(j)) {
+		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !j.Ask.Homes.Allow(t.spec.Region) || !b.hasRoom(now, t, j, b.whole(j)) {
 			continue
 		}
 		c := t.pace
@@ -97,7 +97,7 @@
 // patience is how long a job waits for a target in the zone of its inputs, if there is one in service.
 func (b *Batcher) patience(now time.Time, j *Job) time.Duration {
 	for _, t := range b.targets {
-		if !b.crosses(t, j) && !t.spec.Leaving && !now.Before(t.outTo) {
+		if !b.crosses(t, j) && j.Ask.Homes.Allow(t.spec.Region) && !t.spec.Leaving && !now.Before(t.outTo) {
 			return max(0, min(time.Duration(crossCalls*b.fullCall(j.Ask.Bytes)), j.Due.Sub(now)/4))
 		}
 	}
@@ -134,7 +134,7 @@
 
 // mayFill keeps the pieces of a job together where they fit into a call, since their results are needed together.
 func (b *Batcher) mayFill(now time.Time, c *Call, t *batchTarget, j *Job, own bool) bool {
-	if j.alone || !own && now.Before(j.since.Add(b.patience(now, j))) {
+	if j.alone || !j.Ask.Homes.Allow(t.spec.Region) || !own && now.Before(j.since.Add(b.patience(now, j))) {
 		return false
 	}
 	free := b.spec.Most - len(c.Items)
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -68,6 +68,8 @@
 	Tried map[string]bool
 	// Rank is the urgency of the request, 0 first.
 	Rank int
+	// Homes are the regions that the target must be in.
+	Homes proto.Homes
 	// Cold holds the cold targets that may be chosen.
 	Cold map[string]bool
 }
@@ -104,7 +106,7 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.closed() || p.isCold(now, t) && !w.Cold[id] {
+	if t == nil || t.closed() || !w.Homes.Allow(t.Spec.Region) || p.isCold(now, t) && !w.Cold[id] {
 		return nil
 	}
 	if w.Engine {
@@ -154,7 +156,7 @@
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
 		cold := p.isCold(now, t)
-		if t.closed() || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || !failing && (t.doubted || t.health.out(now) || p.crowded(now, t)) {
+		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || !failing && (t.doubted || t.health.out(now) || p.crowded(now, t)) {
 			continue
 		}
 		c := t.cost(now, w, home, long)
@@ -178,7 +180,7 @@
 	var home *Target
 	var rank uint64
 	for _, t := range p.list {
-		if t.closed() || p.isCold(now, t) || t.doubted || t.health.out(now) || t.long != long {
+		if t.closed() || !w.Homes.Allow(t.Spec.Region) || p.isCold(now, t) || t.doubted || t.health.out(now) || t.long != long {
 			continue
 		}
 		h := state.Rank(part, t.hash)
--- a/relay/fleetcold.go
+++ b/relay/fleetcold.go
@@ -121,8 +121,8 @@
 	return in, cold
 }
 
-// Open returns the number of a pool's targets that are not closed, in whatever health.
-func (f *Fleet) Open(pool string) int {
+// Open returns the number of a pool's targets in some regions that are not closed, in whatever health.
+func (f *Fleet) Open(pool string, homes proto.Homes) int {
 	p := f.pool(pool)
 	if p == nil {
 		return 0
@@ -131,7 +131,7 @@
 	defer p.mu.Unlock()
 	open := 0
 	for _, t := range p.list {
-		if !t.closed() {
+		if !t.closed() && homes.Allow(t.Spec.Region) {
 			open++
 		}
 	}
--- /dev/null
+++ b/relay/homes_test.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// threeRegions has two engines in each of three regions, of which the others are as near as the first.
+func threeRegions() *Fleet {
+	f := NewFleet(func(string) {})
+	for i := range 6 {
+		t := listed(fmt.Sprintf("e%02d", i), "p", "z")
+		t.Region = []string{"north", "south", "east"}[i%3]
+		f.Change(start, []FleetChange{put(uint64(i+1), t)})
+	}
+	return f
+}
+
+// TestNoTargetOutsideAHomeIsChosen asks in each way that work takes, also when all at home fail or were tried before.
+func TestNoTargetOutsideAHomeIsChosen(t *testing.T) {
+	home := proto.HomesIn([]string{"south"})
+	bound := func(w Want) Want {
+		w.Homes = home
+		return w
+	}
+	scenarios := []struct {
+		testName string
+		pick     func(f *Fleet, i int) *Target
+	}{
+		{"a plain request", func(f *Fleet, _ int) *Target { return f.Pick(start, "p", bound(Want{Zone: "z"})) }},
+		{"prompts without number", func(f *Fleet, i int) *Target { return f.Pick(start, "p", bound(prompt(fmt.Sprint(i), 5000, 9000))) }},
+		{"all at home fail", func(f *Fleet, _ int) *Target {
+			got := f.Pick(start, "p", bound(Want{}))
+			f.Ended(start, got, Want{}, false, VerdictBad, Load{})
+			return got
+		}},
+		{"a retry", func(f *Fleet, _ int) *Target {
+			first := f.Pick(start, "p", bound(Want{}))
+			return f.Pick(start, "p", bound(Want{Tried: map[string]bool{first.Spec.ID: true}}))
+		}},
+		{"a retry after all at home were tried", func(f *Fleet, _ int) *Target {
+			return f.Pick(start, "p", bound(Want{Tried: map[string]bool{"e01": true, "e04": true}}))
+		}},
+		{"chosen by another daemon that does not know the home", func(f *Fleet, _ int) *Target { return f.Take(start, "p", "e00", bound(Want{})) }},
+		{"placed for another daemon", func(f *Fleet, i int) *Target {
+			all, _ := placers(clockwork.NewFakeClockAt(start), f, threeRegions())
+			placed := all["vm-1"].Choose(context.Background(), "p", bound(prompt(fmt.Sprint(i), 5000, 9000)))
+			return placed.Target
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := threeRegions()
+			for i := range 12 {
+				if got := s.pick(f, i); got != nil && got.Spec.Region != "south" {
+					t.Fatalf("%s of region %s was chosen", got.Spec.ID, got.Spec.Region)
+				}
+			}
+		})
+	}
+}
+
+func TestBothHomesHold(t *testing.T) {
+	route, owner := proto.HomesIn([]string{"north", "south"}), proto.HomesIn([]string{"south", "east"})
+	scenarios := []struct {
+		testName string
+		homes    proto.Homes
+		open     int
+	}{
+		{"none", proto.Homes{}.And(proto.Homes{}), 6},
+		{"the route's", route.And(proto.Homes{}), 4},
+		{"the workspace's", proto.Homes{}.And(owner), 4},
+		{"both", route.And(owner), 2},
+		{"both, which have nothing in common", route.And(proto.HomesIn([]string{"east"})), 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			if got := threeRegions().Open("p", s.homes); got != s.open {
+				t.Errorf("%d targets are open to the request, want %d", got, s.open)
+			}
+		})
+	}
+}
+
+// TestPiecesAreMadeAtHome has a job that is bound to a region beside one that is not, in a pool with a target in each region; no
+// call for the first goes elsewhere, and without a target at home it is refused at once.
+func TestPiecesAreMadeAtHome(t *testing.T) {
+	spec := proto.BatchSpec{Slots: 1, Most: 4, CallCost: 10 * time.Millisecond, PieceCost: time.Millisecond, Keep: time.Second}
+	targets := func(regions ...string) []proto.RelayTarget {
+		var list []proto.RelayTarget
+		for _, region := range regions {
+			target := listed("t-"+region, "p", "z")
+			target.Region = region
+			list = append(list, target)
+		}
+		return list
+	}
+	b := NewBatcher(spec)
+	b.SetTargets(targets("north", "south"))
+	for i := range 6 {
+		bound := job(fmt.Sprint("bound-", i), 2)
+		bound.Ask.Homes = proto.HomesIn([]string{"south"})
+		if refused := b.Add(start, bound); refused != nil {
+			t.Fatalf("refused: %s", refused.Detail)
+		}
+		b.Add(start, job(fmt.Sprint("free-", i), 2))
+	}
+	made := 0
+	for range 20 {
+		calls, _ := b.Next(start)
+		for _, c := range calls {
+			for _, item := range c.Items {
+				made++
+				if item.Job.Ask.Homes.Bound && c.Target.Region != "south" {
+					t.Fatalf("a piece of %s goes to %s", item.Job.Ask.Request, c.Target.ID)
+				}
+			}
+			results := make([]ItemResult, len(c.Items))
+			for i := range results {
+				results[i].Handle = fmt.Sprint(c.Target.ID, made, i)
+			}
+			b.Done(start, c, results)
+		}
+	}
+	if made != 24 {
+		t.Errorf("%d pieces were made, want 24", made)
+	}
+	b.SetTargets(targets("north"))
+	away := job("away", 2)
+	away.Ask.Homes = proto.HomesIn([]string{"south"})
+	if refused := b.Add(start, away); refused == nil || refused.Fate != proto.PiecesRefused {
+		t.Errorf("a job without a target at home waits: %+v", refused)
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -107,7 +107,7 @@
 	}
 	m, err := p.peers.Call(ctx, owner, proto.PlaceAsk{
 		Pool: pool, Route: w.Route, Shared: w.Shared, Own: w.OwnTokens, Zone: w.Zone, Inputs: w.Inputs, Without: without, Gap: w.Gap,
-		Cold: slices.Collect(maps.Keys(w.Cold)),
+		Cold: slices.Collect(maps.Keys(w.Cold)), Homes: w.Homes,
 	})
 	a, ok := m.(proto.PlaceAnswer)
 	if err != nil || !ok || a.Target == "" {
@@ -146,7 +146,7 @@
 // Place chooses a target for another daemon.
 func (p *Placer) Place(ask proto.PlaceAsk) proto.PlaceAnswer {
 	now := p.clock.Now()
-	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Engine: true, Tried: map[string]bool{}, Cold: map[string]bool{}}
+	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Homes: ask.Homes, Engine: true, Tried: map[string]bool{}, Cold: map[string]bool{}}
 	for _, id := range ask.Without {
 		w.Tried[id] = true
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -171,6 +171,8 @@
 	owner     *proto.RelayWorkspace
 	// digest is the same for each try of the request, under whatever id.
 	digest proto.RequestDigest
+	// homes are the regions that the request and its pieces may be worked on in. Its body goes to no other daemon.
+	homes proto.Homes
 	// rank is the request's urgency among those for its pool; 0 is the highest.
 	rank    int
 	version uint64
@@ -231,7 +233,7 @@
 		return
 	}
 	f.note("request accepted", "route", f.route.Name, "workspace", f.workspace, "rank", f.rank, "pool", f.pool, "routing", f.version,
-		"pieces", f.req.Pieces, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.prompt(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MostTokens, "due", brief(f.due.Sub(began)), "left", brief(f.left()))
+		"pieces", f.req.Pieces, "homes", f.homes.Regions, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.prompt(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MostTokens, "due", brief(f.due.Sub(began)), "left", brief(f.left()))
 	ctx, span := otel.Tracer(tracer).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
@@ -266,9 +268,9 @@
 	if f.spec == nil {
 		return f.notRun(waitUnknown, "the configuration has no pool "+f.pool)
 	}
-	if f.server.fleet.Open(f.pool) == 0 {
+	if f.server.fleet.Open(f.pool, f.homes) == 0 {
 		// Its stages would be made in vain.
-		return f.notRun(waitUnknown, reasonNoTarget)
+		return f.notRun(waitUnknown, f.noTarget())
 	}
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
 	defer f.freeAll()
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -197,7 +197,7 @@
 	spec := &f.route.Stages[stage]
 	ask := proto.PiecesAsk{
 		Pool: spec.Pool, Request: f.req.ID, Stage: stage, Pieces: f.pieces(stage), Rank: f.rank,
-		Bytes: spec.Bytes, First: first, Begun: f.committed, Goal: f.due.Sub(f.began), Digest: f.digest,
+		Bytes: spec.Bytes, First: first, Begun: f.committed, Goal: f.due.Sub(f.began), Digest: f.digest, Homes: f.homes,
 	}
 	bulk := 0
 	for _, before := range spec.After {
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -93,6 +93,7 @@
 		c.Unusable = true
 		return c
 	}
+	t.Region = d.settings.Regions[t.Zone]
 	c.Target = t
 	return c
 }
