--- a/coord/census.go
+++ b/coord/census.go
@@ -36,6 +36,8 @@
 	// sure is since when all others count this VM, and this daemon all of them, as far as both use anything; zero as long as
 	// that is open. What this daemon may use it does so a while later, since it knows nothing of what its last run used.
 	sure time.Time
+	// era is that of the platform's store: what the rows of an earlier one proved, they prove no more.
+	era uint64
 	// first holds for which tasks this VM comes first of those that are counted.
 	first map[string]bool
 }
@@ -91,10 +93,29 @@
 // as long again.
 func (t CensusTiming) RowAge() time.Duration { return t.Lease / 2 }
 
-// Wrote notes that the platform acknowledged the own row, which was sent at a time.
-func (c *Census) Wrote(sent time.Time) {
+// Restored notes that the platform's store is in a newer era: it was restored from a copy. Rows that were written since the copy
+// are gone, the own one and those of VMs that were never read here among them, and not all daemons know that yet. So this one has no
+// share until its row was written anew, and until all that rely on rows of the earlier era have read none for too long.
+func (c *Census) Restored(now time.Time, era uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if era <= c.era {
+		return
+	}
+	c.era = era
+	c.row, c.read, c.listed = time.Time{}, time.Time{}, time.Time{}
+	if !c.sure.IsZero() {
+		c.sure = later(c.sure, now.Add(c.timing.View))
+	}
+}
+
+// Wrote notes that the platform acknowledged the own row in an era of its store; the row was sent at a time.
+func (c *Census) Wrote(sent time.Time, era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era < c.era {
+		return
+	}
 	if sent.Sub(c.listed) > c.timing.RowAge() {
 		// Others may have ceased to count this VM, and have to read of it first.
 		c.sure = later(c.sure, sent.Add(c.timing.View))
@@ -109,11 +130,14 @@
 	return a
 }
 
-// Read takes in all rows, with their versions, as of a moment after asked, and returns the VMs that are counted no more:
+// Read takes in all rows, with their versions, as of a moment after asked in an era of the store, and returns the VMs that are counted no more:
 // their rows have not changed for so long that their leases are over.
-func (c *Census) Read(asked, now time.Time, rows map[proto.VM]proto.Revision) (over []proto.VM) {
+func (c *Census) Read(asked, now time.Time, era uint64, rows map[proto.VM]proto.Revision) (over []proto.VM) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if era < c.era {
+		return nil
+	}
 	c.read = asked
 	for vm, version := range rows {
 		if s := c.meet(now, vm); s != nil && s.version != version {
--- a/coord/census_test.go
+++ b/coord/census_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -37,8 +38,8 @@
 		for _, vm := range others {
 			rows[vm] = uint64(at.Unix())
 		}
-		c.Wrote(at)
-		c.Read(at, at, revisions(rows))
+		c.Wrote(at, 0)
+		c.Read(at, at, 0, revisions(rows))
 	}
 	return c
 }
@@ -53,8 +54,8 @@
 func TestAStartedDaemonHasNoShareUntilWhatItSpentIsOver(t *testing.T) {
 	c := NewCensus("a", censusTiming)
 	c.Begin(censusStart, true)
-	c.Wrote(censusStart)
-	c.Read(censusStart, censusStart, revisions(map[proto.VM]uint64{"a": 1, "b": 2}))
+	c.Wrote(censusStart, 0)
+	c.Read(censusStart, censusStart, 0, revisions(map[proto.VM]uint64{"a": 1, "b": 2}))
 	wantShare(t, c, censusStart, 2, ShareStarting)
 	wantShare(t, c, censusStart.Add(10*time.Second), 2, ShareStarting)
 	wantShare(t, c, censusStart.Add(11*time.Second), 2, ShareFull)
@@ -63,9 +64,9 @@
 func TestADaemonThatNobodyKnowsWaitsUntilAllHaveReadOfIt(t *testing.T) {
 	c := NewCensus("a", censusTiming)
 	c.Begin(censusStart, false)
-	c.Wrote(censusStart)
+	c.Wrote(censusStart, 0)
 	for _, at := range []time.Duration{0, 20 * time.Second, 40 * time.Second} {
-		c.Read(censusStart.Add(at), censusStart.Add(at), revisions(map[proto.VM]uint64{"a": 1}))
+		c.Read(censusStart.Add(at), censusStart.Add(at), 0, revisions(map[proto.VM]uint64{"a": 1}))
 	}
 	wantShare(t, c, censusStart.Add(55*time.Second), 1, ShareStarting)
 	wantShare(t, c, censusStart.Add(56*time.Second), 1, ShareFull)
@@ -76,15 +77,15 @@
 	wantShare(t, c, censusStart.Add(time.Hour), 1, ShareStarting)
 	c.Begin(censusStart, true)
 	wantShare(t, c, censusStart.Add(time.Hour), 1, ShareUnlisted)
-	c.Wrote(censusStart.Add(time.Second))
+	c.Wrote(censusStart.Add(time.Second), 0)
 	wantShare(t, c, censusStart.Add(20*time.Second), 1, ShareUnread)
 }
 
 func TestSilenceDoesNotGiveTheShareOfTheDead(t *testing.T) {
 	c := settledCensus("a", "b", "c")
 	for at := censusStart; at.Before(censusStart.Add(10 * time.Minute)); at = at.Add(20 * time.Second) {
-		c.Wrote(at)
-		c.Read(at, at, revisions(map[proto.VM]uint64{"a": 1, "b": uint64(at.Unix()), "c": uint64(censusStart.Unix())}))
+		c.Wrote(at, 0)
+		c.Read(at, at, 0, revisions(map[proto.VM]uint64{"a": 1, "b": uint64(at.Unix()), "c": uint64(censusStart.Unix())}))
 		wantShare(t, c, at, 3, ShareFull)
 	}
 }
@@ -92,9 +93,9 @@
 func TestAVMWhoseLeaseIsOverIsNotCounted(t *testing.T) {
 	c := settledCensus("a", "b", "c")
 	after := censusStart.Add(censusTiming.Lease + censusTiming.Window + time.Second)
-	c.Wrote(censusStart.Add(censusTiming.Lease / 3))
-	c.Wrote(censusStart.Add(censusTiming.Lease * 2 / 3))
-	over := c.Read(after, after, revisions(map[proto.VM]uint64{"a": 1, "b": 7, "c": uint64(censusStart.Unix())}))
+	c.Wrote(censusStart.Add(censusTiming.Lease/3), 0)
+	c.Wrote(censusStart.Add(censusTiming.Lease*2/3), 0)
+	over := c.Read(after, after, 0, revisions(map[proto.VM]uint64{"a": 1, "b": 7, "c": uint64(censusStart.Unix())}))
 	if len(over) != 1 || over[0] != "c" {
 		t.Errorf("over: %v", over)
 	}
@@ -106,13 +107,13 @@
 	wantShare(t, c, censusStart.Add(45*time.Second), 2, ShareFull)
 	wantShare(t, c, censusStart.Add(46*time.Second), 2, ShareUnread)
 	at := censusStart.Add(10*time.Minute + time.Second)
-	c.Read(at, at, revisions(map[proto.VM]uint64{"a": 1, "b": 2}))
+	c.Read(at, at, 0, revisions(map[proto.VM]uint64{"a": 1, "b": 2}))
 	wantShare(t, c, at, 2, ShareUnlisted)
 	// The others may have ceased to count it, so it starts like a new one.
-	c.Wrote(at)
+	c.Wrote(at, 0)
 	wantShare(t, c, at, 2, ShareStarting)
 	late := at.Add(56 * time.Second)
-	c.Read(late, late, revisions(map[proto.VM]uint64{"a": 1, "b": 3}))
+	c.Read(late, late, 0, revisions(map[proto.VM]uint64{"a": 1, "b": 3}))
 	wantShare(t, c, late, 2, ShareFull)
 }
 
@@ -130,8 +131,11 @@
 	now    time.Time
 	rows   map[proto.VM]uint64
 	wrote  map[proto.VM]time.Time
-	marked map[proto.VM]bool
+	marked map[proto.VM]uint64
 	next   uint64
+	// era is that of the store, and copies are of its rows at earlier moments, from one of which it is restored now and then.
+	era    uint64
+	copies []censusRows
 	// done is how often a task was done.
 	done  int
 	alive map[proto.VM]*censusDaemon
@@ -141,6 +145,32 @@
 	sole map[string]lastSole
 }
 
+// censusRows are the rows of the platform's store as of a moment.
+type censusRows struct {
+	rows   map[proto.VM]uint64
+	wrote  map[proto.VM]time.Time
+	marked map[proto.VM]uint64
+}
+
+// keepCopy copies the rows; copies are some seconds apart, and a few are kept.
+func (w *censusWorld) keepCopy() {
+	w.copies = append(w.copies, censusRows{maps.Clone(w.rows), maps.Clone(w.wrote), maps.Clone(w.marked)})
+	if len(w.copies) > 15 {
+		w.copies = w.copies[1:]
+	}
+}
+
+// restore brings the store back from a copy of up to half a minute before.
+func (w *censusWorld) restore() {
+	if len(w.copies) == 0 {
+		return
+	}
+	c := w.copies[w.random.IntN(len(w.copies))]
+	w.rows, w.wrote, w.marked = maps.Clone(c.rows), maps.Clone(c.wrote), maps.Clone(c.marked)
+	w.copies = nil
+	w.era++
+}
+
 type lastSole struct {
 	vm proto.VM
 	at time.Time
@@ -170,6 +200,7 @@
 type censusDaemon struct {
 	census          *Census
 	read, wrote     time.Time
+	era             uint64
 	marked          bool
 	cutOff, pausing time.Time
 }
@@ -182,7 +213,7 @@
 func newCensusWorld(seed uint64, vms int) *censusWorld {
 	w := &censusWorld{
 		random: rand.New(rand.NewPCG(seed, 1)), now: censusStart, rows: map[proto.VM]uint64{}, wrote: map[proto.VM]time.Time{},
-		marked: map[proto.VM]bool{}, alive: map[proto.VM]*censusDaemon{}, used: map[proto.VM][]usedPart{}, sole: map[string]lastSole{},
+		marked: map[proto.VM]uint64{}, era: 1, alive: map[proto.VM]*censusDaemon{}, used: map[proto.VM][]usedPart{}, sole: map[string]lastSole{},
 	}
 	for i := range vms {
 		w.start(vmName(i))
@@ -202,26 +233,42 @@
 		return
 	}
 	if d.read.IsZero() || w.now.Sub(d.read) >= 20*time.Second {
+		w.seesEra(d)
 		_, listed := w.rows[vm]
-		d.census.Begin(w.now, listed && w.marked[vm] && w.now.Sub(w.wrote[vm]) < censusTiming.RowAge())
+		d.census.Begin(w.now, listed && w.marked[vm] == w.era && w.now.Sub(w.wrote[vm]) < censusTiming.RowAge())
 		rows := map[proto.VM]uint64{}
 		for other, version := range w.rows {
 			rows[other] = version
 		}
-		for _, gone := range d.census.Read(w.now, w.now, revisions(rows)) {
+		for _, gone := range d.census.Read(w.now, w.now, w.era, revisions(rows)) {
 			delete(w.rows, gone)
 		}
 		d.read = w.now
 	}
 	usable := d.census.Share(w.now).Usable
 	if d.wrote.IsZero() || w.now.Sub(d.wrote) >= censusTiming.Lease/3 || usable && !d.marked {
+		w.seesEra(d)
+		usable = d.census.Share(w.now).Usable
 		w.next++
-		w.rows[vm], w.wrote[vm], w.marked[vm] = w.next, w.now, usable
+		w.rows[vm], w.wrote[vm], w.marked[vm] = w.next, w.now, 0
+		if usable {
+			w.marked[vm] = w.era
+		}
 		d.wrote, d.marked = w.now, usable
-		d.census.Wrote(w.now)
+		d.census.Wrote(w.now, w.era)
 	}
 }
 
+// seesEra has a daemon learn of the store's era by an answer.
+func (w *censusWorld) seesEra(d *censusDaemon) {
+	if d.era == w.era {
+		return
+	}
+	d.era = w.era
+	d.census.Restored(w.now, w.era)
+	d.wrote, d.marked = time.Time{}, false
+}
+
 func (w *censusWorld) disturb(vms int) {
 	vm := vmName(w.random.IntN(2 * vms))
 	d := w.alive[vm]
@@ -265,44 +312,52 @@
 	return sum
 }
 
-// TestTheSharesNeverComeToMoreThanTheLimit plays random histories. What a daemon may use in a window is the largest
+// TestTheSharesNeverComeToMoreThanTheLimit plays random histories, in half of which the store is restored from copies. What a daemon may use in a window is the largest
 // share that it had then.
 func TestTheSharesNeverComeToMoreThanTheLimit(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	parameters.MinSuccessfulTests = 40
 	properties := gopter.NewProperties(parameters)
-	properties.Property("shares", prop.ForAll(func(seed uint64, vms int) string {
+	properties.Property("shares", prop.ForAll(func(seed uint64, vms int, restores bool) string {
 		w := newCensusWorld(seed, vms)
 		for end := censusStart.Add(2 * time.Hour); w.now.Before(end); w.now = w.now.Add(2 * time.Second) {
 			for vm, d := range w.alive {
 				w.list(vm, d)
 			}
+			w.keepCopy()
 			if w.random.IntN(30) == 0 {
 				w.disturb(vms)
 			}
+			if restores && w.random.IntN(200) == 0 {
+				w.restore()
+			}
 			if sum := w.share(); sum > 1.000001 {
 				return fmt.Sprintf("after %s the shares come to %.3f", w.now.Sub(censusStart), sum)
 			}
 		}
 		return ""
-	}, gen.UInt64(), gen.IntRange(2, 8)))
+	}, gen.UInt64(), gen.IntRange(2, 8), gen.Bool()))
 	properties.TestingRun(t)
 }
 
-// TestATaskForOneIsDoneByOne plays random histories of tasks that one VM may do at a time.
+// TestATaskForOneIsDoneByOne plays such histories of tasks that one VM may do at a time.
 func TestATaskForOneIsDoneByOne(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(11)
 	parameters.MinSuccessfulTests = 30
 	properties := gopter.NewProperties(parameters)
-	properties.Property("tasks", prop.ForAll(func(seed uint64, vms int) string {
+	properties.Property("tasks", prop.ForAll(func(seed uint64, vms int, restores bool) string {
 		w := newCensusWorld(seed, vms)
 		for end := censusStart.Add(2 * time.Hour); w.now.Before(end); w.now = w.now.Add(2 * time.Second) {
 			for vm, d := range w.alive {
 				w.list(vm, d)
 			}
+			w.keepCopy()
 			if w.random.IntN(30) == 0 {
 				w.disturb(vms)
 			}
+			if restores && w.random.IntN(200) == 0 {
+				w.restore()
+			}
 			if fault := w.doTasks(); fault != "" {
 				return fault
 			}
@@ -311,7 +366,7 @@
 			return "no task was ever done"
 		}
 		return ""
-	}, gen.UInt64(), gen.IntRange(2, 8)))
+	}, gen.UInt64(), gen.IntRange(2, 8), gen.Bool()))
 	properties.TestingRun(t)
 }
 
@@ -338,3 +393,33 @@
 		}
 	}
 }
+
+// TestARestoredStoreProvesNothingOfBefore has a VM whose row was written after the copy was made: others that start now do not know
+// of it, so it must not use its share before they do, nor they theirs while it may not have heard of the restoration.
+func TestARestoredStoreProvesNothingOfBefore(t *testing.T) {
+	c := settledCensus("a", "b")
+	wantShare(t, c, censusStart, 2, ShareFull)
+	c.Restored(censusStart, 2)
+	wantShare(t, c, censusStart, 2, ShareStarting)
+	c.Wrote(censusStart.Add(-time.Second), 1)
+	c.Read(censusStart, censusStart, 1, revisions(map[proto.VM]uint64{"a": 1}))
+	past := censusStart.Add(censusTiming.View + censusTiming.Window)
+	wantShare(t, c, past, 2, ShareUnlisted)
+	rewritten := censusStart.Add(10 * time.Second)
+	c.Wrote(rewritten, 2)
+	c.Read(rewritten, rewritten, 2, revisions(map[proto.VM]uint64{"a": 9}))
+	wantShare(t, c, past, 2, ShareStarting)
+	usable := rewritten.Add(censusTiming.View + censusTiming.Window)
+	c.Read(usable, usable, 2, revisions(map[proto.VM]uint64{"a": 9}))
+	wantShare(t, c, usable, 2, ShareFull)
+	c.Restored(usable, 2)
+	wantShare(t, c, usable, 2, ShareFull)
+	// A row may have been on its way when the store came back.
+	c.Restored(usable, 3)
+	c.Wrote(usable.Add(-time.Second), 3)
+	c.Read(usable, usable, 3, revisions(map[proto.VM]uint64{"a": 9}))
+	next := usable.Add(censusTiming.View + censusTiming.Window)
+	c.Read(next, next, 3, revisions(map[proto.VM]uint64{"a": 9}))
+	wantShare(t, c, next.Add(-time.Millisecond), 2, ShareStarting)
+	wantShare(t, c, next, 2, ShareFull)
+}
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -163,6 +163,8 @@
 	Version Revision `cbor:"2,keyasint"`
 	// Over says that the evacuation was taken back.
 	Over bool `cbor:"3,keyasint,omitempty"`
+	// Held says that the store lost it in a restoration, as of Version, and that the operator may be about to ask for it again.
+	Held bool `cbor:"4,keyasint,omitempty"`
 }
 
 // RoutingAsk asks a daemon for its configuration, list of targets and evacuations if they are newer than these versions.
@@ -187,6 +189,9 @@
 type VoidEntry struct {
 	ID      string   `cbor:"1,keyasint"`
 	Version Revision `cbor:"2,keyasint"`
+	// Restored says that the entry came back with a copy of the store, after its target had left; if it stays, its target is
+	// there after all.
+	Restored bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RoutingAnswer carries what is newer, in the platform's own format.
--- /dev/null
+++ b/relay/eras_test.go
@@ -0,0 +1,362 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"emberlead/proto"
+)
+
+// inEra is a revision of a store that was restored.
+func inEra(era, version uint64) proto.Revision { return proto.Revision{Era: era, Version: version} }
+
+// putIn and removedIn are changes of a store in an era.
+func putIn(era, version uint64, t proto.RelayTarget) FleetChange {
+	return FleetChange{ID: t.ID, Version: inEra(era, version), Target: t}
+}
+
+func removedIn(era, version uint64, id string) FleetChange {
+	return FleetChange{ID: id, Version: inEra(era, version), Removed: true}
+}
+
+func leavingTarget(id string) proto.RelayTarget {
+	t := listed(id, "p", "z")
+	t.Leaving = true
+	return t
+}
+
+// TestWhatAStoreLostInARestorationStaysKnown has two targets, a and b, in a copy of the store as of version 10; then something happens
+// to a at versions up to 20, and the store comes back from the copy.
+func TestWhatAStoreLostInARestorationStaysKnown(t *testing.T) {
+	type step struct {
+		at     time.Duration
+		change FleetChange
+	}
+	copied := []FleetChange{putIn(2, 1, listed("a", "p", "z")), putIn(2, 2, listed("b", "p", "z"))}
+	born := run("a", secondBorn)
+	scenarios := []struct {
+		testName string
+		lost     []FleetChange
+		// then are changes after the restoration, and usable is what may get work at last.
+		then   []step
+		at     time.Duration
+		usable string
+	}{
+		{"a said that it leaves", []FleetChange{putIn(1, 20, leavingTarget("a"))}, nil, 0, "b "},
+		{"a said that it leaves, and says so again", []FleetChange{putIn(1, 20, leavingTarget("a"))}, []step{{time.Second, putIn(2, 11, leavingTarget("a"))}}, restoredDoubt, "b "},
+		{"a left and went", []FleetChange{putIn(1, 19, leavingTarget("a")), removedIn(1, 20, "a")}, nil, 0, "b "},
+		{"a went without a word", []FleetChange{removedIn(1, 20, "a")}, nil, 0, "b "},
+		{"a went and goes again", []FleetChange{removedIn(1, 20, "a")}, []step{{time.Second, removedIn(2, 12, "a")}}, restoredDoubt, "b "},
+		{"a went, and was there again before the restoration was known", []FleetChange{removedIn(1, 20, "a")}, []step{{time.Second, putIn(2, 15, listed("a", "p", "z"))}}, time.Second, "a b "},
+		{"a left, and its older entry is written again first", []FleetChange{putIn(1, 19, leavingTarget("a")), removedIn(1, 20, "a")}, []step{{time.Second, putIn(2, 11, listed("a", "p", "z"))}}, time.Second, "b "},
+		{"a left, and a later run of it starts", []FleetChange{putIn(1, 19, leavingTarget("a")), removedIn(1, 20, "a")}, []step{{time.Second, putIn(2, 15, born)}}, time.Second, "a b "},
+		{"a left, and its entry stays for long", []FleetChange{removedIn(1, 20, "a")}, nil, restoredDoubt, "a b "},
+		{"c came, and is not written again", []FleetChange{putIn(1, 15, listed("c", "p", "z"))}, nil, lapseWait, "a b "},
+		{"c came, and is written again", []FleetChange{putIn(1, 15, listed("c", "p", "z"))}, []step{{time.Second, putIn(2, 11, listed("c", "p", "z"))}}, lapseWait, "a b c "},
+		{"c came a moment ago", []FleetChange{putIn(1, 15, listed("c", "p", "z"))}, nil, lapseWait - 1, "a b c "},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newFleet(putIn(1, 1, listed("a", "p", "z")), putIn(1, 2, listed("b", "p", "z")))
+			f.Change(start, s.lost)
+			if _, taken := f.Replace(start, inEra(2, 10), copied, false); !taken {
+				t.Fatal("the list of a later era was refused, its version being lower")
+			}
+			for _, step := range s.then {
+				f.Change(start.Add(step.at), []FleetChange{step.change})
+			}
+			now := start.Add(s.at)
+			f.Sweep(now)
+			for _, id := range f.VoidOver(now) {
+				f.Change(now, []FleetChange{putIn(2, 1, listed(id, "p", "z"))})
+			}
+			if got := names(f, "p"); got != s.usable {
+				t.Errorf("usable %q, want %q", got, s.usable)
+			}
+		})
+	}
+}
+
+// TestADaemonThatStartsIsToldWhatTheCopyGotWrong reads the copy by a daemon that never knew that a had left.
+func TestADaemonThatStartsIsToldWhatTheCopyGotWrong(t *testing.T) {
+	for _, lost := range []FleetChange{putIn(1, 20, leavingTarget("a")), removedIn(1, 20, "a")} {
+		knew := newFleet(putIn(1, 1, listed("a", "p", "z")), putIn(1, 2, listed("b", "p", "z")), lost)
+		copied := []FleetChange{putIn(2, 1, listed("a", "p", "z")), putIn(2, 2, listed("b", "p", "z"))}
+		knew.Replace(start, inEra(2, 10), copied, false)
+		starts := NewFleet(func(string) {})
+		starts.Replace(start, inEra(2, 10), copied, false)
+		starts.LearnVoid(start, knew.Void())
+		if got := names(starts, "p"); got != "b " || starts.VoidDigest() != knew.VoidDigest() {
+			t.Errorf("usable: %q, digests %d and %d", got, starts.VoidDigest(), knew.VoidDigest())
+		}
+		late := start.Add(restoredDoubt)
+		if len(knew.VoidOver(late)) != 1 || knew.LearnVoid(late, starts.Void()) != nil || len(knew.Void()) > 0 {
+			t.Error("daemons keep telling each other of an entry that stayed")
+		}
+	}
+}
+
+func TestEvacuationsInARestoredStore(t *testing.T) {
+	asked := func(era, version uint64) proto.Evacuation {
+		return proto.Evacuation{Zone: "y", Version: inEra(era, version)}
+	}
+	over := func(era, version uint64) proto.Evacuation {
+		return proto.Evacuation{Zone: "y", Version: inEra(era, version), Over: true}
+	}
+	type step struct {
+		at   time.Duration
+		news proto.Evacuation
+	}
+	scenarios := []struct {
+		testName string
+		before   []proto.Evacuation
+		copied   []proto.Evacuation
+		then     []step
+		at       time.Duration
+		want     string
+	}{
+		{"asked since the copy", []proto.Evacuation{asked(1, 20)}, nil, nil, rewriteWait - 1, "[y]"},
+		{"asked since the copy, and again", []proto.Evacuation{asked(1, 20)}, nil, []step{{time.Second, asked(2, 12)}}, time.Hour, "[y]"},
+		{"asked since the copy, and not again", []proto.Evacuation{asked(1, 20)}, nil, nil, rewriteWait, "[]"},
+		{"asked and taken back since the copy", []proto.Evacuation{asked(1, 20), over(1, 21)}, nil, nil, 0, "[]"},
+		{"taken back since the copy", []proto.Evacuation{asked(1, 5), over(1, 20)}, []proto.Evacuation{asked(2, 5)}, nil, 0, "[]"},
+		{"taken back since the copy, and again", []proto.Evacuation{asked(1, 5), over(1, 20)}, []proto.Evacuation{asked(2, 5)}, []step{{time.Second, over(2, 12)}}, time.Hour, "[]"},
+		{"taken back since the copy, and asked once more", []proto.Evacuation{asked(1, 5), over(1, 20)}, []proto.Evacuation{asked(2, 5)}, []step{{time.Second, asked(2, 12)}}, time.Hour, "[y]"},
+		{"in the copy as well", []proto.Evacuation{asked(1, 5)}, []proto.Evacuation{asked(2, 5)}, nil, time.Hour, "[y]"},
+		{"not known here before", nil, []proto.Evacuation{asked(2, 5)}, nil, time.Hour, "[y]"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newFleet(putIn(1, 1, listed("a", "p", "y")))
+			for _, e := range s.before {
+				f.Evacuate(start, []proto.Evacuation{e})
+			}
+			f.Evacuate(start, f.EvacuationsAsOf(inEra(2, 10), s.copied))
+			for _, step := range s.then {
+				f.Evacuate(start.Add(step.at), []proto.Evacuation{step.news})
+			}
+			f.Evacuate(start.Add(s.at), f.HeldEvacuations(start.Add(s.at)))
+			if got := fmt.Sprint(f.Evacuated()); got != s.want {
+				t.Errorf("evacuated: %s, want %s", got, s.want)
+			}
+		})
+	}
+}
+
+// TestAnEvacuationThatTheStoreLostIsKeptByThoseWhoStart has a daemon be told of it that reads the store's list only then, and tell the
+// first one what it believes.
+func TestAnEvacuationThatTheStoreLostIsKeptByThoseWhoStart(t *testing.T) {
+	knew, starts := newFleet(putIn(1, 1, listed("a", "p", "y"))), newFleet(putIn(2, 1, listed("a", "p", "y")))
+	knew.Evacuate(start, []proto.Evacuation{{Zone: "y", Version: inEra(1, 20)}})
+	knew.Evacuate(start, knew.EvacuationsAsOf(inEra(2, 10), nil))
+	starts.Evacuate(start, knew.Evacuations())
+	starts.Evacuate(start, starts.EvacuationsAsOf(inEra(2, 15), nil))
+	knew.Evacuate(start, starts.Evacuations())
+	if len(knew.Evacuated()) != 1 || len(starts.Evacuated()) != 1 {
+		t.Errorf("evacuated: %v and %v", knew.Evacuated(), starts.Evacuated())
+	}
+	knew.Evacuate(start, knew.HeldEvacuations(start.Add(rewriteWait)))
+	starts.Evacuate(start, knew.Evacuations())
+	if len(starts.Evacuated()) > 0 || starts.EvacuationsVersion() != knew.EvacuationsVersion() {
+		t.Errorf("evacuated after the wait: %v as of %s", starts.Evacuated(), starts.EvacuationsVersion())
+	}
+}
+
+// restoredWorld is a store with targets that come, leave and go, which is restored from copies now and then; what it lost is written
+// again within two seconds. Three fleets follow it as daemons do: by changes, by whole lists, and by what another one tells.
+type restoredWorld struct {
+	random  *rand.Rand
+	now     time.Time
+	era     uint64
+	version uint64
+	rows    map[string]FleetChange
+	copies  []worldCopy
+	// left are the targets that have said that they leave, or are gone, and since when.
+	left map[string]time.Time
+	live map[string]bool
+	// due are writes that are made again.
+	due    []dueWrite
+	fleets [3]*Fleet
+	seen   [3]proto.Revision
+	next   int
+}
+
+type worldCopy struct {
+	version uint64
+	rows    map[string]FleetChange
+}
+
+type dueWrite struct {
+	at time.Time
+	id string
+}
+
+// write puts the entry of a target as it is now, or removes it.
+func (w *restoredWorld) write(id string) {
+	w.version++
+	c := FleetChange{ID: id, Version: inEra(w.era, w.version)}
+	_, left := w.left[id]
+	switch {
+	case w.live[id] && left:
+		c.Target = leavingTarget(id)
+	case w.live[id]:
+		c.Target = listed(id, "p", "z")
+	default:
+		c.Removed = true
+	}
+	w.rows[id] = c
+}
+
+func (w *restoredWorld) copyRows() {
+	c := worldCopy{version: w.version, rows: map[string]FleetChange{}}
+	for id, row := range w.rows {
+		c.rows[id] = row
+	}
+	if w.copies = append(w.copies, c); len(w.copies) > 5 {
+		w.copies = w.copies[1:]
+	}
+}
+
+func (w *restoredWorld) restore() {
+	c := w.copies[w.random.IntN(len(w.copies))]
+	lost := w.rows
+	w.era++
+	w.version, w.rows, w.copies = c.version, map[string]FleetChange{}, nil
+	for id, row := range c.rows {
+		row.Version.Era = w.era
+		w.rows[id] = row
+	}
+	for id, row := range lost {
+		if c.rows[id].Version.Version != row.Version.Version {
+			w.due = append(w.due, dueWrite{w.now.Add(time.Duration(w.random.Int64N(int64(2 * time.Second)))), id})
+		}
+	}
+}
+
+func (w *restoredWorld) step() {
+	w.now = w.now.Add(200 * time.Millisecond)
+	var rest []dueWrite
+	for _, d := range w.due {
+		if w.now.Before(d.at) {
+			rest = append(rest, d)
+			continue
+		}
+		w.write(d.id)
+	}
+	w.due = rest
+	id := fmt.Sprintf("t%02d", w.random.IntN(max(1, w.next)))
+	switch w.random.IntN(12) {
+	case 0:
+		id = fmt.Sprintf("t%02d", w.next)
+		w.next++
+		w.live[id] = true
+		w.write(id)
+	case 1:
+		if _, left := w.left[id]; w.live[id] && !left {
+			w.left[id] = w.now
+			w.write(id)
+		}
+	case 2:
+		if _, left := w.left[id]; w.live[id] && left {
+			delete(w.live, id)
+			w.write(id)
+		}
+	case 3:
+		w.copyRows()
+	case 4:
+		if len(w.copies) > 0 && w.random.IntN(3) == 0 {
+			w.restore()
+		}
+	}
+	for i := range w.fleets {
+		w.follow(i)
+	}
+}
+
+// follow has one of the fleets catch up as its daemon does.
+func (w *restoredWorld) follow(i int) {
+	f := w.fleets[i]
+	asOf := inEra(w.era, w.version)
+	var changed, whole []FleetChange
+	for _, row := range w.rows {
+		if row.Version.After(w.seen[i]) {
+			changed = append(changed, row)
+		}
+		if !row.Removed {
+			whole = append(whole, row)
+		}
+	}
+	switch {
+	case i == 2 && w.random.IntN(3) > 0:
+		return
+	case i == 2:
+		f.LearnVoid(w.now, w.fleets[0].Void())
+		f.Replace(w.now, asOf, whole, w.random.IntN(2) == 0)
+	case w.seen[i].Era != w.era || i == 1:
+		f.Replace(w.now, asOf, whole, false)
+	default:
+		f.Change(w.now, changed)
+	}
+	w.seen[i] = asOf
+	f.Sweep(w.now)
+	for _, id := range f.VoidOver(w.now) {
+		if row, listed := w.rows[id]; listed && !row.Removed {
+			f.Change(w.now, []FleetChange{row})
+		}
+	}
+}
+
+// TestNothingThatLeftIsUsedThroughRestorations plays random histories. A fleet must not use a target two and a half seconds after the
+// target said that it leaves, which each fleet that knew of it at once had heard, and in the end each must use all that are there.
+func TestNothingThatLeftIsUsedThroughRestorations(t *testing.T) {
+	for seed := range uint64(120) {
+		w := &restoredWorld{
+			random: rand.New(rand.NewPCG(seed, 17)), now: start, era: 1, rows: map[string]FleetChange{}, left: map[string]time.Time{}, live: map[string]bool{},
+		}
+		for i := range w.fleets {
+			w.fleets[i] = NewFleet(func(string) {})
+		}
+		for range 400 {
+			w.step()
+			for i, f := range w.fleets {
+				for _, target := range f.Usable(w.now, "p") {
+					if at, left := w.left[target.ID]; left && w.now.Sub(at) > lapseWait+200*time.Millisecond && i < 2 {
+						t.Fatalf("seed %d: fleet %d uses %s %s after it left, in era %d", seed, i, target.ID, w.now.Sub(at), w.era)
+					}
+				}
+			}
+		}
+		want := ""
+		for range 100 {
+			w.now = w.now.Add(200 * time.Millisecond)
+			for _, d := range w.due {
+				w.write(d.id)
+			}
+			w.due = nil
+			for i := range w.fleets {
+				w.follow(i)
+			}
+		}
+		for i := range w.next {
+			id := fmt.Sprintf("t%02d", i)
+			if _, left := w.left[id]; w.live[id] && !left {
+				want += id + " "
+			}
+		}
+		for i, f := range w.fleets {
+			if got := namesAt(f, "p", w.now); got != want {
+				t.Fatalf("seed %d: fleet %d uses %q in the end, there are %q", seed, i, got, want)
+			}
+		}
+	}
+}
+
+func namesAt(f *Fleet, pool string, now time.Time) string {
+	all := ""
+	for _, t := range f.Usable(now, pool) {
+		all += t.ID + " "
+	}
+	return all
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -114,12 +114,21 @@
 	version proto.Revision
 	changed func(pool string)
 	zones   ZoneCosts
-	// void holds the revisions of entries that name no target to use although they read as if they did.
-	void map[string]proto.Revision
+	// void holds the revisions of entries that name no target to use although they read as if they did, and judged those that came
+	// back with a copy of the store and count again, since they stayed.
+	void   map[string]voidEntry
+	judged map[string]proto.Revision
+	// left holds the targets that left lately, and copied is the revision as of which the store's list was first read in its era.
+	left   map[string]leftTarget
+	copied proto.Revision
 	// evacuations holds the zones that are or were evacuated, and evacuatedAt is the revision of the newest change.
 	evacuations map[string]proto.Evacuation
 	evacuatedAt proto.Revision
-	coldTerms   ColdTerms
+	// evacuationRows are the versions of the rows that evacuated zones last, and heldSince is since when evacuations are in force
+	// that a restored store lacks.
+	evacuationRows map[string]uint64
+	heldSince      map[string]time.Time
+	coldTerms      ColdTerms
 }
 
 // FleetOption changes a Fleet at construction.
@@ -130,7 +139,11 @@
 
 // NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
 func NewFleet(changed func(pool string), options ...FleetOption) *Fleet {
-	f := &Fleet{pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]proto.Revision{}, evacuations: map[string]proto.Evacuation{}, changed: changed, zones: DefaultZoneCosts()}
+	f := &Fleet{
+		pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]voidEntry{}, judged: map[string]proto.Revision{},
+		left: map[string]leftTarget{}, evacuations: map[string]proto.Evacuation{}, evacuationRows: map[string]uint64{}, heldSince: map[string]time.Time{},
+		changed: changed, zones: DefaultZoneCosts(),
+	}
 	for _, option := range options {
 		option(f)
 	}
@@ -153,6 +166,8 @@
 	// Told changes come from another daemon, which knows how the store is; Lapsed says that it saw the entry go while
 	// the store was away, so that it may come back.
 	Told, Lapsed bool
+	// Restored says that the entry is missing in a copy that the store was restored from, so that it may come back.
+	Restored bool
 	// Unusable entries name no target: another writer left them, or they cannot be read.
 	Unusable bool
 	Target   proto.RelayTarget
@@ -182,6 +197,10 @@
 	}
 	listed := map[string]bool{}
 	var notes []FleetNote
+	restored := asOf.Era > f.version.Era
+	if restored {
+		f.copied = asOf
+	}
 	for _, c := range entries {
 		f.version = proto.Latest(f.version, c.Version)
 		listed[c.ID] = true
@@ -191,9 +210,10 @@
 		switch {
 		case listed[id]:
 		case complete:
+			f.noteLeft(now, t, asOf)
 			notes = append(notes, f.drop(t))
 		default:
-			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true, Version: asOf})...)
+			notes = append(notes, f.apply(now, FleetChange{ID: id, Removed: true, Version: asOf, Restored: restored})...)
 		}
 	}
 	f.dropVoid(asOf, listed)
@@ -234,6 +254,8 @@
 	OutcomeEnded = "ended its run"
 	// outcomeStale means that the entry was written by an earlier run, and is not taken in.
 	outcomeStale = "told of an earlier run"
+	// outcomeLeftOver means that the entry came back with a copy of the store, after its target had left.
+	outcomeLeftOver = "left before the store was restored"
 	// outcomeUnusable means that the entry names no target any more.
 	outcomeUnusable = "has an entry that cannot be used"
 )
@@ -264,9 +286,11 @@
 	}
 	switch {
 	case c.Unusable || f.isVoid(c):
-		return f.dropUnusable(t, c)
+		return f.dropUnusable(now, t, c)
 	case c.Removed:
 		return f.remove(now, t, c)
+	case t == nil && f.isLeftOver(now, c):
+		return []FleetNote{{Target: c.Target, Outcome: outcomeLeftOver, Version: c.Version}}
 	case t == nil:
 		return []FleetNote{f.add(now, c, health{})}
 	}
@@ -276,13 +300,18 @@
 	switch {
 	case c.Target.Born.IsZero() && !old.Born.IsZero():
 		// A target that tells when its run started always does. Daemons that did not know it then must be told.
-		f.void[c.ID] = c.Version
+		f.void[c.ID] = voidEntry{version: c.Version}
 		return f.unusable(t, c)
 	case c.Target.Born.Before(old.Born):
 		t.version = c.Version
 		return []FleetNote{{Target: c.Target, Outcome: outcomeStale, Version: c.Version}}
 	case c.Target.Born.After(old.Born) || c.Target.Pool != old.Pool:
 		return f.restart(now, t, c)
+	case old.Leaving && !c.Target.Leaving && c.Version.Era > t.version.Era:
+		// The store was restored from a copy of before the target said that it leaves.
+		t.version = c.Version
+		f.voidRestored(now, c)
+		return []FleetNote{{Target: old, Outcome: outcomeLeftOver, Version: c.Version}}
 	}
 	if c.Version.After(t.version) {
 		t.warmsIn(now, c.Target.ColdFor)
@@ -332,12 +361,15 @@
 }
 
 // dropUnusable removes a target whose entry names no target any more, whatever the state of the store.
-func (f *Fleet) dropUnusable(t *Target, c FleetChange) []FleetNote {
+func (f *Fleet) dropUnusable(now time.Time, t *Target, c FleetChange) []FleetNote {
 	if t == nil {
 		return nil
 	}
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
+	if v, void := f.void[c.ID]; t.Spec.Leaving || void && !v.until.IsZero() {
+		f.noteLeft(now, t, c.Version)
+	}
 	return f.unusable(t, c)
 }
 
@@ -362,7 +394,7 @@
 	defer t.pool.mu.Unlock()
 	lapsed := c.Lapsed
 	if !c.Told {
-		lapsed = f.mayHaveLapsed(now)
+		lapsed = c.Restored || f.mayHaveLapsed(now)
 	}
 	if !t.Spec.Leaving && lapsed {
 		if !t.lapsedAt.IsZero() {
@@ -371,6 +403,7 @@
 		t.lapsedAt, t.lapseTold = now, c.Told
 		return []FleetNote{{Target: t.Spec, Outcome: OutcomeLapsed, Version: c.Version}}
 	}
+	f.noteLeft(now, t, c.Version)
 	return []FleetNote{f.forget(t)}
 }
 
--- a/relay/fleetlapse.go
+++ b/relay/fleetlapse.go
@@ -81,9 +81,11 @@
 	own := !f.mayHaveLapsed(now)
 	var notes []FleetNote
 	warmed := map[string]bool{}
+	f.forgetLeft(now)
 	for _, t := range f.where {
 		t.pool.mu.Lock()
 		if !t.lapsedAt.IsZero() && (own || t.lapseTold) && now.Sub(t.lapsedAt) >= lapseWait {
+			f.noteLeft(now, t, t.version)
 			notes = append(notes, f.forget(t))
 		}
 		if t.warmed(now) {
--- a/relay/fleetvoid_test.go
+++ b/relay/fleetvoid_test.go
@@ -22,18 +22,18 @@
 	}{
 		{"told after it read the entry", func(f *Fleet) {
 			f.Change(start, []FleetChange{other, spoilt})
-			f.LearnVoid(knew.Void())
+			f.LearnVoid(start, knew.Void())
 		}},
 		{"told before", func(f *Fleet) {
-			f.LearnVoid(knew.Void())
+			f.LearnVoid(start, knew.Void())
 			f.Change(start, []FleetChange{other, spoilt})
 		}},
 		{"told before it read a whole list", func(f *Fleet) {
-			f.LearnVoid(knew.Void())
+			f.LearnVoid(start, knew.Void())
 			f.Replace(start, rev(9), []FleetChange{other, spoilt}, false)
 		}},
 		{"reads the same whole list twice", func(f *Fleet) {
-			f.LearnVoid(knew.Void())
+			f.LearnVoid(start, knew.Void())
 			f.Replace(start, rev(9), []FleetChange{other, spoilt}, false)
 			f.Replace(start, rev(10), []FleetChange{other, spoilt}, false)
 		}},
@@ -58,7 +58,7 @@
 
 func TestAVoidEntryThatIsGoneIsForgotten(t *testing.T) {
 	f := newFleet(put(2, listed("b", "p", "z")))
-	f.LearnVoid([]proto.VoidEntry{{ID: "a", Version: rev(4)}, {ID: "c", Version: rev(30)}})
+	f.LearnVoid(start, []proto.VoidEntry{{ID: "a", Version: rev(4)}, {ID: "c", Version: rev(30)}})
 	f.Replace(start, rev(9), []FleetChange{put(2, listed("b", "p", "z"))}, false)
 	if void := f.Void(); len(void) != 1 || void[0].ID != "c" {
 		t.Errorf("void: %v, want only the one that is newer than the list", void)
--- a/relay/fleetzones.go
+++ b/relay/fleetzones.go
@@ -8,6 +8,10 @@
 	"emberlead/proto"
 )
 
+// rewriteWait is how long an evacuation that a restored store lacks stays in force. The operator writes again what the store lost, as
+// it does all it has asked for; a zone is out of service for this long if the evacuation was taken back in the same moments.
+const rewriteWait = 10 * time.Second
+
 // isEvacuated tells whether a zone is to get nothing more; the fleet is locked.
 func (f *Fleet) isEvacuated(zone string) bool {
 	e, ok := f.evacuations[zone]
@@ -21,11 +25,11 @@
 	var changed []proto.Evacuation
 	pools := map[string]bool{}
 	for _, e := range list {
-		if known, ok := f.evacuations[e.Zone]; ok && !e.Version.After(known.Version) {
+		if known, ok := f.evacuations[e.Zone]; ok && !replaces(e, known) {
 			continue
 		}
 		before := f.isEvacuated(e.Zone)
-		f.evacuations[e.Zone] = e
+		f.takeEvacuation(now, e)
 		f.evacuatedAt = proto.Latest(f.evacuatedAt, e.Version)
 		if before == e.Over {
 			changed = append(changed, e)
@@ -39,6 +43,23 @@
 	return changed
 }
 
+// replaces tells whether news of a zone holds against what is known. At the same revision its end does, since that is found out last.
+func replaces(e, known proto.Evacuation) bool {
+	return e.Version.After(known.Version) || e.Version == known.Version && e.Over && !known.Over
+}
+
+// takeEvacuation remembers news of a zone.
+func (f *Fleet) takeEvacuation(now time.Time, e proto.Evacuation) {
+	delete(f.heldSince, e.Zone)
+	switch {
+	case e.Held:
+		f.heldSince[e.Zone] = now
+	case !e.Over:
+		f.evacuationRows[e.Zone] = e.Version.Version
+	}
+	f.evacuations[e.Zone] = e
+}
+
 // markZone opens or closes the targets of a zone, and notes their pools. Those that come back count as cold: they may have
 // lost what they kept, and would draw all work at once since they have none.
 func (f *Fleet) markZone(now time.Time, e proto.Evacuation, pools map[string]bool) {
@@ -55,17 +76,44 @@
 	}
 }
 
-// EvacuationsMissing returns the ends of the evacuations that are known here and of which a whole list, as of a revision of
-// the store, has none.
-func (f *Fleet) EvacuationsMissing(asOf proto.Revision, list []proto.Evacuation) []proto.Evacuation {
+// EvacuationsAsOf returns what a whole list of evacuations, as of a revision of the store, says of each zone: those in the list are in
+// force, and others are over. A store that was restored from a copy lacks what the operator did since: an evacuation that it lacks
+// stays in force until the operator has had the time to ask for it again, and one that was over before stays over if the row is
+// still the old one.
+func (f *Fleet) EvacuationsAsOf(asOf proto.Revision, list []proto.Evacuation) []proto.Evacuation {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	var ends []proto.Evacuation
+	var all []proto.Evacuation
+	listed := map[string]bool{}
+	for _, e := range list {
+		listed[e.Zone] = true
+		known := f.evacuations[e.Zone]
+		if known.Over && asOf.Era > known.Version.Era && e.Version.Version == f.evacuationRows[e.Zone] {
+			e = proto.Evacuation{Zone: e.Zone, Version: asOf, Over: true}
+		}
+		all = append(all, e)
+	}
 	for zone, known := range f.evacuations {
-		if known.Over || slices.ContainsFunc(list, func(e proto.Evacuation) bool { return e.Zone == zone }) {
+		if listed[zone] || known.Over {
 			continue
 		}
-		ends = append(ends, proto.Evacuation{Zone: zone, Version: asOf, Over: true})
+		restored := asOf.Era > known.Version.Era
+		if restored || !known.Held {
+			all = append(all, proto.Evacuation{Zone: zone, Version: asOf, Over: !restored, Held: restored})
+		}
+	}
+	return all
+}
+
+// HeldEvacuations returns the ends of the evacuations that a restored store lacks, and that the operator has not asked for again.
+func (f *Fleet) HeldEvacuations(now time.Time) []proto.Evacuation {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var ends []proto.Evacuation
+	for zone, since := range f.heldSince {
+		if now.Sub(since) >= rewriteWait {
+			ends = append(ends, proto.Evacuation{Zone: zone, Version: f.evacuations[zone].Version, Over: true})
+		}
 	}
 	return ends
 }
--- a/relay/fleetzones_test.go
+++ b/relay/fleetzones_test.go
@@ -105,8 +105,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			f := newFleet(put(1, listed("a", "p", "y")))
 			f.Evacuate(start, s.known)
-			f.Evacuate(start, f.EvacuationsMissing(rev(s.asOf), s.listed))
-			f.Evacuate(start, s.listed)
+			f.Evacuate(start, f.EvacuationsAsOf(rev(s.asOf), s.listed))
 			if got := fmt.Sprint(f.Evacuated()); got != s.want {
 				t.Errorf("evacuated: %s, want %s", got, s.want)
 			}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -42,6 +42,9 @@
 	statusEvery = 10 * time.Second
 	// settingsEvery is how often the settings file is looked at, since it may change without a signal.
 	settingsEvery = 2 * time.Second
+	// rowsWait is how long a daemon that knows what to serve holds requests for the list of daemons, by which it knows who does what
+	// for all. It comes within some ten milliseconds, or the store is out; each request that is held would be late by that.
+	rowsWait = 250 * time.Millisecond
 	// headWait bounds the reading of a request's head before a configuration states it.
 	headWait = 3 * time.Second
 	// idleWait is how long callers' connections may rest before a configuration states it.
@@ -86,6 +89,8 @@
 	// badSettings and badCredentials are only used by the loop that watches the settings.
 	badSettings, badCredentials bool
 
+	// restored is sent to when the store is in a newer era, for the loop that keeps the own row.
+	restored     chan struct{}
 	targetsKnown atomic.Bool
 	// rowsRead says that the store's list of daemons was read, so that the daemon knows who does what for all.
 	rowsRead atomic.Bool
@@ -93,8 +98,10 @@
 	// learned is closed once the other daemons were asked for what the store holds.
 	learned   chan struct{}
 	startOnce sync.Once
-	pulling   atomic.Bool
-	stopping  atomic.Bool
+	// waitOnce begins the wait for the list of daemons.
+	waitOnce sync.Once
+	pulling  atomic.Bool
+	stopping atomic.Bool
 }
 
 // Members returns the number of live daemons that this one knows, itself included.
@@ -130,7 +137,8 @@
 	for _, option := range options {
 		option(d)
 	}
-	d.started, d.learned = make(chan struct{}), make(chan struct{})
+	d.started, d.learned, d.restored = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+	d.store.OnRestored(d.storeRestored)
 	d.docs.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.Peers,
@@ -184,6 +192,7 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.Heartbeat(now, from, msg)
+		d.store.SawEra(msg.Targets.Era)
 		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version()) || msg.Evacuations.After(d.fleet.EvacuationsVersion())
 		if d.peers.sawNewer(from, newer, newer && d.isReader()) {
 			go d.pull(from)
@@ -220,16 +229,25 @@
 	return proto.Done{}
 }
 
-// noteStart lets requests in once the daemon knows the configuration, the targets and the other daemons.
+// noteStart lets requests in once the daemon knows the configuration, the targets and the other daemons. One that the store turns
+// away has the first two from others, and does not wait for the list of daemons for long.
 func (d *Relay) noteStart() {
-	if d.known() && d.rowsRead.Load() {
-		d.startOnce.Do(func() {
-			d.log.Info("started", "routing", d.tables.Version(), "targets", d.fleet.Version(), "members", d.peers.Count())
-			close(d.started)
-		})
+	switch {
+	case !d.known():
+	case d.rowsRead.Load():
+		d.start()
+	default:
+		d.waitOnce.Do(func() { d.clock.AfterFunc(rowsWait, d.start) })
 	}
 }
 
+func (d *Relay) start() {
+	d.startOnce.Do(func() {
+		d.log.Info("started", "routing", d.tables.Version(), "targets", d.fleet.Version(), "members", d.peers.Count(), "listRead", d.rowsRead.Load())
+		close(d.started)
+	})
+}
+
 // Ready tells the balancer whether to send requests, and else why not.
 func (d *Relay) Ready() (ok bool, reason string) {
 	switch {
@@ -298,6 +316,8 @@
 		}),
 		d.every(sweepEvery, func() {
 			d.noteFleet(d.fleet.Sweep(d.clock.Now()), "time")
+			d.judgeAnew(d.fleet.VoidOver(d.clock.Now()))
+			d.endHeldEvacuations(d.clock.Now())
 			d.exchange.Sweep()
 			d.placer.Sweep()
 			d.ends.Sweep()
--- a/serve/relayclock_test.go
+++ b/serve/relayclock_test.go
@@ -44,20 +44,20 @@
 		{"the share of common limits, by the own row", timing.Lease, func(clock *state.Clock, steady *clockwork.FakeClock) func() bool {
 			c := coord.NewCensus("vm", timing)
 			c.Begin(clock.Now(), true)
-			c.Wrote(clock.Now())
+			c.Wrote(clock.Now(), 0)
 			steady.Advance(window)
 			return func() bool {
 				// The rows are read at once when the VM goes on; only the own one is old.
-				c.Read(clock.Now(), clock.Now(), nil)
+				c.Read(clock.Now(), clock.Now(), 0, nil)
 				return c.Share(clock.Now()).Usable
 			}
 		}},
 		{"the share of common limits, by the rows of others", timing.View, func(clock *state.Clock, steady *clockwork.FakeClock) func() bool {
 			c := coord.NewCensus("vm", timing)
 			c.Begin(clock.Now(), true)
-			c.Wrote(clock.Now())
+			c.Wrote(clock.Now(), 0)
 			steady.Advance(window)
-			c.Read(clock.Now(), clock.Now(), nil)
+			c.Read(clock.Now(), clock.Now(), 0, nil)
 			return func() bool { return c.Share(clock.Now()).Usable }
 		}},
 		{"what is known of the store", staleMost, func(clock *state.Clock, _ *clockwork.FakeClock) func() bool {
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -39,6 +39,11 @@
 // routingChanged takes in rows of the operator's table that changed.
 func (d *Relay) routingChanged(e platform.Entries) {
 	d.takeEvacuations(d.evacuationsOf(e), "store")
+	d.adoptRoutingOf(e)
+}
+
+// adoptRoutingOf puts the configuration among rows in force, if it is there.
+func (d *Relay) adoptRoutingOf(e platform.Entries) {
 	for i := range e.List {
 		if e.List[i].IsRouting() && !e.List[i].Removed {
 			d.adoptRouting(e.List[i].Body, "store")
@@ -48,8 +53,8 @@
 
 // routingWhole takes in all rows of the operator's table; zones that have none are not evacuated.
 func (d *Relay) routingWhole(e platform.Entries) bool {
-	d.takeEvacuations(d.fleet.EvacuationsMissing(e.Version, d.evacuationsOf(e)), "store")
-	d.routingChanged(e)
+	d.takeEvacuations(d.fleet.EvacuationsAsOf(e.Version, d.evacuationsOf(e)), "store")
+	d.adoptRoutingOf(e)
 	return true
 }
 
@@ -262,7 +267,7 @@
 		d.log.Info("another daemon gave nothing newer", "from", from, "error", err)
 		return
 	}
-	d.noteFleet(d.fleet.LearnVoid(a.Void), string(from))
+	d.noteFleet(d.fleet.LearnVoid(d.clock.Now(), a.Void), string(from))
 	d.takeEvacuations(a.Evacuations, string(from))
 	if len(a.RoutingBody) > 0 {
 		d.adoptRouting(a.RoutingBody, string(from))
--- a/serve/relayendrows.go
+++ b/serve/relayendrows.go
@@ -89,7 +89,7 @@
 	defer cancel()
 	body, err := proto.Encode(m, 0, false, "")
 	if err == nil {
-		err = r.table.Put(ctx, string(d.self.VM), body)
+		_, err = r.table.Put(ctx, string(d.self.VM), body)
 	}
 	d.log.Info("the row of ends of targets is written, since not all daemons are reached", "ends", len(m.Ends), "bytes", len(body), "error", err)
 	if err != nil {
@@ -118,6 +118,13 @@
 	return m, true
 }
 
+// restored has the row written anew, since the store may have lost it.
+func (r *endRows) restored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dirty = len(r.own) > 0
+}
+
 func (r *endRows) failed(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -83,6 +83,8 @@
 	Routing uint64      `json:"routing"`
 	// Fleet is the revision of the list of targets, as the log writes it.
 	Fleet string `json:"fleet"`
+	// Era counts the restorations of the store; 0 if it does not tell.
+	Era uint64 `json:"storeEra,omitempty"`
 	// Evacuated are the availability zones that get nothing more.
 	Evacuated []string `json:"evacuated,omitempty"`
 	// RoutingAge and TargetsAge are how long ago the store last confirmed what is known of each table, to this daemon or
@@ -110,7 +112,7 @@
 	return RelayVars{
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
-		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Evacuated: d.fleet.Evacuated(), Open: d.server.Open(),
+		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.Evacuated(), Open: d.server.Open(),
 		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Cold: d.placer.ColdCounts(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
 	}
 }
@@ -126,5 +128,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "cold", v.Cold, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "cold", v.Cold, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
 }
--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -41,6 +41,8 @@
 	Incarnation proto.Incarnation `json:"incarnation"`
 	// Written is when the row was written, by the clock of its VM.
 	Written time.Time `json:"written"`
+	// Era is that of the store in which the row was written: a row that counts for others must be of the present one.
+	Era uint64 `json:"era,omitempty"`
 	// Counted says that all other daemons know of this VM when they divide what all are allowed together.
 	Counted bool `json:"counted,omitempty"`
 }
@@ -49,7 +51,11 @@
 func (d *Relay) list(ctx context.Context) {
 	l := &rowList{daemon: d}
 	for ctx.Err() == nil {
-		d.pause(ctx, l.step(ctx))
+		select {
+		case <-d.clock.After(l.step(ctx)):
+		case <-d.restored:
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -61,6 +67,8 @@
 	counted bool
 	// known says that the others knew of this VM when the daemon started.
 	known bool
+	// era is that of the store in which the own row was last looked at.
+	era uint64
 	// again says that the rows were read a second time in the first start of all daemons.
 	again bool
 }
@@ -68,6 +76,7 @@
 // step reads the rows, writes the own one if that is due, and returns how long to wait then.
 func (l *rowList) step(ctx context.Context) time.Duration {
 	d := l.daemon
+	l.restored(d.store.Era())
 	read := l.read(ctx)
 	written := !l.due() || l.write(ctx)
 	switch {
@@ -82,6 +91,15 @@
 	return listEvery
 }
 
+// restored forgets what was known of the own row in an earlier era of the store.
+func (l *rowList) restored(era uint64) {
+	if era == l.era {
+		return
+	}
+	l.era = era
+	l.wrote, l.counted, l.known = time.Time{}, false, false
+}
+
 func (l *rowList) due() bool {
 	now := l.daemon.clock.Now()
 	return l.wrote.IsZero() || now.Sub(l.wrote) >= rowEvery || l.isCounted(now) && !l.counted
@@ -92,11 +110,11 @@
 func (l *rowList) takeOver(now time.Time, row daemonRow) {
 	d := l.daemon
 	age := now.Sub(row.Written)
-	if !l.wrote.IsZero() || row.Zone != d.self.Zone || row.Peer != d.self.Peer || age < 0 || age >= rowEvery {
+	if !l.wrote.IsZero() || row.Zone != d.self.Zone || row.Peer != d.self.Peer || age < 0 || age >= rowEvery || row.Era != l.era {
 		return
 	}
 	l.wrote, l.counted = now.Add(-age), row.Counted
-	d.census.Wrote(l.wrote)
+	d.census.Wrote(l.wrote, l.era)
 }
 
 // isCounted tells whether the others know of this VM.
@@ -111,18 +129,23 @@
 	sent := d.clock.Now()
 	row := daemonRow{
 		Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation,
-		Written: sent.UTC().Round(0), Counted: l.isCounted(sent),
+		Written: sent.UTC().Round(0), Counted: l.isCounted(sent), Era: l.era,
 	}
 	body, err := json.Marshal(row)
+	era := l.era
 	if err == nil {
-		err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
+		era, err = d.store.Daemons().Put(ctx, string(d.self.VM), body)
+	}
+	if err == nil && era != l.era {
+		// The row names an earlier era than the one in which the store has it.
+		err = fault("write row", proto.KindConflict, "the store was restored meanwhile: era %d, before %d", era, l.era)
 	}
 	if err != nil {
 		d.log.Debug("the own row is not written", "error", err)
 		return false
 	}
 	l.wrote, l.counted = sent, row.Counted
-	d.census.Wrote(sent)
+	d.census.Wrote(sent, era)
 	return true
 }
 
@@ -136,6 +159,7 @@
 		d.log.Debug("the list of daemons is not read", "error", err)
 		return false
 	}
+	l.restored(rows.Version.Era)
 	now := d.clock.Now()
 	versions := map[proto.VM]proto.Revision{}
 	known := d.settings.FirstStart
@@ -147,11 +171,11 @@
 			own = row
 		}
 	}
-	known = known || own.Counted && now.Sub(own.Written) < censusTiming(d.settings).RowAge()
+	known = known || own.Counted && own.Era == l.era && now.Sub(own.Written) < censusTiming(d.settings).RowAge()
 	l.known = l.known || known && !d.rowsRead.Load()
 	l.takeOver(now, own)
 	d.census.Begin(now, known)
-	d.removeOld(d.census.Read(asked, now, versions), versions)
+	d.removeOld(d.census.Read(asked, now, rows.Version.Era, versions), versions)
 	d.rowsRead.Store(true)
 	d.noteStart()
 	return true
--- a/serve/relaystart.go
+++ b/serve/relaystart.go
@@ -35,7 +35,7 @@
 	for range seeds {
 		if a, ok := (<-answers).(proto.RoutingAnswer); ok && len(a.RoutingBody) > 0 && a.Whole {
 			d.log.Info("the store's tables are taken from another daemon", "targets", len(a.TargetEntries), "version", a.Targets)
-			d.noteFleet(d.fleet.LearnVoid(a.Void), "another daemon")
+			d.noteFleet(d.fleet.LearnVoid(d.clock.Now(), a.Void), "another daemon")
 			d.takeEvacuations(a.Evacuations, "another daemon")
 			d.adoptRouting(a.RoutingBody, "another daemon")
 			d.takeTargets(a.Targets, a.TargetEntries, "another daemon", true)
--- a/serve/relayzones.go
+++ b/serve/relayzones.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"time"
 
 	"emberlead/platform"
 	"emberlead/proto"
@@ -29,6 +30,13 @@
 	return list
 }
 
+// endHeldEvacuations ends those that the store lost in a restoration and that the operator did not ask for again.
+func (d *Relay) endHeldEvacuations(now time.Time) {
+	if ends := d.fleet.HeldEvacuations(now); len(ends) > 0 {
+		d.takeEvacuations(ends, "time")
+	}
+}
+
 // takeEvacuations puts evacuations and ends of them in force, and has the other daemons hear of what is new.
 func (d *Relay) takeEvacuations(list []proto.Evacuation, from string) {
 	if len(list) == 0 {
@@ -41,7 +49,7 @@
 		if e.Over {
 			message = "availability zone in service again"
 		}
-		d.log.Info(message, "zone", e.Zone, "version", e.Version, "targets", d.fleet.InZone(e.Zone), "from", from)
+		d.log.Info(message, "zone", e.Zone, "version", e.Version, "targets", d.fleet.InZone(e.Zone), "held", e.Held, "from", from)
 	}
 	if len(changed) > 0 {
 		d.peers.members.Beat(now)
