A pool whose targets are crowded sends nothing to those that fail

Change: the placing daemon says that all are crowded, and the request is refused at once.

Test: 19 of 21 engines fail, and the others have as many requests as they may have; fails before.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -343,6 +343,8 @@
 	Lease  uint64 `cbor:"2,keyasint,omitempty"`
 	// Times are those that the placing daemon has learnt of the pool.
 	Times EngineTimes `cbor:"3,keyasint"`
+	// Crowded says that each target in good health has as many requests as it may have at a time, so that none is to be sent.
+	Crowded bool `cbor:"4,keyasint,omitempty"`
 }
 
 // PlaceNote tells how far a placed request has come.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -182,6 +182,7 @@
 const (
 	reasonNoTarget = "the pool has no target that may get work"
 	reasonHomes    = "the pool has no target in the regions that the request is bound to"
+	reasonCrowded  = "each target of the pool has as many requests as it may have at a time"
 	reasonCold     = "the targets of the pool are cold, and get no more for the moment"
 )
 
@@ -189,6 +190,9 @@
 	if f.homes.Bound && f.server.fleet.Open(f.pool, f.homes) == 0 {
 		return reasonHomes
 	}
+	if f.server.fleet.Crowded(f.server.clock.Now(), f.pool) {
+		return reasonCrowded
+	}
 	if _, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool); cold {
 		return reasonCold
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -74,7 +74,8 @@
 	Cold map[string]bool
 }
 
-// Pick returns the target with the least expected delay, with an attempt begun on it, or nil if there is none.
+// Pick returns the target with the least expected delay, with an attempt begun on it, or nil if there is none: also where each that
+// is in good health has as many requests as it may have at a time.
 func (f *Fleet) Pick(now time.Time, pool string, w Want) *Target {
 	p := f.pool(pool)
 	if p == nil {
@@ -85,9 +86,9 @@
 	if w.Engine {
 		p.notePrompt(now, w)
 	}
-	best := p.best(now, w, false)
-	if best == nil {
-		best = p.best(now, w, true)
+	best, crowded := p.best(now, w, false)
+	if best == nil && !crowded {
+		best, _ = p.best(now, w, true)
 	}
 	if best == nil {
 		return nil
@@ -144,19 +145,23 @@
 	return int(cacheShare * float64(p.memory))
 }
 
-// best returns the cheapest target; without any in good health, one that was left out is better than none.
-func (p *targetPool) best(now time.Time, w Want, failing bool) *Target {
+// best returns the cheapest target, and whether one was left out since it is crowded; without any in good health, one that was
+// left out is better than none.
+func (p *targetPool) best(now time.Time, w Want, failing bool) (best *Target, crowded bool) {
 	home := p.homeOf(now, w)
 	long := p.isLong(now, w.Route)
 	p.token, p.stream = p.model.rates()
-	var best *Target
 	least := math.Inf(1)
 	// The search begins at another target each time, so that equal ones share the work.
 	p.turn++
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
 		cold := p.isCold(now, t)
-		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || !failing && (t.doubted || t.health.out(now) || p.crowded(now, t)) {
+		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
+			continue
+		}
+		if !failing && p.crowded(now, t) {
+			crowded = true
 			continue
 		}
 		c := t.cost(now, w, home, long)
@@ -167,7 +172,28 @@
 			best, least = t, c
 		}
 	}
-	return best
+	return best, crowded
+}
+
+// Crowded tells whether each target of a pool that is in good health has as many requests as it may have at a time.
+func (f *Fleet) Crowded(now time.Time, pool string) bool {
+	p := f.pool(pool)
+	if p == nil {
+		return false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	crowded := false
+	for _, t := range p.list {
+		if t.closed() || t.doubted || t.health.out(now) {
+			continue
+		}
+		if !p.crowded(now, t) {
+			return false
+		}
+		crowded = true
+	}
+	return crowded
 }
 
 // homeOf picks a target for a prompt part by rendezvous hashing, so that all daemons agree without a message.
--- a/relay/coldsends_test.go
+++ b/relay/coldsends_test.go
@@ -232,6 +232,33 @@
 	}
 }
 
+// TestACrowdedPoolSendsNothingToTargetsThatFail has 19 of 21 engines fail, and more requests than the others may have at a time: what
+// they may not have is not sent to the ones that fail.
+func TestACrowdedPoolSendsNothingToTargetsThatFail(t *testing.T) {
+	f := coldFleet(21, 0)
+	want := Want{Engine: true, Route: "r", OwnTokens: 20}
+	failing := map[string]bool{}
+	for range 19 {
+		target := f.Pick(start, "p", Want{Engine: true, Tried: failing})
+		failing[target.Spec.ID] = true
+		f.Ended(start, target, Want{Engine: true}, false, VerdictBad, Load{})
+	}
+	sent := 0
+	for range 100 {
+		target := f.Pick(start.Add(10*time.Millisecond), "p", want)
+		if target == nil {
+			continue
+		}
+		sent++
+		if failing[target.Spec.ID] {
+			t.Fatalf("%s fails, and was chosen since the others are crowded", target.Spec.ID)
+		}
+	}
+	if sent == 0 || !f.Crowded(start.Add(10*time.Millisecond), "p") {
+		t.Errorf("%d requests were sent", sent)
+	}
+}
+
 // TestNoTargetGetsMoreThanAColdOneMay has all requests share one long part of their prompts: their home may have become cold
 // a second ago, and nobody knows it yet.
 func TestNoTargetGetsMoreThanAColdOneMay(t *testing.T) {
--- a/relay/place.go
+++ b/relay/place.go
@@ -86,7 +86,7 @@
 func (p *Placer) choose(ctx context.Context, pool string, w Want) *Placed {
 	if w.Engine {
 		if owner := p.peers.Owner("place/"+pool, nil); owner != "" && owner != p.self {
-			if placed := p.remote(ctx, owner, pool, w); placed != nil {
+			if placed, decided := p.remote(ctx, owner, pool, w); decided {
 				return placed
 			}
 		}
@@ -98,7 +98,8 @@
 	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w}
 }
 
-func (p *Placer) remote(ctx context.Context, owner proto.VM, pool string, w Want) *Placed {
+// remote asks the daemon that places for the pool; it has decided unless this daemon should choose alone.
+func (p *Placer) remote(ctx context.Context, owner proto.VM, pool string, w Want) (placed *Placed, decided bool) {
 	ctx, cancel := context.WithTimeout(ctx, placeWait)
 	defer cancel()
 	without := p.fleet.Out(p.clock.Now(), pool)
@@ -110,18 +111,21 @@
 		Cold: slices.Collect(maps.Keys(w.Cold)), Homes: w.Homes,
 	})
 	a, ok := m.(proto.PlaceAnswer)
+	if err == nil && ok && a.Crowded {
+		return nil, true
+	}
 	if err != nil || !ok || a.Target == "" {
 		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err)
-		return nil
+		return nil, false
 	}
 	p.fleet.AdoptEngineTimes(pool, a.Times)
 	t := p.fleet.Take(p.clock.Now(), pool, a.Target, w)
 	if t == nil {
 		p.peers.Send(owner, proto.PlaceNote{Pool: pool, Lease: a.Lease})
 		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "target", a.Target, "reason", "it is not listed here")
-		return nil
+		return nil, false
 	}
-	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}
+	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}, true
 }
 
 // Began notes that the target has read the prompt.
@@ -155,7 +159,7 @@
 	}
 	t := p.fleet.Pick(now, ask.Pool, w)
 	if t == nil {
-		return proto.PlaceAnswer{}
+		return proto.PlaceAnswer{Crowded: p.fleet.Crowded(now, ask.Pool)}
 	}
 	id, times := p.fleet.Spec(t).ID, p.fleet.EngineTimes(ask.Pool)
 	p.mu.Lock()
