Requests for a pool of engines that is busy are admitted before they are begun

Engines have no admission of their own.

The daemon that places for the pool decides; others ask it only while it says that the pool is busy, so calm pools cost nothing. Refused callers come back at moments spread over the time in which they can still be in time. A daemon without an answer begins the request.

--- a/proto/codec.go
+++ b/proto/codec.go
@@ -126,4 +126,6 @@
 	MessageDeaths:         reader[Deaths],
 	MessageNews:           reader[News],
 	MessageTargetEnds:     reader[TargetEnds],
+	MessageAdmitAsk:       reader[AdmitAsk],
+	MessageAdmitAnswer:    reader[AdmitAnswer],
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -51,6 +51,8 @@
 	MessageNews
 	MessageConfirmed
 	MessageTargetEnds
+	MessageAdmitAsk
+	MessageAdmitAnswer
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -350,6 +352,8 @@
 func (Deaths) messageKind() MessageKind         { return MessageDeaths }
 func (News) messageKind() MessageKind           { return MessageNews }
 func (TargetEnds) messageKind() MessageKind     { return MessageTargetEnds }
+func (AdmitAsk) messageKind() MessageKind       { return MessageAdmitAsk }
+func (AdmitAnswer) messageKind() MessageKind    { return MessageAdmitAnswer }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -337,6 +337,35 @@
 	Stream time.Duration `cbor:"3,keyasint"`
 }
 
+// AdmitAsk asks the daemon that places the requests of a pool of engines whether to begin one.
+type AdmitAsk struct {
+	Pool  string `cbor:"1,keyasint"`
+	Route string `cbor:"2,keyasint"`
+	// Digest is that of the request, the same for each of its tries, and Seed differs from try to try.
+	Digest RequestDigest `cbor:"3,keyasint"`
+	Seed   uint64        `cbor:"4,keyasint"`
+	Rank   int           `cbor:"5,keyasint,omitempty"`
+	// Own is the number of tokens of its prompt that no other shares.
+	Own int `cbor:"6,keyasint"`
+	// Slack is how much longer than its stages and its first event take it may wait to be in time.
+	Slack time.Duration `cbor:"7,keyasint"`
+}
+
+// AdmitAnswer says whether to begin a request.
+type AdmitAnswer struct {
+	// Refused says that the engines cannot take it in time, and Wait when its caller should come back.
+	Refused bool          `cbor:"1,keyasint,omitempty"`
+	Wait    time.Duration `cbor:"2,keyasint,omitempty"`
+	// Queue is how long the engines take to read the prompts that they have, Engines the number of usable ones, Rate how many tokens
+	// a second are begun, and Share the part of the requests of the same rank that is.
+	Queue   time.Duration `cbor:"3,keyasint,omitempty"`
+	Engines int           `cbor:"4,keyasint,omitempty"`
+	Rate    float64       `cbor:"5,keyasint,omitempty"`
+	Share   float64       `cbor:"6,keyasint,omitempty"`
+	// Busy says that requests for the pool are to be admitted before they are begun.
+	Busy bool `cbor:"7,keyasint,omitempty"`
+}
+
 // PlaceAnswer names the target, and the lease under which its load is counted; Target is empty if there is none.
 type PlaceAnswer struct {
 	Target string `cbor:"1,keyasint,omitempty"`
@@ -345,6 +374,8 @@
 	Times EngineTimes `cbor:"3,keyasint"`
 	// Crowded says that each target in good health has as many requests as it may have at a time, so that none is to be sent.
 	Crowded bool `cbor:"4,keyasint,omitempty"`
+	// Busy says that requests for the pool are to be admitted before they are begun.
+	Busy bool `cbor:"5,keyasint,omitempty"`
 }
 
 // PlaceNote tells how far a placed request has come.
--- a/proto/revision.go
+++ b/proto/revision.go
@@ -36,6 +36,9 @@
 	return strconv.FormatUint(r.Era, 10) + ":" + version
 }
 
+// MarshalText writes the revision as String does, for logs and metrics.
+func (r Revision) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
 // Latest returns the newer of two revisions.
 func Latest(a, b Revision) Revision {
 	if b.After(a) {
--- /dev/null
+++ b/relay/admit.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"math"
+	"time"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// Figures of the admission of requests to pools of engines.
+const (
+	// admitGap stands in for the shortest pause between events that streams of a pool allow, where no route names one.
+	admitGap = 500 * time.Millisecond
+	// queueShare is the part of that pause which prompts should wait at the engines of a busy pool: with less, engines have nothing to
+	// read at times, and with the whole pause their streams are late, since prompts are read between the tokens of streams.
+	queueShare = 0.7
+	// queueMost is how many times that wait is too long for any request.
+	queueMost = 3
+	// rateStep is by what part more or less is begun than engines read, if nothing waits there or twice of what should. With stages
+	// that take a second, a larger step swings.
+	rateStep = 0.15
+	// rateLeast bounds how much less is begun than engines read.
+	rateLeast = 0.7
+	// idleShare is the part of the wait below which engines count as idle, and idleStep and idleRate how much is begun for them then at
+	// the least: so much more than they read, and the part of what they read without streams that they read beside these.
+	idleShare, idleStep, idleRate = 0.25, 1.4, 0.5
+	// floorShare is the part of its share of what can be begun that each rank is left: urgent requests go first, and the least urgent
+	// ones of one kind are not refused as long as any of a more urgent kind come.
+	floorShare = 0.5
+	// busyFrom is the part of the wait from which on requests are to be admitted, and busyFor how long each word of that holds. While
+	// engines have less to read, nobody is asked and nothing is counted.
+	busyFrom, busyFor = 0.6, 2 * time.Second
+	// lostShare is the part of the engines that were usable lately below which a pool has lost so many that requests are to be
+	// admitted at once, before the prompts that are on their way make the engines late; lostFor is how long that holds.
+	lostShare, lostFor = 0.75, 5 * time.Second
+	// usualHalf is how soon the usual number of engines follows a smaller one.
+	usualHalf = 5 * time.Second
+	// rateHalf is the half-life of the rates of what is asked for and of what is read, and perHalf what such a sum is a second.
+	rateHalf = time.Second
+	perHalf  = math.Ln2
+	// returnsKept is how long it is remembered that a request was refused: callers come back within a third of their time.
+	returnsKept = 10 * time.Second
+	// returnsMost bounds how many refused requests are remembered.
+	returnsMost = 50_000
+	// returnPart is the part of the time for which a request can wait and be in time, within which its caller is to come back.
+	returnPart = 0.7
+)
+
+// engineLoad is what a pool of engines has to do, as far as the daemon that places for it knows.
+type engineLoad struct {
+	// usable is the number of engines that take requests, and free that of places for requests there.
+	usable, free int
+	// waiting are the tokens of prompts that wait at engines while these read another one; most is how many all read in a second without streams beside, and read
+	// how many they have lately read.
+	waiting, most, read float64
+	// gap is the shortest pause that streams of the pool allow.
+	gap time.Duration
+}
+
+// queue is how long prompts wait at the engines before they are read.
+func (l *engineLoad) queue() time.Duration {
+	rate := max(l.read, idleRate*l.most)
+	if rate == 0 {
+		return time.Minute
+	}
+	return min(time.Minute, time.Duration(l.waiting/rate*float64(time.Second)))
+}
+
+// wanted is how long prompts should wait.
+func (l *engineLoad) wanted() time.Duration { return time.Duration(queueShare * float64(l.gap)) }
+
+// engineLoad returns what a pool has to do. Engines that failed last count for nothing until one answers.
+func (f *Fleet) engineLoad(now time.Time, pool string) engineLoad {
+	load := engineLoad{gap: admitGap}
+	p := f.pool(pool)
+	if p == nil {
+		return load
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	token, _ := p.model.rates()
+	for _, t := range p.list {
+		if t.closed() || t.doubted || t.health.inRow > 0 || p.isCold(now, t) {
+			continue
+		}
+		load.usable++
+		load.free += max(0, t.Spec.Slots-t.active)
+		load.waiting += float64(t.waiting())
+		load.most += 1000 / (token * t.pace)
+	}
+	load.read = perHalf * p.read.Value(now, rateHalf)
+	load.gap = p.shortestGap(now)
+	return load
+}
+
+// waiting is how many tokens wait while the engine reads the prompt that it was given first.
+func (t *Target) waiting() int {
+	if len(t.reads) == 0 {
+		return 0
+	}
+	return t.unread - t.reads[0].tokens
+}
+
+// shortestGap is the shortest pause that streams of the routes allow which have lately sent prompts.
+func (p *targetPool) shortestGap(now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, r := range p.prompts {
+		if r.gap > 0 && (shortest == 0 || r.gap < shortest) && r.requests.Value(now, promptHalf) > 1 {
+			shortest = r.gap
+		}
+	}
+	if shortest == 0 {
+		return admitGap
+	}
+	return shortest
+}
+
+// missingOf is how many tokens of shared parts engines read for a request of a route, on average.
+func (f *Fleet) missingOf(now time.Time, pool, route string) float64 {
+	p := f.pool(pool)
+	if p == nil {
+		return 0
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	r := p.prompts[route]
+	if r == nil {
+		return 0
+	}
+	n := r.requests.Value(now, promptHalf)
+	if n == 0 {
+		return 0
+	}
+	return r.missing.Value(now, promptHalf) / n
+}
+
+// admission decides which requests for a pool of engines are begun while the engines are busy: as many tokens a second as engines
+// read, somewhat more or less by what waits there, the urgent ranks first. It has a lock of its user.
+type admission struct {
+	// asked is how many tokens requests of each rank bring.
+	asked []state.Decay
+	// refused holds when requests were refused first, by digest.
+	refused map[proto.RequestDigest]time.Time
+	// usual is the number of usable engines lately, as of usualAt, and lostUntil until when a loss of many of them counts.
+	usual     float64
+	usualAt   time.Time
+	lostUntil time.Time
+	busyUntil time.Time
+}
+
+func newAdmission() *admission {
+	return &admission{refused: map[proto.RequestDigest]time.Time{}}
+}
+
+// look takes in the load, and tells whether requests are to be admitted before they are begun.
+func (a *admission) look(now time.Time, load engineLoad) bool {
+	usable := float64(load.usable)
+	if usable < lostShare*a.usual {
+		a.lostUntil = now.Add(lostFor)
+	}
+	if usable >= a.usual {
+		a.usual = usable
+	} else {
+		a.usual -= (a.usual - usable) * (1 - state.Fading(now.Sub(a.usualAt), usualHalf))
+	}
+	a.usualAt = now
+	if load.queue() > time.Duration(busyFrom*float64(load.wanted())) || load.free == 0 || now.Before(a.lostUntil) {
+		a.busyUntil = now.Add(busyFor)
+	}
+	return now.Before(a.busyUntil)
+}
+
+// rate is how many tokens a second of requests are begun.
+func (a *admission) rate(load engineLoad) float64 {
+	over := float64(load.queue())/float64(load.wanted()) - 1
+	if over < idleShare-1 {
+		return max(idleStep*load.read, idleRate*load.most)
+	}
+	return load.read * max(rateLeast, 1-rateStep*over)
+}
+
+// share is the part of the requests of a rank that is begun: each rank has a floor, and what is left goes to the urgent ones first.
+func (a *admission) share(now time.Time, rate float64, rank int) float64 {
+	all, before, own := 0.0, 0.0, 0.0
+	for r := range a.asked {
+		asked := perHalf * a.asked[r].Value(now, rateHalf)
+		all += asked
+		switch {
+		case r < rank:
+			before += asked
+		case r == rank:
+			own = asked
+		}
+	}
+	if all <= rate || own == 0 {
+		return 1
+	}
+	floor := floorShare * rate / all
+	left := rate - floor*all - (1-floor)*before
+	return min(1, floor+max(0, left)/own)
+}
+
+// decide answers for a request that brings so many tokens to read.
+func (a *admission) decide(now time.Time, load engineLoad, ask *proto.AdmitAsk, tokens float64) proto.AdmitAnswer {
+	for len(a.asked) <= ask.Rank {
+		a.asked = append(a.asked, state.Decay{})
+	}
+	a.asked[ask.Rank].Add(now, rateHalf, tokens)
+	slack := ask.Slack
+	if first, came := a.refused[ask.Digest]; came {
+		slack -= now.Sub(first)
+	}
+	rate := a.rate(load)
+	answer := proto.AdmitAnswer{Queue: load.queue(), Engines: load.usable, Rate: rate, Share: a.share(now, rate, ask.Rank)}
+	if slack >= load.queue() && load.free > 0 && load.queue() <= queueMost*load.wanted() && share01(ask.Seed) < answer.Share {
+		return answer
+	}
+	a.noteRefused(now, ask.Digest)
+	answer.Refused, answer.Wait = true, comeBackIn(ask.Seed, slack)
+	return answer
+}
+
+// share01 maps a hash to a number from 0 to 1.
+func share01(hash uint64) float64 { return float64(hash%10_000) / 10_000 }
+
+// comeBackIn is when the caller of a refused request is to come back: callers of the same moment come back at moments that are spread
+// over the time in which they can still be in time.
+func comeBackIn(seed uint64, slack time.Duration) time.Duration {
+	room := max(0, time.Duration(returnPart*float64(slack))-retryFloor)
+	return retryFloor + time.Duration(share01(state.Mix(seed))*float64(room))
+}
+
+func (a *admission) noteRefused(now time.Time, digest proto.RequestDigest) {
+	if _, known := a.refused[digest]; known || len(a.refused) >= returnsMost {
+		return
+	}
+	a.refused[digest] = now
+}
+
+// sweep forgets the requests that were refused too long ago.
+func (a *admission) sweep(now time.Time) {
+	for digest, at := range a.refused {
+		if now.Sub(at) > returnsKept {
+			delete(a.refused, digest)
+		}
+	}
+}
--- /dev/null
+++ b/relay/admitask.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// admit asks whether to begin a request for a pool of engines while these are busy. What they cannot take in time is refused before
+// anything is done for it.
+func (f *flow) admit(ctx context.Context) *failure {
+	if f.spec.Engine == nil {
+		return nil
+	}
+	until := f.untilEngine()
+	ask := proto.AdmitAsk{
+		Pool: f.pool, Route: f.route.Name, Digest: f.digest, Seed: state.Hash(f.req.ID), Rank: f.rank, Own: f.want().OwnTokens,
+		Slack: f.due.Sub(f.server.clock.Now()) - until - f.toFirstEvent(),
+	}
+	answer, owner := f.server.placer.Admit(ctx, ask)
+	if !answer.Refused {
+		return nil
+	}
+	f.server.counts.notAdmitted.Add(1)
+	f.note("request not admitted", "pool", f.pool, "by", owner, "queue", brief(answer.Queue), "share", answer.Share, "slack", brief(ask.Slack), "rank", f.rank,
+		"engines", answer.Engines, "tokensPerSecond", int(answer.Rate))
+	return f.notRun(min(answer.Wait, max(retryFloor, f.left()/comeBackPart)), "the pool's engines have too much to read for the request to be in time")
+}
+
+// untilEngine is how long the stages of the request take on average, with their queues.
+func (f *flow) untilEngine() time.Duration {
+	longest := time.Duration(0)
+	for i := range f.route.Stages {
+		if f.pieces(i) > 0 && len(f.route.Stages[i].After) == 0 {
+			longest = max(longest, f.meanFrom(i))
+		}
+	}
+	return longest
+}
+
+// meanFrom is how long a stage and those after it take on average, with their queues.
+func (f *flow) meanFrom(stage int) time.Duration {
+	rest := time.Duration(0)
+	for i := range f.route.Stages {
+		if f.pieces(i) > 0 && contains(f.route.Stages[i].After, stage) {
+			rest = max(rest, f.meanFrom(i))
+		}
+	}
+	pool := f.route.Stages[stage].Pool
+	return f.server.pieces.Queue(pool, f.rank) + f.server.callTimes.mean(pool, f.stageLength(stage)) + rest
+}
+
+// Admit returns whether to begin a request, by the daemon that places for its pool, which is returned as well. While the pool is not
+// busy nobody is asked; without an answer it is begun.
+func (p *Placer) Admit(ctx context.Context, ask proto.AdmitAsk) (proto.AdmitAnswer, proto.VM) {
+	owner := p.peers.Owner(placeTask+ask.Pool, nil)
+	if owner == "" || owner == p.self {
+		if !p.isBusy(p.clock.Now(), ask.Pool) {
+			return proto.AdmitAnswer{}, ""
+		}
+		return p.Decide(ask), p.self
+	}
+	if !p.saidBusy(ask.Pool) {
+		return proto.AdmitAnswer{}, ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, placeWait)
+	defer cancel()
+	m, err := p.peers.Call(ctx, owner, ask)
+	answer, ok := m.(proto.AdmitAnswer)
+	if err != nil || !ok {
+		p.log.Info("a request is begun without asking", "pool", ask.Pool, "owner", owner, "error", err)
+		return proto.AdmitAnswer{}, ""
+	}
+	p.noteBusy(ask.Pool, answer.Busy)
+	return answer, owner
+}
+
+// Decide answers whether to begin a request.
+func (p *Placer) Decide(ask proto.AdmitAsk) proto.AdmitAnswer {
+	now := p.clock.Now()
+	load := p.fleet.engineLoad(now, ask.Pool)
+	tokens := float64(ask.Own) + p.fleet.missingOf(now, ask.Pool, ask.Route)
+	p.admitMu.Lock()
+	defer p.admitMu.Unlock()
+	a := p.admissionOf(ask.Pool)
+	busy := a.look(now, load)
+	answer := a.decide(now, load, &ask, tokens)
+	answer.Busy = busy
+	return answer
+}
+
+func (p *Placer) admissionOf(pool string) *admission {
+	a := p.admissions[pool]
+	if a == nil {
+		a = newAdmission()
+		p.admissions[pool] = a
+	}
+	return a
+}
+
+// isBusy tells whether requests for a pool that this daemon places for are to be admitted before they are begun.
+func (p *Placer) isBusy(now time.Time, pool string) bool {
+	load := p.fleet.engineLoad(now, pool)
+	p.admitMu.Lock()
+	defer p.admitMu.Unlock()
+	return p.admissionOf(pool).look(now, load)
+}
+
+// noteBusy takes in the word of the daemon that places for a pool.
+func (p *Placer) noteBusy(pool string, busy bool) {
+	if !busy {
+		return
+	}
+	p.admitMu.Lock()
+	defer p.admitMu.Unlock()
+	p.busyUntil[pool] = p.clock.Now().Add(busyFor)
+}
+
+func (p *Placer) saidBusy(pool string) bool {
+	p.admitMu.Lock()
+	defer p.admitMu.Unlock()
+	return p.clock.Now().Before(p.busyUntil[pool])
+}
+
+func (p *Placer) sweepAdmissions(now time.Time) {
+	p.admitMu.Lock()
+	defer p.admitMu.Unlock()
+	for _, a := range p.admissions {
+		a.sweep(now)
+	}
+}
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -18,7 +18,7 @@
 
 // Counts are totals of requests since the start.
 type Counts struct {
-	asked, whole, late, unavailable, failed, rejected, left, broken, resumed, again, crashing atomic.Int64
+	asked, whole, late, unavailable, failed, rejected, left, broken, resumed, again, crashing, notAdmitted atomic.Int64
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -42,6 +42,8 @@
 	Retried  int64 `json:"retried"`
 	// Crashing requests were not run, since targets ended that ran them.
 	Crashing int64 `json:"crashing"`
+	// NotAdmitted requests were refused before they were begun, since engines had too much to do.
+	NotAdmitted int64 `json:"notAdmitted"`
 	// LatencyMillis holds quantiles of the time to the whole answer.
 	LatencyMillis map[string]float64 `json:"latencyMillis"`
 }
@@ -75,7 +77,7 @@
 func (c *Counts) Report() CountReport {
 	r := CountReport{
 		Asked: c.asked.Load(), Delivered: c.whole.Load(), Late: c.late.Load(), NotRun: c.unavailable.Load(), Failed: c.failed.Load(),
-		Rejected: c.rejected.Load(), Left: c.left.Load(), Broken: c.broken.Load(), Resumed: c.resumed.Load(), Retried: c.again.Load(), Crashing: c.crashing.Load(),
+		Rejected: c.rejected.Load(), Left: c.left.Load(), Broken: c.broken.Load(), Resumed: c.resumed.Load(), Retried: c.again.Load(), Crashing: c.crashing.Load(), NotAdmitted: c.notAdmitted.Load(),
 		LatencyMillis: map[string]float64{},
 	}
 	c.mu.Lock()
--- a/relay/enginemodel.go
+++ b/relay/enginemodel.go
@@ -97,7 +97,11 @@
 
 // give notes that an engine was given a prompt.
 func (t *Target) give(now time.Time, w Want) {
-	read := w.OwnTokens + t.cache.missing(w.Shared)
+	missing := t.cache.missing(w.Shared)
+	if r := t.pool.prompts[w.Route]; r != nil {
+		r.missing.Add(now, promptHalf, float64(missing))
+	}
+	read := w.OwnTokens + missing
 	t.unread += read
 	work := map[engineWork]float64{workStart: 1, workToken: float64(t.unread), workStream: float64(t.active)}
 	t.reads = append(t.reads, promptRead{own: w.OwnTokens, tokens: read, began: now, cold: now.Before(t.coldUntil), work: work})
@@ -112,6 +116,9 @@
 	r := t.reads[i]
 	t.unread -= r.tokens
 	t.reads = slices.Delete(t.reads, i, i+1)
+	if learn {
+		t.pool.read.Add(now, rateHalf, float64(r.tokens))
+	}
 	if !learn || r.cold {
 		return
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -76,6 +76,8 @@
 	// last choice.
 	token, stream float64
 	zones         ZoneCosts
+	// read is how many prompt tokens engines have lately read.
+	read state.Decay
 	// memory is how many tokens an engine of the pool keeps; 0 if that is not known.
 	memory int
 	// cold says how targets warm up, and coldMost how many requests a cold one may get within a second from all daemons.
--- a/relay/groups.go
+++ b/relay/groups.go
@@ -15,6 +15,10 @@
 // routePrompts is how long the prompts of one route are, on average over the last seconds.
 type routePrompts struct {
 	tokens, requests state.Decay
+	// missing are the tokens of shared parts that engines had to read.
+	missing state.Decay
+	// gap is the longest pause between events of the route's streams that is still in time; 0 if there is no bound.
+	gap time.Duration
 }
 
 func (r *routePrompts) mean(now time.Time) float64 {
@@ -38,6 +42,7 @@
 	}
 	r.tokens.Add(now, promptHalf, float64(w.OwnTokens))
 	r.requests.Add(now, promptHalf, 1)
+	r.gap = w.Gap
 	p.all.tokens.Add(now, promptHalf, float64(w.OwnTokens))
 	p.all.requests.Add(now, promptHalf, 1)
 	if now.Sub(p.divided) >= divideEvery || p.orderedOf != p.listed {
--- /dev/null
+++ b/relay/overload_test.go
@@ -0,0 +1,366 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+// kindOfLoad is one kind of request of the load below.
+type kindOfLoad struct {
+	route     string
+	rank      int
+	perSecond float64
+	// own and shared are tokens of the prompt, and stages how long stages take before it goes to an engine.
+	own, shared int
+	stages      time.Duration
+	// goal is within what time the first event has its full worth.
+	goal time.Duration
+}
+
+// The load is that of a platform of live scores in service: summaries that begin with one of some hundred shared parts, recaps after
+// three stages, short captions; 140 engines are a quarter busy with it, and 21 can take some two thirds.
+var liveScores = []kindOfLoad{
+	{"summary", 0, 63, 2900, 1500, 300 * time.Millisecond, 1600 * time.Millisecond},
+	{"recap", 1, 143, 1800, 0, 1100 * time.Millisecond, 3600 * time.Millisecond},
+	{"caption", 2, 42, 550, 0, 1000 * time.Millisecond, 3600 * time.Millisecond},
+}
+
+const (
+	// modelRate is how many tokens an engine of the model reads in a second, streams beside.
+	modelRate = 19_000
+	modelTick = 5 * time.Millisecond
+	modelGap  = 600 * time.Millisecond
+)
+
+// modelRequest is a request on its way.
+type modelRequest struct {
+	kind   *kindOfLoad
+	digest proto.RequestDigest
+	first  time.Time
+	tries  int
+	// at is when it goes on: to its caller's next try, or to an engine.
+	at      time.Time
+	begun   bool
+	tokens  float64
+	placed  *Placed
+	unasked bool
+}
+
+// modelEngine reads the prompts that it was given, the urgent ones first, one after the other.
+type modelEngine struct {
+	gone  bool
+	queue []*modelRequest
+	left  float64
+}
+
+// overload is a deployment of daemons before engines, of which some go at once.
+type overload struct {
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	placers []*Placer
+	fleets  []*Fleet
+	engines map[string]*modelEngine
+	waiting []*modelRequest
+	next    uint64
+	version uint64
+	// inTime counts tokens of requests whose first event was in time, by the second in which it came, and served and refused requests.
+	inTime          map[int]float64
+	served, refused map[string]int
+	asked           map[string]int
+	admits          bool
+}
+
+func newOverload(t *testing.T, engines, daemons int, seed uint64) *overload {
+	o := &overload{
+		t: t, clock: clockwork.NewFakeClockAt(start), random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*modelEngine{},
+		inTime: map[int]float64{}, served: map[string]int{}, refused: map[string]int{}, asked: map[string]int{}, admits: true,
+	}
+	all := map[proto.VM]*Placer{}
+	for i := range daemons {
+		f := NewFleet(func(string) {})
+		for e := range engines {
+			target := listed(fmt.Sprintf("e%03d", e), "p", "z")
+			target.Slots = 24
+			f.Change(start, []FleetChange{put(uint64(e+1), target)})
+			o.engines[target.ID] = &modelEngine{}
+		}
+		vm := proto.VM(fmt.Sprint("vm-", i))
+		all[vm] = NewPlacer(vm, o.clock, hclog.NewNullLogger(), f, &peersOf{self: vm, owner: "vm-0", all: all})
+		o.placers, o.fleets = append(o.placers, all[vm]), append(o.fleets, f)
+	}
+	return o
+}
+
+// arrive has callers send requests for one tick.
+func (o *overload) arrive(times float64) {
+	now := o.clock.Now()
+	for i := range liveScores {
+		k := &liveScores[i]
+		for range poisson(o.random, times*k.perSecond*modelTick.Seconds()) {
+			o.next++
+			r := &modelRequest{kind: k, first: now, at: now, digest: proto.RequestDigest(state.Hash(fmt.Sprint(o.next)))}
+			o.asked[k.route]++
+			o.waiting = append(o.waiting, r)
+		}
+	}
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	n := 0
+	for at := r.ExpFloat64(); at < mean; at += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+func (o *overload) step(times float64) {
+	o.clock.Advance(modelTick)
+	o.arrive(times)
+	now := o.clock.Now()
+	due := o.waiting
+	o.waiting = nil
+	for _, r := range due {
+		switch {
+		case now.Before(r.at):
+			o.waiting = append(o.waiting, r)
+		case r.begun:
+			o.place(r)
+		default:
+			o.begin(r)
+		}
+	}
+	for id, e := range o.engines {
+		o.read(id, e)
+	}
+	for _, p := range o.placers {
+		p.Sweep()
+	}
+}
+
+// begin asks whether to begin a request; a caller that is refused comes back once.
+func (o *overload) begin(r *modelRequest) {
+	now := o.clock.Now()
+	p := o.placers[o.random.IntN(len(o.placers))]
+	r.tries++
+	if o.admits {
+		answer, _ := p.Admit(context.Background(), proto.AdmitAsk{
+			Pool: "p", Route: r.kind.route, Digest: r.digest, Seed: o.random.Uint64(), Rank: r.kind.rank, Own: r.kind.own,
+			Slack: r.first.Add(r.kind.goal).Sub(now) - r.kind.stages - 200*time.Millisecond,
+		})
+		if answer.Refused {
+			o.refuse(r, answer.Wait)
+			return
+		}
+	}
+	r.begun, r.at = true, now.Add(r.kind.stages)
+	o.waiting = append(o.waiting, r)
+}
+
+func (o *overload) refuse(r *modelRequest, wait time.Duration) {
+	if r.tries >= 2 {
+		o.refused[r.kind.route]++
+		return
+	}
+	r.begun, r.at = false, o.clock.Now().Add(wait)
+	o.waiting = append(o.waiting, r)
+}
+
+// place sends a request to an engine; one that is gone refuses the connection, and another is tried.
+func (o *overload) place(r *modelRequest) {
+	p := o.placers[o.random.IntN(len(o.placers))]
+	w := Want{
+		Engine: true, Route: r.kind.route, Rank: r.kind.rank, OwnTokens: r.kind.own, Gap: modelGap, Zone: "z", Tried: map[string]bool{},
+		Shared: []proto.PromptShare{{ID: fmt.Sprint(r.kind.route, o.random.IntN(200)), Tokens: r.kind.shared}},
+	}
+	for range attemptsMost {
+		placed := p.Choose(context.Background(), "p", w)
+		if placed == nil {
+			break
+		}
+		e := o.engines[placed.Spec.ID]
+		if e.gone {
+			w.Tried[placed.Spec.ID] = true
+			placed.Ended(VerdictBad, Load{})
+			continue
+		}
+		r.placed, r.tokens = placed, float64(r.kind.own+r.kind.shared/2)
+		at := slices.IndexFunc(e.queue, func(q *modelRequest) bool { return q.kind.rank > r.kind.rank && q != e.queue[0] })
+		if at < 0 {
+			at = len(e.queue)
+		}
+		e.queue = slices.Insert(e.queue, at, r)
+		return
+	}
+	o.refuse(r, retryFloor)
+}
+
+// read has an engine read for one tick.
+func (o *overload) read(_ string, e *modelEngine) {
+	if e.gone {
+		return
+	}
+	tokens := modelRate * modelTick.Seconds()
+	for len(e.queue) > 0 && tokens > 0 {
+		r := e.queue[0]
+		part := min(tokens, r.tokens)
+		r.tokens -= part
+		tokens -= part
+		if r.tokens > 0 {
+			return
+		}
+		e.queue = e.queue[1:]
+		o.firstEvent(r)
+	}
+}
+
+func (o *overload) firstEvent(r *modelRequest) {
+	now := o.clock.Now()
+	r.placed.Began()
+	r.placed.Ended(VerdictGood, Load{})
+	o.served[r.kind.route]++
+	if !now.After(r.first.Add(r.kind.goal)) {
+		o.inTime[int(now.Sub(start).Seconds())] += float64(r.kind.own + r.kind.shared/2)
+	}
+}
+
+// lose has engines go at once, with what they read; their entries stay until they lapse.
+func (o *overload) lose(count int) {
+	for i := range count {
+		e := o.engines[fmt.Sprintf("e%03d", i)]
+		e.gone = true
+		for _, r := range e.queue {
+			r.placed.Ended(VerdictBad, Load{})
+			r.at = o.clock.Now()
+			o.waiting = append(o.waiting, r)
+		}
+		e.queue = nil
+	}
+}
+
+// lapse has the entries of engines that are gone be removed.
+func (o *overload) lapse(count int) {
+	for i := range count {
+		o.change(func(version uint64) FleetChange { return removed(version, fmt.Sprintf("e%03d", i)) })
+	}
+}
+
+// come has new engines list themselves.
+func (o *overload) come(count int) {
+	for i := range count {
+		target := listed(fmt.Sprintf("new%03d", i), "p", "z")
+		target.Slots = 24
+		o.engines[target.ID] = &modelEngine{}
+		o.change(func(version uint64) FleetChange { return put(version, target) })
+	}
+}
+
+func (o *overload) change(of func(version uint64) FleetChange) {
+	o.version++
+	for _, f := range o.fleets {
+		f.Change(o.clock.Now(), []FleetChange{of(1000 + o.version)})
+	}
+}
+
+func (o *overload) play(length time.Duration, times float64) {
+	for end := o.clock.Now().Add(length); o.clock.Now().Before(end); {
+		o.step(times)
+	}
+}
+
+// between is how many tokens of requests in time were read in some seconds, a second.
+func (o *overload) between(from, to int) float64 {
+	sum := 0.0
+	for s := from; s < to; s++ {
+		sum += o.inTime[s]
+	}
+	return sum / float64(to-from)
+}
+
+// offered is how many tokens callers ask for in a second.
+func offered(times float64) float64 {
+	sum := 0.0
+	for i := range liveScores {
+		k := &liveScores[i]
+		sum += times * k.perSecond * float64(k.own+k.shared/2)
+	}
+	return sum
+}
+
+// TestMostOfAPoolOfEnginesIsLost has 119 of 140 engines go at once, with and without a burst after it, and others come later. In each two
+// seconds from three seconds on at least 0.8 of what the others can read must be for requests that are in time, and three seconds after they
+// came all must be served in time again.
+func TestMostOfAPoolOfEnginesIsLost(t *testing.T) {
+	for _, burst := range []float64{1, 1.6} {
+		t.Run(fmt.Sprint("load times ", burst), func(t *testing.T) {
+			const engines, lost = 140, 119
+			o := newOverload(t, engines, 8, 3)
+			o.play(4*time.Second, 1)
+			if got := o.between(2, 4); got < 0.8*offered(1) {
+				t.Fatalf("before the loss %.0f tokens a second are in time of %.0f", got, offered(1))
+			}
+			o.lose(lost)
+			o.play(4*time.Second, 1)
+			o.lapse(lost)
+			o.play(2*time.Second, 1)
+			o.play(6*time.Second, burst)
+			bound := (engines - lost) * float64(modelRate)
+			for from := 8; from < 16; from += 2 {
+				if got := o.between(from, from+2); got < 0.8*min(bound, offered(1)) {
+					t.Errorf("from second %d on %.0f tokens a second are in time, the engines read %.0f", from, got, bound)
+				}
+			}
+			o.come(lost)
+			o.play(6*time.Second, 1)
+			if got := o.between(19, 22); got < 0.9*offered(1) {
+				t.Errorf("after the return %.0f tokens a second are in time of %.0f", got, offered(1))
+			}
+		})
+	}
+}
+
+// TestUrgentRequestsGoFirstWhenFewEnginesAreLeft counts who is served: the urgent kind not less often than a less urgent one, and each kind
+// at least a quarter as often as all.
+func TestUrgentRequestsGoFirstWhenFewEnginesAreLeft(t *testing.T) {
+	o := newOverload(t, 140, 8, 4)
+	o.play(3*time.Second, 1)
+	o.lose(119)
+	o.play(4*time.Second, 1)
+	o.lapse(119)
+	o.asked, o.served = map[string]int{}, map[string]int{}
+	o.play(12*time.Second, 1)
+	rate := func(route string) float64 { return float64(o.served[route]) / float64(o.asked[route]) }
+	all := float64(o.served["summary"]+o.served["recap"]+o.served["caption"]) / float64(o.asked["summary"]+o.asked["recap"]+o.asked["caption"])
+	for i, k := range liveScores {
+		if rate(k.route) < all/4 {
+			t.Errorf("%s requests are served at %.2f, all at %.2f", k.route, rate(k.route), all)
+		}
+		if i > 0 && rate(k.route) > rate(liveScores[i-1].route)+0.05 {
+			t.Errorf("%s requests are served at %.2f, more urgent ones at %.2f", k.route, rate(k.route), rate(liveScores[i-1].route))
+		}
+	}
+}
+
+// TestCalmPoolsAskNobody has no daemon ask for admission while engines have little to read, nor any request refused.
+func TestCalmPoolsAskNobody(t *testing.T) {
+	o := newOverload(t, 140, 8, 5)
+	o.play(5*time.Second, 1)
+	for _, p := range o.placers {
+		if p.saidBusy("p") || len(p.admissions) > 0 && p.admissions["p"].asked != nil {
+			t.Error("requests were admitted in a calm pool")
+		}
+	}
+	if n := o.refused["summary"] + o.refused["recap"] + o.refused["caption"]; n > 0 {
+		t.Errorf("%d requests were refused", n)
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -16,6 +16,8 @@
 const (
 	// placeWait bounds the asking for a target: the way is a millisecond, and without an answer the daemon decides alone.
 	placeWait = 60 * time.Millisecond
+	// placeTask begins the name of the task of placing the requests of a pool.
+	placeTask = "place/"
 	// leaseMost is how long a placed request is counted when nobody says how it ended.
 	leaseMost = 25 * time.Second
 )
@@ -29,6 +31,11 @@
 	fleet *Fleet
 	peers Peers
 
+	// admissions decide for the pools that this daemon places for, and busyUntil is until when requests for a pool are to be admitted
+	// by the daemon that places for it.
+	admitMu    sync.Mutex
+	admissions map[string]*admission
+	busyUntil  map[string]time.Time
 	// cold counts what this daemon sends to cold targets.
 	cold coldSends
 
@@ -47,7 +54,7 @@
 
 // NewPlacer returns a placer that has placed nothing.
 func NewPlacer(self proto.VM, clock clockwork.Clock, log hclog.Logger, fleet *Fleet, peers Peers) *Placer {
-	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}, cold: coldSends{targets: map[string]*coldTarget{}}}
+	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}, cold: coldSends{targets: map[string]*coldTarget{}}, admissions: map[string]*admission{}, busyUntil: map[string]time.Time{}}
 }
 
 // Placed is a target chosen for an attempt.
@@ -85,7 +92,7 @@
 
 func (p *Placer) choose(ctx context.Context, pool string, w Want) *Placed {
 	if w.Engine {
-		if owner := p.peers.Owner("place/"+pool, nil); owner != "" && owner != p.self {
+		if owner := p.peers.Owner(placeTask+pool, nil); owner != "" && owner != p.self {
 			if placed, decided := p.remote(ctx, owner, pool, w); decided {
 				return placed
 			}
@@ -111,6 +118,7 @@
 		Cold: slices.Collect(maps.Keys(w.Cold)), Homes: w.Homes,
 	})
 	a, ok := m.(proto.PlaceAnswer)
+	p.noteBusy(pool, a.Busy)
 	if err == nil && ok && a.Crowded {
 		return nil, true
 	}
@@ -157,16 +165,17 @@
 	for _, id := range ask.Cold {
 		w.Cold[id] = true
 	}
+	busy := p.isBusy(now, ask.Pool)
 	t := p.fleet.Pick(now, ask.Pool, w)
 	if t == nil {
-		return proto.PlaceAnswer{Crowded: p.fleet.Crowded(now, ask.Pool)}
+		return proto.PlaceAnswer{Crowded: p.fleet.Crowded(now, ask.Pool), Busy: busy}
 	}
 	id, times := p.fleet.Spec(t).ID, p.fleet.EngineTimes(ask.Pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.next++
 	p.leases[p.next] = placement{target: t, want: w, at: now}
-	return proto.PlaceAnswer{Target: id, Lease: p.next, Times: times}
+	return proto.PlaceAnswer{Target: id, Lease: p.next, Times: times, Busy: busy}
 }
 
 // Note takes in how far a placed attempt has come.
@@ -193,6 +202,7 @@
 func (p *Placer) Sweep() {
 	now := p.clock.Now()
 	p.cold.sweep(now)
+	p.sweepAdmissions(now)
 	p.mu.Lock()
 	var over []placement
 	for id, l := range p.leases {
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -35,6 +35,9 @@
 }
 
 func (p *peersOf) Call(_ context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
+	if ask, ok := m.(proto.AdmitAsk); ok && !p.cut {
+		return p.all[to].Decide(ask), nil
+	}
 	ask, ok := m.(proto.PlaceAsk)
 	if !ok || p.cut {
 		return nil, errors.New("cut off")
--- a/relay/server.go
+++ b/relay/server.go
@@ -273,6 +273,9 @@
 		return f.notRun(waitUnknown, f.noTarget())
 	}
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
+	if fail := f.admit(ctx); fail != nil {
+		return fail
+	}
 	defer f.freeAll()
 	for rebuilt := 0; ; rebuilt++ {
 		fail, lost := f.runStagesUntilTheEnd(ctx)
--- a/relay/table.go
+++ b/relay/table.go
@@ -69,6 +69,15 @@
 	return t.ranks[pool][urgencyOf(owner, route)]
 }
 
+// Urgency returns how urgent a rank is among those that requests for a pool can have: from 0 for the least urgent to 1 for the most.
+func (t *Table) Urgency(pool string, rank int) float64 {
+	last := len(t.ranks[pool]) - 1
+	if last <= 0 {
+		return 1
+	}
+	return 1 - float64(min(rank, last))/float64(last)
+}
+
 // Keyed tells whether requests need a key at all.
 func (t *Table) Keyed() bool { return len(t.routing.Workspaces) > 0 }
 
--- a/relay/typical.go
+++ b/relay/typical.go
@@ -43,6 +43,16 @@
 	t.at(key, prior).observe(took)
 }
 
+// mean is how long it takes on average, and half of the prior before anything was observed.
+func (t *typicals[K]) mean(key K, prior time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.keys[key]; known != nil {
+		return time.Duration(known.mean)
+	}
+	return prior / 2
+}
+
 // most is what is nearly always enough, and the prior before anything was observed.
 func (t *typicals[K]) most(key K, prior time.Duration) time.Duration {
 	t.mu.Lock()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -221,6 +221,8 @@
 		return d.placer.Place(msg)
 	case proto.PlaceNote:
 		d.placer.Note(msg)
+	case proto.AdmitAsk:
+		return d.placer.Decide(msg)
 	case proto.Confirmed:
 		d.hearViews(now, msg)
 	case proto.TargetEnds:
--- a/state/decay.go
+++ b/state/decay.go
@@ -19,12 +19,17 @@
 	}
 }
 
+// Fading returns what is left of 1 after a time.
+func Fading(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
+}
+
 // Value returns the sum as of the given instant; an instant before the last addition counts as that one.
 func (d *Decay) Value(now time.Time, halfLife time.Duration) float64 {
 	if d.value == 0 || !now.After(d.at) {
 		return d.value
 	}
-	return d.value * math.Exp2(-float64(now.Sub(d.at))/float64(halfLife))
+	return d.value * Fading(now.Sub(d.at), halfLife)
 }
 
 // Mean is an exponentially weighted mean with its mean absolute deviation.
