Admission: a caller with a part of its answer is not refused, and a refusal counts for one return

By reading: a caller that goes on with a stream would lose what it has; requests that several callers send alike would be taken for late returns of the first one that was refused; and places counted for daemons that have died could close a small pool.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -49,8 +49,8 @@
 
 // engineLoad is what a pool of engines has to do, as far as the daemon that places for it knows.
 type engineLoad struct {
-	// usable is the number of engines that take requests, and free that of places for requests there.
-	usable, free int
+	// usable is the number of engines that take requests.
+	usable int
 	// waiting are the tokens of prompts that wait at engines while these read another one; most is how many all read in a second without streams beside, and read
 	// how many they have lately read.
 	waiting, most, read float64
@@ -85,7 +85,6 @@
 			continue
 		}
 		load.usable++
-		load.free += max(0, t.Spec.Slots-t.active)
 		load.waiting += float64(t.waiting())
 		load.most += 1000 / (token * t.pace)
 	}
@@ -165,7 +164,7 @@
 		a.usual -= (a.usual - usable) * (1 - state.Fading(now.Sub(a.usualAt), usualHalf))
 	}
 	a.usualAt = now
-	if load.queue() > time.Duration(busyFrom*float64(load.wanted())) || load.free == 0 || now.Before(a.lostUntil) {
+	if load.queue() > time.Duration(busyFrom*float64(load.wanted())) || now.Before(a.lostUntil) {
 		a.busyUntil = now.Add(busyFor)
 	}
 	return now.Before(a.busyUntil)
@@ -209,11 +208,13 @@
 	a.asked[ask.Rank].Add(now, rateHalf, tokens)
 	slack := ask.Slack
 	if first, came := a.refused[ask.Digest]; came {
+		// Each refusal counts for one return: other callers may send the same.
 		slack -= now.Sub(first)
+		delete(a.refused, ask.Digest)
 	}
 	rate := a.rate(load)
 	answer := proto.AdmitAnswer{Queue: load.queue(), Engines: load.usable, Rate: rate, Share: a.share(now, rate, ask.Rank)}
-	if slack >= load.queue() && load.free > 0 && load.queue() <= queueMost*load.wanted() && share01(ask.Seed) < answer.Share {
+	if slack >= load.queue() && load.queue() <= queueMost*load.wanted() && share01(ask.Seed) < answer.Share {
 		return answer
 	}
 	a.noteRefused(now, ask.Digest)
--- a/relay/admitask.go
+++ b/relay/admitask.go
@@ -11,7 +11,8 @@
 // admit asks whether to begin a request for a pool of engines while these are busy. What they cannot take in time is refused before
 // anything is done for it.
 func (f *flow) admit(ctx context.Context) *failure {
-	if f.spec.Engine == nil {
+	if f.spec.Engine == nil || f.req.After > 0 {
+		// Who has a part of the answer loses it by a refusal.
 		return nil
 	}
 	until := f.untilEngine()
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -49,18 +49,16 @@
 	first  time.Time
 	tries  int
 	// at is when it goes on: to its caller's next try, or to an engine.
-	at      time.Time
-	begun   bool
-	tokens  float64
-	placed  *Placed
-	unasked bool
+	at     time.Time
+	begun  bool
+	tokens float64
+	placed *Placed
 }
 
 // modelEngine reads the prompts that it was given, the urgent ones first, one after the other.
 type modelEngine struct {
 	gone  bool
 	queue []*modelRequest
-	left  float64
 }
 
 // overload is a deployment of daemons before engines, of which some go at once.
