--- a/entry/trace.go
+++ b/entry/trace.go
@@ -147,7 +147,7 @@
 		}
 	}
 	for _, l := range lines {
-		if l.Request == "" && vms[l.VM] && targets[l.Target] && l.At.After(from) && !l.At.After(to) {
+		if l.Request == "" && vms[l.VM] && (targets[l.Target] || ofAllTargets[l.Message]) && l.At.After(from) && !l.At.After(to) {
 			t.context = append(t.context, l)
 		}
 	}
@@ -156,6 +156,11 @@
 	return t
 }
 
+// ofAllTargets are messages on what concerns targets without naming one.
+var ofAllTargets = map[string]bool{
+	"availability zone evacuated": true, "availability zone in service again": true, "the store is in a new era": true,
+}
+
 // end is the request's last line, which says how it ended if any does.
 func (t *trace) end() *logLine {
 	last := &t.own[len(t.own)-1]
--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const traceLog = `  12.1 vm-1 {"@level":"info","@message":"target leaving","@timestamp":"2026-12-01T09:00:01Z","target":"i-1","vm":"vm-1"}
@@ -103,3 +104,18 @@
 		})
 	}
 }
+
+// TestATraceNamesClosedZones has a zone be evacuated at the request's daemon, and another one at a daemon that it was not at.
+func TestATraceNamesClosedZones(t *testing.T) {
+	at := time.Date(2026, 12, 1, 9, 0, 5, 0, time.UTC)
+	line := func(vm, request, message string, before time.Duration) logLine {
+		return logLine{At: at.Add(-before), VM: vm, Request: request, Message: message}
+	}
+	tr := newTrace("r1", []logLine{
+		line("vm-1", "", "availability zone evacuated", 3*time.Second), line("vm-2", "", "availability zone evacuated", 3*time.Second),
+		line("vm-1", "", "target added", 2*time.Second), line("vm-1", "r1", "request refused", 0),
+	})
+	if len(tr.context) != 1 || tr.context[0].VM != "vm-1" || tr.context[0].Message != "availability zone evacuated" {
+		t.Errorf("shown beside the request: %+v", tr.context)
+	}
+}
