Results that go with their target do not make inputs be kept for seconds

Ruled out: fewer calls, the owner of the pool, the placing of prompts.

Change: a request that was sent before the time was last made longer does not make it longer again.

Test: a target's end under thirty calls.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -95,7 +95,7 @@
 	f := a.flow
 	f.sawFirstEvent(f.server.clock.Now().Sub(a.began))
 	// An engine has fetched all inputs before it reads the prompt.
-	f.noteFetched(true)
+	f.noteFetched(a.began, true)
 	f.freeAll()
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -314,11 +314,11 @@
 }
 
 // noteFetched learns whether inputs that were given up before the target answered were fetched by then.
-func (f *flow) noteFetched(fetched bool) {
+func (f *flow) noteFetched(sent time.Time, fetched bool) {
 	if !f.inputsFreed() {
 		return
 	}
-	keep := f.server.fetches.done(f.pool, fetched)
+	keep := f.server.fetches.done(f.server.clock.Now(), sent, f.pool, fetched)
 	if !fetched {
 		f.note("inputs were freed too early", "pool", f.pool, "target", f.target, "keepNext", brief(keep))
 	}
@@ -371,7 +371,7 @@
 		end.reason = "another target has the address"
 	case reply.LostInput:
 		end.reason = "an input is gone"
-		a.flow.noteFetched(false)
+		a.flow.noteFetched(a.began, false)
 	default:
 		a.verdict = VerdictFull
 		end.reason = "the target refused the request: " + http.StatusText(in.Status)
--- a/relay/fetches.go
+++ b/relay/fetches.go
@@ -25,6 +25,8 @@
 type fetches struct {
 	mu    sync.Mutex
 	waits map[string]time.Duration
+	// grown is when the time of a pool was last made longer.
+	grown map[string]time.Time
 }
 
 // wait is how long to keep the inputs of a request that was just sent.
@@ -41,17 +43,23 @@
 	return fetchPrior
 }
 
-// done takes in what came of a request whose inputs were freed before its target showed that it has them, and returns
-// how long those of the next one are kept.
-func (f *fetches) done(pool string, fetched bool) time.Duration {
+// done takes in what came of a request that was sent at a time, and whose inputs were freed before its target showed that it has
+// them; it returns how long those of the next one are kept. Requests that were sent before the time was last made longer say nothing of
+// the longer one: when a target ends, all that read its results find them gone at once, and the time would go to its bound, with
+// results kept until the ends of calls, and too little room for new ones.
+func (f *fetches) done(now, sent time.Time, pool string, fetched bool) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.waits == nil {
-		f.waits = map[string]time.Duration{}
+		f.waits, f.grown = map[string]time.Duration{}, map[string]time.Time{}
 	}
 	factor := fetchShrink
 	if !fetched {
+		if sent.Before(f.grown[pool]) {
+			return f.of(pool)
+		}
 		factor = fetchGrow
+		f.grown[pool] = now
 	}
 	keep := max(fetchLeast, min(fetchMost, time.Duration(factor*float64(f.of(pool)))))
 	f.waits[pool] = keep
--- a/relay/fetches_test.go
+++ b/relay/fetches_test.go
@@ -28,11 +28,14 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			var f fetches
+			now := start
 			for range s.fetched {
-				f.done("p", true)
+				now = now.Add(time.Second)
+				f.done(now, now, "p", true)
 			}
 			for range s.tooEarly {
-				f.done("p", false)
+				now = now.Add(time.Second)
+				f.done(now, now, "p", false)
 			}
 			if got := f.wait("p"); got < s.least || got > s.most {
 				t.Errorf("kept for %v, want %v to %v", got, s.least, s.most)
@@ -44,6 +47,25 @@
 	}
 }
 
+// TestResultsThatGoWithTheirTargetCountOnce has a third of a pool's targets end while the next pool reads their results by thirty calls:
+// each of them finds inputs gone, and none of it says that inputs are given up too early. Kept for seconds, they would leave a target of
+// the pool, which has room for the results of two calls, no room for full ones.
+func TestResultsThatGoWithTheirTargetCountOnce(t *testing.T) {
+	var f fetches
+	ended := start.Add(time.Second)
+	for i := range 30 {
+		sent := ended.Add(-time.Duration(i) * 10 * time.Millisecond)
+		f.done(ended.Add(time.Duration(i)*5*time.Millisecond), sent, "p", false)
+	}
+	if got := f.wait("p"); got > 2*fetchPrior {
+		t.Errorf("inputs are kept for %s after one end, %s before", got, fetchPrior)
+	}
+	later := ended.Add(time.Second)
+	if f.done(later, later.Add(-100*time.Millisecond), "p", false); f.wait("p") != 4*fetchPrior {
+		t.Errorf("kept for %s: a request that was sent since does not count", f.wait("p"))
+	}
+}
+
 // sentFlow is a request whose stage is done and that was just sent to a target.
 func sentFlow(t *testing.T, clock clockwork.Clock) *flow {
 	t.Helper()
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -212,7 +212,7 @@
 	if !gave {
 		return
 	}
-	keep := w.pieces.fetches.done(w.pool, fetched)
+	keep := w.pieces.fetches.done(w.pieces.clock.Now(), c.Began, w.pool, fetched)
 	if !fetched {
 		w.pieces.log.Info("inputs were freed too early", "pool", w.pool, "target", c.Target.ID, "keepNext", brief(keep))
 	}
