--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -138,8 +138,8 @@
 			o.begin(r)
 		}
 	}
-	for id, e := range o.engines {
-		o.read(id, e)
+	for _, e := range o.engines {
+		o.read(e)
 	}
 	for _, p := range o.placers {
 		p.Sweep()
@@ -204,7 +204,7 @@
 }
 
 // read has an engine read for one tick.
-func (o *overload) read(_ string, e *modelEngine) {
+func (o *overload) read(e *modelEngine) {
 	if e.gone {
 		return
 	}
@@ -362,3 +362,19 @@
 		t.Errorf("%d requests were refused", n)
 	}
 }
+
+// BenchmarkAdmit decides on one request for a pool of 140 and of 600 engines.
+func BenchmarkAdmit(b *testing.B) {
+	for _, engines := range []int{140, 600} {
+		b.Run(fmt.Sprint("engines=", engines), func(b *testing.B) {
+			f := NewFleet(func(string) {})
+			for e := range engines {
+				f.Change(start, []FleetChange{put(uint64(e+1), listed(fmt.Sprintf("e%03d", e), "p", "z"))})
+			}
+			p := NewPlacer("vm", clockwork.NewFakeClockAt(start), hclog.NewNullLogger(), f, &peersOf{self: "vm", owner: "vm"})
+			for i := range b.N {
+				p.Decide(proto.AdmitAsk{Pool: "p", Route: "r", Digest: proto.RequestDigest(i), Rank: i % 6, Own: 2000, Slack: time.Second})
+			}
+		})
+	}
+}
