--- a/proto/pack_test.go
+++ b/proto/pack_test.go
@@ -13,7 +13,7 @@
 func targetList(targets int) RoutingAnswer {
 	a := RoutingAnswer{Targets: Revision{Version: 7}, TargetsAreSent: true, Whole: true}
 	for i := range targets {
-		body := fmt.Sprintf(`{"service":"pool-%d","address":"10.%d.%d.%d:8080","zone":"hall-%d","version":"v1","slots":48,"state":"ready","seqNo":%d,"coldLeftMs":0}`, i%5, i%6, i%200, i%250, i%6, i*7919%1000)
+		body := fmt.Sprintf(`{"pool":"pool-%d","endpoint":"10.%d.%d.%d:8080","zone":"hall-%d","release":"v1","places":48,"condition":"fine","count":%d,"warmsInMs":0}`, i%5, i%6, i%200, i%250, i%6, i*7919%1000)
 		a.TargetEntries = append(a.TargetEntries, TargetDocument{ID: fmt.Sprintf("i-%08x", uint32(i*2654435761)), Body: []byte(body), Version: Revision{Version: uint64(1000 + i)}})
 	}
 	return a
