Tests that fail: an attempt is not given up for one that cannot be made

Callers saw 502 after 8 ms of five seconds, beside a healthy target at work on their request. The tests play that with passed-in time and scripted targets, for each reason why no other attempt can be made, for plain requests and streams; and what must come of two attempts where another can be made.

--- /dev/null
+++ b/relay/race_test.go
@@ -0,0 +1,405 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// What callers saw: a request with nearly five seconds left was answered 502 "the pool has no target that may get work" after 8 ms,
+// beside a healthy target that was at work on it. The attempt was given up since no answer had begun within 7.7 ms, where half a
+// millisecond is usual, and only then was another target looked for, of which the pool had none. The log showed it: "attempt failed
+// ... reason=no answer began in time took=7.728ms", and 0.4 ms later "request refused ... left=4.976951s". In a play of the fault soak
+// 106 attempts ended so, one after 960 ms whose further attempt the retry budget then refused.
+//
+// The tests play requests in a bubble of synctest, in which time is that of the test, against targets that answer when a script says.
+
+const (
+	// raceUsual is how long answers take as a rule, and raceLate how long a late one takes; raceLeft is the time of a request.
+	raceUsual = 500 * time.Microsecond
+	raceLate  = 400 * time.Millisecond
+	raceLeft  = 5 * time.Second
+	raceRoute = "route"
+)
+
+// racer is how a target answers.
+type racer func(ctx context.Context) (*Incoming, error)
+
+// raceSender answers by the scripts of targets and counts what was given up.
+type raceSender struct {
+	mu     sync.Mutex
+	racers map[netip.AddrPort]racer
+	asked  map[netip.AddrPort]int
+	gaveUp map[netip.AddrPort]int
+}
+
+func (s *raceSender) Send(ctx context.Context, to netip.AddrPort, _ *Outgoing) (*Incoming, error) {
+	s.mu.Lock()
+	s.asked[to]++
+	r := s.racers[to]
+	s.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.gaveUp[to]++
+	})
+	return r(ctx)
+}
+
+// raceDialect has every answer be that of the request, unless its head says that it was not run.
+type raceDialect struct{ standDialect }
+
+const notRunHeader = "Not-Run"
+
+func (raceDialect) ReadReply(_ int, h http.Header) Reply {
+	return Reply{Request: "r", Stamped: true, NotRun: h.Get(notRunHeader) != ""}
+}
+
+// pausedBody gives each part after a pause.
+type pausedBody struct {
+	ctx   context.Context
+	parts []part
+	ends  error
+}
+
+type part struct {
+	after time.Duration
+	text  string
+}
+
+func (b *pausedBody) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, b.ends
+	}
+	select {
+	case <-time.After(b.parts[0].after):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	n := copy(p, b.parts[0].text)
+	b.parts = b.parts[1:]
+	return n, nil
+}
+
+func (b *pausedBody) Close() error { return nil }
+
+// answersAfter begins its answer after a time and then gives its parts.
+func answersAfter(wait time.Duration, status int, ends error, parts ...part) racer {
+	return func(ctx context.Context) (*Incoming, error) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, &SendError{Written: true, Err: ctx.Err()}
+		}
+		return &Incoming{Status: status, Header: http.Header{}, Body: &pausedBody{ctx, parts, ends}}, nil
+	}
+}
+
+func whole(wait time.Duration, body string) racer {
+	return answersAfter(wait, http.StatusOK, io.EOF, part{0, body})
+}
+
+// streamed gives events of a stream, each a millisecond after the last.
+func streamed(wait time.Duration, events ...int) racer {
+	return answersAfter(wait, http.StatusOK, io.EOF, eventParts(events...)...)
+}
+
+func eventParts(events ...int) []part {
+	var parts []part
+	for _, id := range events {
+		parts = append(parts, part{time.Millisecond, fmt.Sprintf("id: %d\ndata: x\n\n", id)})
+	}
+	return parts
+}
+
+func refusesAfter(wait time.Duration) racer {
+	return func(ctx context.Context) (*Incoming, error) {
+		in, err := answersAfter(wait, http.StatusServiceUnavailable, io.EOF)(ctx)
+		if err == nil {
+			in.Header.Set(notRunHeader, "1")
+		}
+		return in, err
+	}
+}
+
+func breaksAfter(wait time.Duration) racer {
+	return func(ctx context.Context) (*Incoming, error) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		return nil, &SendError{Written: true, Err: io.ErrUnexpectedEOF}
+	}
+}
+
+func hangs(ctx context.Context) (*Incoming, error) {
+	<-ctx.Done()
+	return nil, &SendError{Written: true, Err: ctx.Err()}
+}
+
+// race is one request before two targets.
+type race struct {
+	*flow
+	fleet    *Fleet
+	sender   *raceSender
+	recorder *httptest.ResponseRecorder
+}
+
+func raceAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+}
+
+func raceTarget(i int) proto.RelayTarget {
+	t := listed(fmt.Sprint("t", i), "p", "z")
+	t.Address, t.Region = raceAddress(i), []string{"north", "south"}[i%2]
+	return t
+}
+
+// newRace makes a request of a kind before one target for each racer; its answers are usually quick, and the first target is the cheaper one.
+func newRace(kind proto.RouteKind, racers ...racer) *race {
+	clock := clockwork.NewRealClock()
+	sender := &raceSender{racers: map[netip.AddrPort]racer{}, asked: map[netip.AddrPort]int{}, gaveUp: map[netip.AddrPort]int{}}
+	fleet := NewFleet(func(string) {}, WithColdTerms(ColdTerms{Over: 1.5, Slack: 5}))
+	for i, r := range racers {
+		sender.racers[raceAddress(i)] = r
+		t := raceTarget(i)
+		if i > 0 {
+			t.Zone = "other"
+		}
+		fleet.Change(clock.Now(), []FleetChange{put(uint64(i+1), t)})
+	}
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	log := hclog.NewNullLogger()
+	s := NewServer(ServerConfig{
+		Clock: clock, Log: log, Dialect: raceDialect{}, Sender: sender, Fleet: fleet, Peers: peers, Zone: "z",
+		Placer: NewPlacer("self", clock, log, fleet, peers), Budget: BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+	})
+	for range 200 {
+		s.answers.observe("p", answerPrior, raceUsual)
+		s.firstEvents.observe(raceRoute, firstEventPrior, raceUsual)
+	}
+	now := clock.Now()
+	recorder := httptest.NewRecorder()
+	f := &flow{
+		server: s, w: recorder, req: &Request{ID: "r"}, pool: "p", spec: &proto.RelayPool{Name: "p"}, tried: map[string]bool{},
+		route: &proto.Route{Name: raceRoute, Kind: kind, MaxTargets: 3, Resumable: true, Gap: 100 * time.Millisecond},
+		began: now, due: now.Add(raceLeft), end: now.Add(raceLeft),
+	}
+	return &race{flow: f, fleet: fleet, sender: sender, recorder: recorder}
+}
+
+// end runs the request to its end and returns the body that its caller got.
+func (r *race) end(t *testing.T) string {
+	t.Helper()
+	if fail := r.run(t.Context()); fail != nil {
+		t.Errorf("the request fails after %s: status %d, %s", time.Since(r.began), fail.status, fail.reason)
+	}
+	return r.recorder.Body.String()
+}
+
+func (r *race) change(t proto.RelayTarget) {
+	r.fleet.Change(time.Now(), []FleetChange{put(100, t)})
+}
+
+// eventsOf are the ids of the events that a caller got.
+func eventsOf(body string) string {
+	ids := ""
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids += strings.TrimSpace(id)
+		}
+	}
+	return ids
+}
+
+// kindsOfRace are the kinds of requests that may run at more than one target, each with a target that is late, one that is quick,
+// and what callers get of a whole answer.
+var kindsOfRace = []struct {
+	testName    string
+	kind        proto.RouteKind
+	late, quick racer
+	whole       string
+}{
+	{"a plain request", proto.RouteRepeatable, whole(raceLate, "whole"), whole(raceUsual, "whole"), "whole"},
+	{"a stream", proto.RouteStream, streamed(raceLate, 1, 2, 3), streamed(raceUsual, 1, 2, 3), "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"},
+}
+
+// TestAnAttemptIsNotGivenUpForOneThatCannotBeMade has the only target that a request may go to answer late, for each reason why it is
+// the only one. The answer must be delivered, and the target's work must not be given up.
+func TestAnAttemptIsNotGivenUpForOneThatCannotBeMade(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		// alone makes the first target the only one that the request may go to.
+		alone func(r *race)
+		// only says that there is no second target at all.
+		only bool
+	}{
+		{"the pool has one target", func(*race) {}, true},
+		{"the other one leaves", func(r *race) {
+			other := raceTarget(1)
+			other.Leaving = true
+			r.change(other)
+		}, false},
+		{"the other one was tried", func(r *race) { r.tried["t1"] = true }, false},
+		{"the other one's zone is evacuated", func(r *race) {
+			r.fleet.Evacuate(time.Now(), []proto.Evacuation{{Zone: "other", Version: rev(100)}})
+		}, false},
+		{"the other one is away from the request's regions", func(r *race) { r.homes = proto.HomesIn([]string{"north"}) }, false},
+		{"the other one is cold and has had what it may get", func(r *race) {
+			r.fleet.SetCold("p", proto.ColdSpec{For: time.Minute, PerSecond: 1})
+			other := raceTarget(1)
+			other.ColdFor = time.Minute
+			r.change(other)
+			for range 10 {
+				r.server.placer.cold.take(time.Now(), "t1", 6)
+			}
+		}, false},
+		{"the other one has as many requests as it may have at a time", func(r *race) {
+			r.fleet.SetCold("p", proto.ColdSpec{For: time.Minute, PerSecond: 1})
+			for range 6 {
+				r.fleet.where["t1"].noteChosen(time.Now())
+			}
+		}, false},
+		{"the retry budget is spent", func(r *race) { r.server.budget = BudgetTerms{Window: 10 * time.Second} }, false},
+	}
+	for _, s := range scenarios {
+		for _, k := range kindsOfRace {
+			t.Run(s.testName+", "+k.testName, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					racers := []racer{k.late, k.quick}
+					if s.only {
+						racers = racers[:1]
+					}
+					r := newRace(k.kind, racers...)
+					s.alone(r)
+					if got := r.end(t); got != k.whole {
+						t.Errorf("the caller got %q", got)
+					}
+					if n := r.sender.gaveUp[raceAddress(0)]; n > 0 && time.Since(r.began) < raceLate {
+						t.Errorf("the attempt was given up after %s", time.Since(r.began))
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestAnotherAttemptBeginsBesideTheFirst has the first target be late and the second do something else. Whichever answer is whole first
+// counts, and nobody waits for the late one if the other is quick.
+func TestAnotherAttemptBeginsBesideTheFirst(t *testing.T) {
+	for _, k := range kindsOfRace {
+		scenarios := []struct {
+			testName string
+			second   racer
+			// quick says that the caller need not wait for the first target.
+			quick bool
+		}{
+			{"answers", k.quick, true},
+			{"hangs", hangs, false},
+			{"breaks off", breaksAfter(raceUsual), false},
+			{"refuses", refusesAfter(raceUsual), false},
+			{"fails", answersAfter(raceUsual, http.StatusInternalServerError, io.EOF), false},
+			{"breaks off within its first event", answersAfter(raceUsual, http.StatusOK, io.ErrUnexpectedEOF, part{0, "id: 1\nda"}), false},
+		}
+		for _, s := range scenarios {
+			t.Run(k.testName+", the second "+s.testName, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newRace(k.kind, k.late, s.second)
+					if got := r.end(t); got != k.whole {
+						t.Errorf("the caller got %q", got)
+					}
+					if took := time.Since(r.began); s.quick == (took >= raceLate) {
+						t.Errorf("the answer took %s", took)
+					}
+					synctest.Wait()
+					if n := r.sender.asked[raceAddress(1)]; n != 1 {
+						t.Errorf("the second target was asked %d times", n)
+					}
+					if s.quick && r.sender.gaveUp[raceAddress(0)] == 0 {
+						t.Error("the first target goes on working for nobody")
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestASilentStreamGoesOnWhereItCan has the first target fall silent for a while after two events.
+func TestASilentStreamGoesOnWhereItCan(t *testing.T) {
+	const silence = 3 * time.Second
+	silent := func() racer {
+		parts := eventParts(1, 2)
+		parts = append(parts, part{silence, "id: 3\ndata: x\n\n"}, part{0, "id: 4\ndata: x\n\n"})
+		return answersAfter(raceUsual, http.StatusOK, io.EOF, parts...)
+	}
+	scenarios := []struct {
+		testName string
+		others   []racer
+		quick    bool
+	}{
+		{"there is no other", nil, false},
+		{"another goes on", []racer{streamed(raceUsual, 3, 4)}, true},
+		{"another has begun anew", []racer{streamed(raceUsual, 1, 2, 3, 4)}, true},
+		{"another hangs", []racer{hangs}, false},
+		{"another breaks off", []racer{breaksAfter(raceUsual)}, false},
+		{"another refuses", []racer{refusesAfter(raceUsual)}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRace(proto.RouteStream, append([]racer{silent()}, s.others...)...)
+				if got := eventsOf(r.end(t)); got != "1234" {
+					t.Errorf("the caller got the events %q", got)
+				}
+				if took := time.Since(r.began); s.quick == (took >= silence) {
+					t.Errorf("the stream took %s", took)
+				}
+			})
+		})
+	}
+}
+
+// TestACallerWhoLeavesEndsAllAttempts has two attempts at work when the caller leaves.
+func TestACallerWhoLeavesEndsAllAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRace(proto.RouteRepeatable, hangs, hangs)
+		ctx, leave := context.WithTimeout(t.Context(), time.Second)
+		defer leave()
+		if fail := r.run(ctx); fail == nil || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			t.Errorf("end %+v", fail)
+		}
+		synctest.Wait()
+		for i := range 2 {
+			if r.sender.asked[raceAddress(i)] != 1 || r.sender.gaveUp[raceAddress(i)] != 1 {
+				t.Errorf("target %d was asked %d times and given up %d times", i, r.sender.asked[raceAddress(i)], r.sender.gaveUp[raceAddress(i)])
+			}
+		}
+		if took := time.Since(r.began); took > time.Second {
+			t.Errorf("the request ended %s after its caller came", took)
+		}
+	})
+}
+
+// TestARequestThatRunsOnceHasOneAttempt waits for the only run of a request, however late it answers.
+func TestARequestThatRunsOnceHasOneAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRace(proto.RouteOnce, whole(raceLate, "whole"), whole(raceUsual, "other"))
+		if got := r.end(t); got != "whole" || r.sender.asked[raceAddress(1)] > 0 {
+			t.Errorf("the caller got %q, and the second target was asked %d times", got, r.sender.asked[raceAddress(1)])
+		}
+	})
+}
