An attempt is given up only for one that has answered

Callers got 502 after some milliseconds of five seconds beside a healthy target at work on their request, and streams broke off whose first target had given the whole answer.

Change: attempts of a request race. One that takes longer than usual gets another beside it if there is a target, a run and a retry left, and goes on until the other answers; whichever begins to answer first goes on. Inputs that were given up are made anew beside it. A stream that falls silent likewise. What is usual no longer falls below 50 ms: some turns of a busy machine's scheduler, at the daemon and at the target. The late target is avoided by others meanwhile, as before, and an answer makes up for it.

Found with it, by the class: a target's failure answer was lost when no other target could be asked after it; it is passed on now.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -382,8 +382,9 @@
 type PlaceNote struct {
 	Pool  string `cbor:"1,keyasint"`
 	Lease uint64 `cbor:"2,keyasint"`
-	// Began says that the prompt is read, and else that the request has ended.
+	// Began says that the prompt is read, Late that the answer takes longer than it should, and neither that the request has ended.
 	Began bool `cbor:"3,keyasint,omitempty"`
+	Late  bool `cbor:"5,keyasint,omitempty"`
 	// Verdict is what the end showed of the target's health.
 	Verdict uint8 `cbor:"4,keyasint,omitempty"`
 }
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -2,14 +2,8 @@
 
 import (
 	"bytes"
-	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"time"
-
-	"github.com/jonboulle/clockwork"
 
 	"emberlead/proto"
 )
@@ -53,80 +47,6 @@
 	}
 }
 
-// stream passes the events of an answer on as they come, each when it is whole.
-func (a *attempt) stream(ctx context.Context, in *Incoming, slow clockwork.Timer) attemptEnd {
-	f := a.flow
-	silent := f.server.clock.AfterFunc(time.Hour, func() { a.cancel(errSilent) })
-	silent.Stop()
-	defer silent.Stop()
-	var held []byte
-	buffer := make([]byte, readSize)
-	for {
-		n, err := in.Body.Read(buffer)
-		held = append(held, buffer[:n]...)
-		var whole []byte
-		whole, held = cutEvents(held)
-		if len(whole) > 0 {
-			if !a.first {
-				a.begin(slow)
-			}
-			if f.route.Repeatable() && f.runs < max(1, f.route.MaxTargets) {
-				silent.Reset(max(gapStarts*f.toFirstEvent(), time.Duration(gapWaits*float64(f.route.Gap))))
-			}
-			if werr := f.passEvents(in.Header, whole); werr != nil {
-				a.verdict = VerdictNone
-				return attemptEnd{sent: true, reason: "the caller does not take the stream: " + werr.Error()}
-			}
-		}
-		if err != nil {
-			return a.streamEnded(ctx, in, err, held)
-		}
-		if len(held) > eventMost {
-			a.verdict = VerdictBad
-			return attemptEnd{sent: true, reason: "an event has no end"}
-		}
-	}
-}
-
-func (a *attempt) begin(slow clockwork.Timer) {
-	slow.Stop()
-	a.first = true
-	a.placed.Began()
-	f := a.flow
-	f.sawFirstEvent(f.server.clock.Now().Sub(a.began))
-	// An engine has fetched all inputs before it reads the prompt.
-	f.noteFetched(a.began, true)
-	f.freeAll()
-}
-
-func (a *attempt) streamEnded(ctx context.Context, in *Incoming, err error, held []byte) attemptEnd {
-	f := a.flow
-	if errors.Is(err, io.EOF) && len(held) == 0 {
-		a.verdict, a.answered = VerdictGood, true
-		if !f.committed {
-			f.copyHeader(in.Header)
-			f.w.WriteHeader(http.StatusOK)
-			f.committed = true
-		}
-		return attemptEnd{done: true, sent: true}
-	}
-	reason := "the stream broke off: " + err.Error()
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errSilent), errors.Is(cause, errSlowStart), errors.Is(cause, errRestarted):
-		a.verdict, reason = VerdictBad, cause.Error()
-	case errors.Is(cause, errTimeUp):
-		reason = cause.Error()
-	case ctx.Err() != nil:
-		reason = "the caller left"
-	default:
-		a.verdict = VerdictBad
-	}
-	if f.committed && f.route.Repeatable() {
-		f.server.counts.resumed.Add(1)
-	}
-	return attemptEnd{sent: true, reason: reason}
-}
-
 // cutEvents splits off what follows the last blank line, which is not a whole event yet.
 func cutEvents(data []byte) (whole, rest []byte) {
 	end := bytes.LastIndex(data, []byte("\n\n"))
@@ -167,6 +87,19 @@
 	return http.NewResponseController(f.w).Flush()
 }
 
+// bringsNew tells whether events hold one that the caller does not have yet.
+func (f *flow) bringsNew(events []byte) bool {
+	for len(events) > 0 {
+		event, rest := firstEvent(events)
+		id, ok := eventID(event)
+		if ok && id > f.after || !ok && bytes.Contains(event, []byte("data:")) {
+			return true
+		}
+		events = rest
+	}
+	return false
+}
+
 func firstEvent(events []byte) (event, rest []byte) {
 	lf := bytes.Index(events, []byte("\n\n"))
 	crlf := bytes.Index(events, []byte("\r\n\r\n"))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -18,15 +18,19 @@
 	// startWaits is how many times what is nearly always enough an answer may take to begin before another target is
 	// asked: a second attempt costs as much work as the first, and takes as long.
 	startWaits = 4
+	// startLeast is how long an answer may take to begin however quick answers were so far: on a busy machine the daemon, and the
+	// target, wait for their turn while others use up their slices, of some milliseconds each.
+	startLeast = 50 * time.Millisecond
 	// answerPrior is the time of a plain answer before the pool was observed.
 	answerPrior = 60 * time.Millisecond
-	// gapWaits is how many times the longest pause in time a stream may be silent before it is continued elsewhere; it
-	// is late by then, and going on elsewhere has its prompt read again.
+	// gapWaits is how many times the longest pause in time a stream may be silent before another target is asked to go on with it;
+	// it is late by then, and going on elsewhere has its prompt read again.
 	gapWaits = 2.2
 	// gapStarts is how many times what a first event nearly always takes such a silence lasts at the least.
 	gapStarts = 3
-	// attemptsMost bounds the attempts of one request, refused ones included.
+	// attemptsMost bounds the attempts of one request, refused ones included, and besideMost those that are at work at a time.
 	attemptsMost = 6
+	besideMost   = 2
 	// answerMost bounds an answer that is held until it is whole.
 	answerMost = 16 << 20
 	// restartGrace is how long after a target's next run is known an attempt at the last one goes on, so that what that
@@ -38,8 +42,7 @@
 
 // Causes of an attempt's end by this daemon.
 var (
-	errSlowStart = errors.New("no answer began in time")
-	errSilent    = errors.New("the stream was silent for too long")
+	errOvertaken = errors.New("another target answered first")
 	errTimeUp    = errors.New("the time for the request is over")
 	errRestarted = errors.New("the target has started again")
 )
@@ -72,8 +75,10 @@
 // anew first.
 func (f *flow) runSelf(ctx context.Context) (fail *failure, lost bool) {
 	s := f.server
+	r := newRace(ctx, f)
+	defer r.stop()
 	var last attemptEnd
-	for n := 0; n < attemptsMost; n++ {
+	for n := 0; r.begun < attemptsMost; n++ {
 		if ctx.Err() != nil {
 			return f.notRun(0, "the caller left"), false
 		}
@@ -81,7 +86,6 @@
 			return f.timedOut(last.reason), false
 		}
 		if fail := f.refuseCrashing(); fail != nil {
-			f.keepReady(&last)
 			if f.passReady() {
 				return nil, false
 			}
@@ -91,21 +95,19 @@
 			break
 		}
 		if n > 0 && f.inputsFreed() {
-			return f.withoutInputs(&last), true
+			return f.notRun(waitBusy, last.reason), true
 		}
-		end := f.attempt(ctx)
-		if end.done {
+		last = r.run()
+		if last.done {
 			return nil, false
 		}
-		last = end
-		if end.lostInput {
+		if last.lostInput {
 			return f.notRun(waitBusy, "an input of the request is gone"), true
 		}
-		if end.noTarget {
+		if last.noTarget {
 			break
 		}
 	}
-	f.keepReady(&last)
 	if f.passReady() {
 		return nil, false
 	}
@@ -116,20 +118,6 @@
 	return f.notRun(f.waitForTarget(&last), last.reason), false
 }
 
-// withoutInputs is the failure of a request that another target may get, but whose inputs were given up; it stands
-// unless they can be made anew.
-func (f *flow) withoutInputs(last *attemptEnd) *failure {
-	f.keepReady(last)
-	return f.notRun(waitBusy, last.reason)
-}
-
-// keepReady keeps the failure answer of an attempt, if there is one.
-func (f *flow) keepReady(last *attemptEnd) {
-	if last.answer != nil {
-		f.ready = last.answer
-	}
-}
-
 // passReady passes on the failure answer of a target that nothing better came after, if there is one.
 func (f *flow) passReady() bool {
 	if f.ready == nil || f.committed {
@@ -158,7 +146,7 @@
 	case !last.notRun && f.runs >= max(1, f.route.MaxTargets):
 		f.note("no retry", "reason", "as many targets as allowed have run it", "runs", f.runs, "last", last.reason)
 		return false
-	case f.sent > 0 && !f.spendRetry(last):
+	case f.sent > 0 && !f.spendRetry(last.reason):
 		return false
 	}
 	s.counts.again.Add(1)
@@ -166,14 +154,14 @@
 	return true
 }
 
-// spendRetry takes a further attempt out of the pool's budget, if there is one left.
-func (f *flow) spendRetry(last *attemptEnd) bool {
+// spendRetry takes a further attempt out of the pool's budget, if there is one left; last is why it is to be made.
+func (f *flow) spendRetry(last string) bool {
 	s := f.server
 	share := s.peers.Share()
 	budget, ok := s.budgetOf(f.pool).Spend(s.clock.Now(), share.Part)
 	if !ok {
 		f.note("no retry", "reason", "the retry budget of the pool is spent", "pool", f.pool, "spent", budget.Spent, "allowed", budget.Allowed,
-			"share", share.Part, "counted", share.Counted, "noShare", share.Reason, "last", last.reason)
+			"share", share.Part, "counted", share.Counted, "noShare", share.Reason, "last", last)
 	}
 	return ok
 }
@@ -221,87 +209,127 @@
 	return w
 }
 
-// attempt sends the request to one target.
-func (f *flow) attempt(ctx context.Context) attemptEnd {
+// attempt is one request to one target. A goroutine of its own sends it and reads the answer; all else is up to the goroutine of its
+// request, to which it tells what came.
+type attempt struct {
+	race   *race
+	placed *Placed
+	// ctx ends the attempt; its cause says why, if this daemon ended it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	span   trace.Span
+	began  time.Time
+	// starting is how long it may take to begin before another one is made beside it.
+	starting lateBound
+	// keepInputs stops the timer that gives the inputs up, and release stops the watch for the end of the target's run.
+	keepInputs, release func()
+
+	verdict Verdict
+	load    Load
+	// late says that it has taken longer than it should, which was held against its target already.
+	late bool
+	// counted says that it is among the runs of the request, first that its first event has come, and answered that the whole answer
+	// did, which is no failure.
+	counted, first, answered bool
+}
+
+// lateBound is how long an attempt may take to begin, and what that rests on.
+type lateBound struct {
+	wait time.Duration
+	// usual is what is nearly always enough.
+	usual time.Duration
+	// basis is what the wait rests on.
+	basis string
+}
+
+// What a lateBound may rest on.
+const (
+	basisUsual = "what is usual"
+	basisGoal  = "the goal of the route"
+	basisLeast = "the least that is waited for"
+	basisLeft  = "the time that is left"
+	basisGap   = "the pause that the route allows"
+)
+
+// startBound is how long a target may take to begin before another is asked to run the request too.
+func (f *flow) startBound() lateBound {
+	left := f.left()
+	if f.route.Kind == routeStream {
+		usual := f.toFirstEvent()
+		return longest(usual, startWaits*usual, f.route.Goal/2).within(left)
+	}
+	usual := f.server.answers.most(f.pool, answerPrior)
+	return longest(usual, startWaits*usual, f.route.Goal).within(left / 2)
+}
+
+func longest(usual, byUsual, byGoal time.Duration) lateBound {
+	w := lateBound{wait: byUsual, usual: usual, basis: basisUsual}
+	if byGoal > w.wait {
+		w.wait, w.basis = byGoal, basisGoal
+	}
+	if startLeast > w.wait {
+		w.wait, w.basis = startLeast, basisLeast
+	}
+	return w
+}
+
+func (w lateBound) within(most time.Duration) lateBound {
+	if most < w.wait {
+		w.wait, w.basis = most, basisLeft
+	}
+	return w
+}
+
+// silenceBound is how long a stream that has begun may be silent before another target is asked to go on with it.
+func (f *flow) silenceBound() lateBound {
+	usual := f.toFirstEvent()
+	w := lateBound{wait: gapStarts * usual, usual: usual, basis: basisUsual}
+	if byGap := time.Duration(gapWaits * float64(f.route.Gap)); byGap > w.wait {
+		w.wait, w.basis = byGap, basisGap
+	}
+	return w
+}
+
+// newAttempt chooses a target for an attempt; nil if there is none.
+func (r *race) newAttempt() *attempt {
+	f := r.flow
 	s := f.server
-	now := s.clock.Now()
-	w := f.want()
-	placed := s.placer.Choose(ctx, f.pool, w)
+	placed := s.placer.Choose(r.ctx, f.pool, f.want())
 	if placed == nil {
-		return attemptEnd{notRun: true, noTarget: true, reason: f.noTarget()}
+		return nil
 	}
-	spec := placed.Spec
+	return &attempt{race: r, placed: placed, began: s.clock.Now(), starting: f.startBound()}
+}
+
+// start sends the request.
+func (a *attempt) start() {
+	f := a.race.flow
+	s := f.server
+	spec := a.placed.Spec
 	f.tried[spec.ID] = true
 	f.target = spec.ID
-	ctx, span := otel.Tracer(tracer).Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
-	defer span.End()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	endTimer := s.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
-	defer endTimer.Stop()
-	defer context.AfterFunc(placed.Target.running, func() {
+	ctx, span := otel.Tracer(tracer).Start(a.race.ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
+	a.span = span
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	cancel := a.cancel
+	stop := context.AfterFunc(a.placed.Target.running, func() {
 		s.clock.AfterFunc(restartGrace, func() { cancel(errRestarted) })
-	})()
-	a := &attempt{flow: f, placed: placed, cancel: cancel, began: now}
+	})
+	a.release = func() { stop() }
+	a.keepInputs = a.freeOnceFetched()
 	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.rank}
 	out := &Outgoing{
 		Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
 		Once: !f.route.Repeatable(),
 		Mine: func(h http.Header) bool { return s.dialect.ReadReply(0, h).Request == f.req.ID },
 	}
-	end := a.send(ctx, out)
-	placed.Ended(a.verdict, a.load)
-	a.noteEnd(ctx, &end)
-	if !end.done {
-		f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "cold", placed.Cold, "sent", end.sent, "notRun", end.notRun,
-			"targets", s.fleet.Version(), "took", brief(s.clock.Now().Sub(now)), "reason", end.reason)
-	}
-	return end
-}
-
-// attempt is one request to one target.
-type attempt struct {
-	flow    *flow
-	placed  *Placed
-	cancel  context.CancelCauseFunc
-	verdict Verdict
-	load    Load
-	began   time.Time
-	// first says that the first event has come, and answered that the whole answer did, which is no failure.
-	first, answered bool
-}
-
-func (a *attempt) send(ctx context.Context, out *Outgoing) attemptEnd {
-	f := a.flow
-	s := f.server
-	slow := s.clock.AfterFunc(a.firstWait(), func() { a.cancel(errSlowStart) })
-	defer slow.Stop()
-	defer a.freeOnceFetched()()
-	in, err := s.sender.Send(ctx, a.placed.Spec.Address, out)
-	if err != nil {
-		return a.noAnswer(ctx, err)
-	}
-	defer in.Body.Close()
-	f.sent++
-	reply := s.dialect.ReadReply(in.Status, in.Header)
-	a.load = reply.Load
-	if reply.NotRun || reply.OtherTarget {
-		return a.refused(in, reply)
-	}
-	f.runs++
-	if in.Status/100 == 2 && (!reply.Stamped || reply.Encoded || reply.Request != f.req.ID) {
-		a.verdict = VerdictBad
-		return attemptEnd{sent: true, reason: "the answer is not that of the request"}
-	}
-	if f.route.Kind == routeStream && in.Status == http.StatusOK {
-		return a.stream(ctx, in, slow)
-	}
-	return a.whole(ctx, in)
+	x := &exchange{attempt: a, ctx: a.ctx, server: s, to: spec.Address, request: f.req.ID, stream: f.route.Kind == routeStream}
+	go x.run(out)
 }
 
 // freeOnceFetched gives the inputs up when the target has had the time to fetch them, unless it is stopped before.
 func (a *attempt) freeOnceFetched() (stop func()) {
-	f := a.flow
+	f := a.race.flow
 	if len(f.handles) == 0 {
 		return func() {}
 	}
@@ -324,77 +352,105 @@
 	}
 }
 
-// firstWait is how long the target may take to begin; when no other may run the request, as long as there is time.
-func (a *attempt) firstWait() time.Duration {
-	f := a.flow
-	left := f.left()
-	if !f.route.Repeatable() || f.runs+1 >= f.route.MaxTargets {
-		return left
+// ran counts the attempt among those that reached a target and may have run there.
+func (a *attempt) ran() {
+	if a.counted {
+		return
 	}
-	if f.route.Kind == routeStream {
-		return min(left, max(startWaits*f.toFirstEvent(), f.route.Goal/2))
+	a.counted = true
+	a.race.flow.sent++
+	a.race.flow.runs++
+}
+
+// bad holds a failure against the target, once for each attempt.
+func (a *attempt) bad() {
+	if !a.late {
+		a.verdict = VerdictBad
 	}
-	return min(left/2, max(startWaits*f.server.answers.most(f.pool, answerPrior), f.route.Goal))
 }
 
-func (a *attempt) noAnswer(ctx context.Context, err error) attemptEnd {
-	f := a.flow
-	end := attemptEnd{reason: err.Error(), err: err}
+// failed takes in that no answer, or no whole one, came.
+func (a *attempt) failed(err error, reason string) attemptEnd {
+	end := attemptEnd{reason: reason, err: err}
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Written {
 		end.notRun = true
 	} else {
 		end.sent = true
-		f.sent++
-		f.runs++
+		a.ran()
 	}
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errSlowStart), errors.Is(cause, errRestarted):
-		a.verdict, end.reason = VerdictBad, cause.Error()
+	switch cause := context.Cause(a.ctx); {
+	case errors.Is(cause, errRestarted):
+		a.bad()
+		end.reason = cause.Error()
 	case errors.Is(cause, errTimeUp):
 		// Most of the time may have gone into the stages, so this alone says nothing of the target.
 		end.reason = cause.Error()
-	case ctx.Err() != nil:
+	case a.ctx.Err() != nil:
 		end.reason = "the caller left"
 	default:
-		a.verdict = VerdictBad
+		a.bad()
 	}
 	return end
 }
 
-func (a *attempt) refused(in *Incoming, reply Reply) attemptEnd {
-	_, _ = io.Copy(io.Discard, io.LimitReader(in.Body, answerMost))
+// refused takes in that the target did not run the request.
+func (a *attempt) refused(status int, reply Reply) attemptEnd {
+	a.race.flow.sent++
 	end := attemptEnd{notRun: true, sent: true, lostInput: reply.LostInput, otherTarget: reply.OtherTarget}
 	switch {
 	case reply.OtherTarget:
-		a.verdict = VerdictBad
+		a.bad()
 		end.reason = "another target has the address"
 	case reply.LostInput:
 		end.reason = "an input is gone"
-		a.flow.noteFetched(a.began, false)
+		a.race.flow.noteFetched(a.began, false)
 	default:
 		a.verdict = VerdictFull
-		end.reason = "the target refused the request: " + http.StatusText(in.Status)
+		end.reason = "the target refused the request: " + http.StatusText(status)
 	}
 	return end
 }
 
-// whole reads an answer to its end before anything of it is passed on, so that one that is cut never looks whole.
-func (a *attempt) whole(ctx context.Context, in *Incoming) attemptEnd {
-	body, err := io.ReadAll(io.LimitReader(in.Body, answerMost))
-	if err != nil {
-		if context.Cause(ctx) == nil {
-			a.verdict = VerdictBad
-		}
-		return attemptEnd{sent: true, reason: "the answer broke off: " + err.Error()}
-	}
+// whole takes in an answer of which nothing was passed on before its end, so that one that is cut never looks whole.
+func (a *attempt) whole(answer *wholeAnswer) attemptEnd {
+	f := a.race.flow
 	a.verdict = VerdictGood
-	a.answered = in.Status/100 == http.StatusOK/100
-	a.flow.server.answers.observe(a.flow.pool, answerPrior, a.flow.server.clock.Now().Sub(a.began))
-	answer := &wholeAnswer{status: in.Status, header: in.Header, body: body}
-	if in.Status >= http.StatusInternalServerError && a.flow.route.Repeatable() {
-		return attemptEnd{sent: true, answer: answer, reason: "the target failed: " + http.StatusText(in.Status)}
+	a.answered = answer.status/100 == http.StatusOK/100
+	f.server.answers.observe(f.pool, answerPrior, f.server.clock.Now().Sub(a.began))
+	if answer.status >= http.StatusInternalServerError && f.route.Repeatable() {
+		f.ready = answer
+		return attemptEnd{sent: true, answer: answer, reason: "the target failed: " + http.StatusText(answer.status)}
 	}
-	a.flow.passWhole(answer)
+	f.passWhole(answer)
 	return attemptEnd{done: true, sent: true}
 }
+
+// streamBegins takes in the first events.
+func (a *attempt) streamBegins() {
+	f := a.race.flow
+	a.first = true
+	a.placed.Began()
+	f.sawFirstEvent(f.server.clock.Now().Sub(a.began))
+	// An engine has fetched all inputs before it reads the prompt.
+	f.noteFetched(a.began, true)
+	f.freeAll()
+}
+
+// streamEnded takes in the end of a stream, which is whole if the target ended it after a whole event.
+func (a *attempt) streamEnded(news *attemptNews) attemptEnd {
+	f := a.race.flow
+	if errors.Is(news.err, io.EOF) && !news.cut {
+		a.verdict, a.answered = VerdictGood, true
+		if !f.committed {
+			f.copyHeader(news.in.Header)
+			f.w.WriteHeader(http.StatusOK)
+			f.committed = true
+		}
+		return attemptEnd{done: true, sent: true}
+	}
+	if f.committed && f.route.Repeatable() {
+		f.server.counts.resumed.Add(1)
+	}
+	return a.failed(news.err, "the stream broke off: "+news.err.Error())
+}
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -66,15 +66,27 @@
 func (b *Budget) Spend(now time.Time, share float64) (BudgetState, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	state, left := b.look(now, share)
+	if left {
+		b.spent.add(b.step(now))
+	}
+	return state, left
+}
+
+// Left tells whether a further attempt is left in the budget.
+func (b *Budget) Left(now time.Time, share float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, left := b.look(now, share)
+	return left
+}
+
+func (b *Budget) look(now time.Time, share float64) (state BudgetState, left bool) {
 	step := b.step(now)
 	b.asked.advance(step)
 	b.spent.advance(step)
-	tightest := b.tightest(b.spent.latest, share)
-	if float64(tightest.Spent+1) > tightest.Allowed {
-		return tightest, false
-	}
-	b.spent.add(step)
-	return tightest, true
+	state = b.tightest(b.spent.latest, share)
+	return state, float64(state.Spent+1) <= state.Allowed
 }
 
 // tightest looks at all windows that an attempt in the latest step may fall into and returns the one that leaves it least.
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -98,6 +98,28 @@
 	return best
 }
 
+// Has tells whether a pool has a target that an attempt may go to.
+func (f *Fleet) Has(now time.Time, pool string, w Want) bool {
+	p := f.pool(pool)
+	if p == nil {
+		return false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	best, crowded := p.best(now, w, false)
+	if best == nil && !crowded {
+		best, _ = p.best(now, w, true)
+	}
+	return best != nil
+}
+
+// Late notes that an attempt takes longer than it should; a whole answer makes up for it.
+func (f *Fleet) Late(now time.Time, t *Target) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	t.health.failed(now)
+}
+
 // Take begins an attempt on a target that another daemon chose; nil if it may get no work.
 func (f *Fleet) Take(now time.Time, pool, id string, w Want) *Target {
 	p := f.pool(pool)
--- a/relay/crashing.go
+++ b/relay/crashing.go
@@ -19,8 +19,8 @@
 }
 
 // noteEnd notes what an attempt's end says of the request and of the run of its target.
-func (a *attempt) noteEnd(ctx context.Context, end *attemptEnd) {
-	f := a.flow
+func (a *attempt) noteEnd(end *attemptEnd) {
+	f := a.race.flow
 	switch {
 	case a.answered:
 		f.server.crashes.Answered(f.digest)
@@ -31,7 +31,7 @@
 		f.server.ends.Lives(a.placed.Spec)
 	case end.notRun:
 		// The target never had the request.
-	case context.Cause(ctx) != nil:
+	case context.Cause(a.ctx) != nil:
 		// It was silent, so it may have ended long before its entry went, or not at all.
 		f.server.ends.Failed(a.placed.Spec, false, f.digest)
 	case f.server.fleet.Listed(a.placed.Target):
@@ -43,7 +43,7 @@
 
 // noteTargetGone notes that a target has ended whose entry says that it is in service.
 func (a *attempt) noteTargetGone(cause string) {
-	s := a.flow.server
+	s := a.race.flow.server
 	if s.fleet.Listed(a.placed.Target) {
 		s.ends.Ended(a.placed.Spec, cause)
 	}
--- a/relay/place.go
+++ b/relay/place.go
@@ -146,6 +146,21 @@
 	}
 }
 
+// HasOther tells whether a request could go to another target than those that it was sent to, as far as is known here.
+func (p *Placer) HasOther(pool string, w Want) bool {
+	now := p.clock.Now()
+	w.Cold = p.mayBeSent(now, pool, w.Rank)
+	return p.fleet.Has(now, pool, w)
+}
+
+// Late notes that the attempt takes longer than it should, so that others go to other targets meanwhile.
+func (p *Placed) Late() {
+	p.placer.fleet.Late(p.placer.clock.Now(), p.Target)
+	if p.owner != "" {
+		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Late: true})
+	}
+}
+
 // Ended notes how the attempt ended.
 func (p *Placed) Ended(v Verdict, load Load) {
 	p.arrived()
@@ -182,15 +197,18 @@
 func (p *Placer) Note(n proto.PlaceNote) {
 	p.mu.Lock()
 	l, ok := p.leases[n.Lease]
-	if ok && n.Began {
+	switch {
+	case ok && n.Began:
 		l.began = true
 		p.leases[n.Lease] = l
-	} else {
+	case !n.Late:
 		delete(p.leases, n.Lease)
 	}
 	p.mu.Unlock()
 	switch {
 	case !ok:
+	case n.Late:
+		p.fleet.Late(p.clock.Now(), l.target)
 	case n.Began:
 		p.fleet.Began(p.clock.Now(), l.target, l.want)
 	default:
--- /dev/null
+++ b/relay/race.go
@@ -0,0 +1,354 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// race holds the attempts of one request that are at work: one as a rule, and a further one beside it where the first takes longer than
+// usual. The first is not given up for the second before that answers: the pool may have no other target, and if it has one, nobody knows
+// which of the two answers first. Whichever begins to answer first goes on, and the others are given up.
+//
+// All but the reading of answers is done in the goroutine of the request.
+type race struct {
+	flow *flow
+	// ctx ends all attempts: when the caller leaves, when the time for the request is over, and at the end of the race.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timeUp clockwork.Timer
+	// news is what attempts tell, and over is closed when nobody takes it any more.
+	news chan *attemptNews
+	over chan struct{}
+	// heard is called when an attempt has told of an answer while the race waits for something else.
+	heard heardHook
+
+	running []*attempt
+	// begun counts the attempts.
+	begun int
+	// leader is the attempt whose events are passed on; nil before the first event.
+	leader *attempt
+	// slow fires when the attempt at work takes longer than usual, at due, after waiting for wait.
+	slow clockwork.Timer
+	due  time.Time
+	wait lateBound
+	// alone is why no other attempt was made beside the one at work, as last logged.
+	alone string
+	last  attemptEnd
+}
+
+// newsHeld is how many words of attempts wait for the race, so that an attempt can go on reading while one is passed on.
+const newsHeld = 1
+
+func newRace(caller context.Context, f *flow) *race {
+	r := &race{flow: f, news: make(chan *attemptNews, newsHeld), over: make(chan struct{})}
+	ctx, cancel := context.WithCancelCause(caller)
+	r.ctx, r.cancel = ctx, cancel
+	r.timeUp = f.server.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
+	r.slow = f.server.clock.NewTimer(f.left())
+	r.slow.Stop()
+	return r
+}
+
+// stop gives up all attempts that are at work.
+func (r *race) stop() {
+	for len(r.running) > 0 {
+		r.giveUp(r.running[0], "", "the request has ended")
+	}
+	close(r.over)
+	r.timeUp.Stop()
+	r.slow.Stop()
+	r.cancel(nil)
+}
+
+// run makes an attempt, and others beside it where it takes longer than usual, until one has answered or all have failed; it returns the
+// end of the last one.
+func (r *race) run() attemptEnd {
+	first := r.newAttempt()
+	if first == nil {
+		return attemptEnd{notRun: true, noTarget: true, reason: r.flow.noTarget()}
+	}
+	r.begin(first)
+	for len(r.running) > 0 {
+		select {
+		case news := <-r.news:
+			if r.take(news) {
+				return r.last
+			}
+		case <-r.slow.Chan():
+			r.tooSlow()
+		}
+	}
+	return r.last
+}
+
+// begin sends the request to the target of an attempt.
+func (r *race) begin(a *attempt) {
+	r.begun++
+	r.running = append(r.running, a)
+	a.start()
+	r.expect(a.starting)
+}
+
+// expect has the race look for another target after a time, unless something comes before.
+func (r *race) expect(wait lateBound) {
+	r.wait = wait
+	if !r.flow.route.Repeatable() || r.runsAtMost() >= r.flow.mostRuns() {
+		r.slow.Stop()
+		return
+	}
+	r.due = r.flow.server.clock.Now().Add(wait.wait)
+	r.slow.Reset(wait.wait)
+}
+
+// mostRuns is how many targets may run the request.
+func (f *flow) mostRuns() int { return max(1, f.route.MaxTargets) }
+
+// runsAtMost is how many targets have run the request, or may be running it now.
+func (r *race) runsAtMost() int {
+	runs := r.flow.runs
+	for _, a := range r.running {
+		if !a.counted {
+			runs++
+		}
+	}
+	return runs
+}
+
+// take takes in what an attempt tells, and tells whether the request has its whole answer.
+func (r *race) take(news *attemptNews) (done bool) {
+	a := news.attempt
+	if !slices.Contains(r.running, a) {
+		// It was given up meanwhile.
+		return false
+	}
+	switch {
+	case len(news.events) > 0:
+		return r.passOn(a, news)
+	case news.in == nil:
+		r.ended(a, a.failed(news.err, news.err.Error()))
+	case news.reply.NotRun || news.reply.OtherTarget:
+		a.load = news.reply.Load
+		r.ended(a, a.refused(news.in.Status, news.reply))
+	default:
+		a.load = news.reply.Load
+		a.ran()
+		r.ended(a, r.answered(a, news))
+	}
+	return r.last.done
+}
+
+// answered takes in the last word of an attempt that a target ran.
+func (r *race) answered(a *attempt, news *attemptNews) attemptEnd {
+	switch {
+	case news.mismatch:
+		a.bad()
+		return attemptEnd{sent: true, reason: "the answer is not that of the request"}
+	case news.endless:
+		a.bad()
+		return attemptEnd{sent: true, reason: "an event has no end"}
+	case news.stream:
+		return a.streamEnded(news)
+	case news.err != nil:
+		return a.failed(news.err, "the answer broke off: "+news.err.Error())
+	}
+	return a.whole(&wholeAnswer{status: news.in.Status, header: news.in.Header, body: news.body})
+}
+
+// passOn passes events on, unless the caller has them from another target; the attempt that brings new ones leads from then on.
+func (r *race) passOn(a *attempt, news *attemptNews) (done bool) {
+	f := r.flow
+	a.load = news.reply.Load
+	a.ran()
+	a.late = false
+	if !a.first {
+		a.streamBegins()
+	}
+	if r.leader != a && f.committed && !f.bringsNew(news.events) {
+		return false
+	}
+	r.leader = a
+	r.overtake(a)
+	if err := f.passEvents(news.in.Header, news.events); err != nil {
+		a.verdict = VerdictNone
+		r.ended(a, attemptEnd{sent: true, reason: "the caller does not take the stream: " + err.Error()})
+		return false
+	}
+	r.expect(f.silenceBound())
+	return false
+}
+
+// overtake gives up all attempts but one.
+func (r *race) overtake(by *attempt) {
+	for _, a := range slices.Clone(r.running) {
+		if a != by {
+			r.giveUp(a, by.placed.Spec.ID, errOvertaken.Error())
+		}
+	}
+}
+
+// ended takes an attempt out that has ended. One that has the whole answer ends the others.
+func (r *race) ended(a *attempt, end attemptEnd) {
+	if end.done {
+		r.overtake(a)
+	}
+	r.last = end
+	r.leave(a, &end)
+	if end.done {
+		return
+	}
+	f, spec := r.flow, a.placed.Spec
+	f.note("attempt failed", "target", spec.ID, "address", spec.Address, "zone", spec.Zone, "cold", a.placed.Cold, "sent", end.sent, "notRun", end.notRun,
+		"targets", f.server.fleet.Version(), "took", brief(f.server.clock.Now().Sub(a.began)), "reason", end.reason, "atWork", len(r.running))
+	if len(r.running) > 0 && !r.slowSet() {
+		r.expect(r.wait)
+	}
+}
+
+// giveUp ends an attempt that is still at work, for another one if there is one.
+func (r *race) giveUp(a *attempt, winner, reason string) {
+	f := r.flow
+	a.ran()
+	a.cancel(errOvertaken)
+	r.leave(a, &attemptEnd{sent: true, reason: reason})
+	f.note("attempt given up", "target", a.placed.Spec.ID, "for", winner, "took", brief(f.server.clock.Now().Sub(a.began)), "late", a.late,
+		"mightTake", brief(a.starting.wait), "basis", a.starting.basis, "usual", brief(a.starting.usual), "reason", reason)
+}
+
+// leave undoes what goes with an attempt at work.
+func (r *race) leave(a *attempt, end *attemptEnd) {
+	r.running = slices.DeleteFunc(r.running, func(other *attempt) bool { return other == a })
+	if r.leader == a {
+		r.leader = nil
+	}
+	a.release()
+	a.keepInputs()
+	a.placed.Ended(a.verdict, a.load)
+	a.noteEnd(end)
+	a.cancel(nil)
+	a.span.End()
+}
+
+// tooSlow takes in that the attempt at work takes longer than usual.
+func (r *race) tooSlow() {
+	f := r.flow
+	if left := r.due.Sub(f.server.clock.Now()); left > 0 {
+		// The timer was set anew just as it fired.
+		r.slow.Reset(left)
+		return
+	}
+	if len(r.running) == 0 {
+		return
+	}
+	for _, a := range r.running {
+		if !a.late {
+			a.late = true
+			a.placed.Late()
+		}
+	}
+	waited := r.wait
+	if alone := r.beside(); alone != "" && alone != r.alone {
+		r.alone = alone
+		f.note("no attempt beside", "target", f.target, "mightTake", brief(waited.wait), "basis", waited.basis, "usual", brief(waited.usual),
+			"reason", alone, "left", brief(f.left()))
+	}
+	if len(r.running) > 0 && !r.slowSet() {
+		r.expect(waited)
+	}
+}
+
+// slowSet tells whether the race looks for another target some time from now.
+func (r *race) slowSet() bool { return r.due.After(r.flow.server.clock.Now()) }
+
+// beside makes an attempt beside those at work, or returns why there is none.
+func (r *race) beside() (alone string) {
+	f := r.flow
+	if alone := r.mustWait(); alone != "" {
+		return alone
+	}
+	late := r.running[0]
+	if f.inputsFreed() {
+		if alone := r.makeInputsAnew(); alone != "" {
+			return alone
+		}
+	}
+	a := r.newAttempt()
+	if a == nil {
+		return f.noTarget()
+	}
+	if !f.spendRetry("an attempt takes longer than usual") {
+		a.placed.Ended(VerdictNone, Load{})
+		return reasonBudget
+	}
+	// The inputs are for the new target as well.
+	for _, other := range r.running {
+		other.keepInputs()
+	}
+	f.server.counts.again.Add(1)
+	f.note("attempt beside", "target", a.placed.Spec.ID, "late", late.placed.Spec.ID, "after", brief(f.server.clock.Now().Sub(late.began)),
+		"mightTake", brief(r.wait.wait), "basis", r.wait.basis, "usual", brief(r.wait.usual), "lastEvent", f.after, "left", brief(f.left()))
+	r.begin(a)
+	return ""
+}
+
+// reasonBudget and the others are why no attempt is made beside one that is late.
+const (
+	reasonBudget   = "the retry budget of the pool is spent"
+	reasonRuns     = "as many targets as allowed run the request"
+	reasonBeside   = "another attempt is at work beside it"
+	reasonAttempts = "there were as many attempts as allowed"
+	reasonTimeUp   = "the time that is left is too short"
+	reasonCrashing = "targets ended that ran the request"
+	reasonInputs   = "the inputs of the request are given up, and are not made anew"
+	reasonBegun    = "the answer has begun meanwhile"
+)
+
+// mustWait returns why no attempt may be made beside those at work, as far as that is known without asking for a target.
+func (r *race) mustWait() string {
+	f := r.flow
+	s := f.server
+	now := s.clock.Now()
+	switch _, crashing := s.crashes.Refuses(f.digest); {
+	case f.left() < leastLeft:
+		return reasonTimeUp
+	case len(r.running) >= besideMost:
+		return reasonBeside
+	case r.runsAtMost() >= f.mostRuns():
+		return reasonRuns
+	case r.begun >= attemptsMost:
+		return reasonAttempts
+	case crashing:
+		return reasonCrashing
+	case !s.placer.HasOther(f.pool, f.want()):
+		return f.noTarget()
+	case !s.budgetOf(f.pool).Left(now, s.peers.Share().Part):
+		return reasonBudget
+	}
+	return ""
+}
+
+// makeInputsAnew has the stages done again for another target, while those at work go on; it returns why that was not done.
+func (r *race) makeInputsAnew() (alone string) {
+	f := r.flow
+	if !f.mayRebuild() {
+		return reasonInputs
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	r.heard.set(cancel)
+	defer r.heard.set(nil)
+	if len(r.news) > 0 {
+		return reasonBegun
+	}
+	fail, _ := f.rebuild(ctx)
+	if fail == nil {
+		return ""
+	}
+	f.freeAll()
+	if len(r.news) > 0 {
+		return reasonBegun
+	}
+	return fail.reason
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -183,8 +183,11 @@
 	inputs []stageResult
 	// freeing guards what says which results are freed: a timer frees them too.
 	freeing sync.Mutex
-	// handles are the inputs that the request itself needs, in order.
+	// handles are the inputs that the request itself needs, in order; lacking says that they are being made, or could not be.
 	handles []string
+	lacking bool
+	// rebuilt is how often the stages were done anew.
+	rebuilt int
 	// zone is where most bytes of these lie, and bulk how many.
 	zone string
 	bulk int
@@ -277,23 +280,33 @@
 		return fail
 	}
 	defer f.freeAll()
-	for rebuilt := 0; ; rebuilt++ {
-		fail, lost := f.runStagesUntilTheEnd(ctx)
+	fail, lost := f.runStagesUntilTheEnd(ctx)
+	for {
 		if fail == nil {
 			f.staged = f.server.clock.Now()
 			fail, lost = f.runSelf(ctx)
 		}
-		if !lost || rebuilt >= stageRebuilds || f.left() < f.toFirstEvent() {
+		if !lost || !f.mayRebuild() {
 			if fail != nil && f.passReady() {
 				return nil
 			}
 			return fail
 		}
-		f.note("inputs are made anew", "rebuilt", rebuilt+1, "left", brief(f.left()))
-		f.freeAll()
+		fail, lost = f.rebuild(ctx)
 	}
 }
 
+// mayRebuild tells whether the stages may be done anew.
+func (f *flow) mayRebuild() bool { return f.rebuilt < stageRebuilds && f.left() >= f.toFirstEvent() }
+
+// rebuild has the stages done anew.
+func (f *flow) rebuild(ctx context.Context) (fail *failure, lost bool) {
+	f.rebuilt++
+	f.note("inputs are made anew", "rebuilt", f.rebuilt, "left", brief(f.left()))
+	f.freeAll()
+	return f.runStagesUntilTheEnd(ctx)
+}
+
 // runStagesUntilTheEnd has the stages done, unless the daemon ends before they are.
 func (f *flow) runStagesUntilTheEnd(ctx context.Context) (fail *failure, lost bool) {
 	ending := f.server.ending
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -61,7 +61,7 @@
 // runStages has all stages done that the request does not leave out, each as soon as those before it are.
 // lost says that a result was lost, so that they may be done anew.
 func (f *flow) runStages(ctx context.Context) (fail *failure, lost bool) {
-	f.handles, f.zone, f.bulk = nil, "", 0
+	f.handles, f.zone, f.bulk, f.lacking = nil, "", 0, true
 	home := f.server.fleet.Home(f.server.clock.Now(), f.pool, f.want())
 	stages := f.route.Stages
 	f.inputs = make([]stageResult, len(stages))
@@ -87,6 +87,7 @@
 		open += f.startStages(ctx, ends, home)
 	}
 	f.collectInputs()
+	f.lacking = false
 	return nil, false
 }
 
@@ -372,6 +373,9 @@
 
 // inputsFreed tells whether inputs of the request itself were given up, so that no further target can fetch them.
 func (f *flow) inputsFreed() bool {
+	if f.lacking {
+		return true
+	}
 	f.freeing.Lock()
 	defer f.freeing.Unlock()
 	for stage := range f.inputs {
