A call for a stage is given up only for one that has made its pieces

At the only target of a stage its request was then never served: the next call was cancelled as well, until its time was over.

Change: such a call goes on until its pieces are made elsewhere or not needed any more. Where no other target can make them now, the call is made again beside it over another connection, since the first may have fallen silent; a target that is at work refuses that for want of a slot. Pieces whose inputs were given up are asked for anew by who needs them, as before: there the call ends first.

--- /dev/null
+++ b/relay/batchstanding.go
@@ -0,0 +1,54 @@
+package relay
+
+import "time"
+
+// callStanding says what becomes of a call that takes much longer than expected.
+type callStanding uint8
+
+const (
+	// callWaited is a call some of whose pieces nobody else has made yet.
+	callWaited callStanding = iota
+	// callAlone is one some of whose pieces no other target can make now.
+	callAlone
+	// callOver is one whose pieces are all made elsewhere, not needed any more, or to be asked for again.
+	callOver
+)
+
+// standing tells whether a call that takes much longer than expected is still waited for. A call is not given up for one that is not
+// made: what its target has done by then would be lost, and its pieces would wait as before.
+func (b *Batcher) standing(now time.Time, c *Call) callStanding {
+	if c.void {
+		return callOver
+	}
+	needed, alone := false, false
+	for _, item := range c.Items {
+		j := item.Job
+		if j.done || j.handles[item.Piece] != "" {
+			continue
+		}
+		if j.inputsFreed {
+			// Who asked for the piece has its inputs made anew, and asks again.
+			continue
+		}
+		needed = true
+		alone = alone || !b.hasOther(now, c, j)
+	}
+	switch {
+	case alone:
+		return callAlone
+	case needed:
+		return callWaited
+	}
+	return callOver
+}
+
+// hasOther tells whether a target other than that of a call can make pieces of a job; one that hangs in a call of its own cannot.
+func (b *Batcher) hasOther(now time.Time, c *Call, j *Job) bool {
+	for id, t := range b.targets {
+		hangs := t.call != nil && t.call.overdue
+		if id != c.Target.ID && !hangs && !t.spec.Leaving && !now.Before(t.outTo) && j.Ask.Homes.Allow(t.spec.Region) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/relay/piececall.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"emberlead/proto"
+)
+
+// errBusy says that a target had no slot for a call, and errCallGivenUp that it took too long and its pieces are made elsewhere.
+var (
+	errBusy        = errors.New("the target has no free slot")
+	errCallGivenUp = errors.New("the call took too long, and its pieces are made elsewhere")
+)
+
+// callsBeside is how many calls for the same pieces are at work at one target at a time.
+const callsBeside = 2
+
+type callEnd struct {
+	results []ItemResult
+	err     error
+}
+
+// call makes a call. One that takes much longer than expected is given up once its pieces are made elsewhere; until then the
+// target may still be at work on it. If no other target can make them, the call is made again beside the first, over
+// another connection, since the first one may have fallen silent; a target that is at work refuses it.
+func (w *worker) call(c *Call) ([]ItemResult, error) {
+	p := w.pieces
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ends := make(chan callEnd, callsBeside)
+	begin := func() {
+		results, err := p.call(ctx, c)
+		ends <- callEnd{results, err}
+	}
+	open := 1
+	go begin()
+	overdue := p.clock.NewTimer(callSlack * max(c.Expected, c.Least))
+	defer overdue.Stop()
+	for {
+		select {
+		case end := <-ends:
+			open--
+			if end.err == nil || open == 0 {
+				return end.results, end.err
+			}
+		case <-overdue.Chan():
+			switch standing := w.standing(c); {
+			case standing == callOver:
+				return nil, errCallGivenUp
+			case standing == callAlone && open < callsBeside:
+				p.log.Warn("a call for pieces takes long and is made again beside", "pool", w.pool, "shard", w.index, "target", c.Target.ID, "pieces", len(c.Items),
+					"took", brief(p.clock.Now().Sub(c.Began)), "expected", brief(c.Expected), "reason", "no other target may make them")
+				open++
+				go begin()
+			}
+			overdue.Reset(max(c.Expected, c.Least, startLeast))
+		}
+	}
+}
+
+func (w *worker) standing(c *Call) callStanding {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.batch.standing(w.pieces.clock.Now(), c)
+}
+
+// call sends one call and reads its answer.
+func (p *Pieces) call(ctx context.Context, c *Call) ([]ItemResult, error) {
+	out, err := p.dialect.PiecesCall(c, p.clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	in, err := p.sender.Send(ctx, c.Target.Address, &out)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(in.Body, piecesMost))
+	if err != nil {
+		return nil, &Error{Op: "read pieces", Kind: proto.KindUnknown, Err: err}
+	}
+	if in.Status == http.StatusServiceUnavailable {
+		return nil, errBusy
+	}
+	if in.Status != http.StatusOK {
+		return nil, fault("call for pieces", proto.KindUnknown, "the target answered with status %d", in.Status)
+	}
+	return p.dialect.PiecesResult(body, len(c.Items))
+}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -1,10 +1,7 @@
 package relay
 
 import (
-	"context"
 	"errors"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -116,7 +113,7 @@
 	p.items.Add(int64(len(c.Items)))
 	// AfterFunc may run in the goroutine of the clock, which must not wait for a lock.
 	fetched := p.clock.AfterFunc(p.fetches.wait(w.pool), func() { go w.freeFetched(c) })
-	results, err := p.call(c)
+	results, err := w.call(c)
 	fetched.Stop()
 	now := p.clock.Now()
 	if err != nil {
@@ -142,7 +139,7 @@
 // noteFailed notes that a target may have ended while it worked on a call.
 func (w *worker) noteFailed(c *Call, err error) {
 	p := w.pieces
-	silent := errors.Is(err, context.DeadlineExceeded)
+	silent := errors.Is(err, errCallGivenUp)
 	if errors.Is(err, errBusy) || !silent && !p.fleet.InService(c.Target) {
 		return
 	}
@@ -161,34 +158,6 @@
 	p.ends.Failed(c.Target, !silent, slices.Compact(requests)...)
 }
 
-// errBusy says that a target had no slot for a call.
-var errBusy = errors.New("the target has no free slot")
-
-func (p *Pieces) call(c *Call) ([]ItemResult, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callSlack*max(c.Expected, c.Least))
-	defer cancel()
-	out, err := p.dialect.PiecesCall(c, p.clock.Now())
-	if err != nil {
-		return nil, err
-	}
-	in, err := p.sender.Send(ctx, c.Target.Address, &out)
-	if err != nil {
-		return nil, err
-	}
-	defer in.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(in.Body, piecesMost))
-	if err != nil {
-		return nil, &Error{Op: "read pieces", Kind: proto.KindUnknown, Err: err}
-	}
-	if in.Status == http.StatusServiceUnavailable {
-		return nil, errBusy
-	}
-	if in.Status != http.StatusOK {
-		return nil, fault("call for pieces", proto.KindUnknown, "the target answered with status %d", in.Status)
-	}
-	return p.dialect.PiecesResult(body, len(c.Items))
-}
-
 // freeFetched gives up the inputs of a call that its target has fetched by now.
 func (w *worker) freeFetched(c *Call) {
 	w.mu.Lock()
