Each rank of requests has a lower floor than the one before

Cause, from counts of each decision by rank: recaps and captions are both at their floors, which were one for all ranks; what the most urgent left set them apart by 0.05 to 0.08 of their tries (0.37 to 0.43 and 0.32 to 0.35). Chance moves the rate of five hundred captions by as much, and captions that were begun before the loss wait longest and are counted in the window. Ruled out: the slack by which requests are refused (alike for both), the choice of engines (all that are admitted are served).

Change: the floor of a rank is 0.8 of that of the one before; what is left to all ranks together stays half of what can be begun. The test is unchanged.

--- a/relay/admit.go
+++ b/relay/admit.go
@@ -25,9 +25,12 @@
 	// idleShare is the part of the wait below which engines count as idle, and idleStep and idleRate how much is begun for them then at
 	// the least: so much more than they read, and the part of what they read without streams that they read beside these.
 	idleShare, idleStep, idleRate = 0.25, 1.4, 0.5
-	// floorShare is the part of its share of what can be begun that each rank is left: urgent requests go first, and the least urgent
-	// ones of one kind are not refused as long as any of a more urgent kind come.
+	// floorShare is the part of what can be begun that is left to all ranks, whatever the urgent ones ask for: urgent requests go
+	// first, and the least urgent ones are not refused as long as any more urgent ones come.
 	floorShare = 0.5
+	// floorStep is the floor of a rank as a part of that of the rank before. With one floor for all, what chance gives the few
+	// requests of a rank decides which of two ranks at their floors is served more often.
+	floorStep = 0.8
 	// busyFrom is the part of the wait from which on requests are to be admitted, and busyFor how long each word of that holds. While
 	// engines have less to read, nobody is asked and nothing is counted.
 	busyFrom, busyFor = 0.6, 2 * time.Second
@@ -181,23 +184,44 @@
 
 // share is the part of the requests of a rank that is begun: each rank has a floor, and what is left goes to the urgent ones first.
 func (a *admission) share(now time.Time, rate float64, rank int) float64 {
-	all, before, own := 0.0, 0.0, 0.0
-	for r := range a.asked {
-		asked := perHalf * a.asked[r].Value(now, rateHalf)
-		all += asked
-		switch {
-		case r < rank:
-			before += asked
-		case r == rank:
-			own = asked
+	asked, all := a.askedNow(now)
+	if all <= rate || asked[rank] == 0 {
+		return 1
+	}
+	floors := floorsOf(asked, rate)
+	left := rate
+	for r := range asked {
+		left -= floors[r] * asked[r]
+		if r < rank {
+			left -= (1 - floors[r]) * asked[r]
 		}
 	}
-	if all <= rate || own == 0 {
-		return 1
+	return min(1, floors[rank]+max(0, left)/asked[rank])
+}
+
+// askedNow is how many tokens a second the requests of each rank ask for, and of all.
+func (a *admission) askedNow(now time.Time) (asked []float64, all float64) {
+	asked = make([]float64, len(a.asked))
+	for r := range a.asked {
+		asked[r] = perHalf * a.asked[r].Value(now, rateHalf)
+		all += asked[r]
+	}
+	return asked, all
+}
+
+// floorsOf divides the part of the rate that is left to all ranks: so much of the requests of each is begun at least, less of each rank than
+// of the one before.
+func floorsOf(asked []float64, rate float64) []float64 {
+	floors, step, sum := make([]float64, len(asked)), 1.0, 0.0
+	for r := range asked {
+		floors[r] = step
+		sum += step * asked[r]
+		step *= floorStep
+	}
+	for r := range floors {
+		floors[r] = min(1, floors[r]*floorShare*rate/sum)
 	}
-	floor := floorShare * rate / all
-	left := rate - floor*all - (1-floor)*before
-	return min(1, floor+max(0, left)/own)
+	return floors
 }
 
 // decide answers for a request that brings so many tokens to read.
--- /dev/null
+++ b/relay/admit_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"emberlead/state"
+)
+
+// TestWhatIsBegunIsDividedByRank has requests of some ranks ask for any rates of tokens, beside any rate at which engines read. No more is
+// begun than that, each rank has a part, and none a larger one than a more urgent rank.
+func TestWhatIsBegunIsDividedByRank(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("divided by rank", prop.ForAll(func(tokens []float64, rate float64) bool {
+		a := newAdmission()
+		for _, n := range tokens {
+			d := state.Decay{}
+			d.Add(start, rateHalf, n)
+			a.asked = append(a.asked, d)
+		}
+		asked, all := a.askedNow(start)
+		begun, before := 0.0, 1.0
+		for rank := range asked {
+			share := a.share(start, rate, rank)
+			if share <= 0 || share > before+1e-9 || share > 1 {
+				return false
+			}
+			begun, before = begun+share*asked[rank], share
+		}
+		return begun <= max(rate, 0)*(1+1e-9) || all <= rate
+	}, gen.SliceOfN(6, gen.Float64Range(1, 1e6)), gen.Float64Range(1, 3e6)))
+	properties.TestingRun(t)
+}
+
+// TestRanksAtTheirFloors has the most urgent requests ask for more than can be begun: what is left to the others falls by rank.
+func TestRanksAtTheirFloors(t *testing.T) {
+	a := newAdmission()
+	for range 4 {
+		d := state.Decay{}
+		d.Add(start, rateHalf, 1e6)
+		a.asked = append(a.asked, d)
+	}
+	now := start.Add(time.Millisecond)
+	for rank := 2; rank < len(a.asked); rank++ {
+		urgent, less := a.share(now, 1e6, rank-1), a.share(now, 1e6, rank)
+		if less >= urgent || less < urgent/2 {
+			t.Errorf("rank %d has a share of %.3f, the one before %.3f", rank, less, urgent)
+		}
+	}
+}
--- a/relay/overload_test.go
+++ b/relay/overload_test.go
@@ -372,6 +372,12 @@
 	}
 }
 
+// What was seen: after a loss of most engines, captions were served 0.06 to 0.10 more often than the more urgent recaps, in a fifth of the
+// seeds. Both were at their floors, which were the same for all ranks, so that only what the most urgent left set them apart: recaps were
+// admitted at 0.37 to 0.43 of their tries and captions at 0.32 to 0.35. That is less than chance moves the rate of some five hundred captions
+// in twelve seconds, and than the captions add that were begun before the loss and read last. The mean of the difference was 0.00 and its
+// spread 0.05; counted by the requests that came in the window alone, recaps were ahead by 0.07 in the mean and no caption by 0.05.
+//
 // TestNoKindIsServedMoreOftenThanAMoreUrgentOne allows for 5 in 100, as the platform's users do.
 func TestNoKindIsServedMoreOftenThanAMoreUrgentOne(t *testing.T) {
 	for seed := range uint64(8) {
