A pool whose cold targets may get one request a second is served

Found while the tests of attempts were written: with coldPerS 1 and no allowance beyond it in the settings, which is their default, each choice of a target ended with 'index out of range', so that callers of the pool got no answer at all. Cause: the number of requests that a warm target may have lately is one less than a cold one's, 0 then, and the 0th from the last of none was looked at. It is one at least now. Test: TestTargetsThatMayGetOneRequestASecondAreUsed, which panicked.

--- a/relay/coldsends_test.go
+++ b/relay/coldsends_test.go
@@ -281,3 +281,18 @@
 		t.Errorf("one target got %d requests within a second, a cold one may get %d", got, coldMost)
 	}
 }
+
+// TestTargetsThatMayGetOneRequestASecondAreUsed has cold targets work through one request a second, and nothing allowed beyond that: warm
+// ones are chosen all the same, one request after the other.
+func TestTargetsThatMayGetOneRequestASecondAreUsed(t *testing.T) {
+	f := newFleet(put(1, listed("t", "p", "z")))
+	f.SetCold("p", proto.ColdSpec{For: time.Second, PerSecond: 1})
+	for i := range 3 {
+		now := start.Add(time.Duration(i) * 2 * coldSpan)
+		target := f.Pick(now, "p", Want{})
+		if target == nil {
+			t.Fatalf("request %d gets no target", i)
+		}
+		f.Ended(now, target, Want{}, false, VerdictGood, Load{})
+	}
+}
--- a/relay/fleetcold.go
+++ b/relay/fleetcold.go
@@ -70,7 +70,12 @@
 // crowded tells whether a target was chosen so often within the last second that it would get too many if it were cold. A
 // target may become cold at any moment, and that is not known before it has written its entry anew, one or two seconds later.
 func (p *targetPool) crowded(now time.Time, t *Target) bool {
-	return p.coldMost > 0 && len(t.lately) >= p.coldMost-1 && now.Sub(t.lately[len(t.lately)-p.coldMost+1]) <= coldSpan
+	if p.coldMost == 0 {
+		return false
+	}
+	// Where a cold target may get one request, a warm one gets one too, or the pool would serve nobody.
+	most := max(1, p.coldMost-1)
+	return len(t.lately) >= most && now.Sub(t.lately[len(t.lately)-most]) <= coldSpan
 }
 
 // noteChosen notes that a target gets a request; its pool is locked.
