--- a/relay/race.go
+++ b/relay/race.go
@@ -30,7 +30,7 @@
 	begun int
 	// leader is the attempt whose events are passed on; nil before the first event.
 	leader *attempt
-	// slow fires when the attempt at work takes longer than usual, at due, after waiting for wait.
+	// slow fires when the attempt at work takes longer than usual, at due, after waiting for wait; due is zero if nothing is waited for.
 	slow clockwork.Timer
 	due  time.Time
 	wait lateBound
@@ -97,6 +97,7 @@
 	r.wait = wait
 	if !r.flow.route.Repeatable() || r.runsAtMost() >= r.flow.mostRuns() {
 		r.slow.Stop()
+		r.due = time.Time{}
 		return
 	}
 	r.due = r.flow.server.clock.Now().Add(wait.wait)
@@ -170,6 +171,7 @@
 		return false
 	}
 	r.leader = a
+	f.target = a.placed.Spec.ID
 	r.overtake(a)
 	if err := f.passEvents(news.in.Header, news.events); err != nil {
 		a.verdict = VerdictNone
@@ -192,6 +194,7 @@
 // ended takes an attempt out that has ended. One that has the whole answer ends the others.
 func (r *race) ended(a *attempt, end attemptEnd) {
 	if end.done {
+		r.flow.target = a.placed.Spec.ID
 		r.overtake(a)
 	}
 	r.last = end
@@ -234,12 +237,12 @@
 // tooSlow takes in that the attempt at work takes longer than usual.
 func (r *race) tooSlow() {
 	f := r.flow
-	if left := r.due.Sub(f.server.clock.Now()); left > 0 {
+	if r.slowSet() {
 		// The timer was set anew just as it fired.
-		r.slow.Reset(left)
+		r.slow.Reset(r.due.Sub(f.server.clock.Now()))
 		return
 	}
-	if len(r.running) == 0 {
+	if r.due.IsZero() || len(r.running) == 0 {
 		return
 	}
 	for _, a := range r.running {
@@ -249,6 +252,7 @@
 		}
 	}
 	waited := r.wait
+	r.due = time.Time{}
 	if alone := r.beside(); alone != "" && alone != r.alone {
 		r.alone = alone
 		f.note("no attempt beside", "target", f.target, "mightTake", brief(waited.wait), "basis", waited.basis, "usual", brief(waited.usual),
--- a/relay/race_test.go
+++ b/relay/race_test.go
@@ -169,6 +169,8 @@
 	fleet    *Fleet
 	sender   *raceSender
 	recorder *httptest.ResponseRecorder
+	// log is what the daemon logged.
+	log *strings.Builder
 }
 
 func raceAddress(i int) netip.AddrPort {
@@ -195,7 +197,8 @@
 		fleet.Change(clock.Now(), []FleetChange{put(uint64(i+1), t)})
 	}
 	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
-	log := hclog.NewNullLogger()
+	lines := &strings.Builder{}
+	log := hclog.New(&hclog.LoggerOptions{Output: lines})
 	s := NewServer(ServerConfig{
 		Clock: clock, Log: log, Dialect: raceDialect{}, Sender: sender, Fleet: fleet, Peers: peers, Zone: "z",
 		Placer: NewPlacer("self", clock, log, fleet, peers), Budget: BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second},
@@ -211,7 +214,7 @@
 		route: &proto.Route{Name: raceRoute, Kind: kind, MaxTargets: 3, Resumable: true, Gap: 100 * time.Millisecond},
 		began: now, due: now.Add(raceLeft), end: now.Add(raceLeft),
 	}
-	return &racedRequest{flow: f, fleet: fleet, sender: sender, recorder: recorder}
+	return &racedRequest{flow: f, fleet: fleet, sender: sender, recorder: recorder, log: lines}
 }
 
 // end runs the request to its end and returns the body that its caller got.
@@ -581,3 +584,36 @@
 		})
 	}
 }
+
+// TestTheLogTellsWhyAnAttemptWasGivenUp reads what is logged of a late attempt.
+func TestTheLogTellsWhyAnAttemptWasGivenUp(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		racers   []racer
+		lines    []string
+	}{
+		{"another answers", []racer{whole(raceLate, "whole"), whole(raceUsual, "whole")}, []string{
+			`attempt beside: request=r target=t1 late=t0 after=50ms mightTake=50ms basis="the least that is waited for" usual=`,
+			`attempt given up: request=r target=t0 for=t1 took=50.5ms late=true mightTake=50ms basis="the least that is waited for" usual=`,
+		}},
+		{"the first answers", []racer{whole(raceLate, "whole"), hangs}, []string{
+			`attempt given up: request=r target=t1 for=t0 took=350ms`,
+		}},
+		{"there is no other", []racer{whole(raceLate, "whole")}, []string{
+			`no attempt beside: request=r target=t0 mightTake=50ms basis="the least that is waited for"`, `reason="the pool has no target that may get work"`,
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRaced(proto.RouteRepeatable, s.racers...)
+				r.end(t)
+				for _, line := range s.lines {
+					if strings.Count(r.log.String(), line) != 1 {
+						t.Errorf("the log does not hold once: %s\n%s", line, r.log.String())
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/relay/raceprop_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"emberlead/proto"
+)
+
+// randomRacer is a target that does something at some time; alone tells whether a request that it gets alone is answered whole in time.
+func randomRacer(random *rand.Rand, kind proto.RouteKind) (r racer, alone bool) {
+	wait := time.Duration(random.IntN(800)) * time.Millisecond
+	switch random.IntN(7) {
+	case 0:
+		return hangs, false
+	case 1:
+		return breaksAfter(wait), false
+	case 2:
+		return refusesAfter(wait), false
+	case 3:
+		return answersAfter(wait, http.StatusInternalServerError, io.EOF), false
+	}
+	if kind == proto.RouteRepeatable {
+		return whole(wait, "whole"), true
+	}
+	parts := eventParts(1, 2, 3, 4)
+	parts[random.IntN(4)].after = time.Duration(random.IntN(1500)) * time.Millisecond
+	if random.IntN(4) == 0 {
+		return answersAfter(wait, http.StatusOK, io.ErrUnexpectedEOF, parts[:1+random.IntN(3)]...), false
+	}
+	return answersAfter(wait, http.StatusOK, io.EOF, parts...), true
+}
+
+// TestAnyTargetsRace plays requests before up to four targets that do anything. Each event comes once and in order, no target is asked
+// twice, no more than allowed run the request, a refusal as not run is true, and a request whose targets would all answer is answered.
+func TestAnyTargetsRace(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 400
+	properties := gopter.NewProperties(parameters)
+	for _, k := range kindsOfRace {
+		kind := k.kind
+		properties.Property(k.testName, prop.ForAll(func(seed uint64) (held bool) {
+			synctest.Test(t, func(t *testing.T) { held = holdsFor(t, kind, seed) })
+			return held
+		}, gen.UInt64()))
+	}
+	properties.TestingRun(t)
+}
+
+func holdsFor(t *testing.T, kind proto.RouteKind, seed uint64) bool {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var racers []racer
+	allAnswer := true
+	for range 1 + random.IntN(4) {
+		r, alone := randomRacer(random, kind)
+		racers = append(racers, r)
+		allAnswer = allAnswer && alone
+	}
+	r := newRaced(kind, racers...)
+	fail := r.run(t.Context())
+	body := r.recorder.Body.String()
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	asked := 0
+	for i := range racers {
+		n := r.sender.askedOf(i)
+		asked += n
+		if n > 1 || n != r.sender.gaveUpOn(i) {
+			t.Logf("seed %d: target %d was asked %d times, and %d attempts are over", seed, i, n, r.sender.gaveUpOn(i))
+			return false
+		}
+	}
+	events := eventsOf(body)
+	switch {
+	case fail == nil && kind == proto.RouteRepeatable && body != "whole" && r.recorder.Code == http.StatusOK,
+		fail == nil && kind == proto.RouteStream && events != "1234" && r.recorder.Code == http.StatusOK,
+		events != "1234"[:len(events)],
+		fail != nil && allAnswer,
+		fail != nil && fail.status == http.StatusServiceUnavailable && r.runs > 0,
+		r.runs > r.mostRuns(), asked > attemptsMost:
+		t.Logf("seed %d: %d targets, end %+v, events %q, body %q, %d runs, %d asked", seed, len(racers), fail, events, body, r.runs, asked)
+		return false
+	}
+	return true
+}
