--- a/relay/race_test.go
+++ b/relay/race_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -513,23 +514,19 @@
 
 // busyBeside answers only its first call, after a time, and refuses others meanwhile, as a target with one slot does.
 func busyBeside(first racer) racer {
-	began := false
+	var calls atomic.Int64
 	return func(ctx context.Context) (*Incoming, error) {
-		if began {
+		if calls.Add(1) > 1 {
 			return answersAfter(raceUsual, http.StatusServiceUnavailable, io.EOF)(ctx)
 		}
-		began = true
 		return first(ctx)
 	}
 }
 
 // inTurn answers each call by the next racer.
 func inTurn(racers ...racer) racer {
-	n := 0
-	return func(ctx context.Context) (*Incoming, error) {
-		n++
-		return racers[n-1](ctx)
-	}
+	var calls atomic.Int64
+	return func(ctx context.Context) (*Incoming, error) { return racers[calls.Add(1)-1](ctx) }
 }
 
 // TestACallForPiecesIsNotGivenUpForOneThatCannotBeMade has a call for a stage take twenty times as long as expected. It is given up only for
