--- a/relay/race.go
+++ b/relay/race.go
@@ -78,6 +78,11 @@
 				return r.last
 			}
 		case <-r.slow.Chan():
+			if len(r.news) > 0 {
+				// It has come to word just now, as all do together after this process was held up.
+				r.expect(r.wait)
+				continue
+			}
 			r.tooSlow()
 		}
 	}
