--- a/relay/batch.go
+++ b/relay/batch.go
@@ -18,18 +18,15 @@
 	// crossCalls is for how many full calls' time a job waits for a target in the zone of its inputs: one of them is free
 	// again within a call's length, and what crosses zones is paid for.
 	crossCalls = 1.2
-	// spareCalls is how many calls' time a less urgent job must have left to leave the last idle target to others. With
-	// two, each kind of request of a customer whose shortest goal is three calls' time earned 0.005 to 0.012 more of its
-	// worth on days of faults.
+	// spareCalls is how many calls' time a less urgent job must have left to leave the last idle target to others.
 	spareCalls = 2
 	// bulkInputs is from how many bytes of inputs on their zone matters.
 	bulkInputs = 50_000
 	// wholeRoom is the part of a target's room up to which a job is begun with all of its pieces or not at all: a larger
-	// one would wait for long. Between a half and nine tenths the worth of all requests is the same.
+	// one would wait for long.
 	wholeRoom = 0.5
-	// rankShare is the part of its goal by which a job's turn comes later for each step of rank. Without ranks the worth
-	// of all requests is lower by 0.003 to 0.04, measured on days of faults of three customers; with much more than the
-	// goal the least urgent would wait to their end in a burst.
+	// rankShare is the part of its goal by which a job's turn comes later for each step of rank; with much more the least
+	// urgent would wait to their end in a burst.
 	rankShare = 0.4
 	// begunLead is by how many empty calls' time the turn of a request comes earlier for which work was done before: what
 	// it has taken up so far, room above all, is given back sooner.
--- a/relay/batchinputs.go
+++ b/relay/batchinputs.go
@@ -7,10 +7,8 @@
 )
 
 // fetched returns the inputs of a call under way that nothing else will read, by the shards whose results they are; its
-// target has fetched them by now. The room that they take up is what the pool before this one waits for: freed so early
-// instead of after the call, 0.007 to 0.015 more of the worth of all requests is earned on days of faults of three
-// customers, of the least urgent ones most. Where the target may have no room for some results, which are then made
-// again, inputs are kept.
+// target has fetched them by now. The room that they take up is what the pool before this one waits for. Where the target may
+// have no room for some results, which are then made again, inputs are kept.
 func (b *Batcher) fetched(now time.Time, c *Call) map[shard][]string {
 	t := b.targets[c.Target.ID]
 	if t == nil || t.call != c || b.roomInDoubt(now, t) {
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -19,12 +19,11 @@
 	// the engine's time from all that wait there, and memory from parts that others will ask for.
 	readAgain = 2.0
 	// homeBonus is the part of a shared prompt's reading that its home is credited, so that daemons which choose
-	// alone, or have just taken over, choose alike. With 0.6 instead of 0.25 a tenth less is read again.
+	// alone, or have just taken over, choose alike.
 	homeBonus = 0.6
 	// harmWeight is how much the pauses of the streams beside a prompt count against the prompt's own delay.
 	harmWeight = 0.15
-	// strayCost is what an engine of the other group adds: a long prompt holds up the streams beside it. Where pauses of
-	// 100 ms are late it is worth 0.04 of all worth, and nothing where 200 ms are allowed.
+	// strayCost is what an engine of the other group adds: a long prompt holds up the streams beside it.
 	strayCost = float64(250 * time.Millisecond)
 	// groupLeast and groupMost bound the part of the engines that takes the routes with long prompts.
 	groupLeast, groupMost = 0.4, 0.75
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -18,9 +18,8 @@
 
 const (
 	// crashLimit is how many targets may end while a request is at work there, without an answer between, before it is
-	// refused. An end accuses all that the target ran, of whom one at most caused it. Where a tenth to a half of a pool's
-	// targets end by themselves each second and a half, and requests run as long, seven requests in a thousand are
-	// refused with three and 44 with two (TestRequestsAreServedThroughWavesOfEnds).
+	// refused. An end accuses all that the target ran, of whom one at most caused it, so that with fewer many requests are refused
+	// where targets end by themselves in waves.
 	crashLimit = 3
 	// answerCounts is for how long an answer by any target speaks for a request, and crashPopular is how many targets may end
 	// after it before it is refused all the same. A request that callers send all the time, such as a page that all read,
--- a/relay/fetches.go
+++ b/relay/fetches.go
@@ -7,8 +7,7 @@
 
 // Figures of how long a target takes to fetch its inputs, which no answer tells. A target does that before it works, so
 // its inputs can be given up well before its answer shows that it has them; until then they take up room that the
-// stages of other requests wait for. Freed so early, 0.006 to 0.015 more of the worth of all requests is earned on days
-// of faults of two customers, the more the less room there is.
+// stages of other requests wait for.
 const (
 	// fetchPrior is the time that is allowed at first: some megabytes take milliseconds over any link of a platform.
 	fetchPrior = 150 * time.Millisecond
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -23,8 +23,7 @@
 	// expireEvery is how often a worker with jobs looks for those whose time is over.
 	expireEvery = 50 * time.Millisecond
 	// callSlack is how many times its expected time, or that of an empty call as configured if that is more, a call may
-	// take before its target is held to be hung: a slow target takes up to five times as long, and what it has done by
-	// then would be lost.
+	// take before it is looked whether it is still waited for; slow targets stay below that.
 	callSlack = 6
 	// freeWait bounds a call that frees results.
 	freeWait = time.Second
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -273,8 +273,7 @@
 }
 
 // reading is how long an engine of the pool reads the part of the prompt that is the request's own. Prompts of one route
-// differ by ten times, and the longest leave the least time to their stages: with one figure for all of a route, 0.005
-// less of the worth of all requests is earned on days of faults of two customers out of three, and 0.001 at the third.
+// differ by ten times, and the longest leave the least time to their stages.
 func (f *flow) reading() time.Duration {
 	if f.spec.Engine == nil {
 		return 0
--- a/state/ledger.go
+++ b/state/ledger.go
@@ -12,7 +12,7 @@
 const (
 	// MaxKeptAnswer is the size in bytes up to which an answer is kept with its claim.
 	MaxKeptAnswer = 16 << 10
-	recordCost    = 160 // bytes of a record without its answer, as measured
+	recordCost    = 160 // bytes of a record without its answer
 )
 
 // Ledger remembers the claims on the keys of one slot until they are older than the retention.
