A job is not over by calls that failed while another call with its pieces is at work

Found by a further case of TestACallForPiecesIsNotGivenUpForOneThatCannotBeMade: the only call for the pieces of a stage took long and was at work, and the target that the pieces were queued for again broke three calls off; the job ended as failed then, at 2.2 s, and the whole answer that came at 5 s was dropped. A job now ends by failed calls only when no call with its pieces is at work; if that one fails as well, its pieces are queued again or the job ends.

--- a/relay/batchresult.go
+++ b/relay/batchresult.go
@@ -59,11 +59,14 @@
 		j.tries++
 		j.exclude = c.Target.ID
 	}
-	if j.tries >= pieceTries {
-		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "several targets failed at a piece"})}
+	if j.tries < pieceTries {
+		j.again(item.Piece)
+		return nil
 	}
-	j.again(item.Piece)
-	return nil
+	if b.atWork(j, item.Piece) {
+		return nil
+	}
+	return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "several targets failed at a piece"})}
 }
 
 func (b *Batcher) finish(c *Call) *batchTarget {
@@ -95,7 +98,7 @@
 		b.giveBack(t, item.Job.Ask.Bytes)
 	}
 	for j, pieces := range seen {
-		if !c.overdue || j.inputsFreed {
+		if !c.overdue || j.inputsFreed || b.unattended(j, pieces) {
 			ends = append(ends, b.again(j, pieces, c.Target.ID, busy)...)
 		}
 	}
@@ -141,6 +144,9 @@
 		j.tries++
 	}
 	if j.tries >= pieceTries {
+		if b.atWork(j, pieces...) {
+			return nil
+		}
 		return []JobEnd{b.end(j, proto.PiecesAnswer{Fate: proto.PiecesFailed, Detail: "calls to several targets failed"})}
 	}
 	j.exclude = target
--- a/relay/batchstanding.go
+++ b/relay/batchstanding.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // callStanding says what becomes of a call that takes much longer than expected.
 type callStanding uint8
@@ -52,3 +55,29 @@
 	}
 	return false
 }
+
+// atWork tells whether each piece is in a call that is at work, so that its job is not over by what failed elsewhere.
+func (b *Batcher) atWork(j *Job, pieces ...int) bool {
+	for _, piece := range pieces {
+		if !b.inCall(CallItem{j, piece}) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Batcher) inCall(item CallItem) bool {
+	for _, t := range b.targets {
+		if t.call != nil && slices.Contains(t.call.Items, item) {
+			return true
+		}
+	}
+	return false
+}
+
+// unattended tells whether a piece without a result neither waits nor is in a call.
+func (b *Batcher) unattended(j *Job, pieces []int) bool {
+	return slices.ContainsFunc(pieces, func(piece int) bool {
+		return j.handles[piece] == "" && !slices.Contains(j.todo, piece) && !b.inCall(CallItem{j, piece})
+	})
+}
--- a/relay/race_test.go
+++ b/relay/race_test.go
@@ -539,16 +539,21 @@
 		testName string
 		racers   []racer
 		homes    proto.Homes
+		// leaves says that the second target leaves.
+		leaves bool
 		// most is within what time the pieces are made, and asked how often the first target is called.
 		most  time.Duration
 		asked int
 	}{
-		{"the only target is late", []racer{busyBeside(made(long))}, proto.Homes{}, long, 0},
-		{"the only target's connection has fallen silent", []racer{inTurn(hangs, made(raceUsual))}, proto.Homes{}, long / 2, 2},
-		{"the only target at home is late", []racer{made(0), busyBeside(made(long))}, south, long, 0},
-		{"another makes them", []racer{hangs, made(raceUsual)}, proto.Homes{}, long / 2, 1},
-		{"another has hung as well", []racer{busyBeside(made(long)), hangs}, proto.Homes{}, long, 0},
-		{"all connections have fallen silent", []racer{inTurn(hangs, made(raceUsual)), inTurn(hangs, made(raceUsual))}, proto.Homes{}, long / 2, 2},
+		{"the only target is late", []racer{busyBeside(made(long))}, proto.Homes{}, false, long, 0},
+		{"the other one leaves", []racer{busyBeside(made(long)), made(0)}, proto.Homes{}, true, long, 0},
+		{"the other one is away from the regions of the request", []racer{busyBeside(made(long)), made(0)}, proto.HomesIn([]string{"north"}), false, long, 0},
+		{"the other one breaks off", []racer{busyBeside(made(long)), breaksAfter(raceUsual)}, proto.Homes{}, false, long, 0},
+		{"the only target's connection has fallen silent", []racer{inTurn(hangs, made(raceUsual))}, proto.Homes{}, false, long / 2, 2},
+		{"the only target at home is late", []racer{made(0), busyBeside(made(long))}, south, false, long, 0},
+		{"another makes them", []racer{hangs, made(raceUsual)}, proto.Homes{}, false, long / 2, 1},
+		{"another has hung as well", []racer{busyBeside(made(long)), hangs}, proto.Homes{}, false, long, 0},
+		{"all connections have fallen silent", []racer{inTurn(hangs, made(raceUsual)), inTurn(hangs, made(raceUsual))}, proto.Homes{}, false, long / 2, 2},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
@@ -559,7 +564,9 @@
 				p.fleet.Change(clock.Now(), []FleetChange{removed(2, "t1")})
 				for i, r := range s.racers {
 					sender.racers[raceAddress(i)] = r
-					p.fleet.Change(clock.Now(), []FleetChange{put(uint64(10+i), raceTarget(i))})
+					target := raceTarget(i)
+					target.Leaving = s.leaves && i == 1
+					p.fleet.Change(clock.Now(), []FleetChange{put(uint64(10+i), target)})
 				}
 				now := clock.Now()
 				w := p.worker(shard{pool: "p"})
