Attempts go on beside each other for a moment once one has begun to answer

Cause: the first event decided the race, although what the others have sent is on its way. Ruled out: the stop (no request open at closing).

--- a/relay/race.go
+++ b/relay/race.go
@@ -10,7 +10,8 @@
 
 // race holds the attempts of one request that are at work: one as a rule, and a further one beside it where the first takes longer than
 // usual. The first is not given up for the second before that answers: the pool may have no other target, and if it has one, nobody knows
-// which of the two answers first. Whichever begins to answer first goes on, and the others are given up.
+// which of the two answers first. Once one has begun to answer, the others go on for a moment and are then given up: what they have sent
+// is on its way, and makes up for one that breaks off at once.
 //
 // All but the reading of answers is done in the goroutine of the request.
 type race struct {
@@ -28,8 +29,10 @@
 	running []*attempt
 	// begun counts the attempts.
 	begun int
-	// leader is the attempt whose events are passed on; nil before the first event.
-	leader *attempt
+	// leader is the attempt that brought the last events that were passed on; nil before the first. settled fires when the others
+	// are given up for it.
+	leader  *attempt
+	settled clockwork.Timer
 	// slow fires when the attempt at work takes longer than usual, at due, after waiting for wait; due is zero if nothing is waited for.
 	slow clockwork.Timer
 	due  time.Time
@@ -39,6 +42,10 @@
 	last  attemptEnd
 }
 
+// overlap is how long other attempts go on once one has begun to answer: longer than an answer that was given waits to be read on a busy
+// machine.
+const overlap = startLeast
+
 // newsHeld is how many words of attempts wait for the race, so that an attempt can go on reading while one is passed on.
 const newsHeld = 1
 
@@ -49,6 +56,8 @@
 	r.timeUp = f.server.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
 	r.slow = f.server.clock.NewTimer(f.left())
 	r.slow.Stop()
+	r.settled = f.server.clock.NewTimer(f.left())
+	r.settled.Stop()
 	return r
 }
 
@@ -60,6 +69,7 @@
 	close(r.over)
 	r.timeUp.Stop()
 	r.slow.Stop()
+	r.settled.Stop()
 	r.cancel(nil)
 }
 
@@ -84,6 +94,10 @@
 				continue
 			}
 			r.tooSlow()
+		case <-r.settled.Chan():
+			if r.leader != nil {
+				r.overtake(r.leader)
+			}
 		}
 	}
 	return r.last
@@ -163,7 +177,7 @@
 	return a.whole(&wholeAnswer{status: news.in.Status, header: news.in.Header, body: news.body})
 }
 
-// passOn passes events on, unless the caller has them from another target; the attempt that brings new ones leads from then on.
+// passOn passes events on, unless the caller has them from another target. The attempt that brings new ones leads from then on.
 func (r *race) passOn(a *attempt, news *attemptNews) (done bool) {
 	f := r.flow
 	a.load = news.reply.Load
@@ -175,9 +189,11 @@
 	if r.leader != a && f.committed && !f.bringsNew(news.events) {
 		return false
 	}
+	if r.leader != a && len(r.running) > 1 {
+		r.settled.Reset(overlap)
+	}
 	r.leader = a
 	f.target = a.placed.Spec.ID
-	r.overtake(a)
 	if err := f.passEvents(news.in.Header, news.events); err != nil {
 		a.verdict = VerdictNone
 		r.ended(a, attemptEnd{sent: true, reason: "the caller does not take the stream: " + err.Error()})
--- a/relay/race_test.go
+++ b/relay/race_test.go
@@ -389,6 +389,34 @@
 	}
 }
 
+// TestAStreamThatBreaksOffAtOnceIsMadeUpFor has one of two targets break off as soon as it has begun, with the whole answer of the other on its
+// way or there.
+func TestAStreamThatBreaksOffAtOnceIsMadeUpFor(t *testing.T) {
+	breaks := func(wait time.Duration, events ...int) racer {
+		return answersAfter(wait, http.StatusOK, io.ErrUnexpectedEOF, eventParts(events...)...)
+	}
+	scenarios := []struct {
+		testName      string
+		first, second racer
+	}{
+		{"the first breaks off, the second has answered", breaks(startLeast+raceUsual, 1), streamed(0, 1, 2, 3, 4)},
+		{"the first breaks off, the second answers soon", breaks(startLeast+raceUsual, 1, 2), streamed(overlap/2, 1, 2, 3, 4)},
+		{"the second breaks off, the first answers soon", streamed(startLeast+overlap/2, 1, 2, 3, 4), breaks(raceUsual, 1, 2)},
+		{"the second breaks off within an event", streamed(startLeast+overlap/2, 1, 2, 3, 4), answersAfter(0, http.StatusOK, io.ErrUnexpectedEOF, part{0, "id: 1\ndata: x\n\nid: 2\nda"})},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRaced(proto.RouteStream, s.first, s.second)
+				r.route.MaxTargets = 2
+				if got := eventsOf(r.end(t)); got != "1234" {
+					t.Errorf("the caller got the events %q", got)
+				}
+			})
+		})
+	}
+}
+
 // TestACallerWhoLeavesEndsAllAttempts has two attempts at work when the caller leaves.
 func TestACallerWhoLeavesEndsAllAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
