The silence of a stream has the least bound as well

A route that states no longest pause had three times what a first event takes, which is milliseconds on an idle machine: below what a busy machine's scheduler takes, as the bound on first answers was. Both are worked out by the same steps now.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -256,23 +256,32 @@
 	left := f.left()
 	if f.route.Kind == routeStream {
 		usual := f.toFirstEvent()
-		return longest(usual, startWaits*usual, f.route.Goal/2).within(left)
+		return lateAfter(usual, startWaits).orLater(f.route.Goal/2, basisGoal).within(left)
 	}
 	usual := f.server.answers.most(f.pool, answerPrior)
-	return longest(usual, startWaits*usual, f.route.Goal).within(left / 2)
+	return lateAfter(usual, startWaits).orLater(f.route.Goal, basisGoal).within(left / 2)
 }
 
-func longest(usual, byUsual, byGoal time.Duration) lateBound {
-	w := lateBound{wait: byUsual, usual: usual, basis: basisUsual}
-	if byGoal > w.wait {
-		w.wait, w.basis = byGoal, basisGoal
-	}
-	if startLeast > w.wait {
-		w.wait, w.basis = startLeast, basisLeast
+// silenceBound is how long a stream that has begun may be silent before another target is asked to go on with it.
+func (f *flow) silenceBound() lateBound {
+	return lateAfter(f.toFirstEvent(), gapStarts).orLater(time.Duration(gapWaits*float64(f.route.Gap)), basisGap)
+}
+
+// lateAfter is a multiple of what is usual, and the least that is waited for.
+func lateAfter(usual time.Duration, times int) lateBound {
+	w := lateBound{wait: time.Duration(times) * usual, usual: usual, basis: basisUsual}
+	return w.orLater(startLeast, basisLeast)
+}
+
+// orLater is the bound, or a later one that rests on something else.
+func (w lateBound) orLater(wait time.Duration, basis string) lateBound {
+	if wait > w.wait {
+		w.wait, w.basis = wait, basis
 	}
 	return w
 }
 
+// within is the bound, or an earlier one for want of time.
 func (w lateBound) within(most time.Duration) lateBound {
 	if most < w.wait {
 		w.wait, w.basis = most, basisLeft
@@ -280,16 +289,6 @@
 	return w
 }
 
-// silenceBound is how long a stream that has begun may be silent before another target is asked to go on with it.
-func (f *flow) silenceBound() lateBound {
-	usual := f.toFirstEvent()
-	w := lateBound{wait: gapStarts * usual, usual: usual, basis: basisUsual}
-	if byGap := time.Duration(gapWaits * float64(f.route.Gap)); byGap > w.wait {
-		w.wait, w.basis = byGap, basisGap
-	}
-	return w
-}
-
 // newAttempt chooses a target for an attempt; nil if there is none.
 func (r *race) newAttempt() *attempt {
 	f := r.flow
