A choice of a target that comes too late is given back

Found where daemons give one thing up for another: a daemon that asked another for a target decided alone after 60 ms, and the answer that came then was dropped; the other daemon counted the request at that engine for 25 s, most of all when daemons are busy. The late answer is given back now. Test: TestALateChoiceIsGivenBack.

--- a/relay/place.go
+++ b/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -16,6 +17,8 @@
 const (
 	// placeWait bounds the asking for a target: the way is a millisecond, and without an answer the daemon decides alone.
 	placeWait = 60 * time.Millisecond
+	// placeLate is how long a late answer is waited for, to say that it is not used.
+	placeLate = 2 * time.Second
 	// placeTask begins the name of the task of placing the requests of a pool.
 	placeTask = "place/"
 	// leaseMost is how long a placed request is counted when nobody says how it ended.
@@ -107,17 +110,14 @@
 
 // remote asks the daemon that places for the pool; it has decided unless this daemon should choose alone.
 func (p *Placer) remote(ctx context.Context, owner proto.VM, pool string, w Want) (placed *Placed, decided bool) {
-	ctx, cancel := context.WithTimeout(ctx, placeWait)
-	defer cancel()
 	without := p.fleet.Out(p.clock.Now(), pool)
 	for id := range w.Tried {
 		without = append(without, id)
 	}
-	m, err := p.peers.Call(ctx, owner, proto.PlaceAsk{
+	a, ok, err := p.ask(ctx, owner, proto.PlaceAsk{
 		Pool: pool, Route: w.Route, Shared: w.Shared, Own: w.OwnTokens, Zone: w.Zone, Inputs: w.Inputs, Without: without, Gap: w.Gap,
 		Cold: slices.Collect(maps.Keys(w.Cold)), Homes: w.Homes,
 	})
-	a, ok := m.(proto.PlaceAnswer)
 	p.noteBusy(pool, a.Busy)
 	if err == nil && ok && a.Crowded {
 		return nil, true
@@ -136,6 +136,42 @@
 	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}, true
 }
 
+// errNoWord says that the daemon that places for a pool has not answered in time.
+var errNoWord = errors.New("no answer in time")
+
+// ask asks the daemon that places for a pool. An answer that comes too late is not used, and that daemon is told so: it would count the
+// request at the target for as long as leases last.
+func (p *Placer) ask(ctx context.Context, owner proto.VM, ask proto.PlaceAsk) (a proto.PlaceAnswer, ok bool, err error) {
+	type word struct {
+		message proto.Message
+		err     error
+	}
+	words := make(chan word, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), placeLate)
+		defer cancel()
+		m, err := p.peers.Call(ctx, owner, ask)
+		words <- word{m, err}
+	}()
+	timer := p.clock.NewTimer(placeWait)
+	defer timer.Stop()
+	select {
+	case w := <-words:
+		a, ok = w.message.(proto.PlaceAnswer)
+		return a, ok, w.err
+	case <-timer.Chan():
+		err = errNoWord
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	go func() {
+		if late, ok := (<-words).message.(proto.PlaceAnswer); ok && late.Target != "" {
+			p.peers.Send(owner, proto.PlaceNote{Pool: ask.Pool, Lease: late.Lease})
+		}
+	}()
+	return a, false, err
+}
+
 // Began notes that the target has read the prompt.
 func (p *Placed) Began() {
 	p.began = true
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -255,3 +256,39 @@
 		})
 	}
 }
+
+// latePeers answer after a time, and not at all if the asker's time is over by then.
+type latePeers struct {
+	*peersOf
+	delay time.Duration
+}
+
+func (p *latePeers) Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
+	answer, err := p.peersOf.Call(ctx, to, m)
+	select {
+	case <-time.After(p.delay):
+		return answer, err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestALateChoiceIsGivenBack has the daemon that places for a pool answer later than is waited for. The asker decides alone, and the
+// engine that was chosen for it counts for nobody.
+func TestALateChoiceIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		all, nets := placers(clock, engines(4), engines(4))
+		asker := NewPlacer("vm-1", clock, hclog.NewNullLogger(), engines(4), &latePeers{nets[1], 2 * placeWait})
+		began := time.Now()
+		placed := asker.Choose(t.Context(), "p", prompt("part", 0, 3000))
+		if placed == nil || placed.owner != "" || time.Since(began) != placeWait {
+			t.Errorf("after %s: %+v", time.Since(began), placed)
+		}
+		time.Sleep(2 * placeWait)
+		synctest.Wait()
+		if n := len(all["vm-0"].leases); n > 0 {
+			t.Errorf("%d requests are counted that were not sent", n)
+		}
+	})
+}
