--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -90,7 +90,7 @@
 	x.tell(news)
 }
 
-// read reads an answer to its end and returns its last word.
+// read reads an answer to its end and returns the last message about it.
 func (x *exchange) read(in *Incoming) *attemptNews {
 	news := &attemptNews{in: in, reply: x.server.dialect.ReadReply(in.Status, in.Header)}
 	switch {
@@ -112,7 +112,7 @@
 	return in.Status/100 == http.StatusOK/100 && (!reply.Stamped || reply.Encoded || reply.Request != x.request)
 }
 
-// readStream tells the events of a stream as they come, each when it is whole, and notes in the last word how it ended.
+// readStream tells the events of a stream as they come, each when it is whole, and notes in the last message how it ended.
 func (x *exchange) readStream(last *attemptNews) {
 	var held []byte
 	buffer := make([]byte, readSize)
--- a/relay/place.go
+++ b/relay/place.go
@@ -136,36 +136,36 @@
 	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}, true
 }
 
-// errNoWord says that the daemon that places for a pool has not answered in time.
-var errNoWord = errors.New("no answer in time")
+// errLateAnswer says that the daemon that places for a pool has not answered in time.
+var errLateAnswer = errors.New("no answer in time")
 
 // ask asks the daemon that places for a pool. An answer that comes too late is not used, and that daemon is told so: it would count the
 // request at the target for as long as leases last.
 func (p *Placer) ask(ctx context.Context, owner proto.VM, ask proto.PlaceAsk) (a proto.PlaceAnswer, ok bool, err error) {
-	type word struct {
+	type reply struct {
 		message proto.Message
 		err     error
 	}
-	words := make(chan word, 1)
+	replies := make(chan reply, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), placeLate)
 		defer cancel()
 		m, err := p.peers.Call(ctx, owner, ask)
-		words <- word{m, err}
+		replies <- reply{m, err}
 	}()
 	timer := p.clock.NewTimer(placeWait)
 	defer timer.Stop()
 	select {
-	case w := <-words:
-		a, ok = w.message.(proto.PlaceAnswer)
-		return a, ok, w.err
+	case r := <-replies:
+		a, ok = r.message.(proto.PlaceAnswer)
+		return a, ok, r.err
 	case <-timer.Chan():
-		err = errNoWord
+		err = errLateAnswer
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
 	go func() {
-		if late, ok := (<-words).message.(proto.PlaceAnswer); ok && late.Target != "" {
+		if late, ok := (<-replies).message.(proto.PlaceAnswer); ok && late.Target != "" {
 			p.peers.Send(owner, proto.PlaceNote{Pool: ask.Pool, Lease: late.Lease})
 		}
 	}()
--- a/relay/race.go
+++ b/relay/race.go
@@ -46,7 +46,7 @@
 // machine.
 const overlap = startLeast
 
-// newsHeld is how many words of attempts wait for the race, so that an attempt can go on reading while one is passed on.
+// newsHeld is how many messages of attempts wait for the race, so that an attempt can go on reading while one is passed on.
 const newsHeld = 1
 
 func newRace(caller context.Context, f *flow) *race {
@@ -89,7 +89,7 @@
 			}
 		case <-r.slow.Chan():
 			if len(r.news) > 0 {
-				// It has come to word just now, as all do together after this process was held up.
+				// An answer has arrived just now, as many do together after this process was held up.
 				r.expect(r.wait)
 				continue
 			}
@@ -160,7 +160,7 @@
 	return r.last.done
 }
 
-// answered takes in the last word of an attempt that a target ran.
+// answered takes in the last message of an attempt that a target ran.
 func (r *race) answered(a *attempt, news *attemptNews) attemptEnd {
 	switch {
 	case news.mismatch:
--- /dev/null
+++ b/relay/racerig_test.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+const (
+	// raceUsual is how long answers take as a rule, and raceLate how long a late one takes; raceLeft is the time of a request.
+	raceUsual = 500 * time.Microsecond
+	raceLate  = 400 * time.Millisecond
+	raceLeft  = 5 * time.Second
+	raceRoute = "route"
+)
+
+// racer is how a target answers.
+type racer func(ctx context.Context) (*Incoming, error)
+
+// raceSender answers by the scripts of targets and counts what was given up.
+type raceSender struct {
+	mu     sync.Mutex
+	racers map[netip.AddrPort]racer
+	asked  map[netip.AddrPort]int
+	gaveUp map[netip.AddrPort]int
+}
+
+func (s *raceSender) Send(ctx context.Context, to netip.AddrPort, _ *Outgoing) (*Incoming, error) {
+	s.mu.Lock()
+	s.asked[to]++
+	r := s.racers[to]
+	s.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.gaveUp[to]++
+	})
+	return r(ctx)
+}
+
+func (s *raceSender) askedOf(i int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked[raceAddress(i)]
+}
+
+func (s *raceSender) gaveUpOn(i int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gaveUp[raceAddress(i)]
+}
+
+// raceDialect has every answer be that of the request, unless its head says that it was not run.
+type raceDialect struct{ standDialect }
+
+const notRunHeader = "Not-Run"
+
+func (raceDialect) ReadReply(_ int, h http.Header) Reply {
+	return Reply{Request: "r", Stamped: true, NotRun: h.Get(notRunHeader) != ""}
+}
+
+// pausedBody gives each part after a pause.
+type pausedBody struct {
+	ctx   context.Context
+	parts []part
+	ends  error
+}
+
+type part struct {
+	after time.Duration
+	text  string
+}
+
+func (b *pausedBody) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, b.ends
+	}
+	select {
+	case <-time.After(b.parts[0].after):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	n := copy(p, b.parts[0].text)
+	b.parts = b.parts[1:]
+	return n, nil
+}
+
+func (b *pausedBody) Close() error { return nil }
+
+// answersAfter begins its answer after a time and then gives its parts.
+func answersAfter(wait time.Duration, status int, ends error, parts ...part) racer {
+	return func(ctx context.Context) (*Incoming, error) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, &SendError{Written: true, Err: ctx.Err()}
+		}
+		return &Incoming{Status: status, Header: http.Header{}, Body: &pausedBody{ctx, parts, ends}}, nil
+	}
+}
+
+func whole(wait time.Duration, body string) racer {
+	return answersAfter(wait, http.StatusOK, io.EOF, part{0, body})
+}
+
+// streamed gives events of a stream, each a millisecond after the last.
+func streamed(wait time.Duration, events ...int) racer {
+	return answersAfter(wait, http.StatusOK, io.EOF, eventParts(events...)...)
+}
+
+func eventParts(events ...int) []part {
+	var parts []part
+	for _, id := range events {
+		parts = append(parts, part{time.Millisecond, fmt.Sprintf("id: %d\ndata: x\n\n", id)})
+	}
+	return parts
+}
+
+func refusesAfter(wait time.Duration) racer {
+	return func(ctx context.Context) (*Incoming, error) {
+		in, err := answersAfter(wait, http.StatusServiceUnavailable, io.EOF)(ctx)
+		if err == nil {
+			in.Header.Set(notRunHeader, "1")
+		}
+		return in, err
+	}
+}
+
+func breaksAfter(wait time.Duration) racer {
+	return func(ctx context.Context) (*Incoming, error) {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		return nil, &SendError{Written: true, Err: io.ErrUnexpectedEOF}
+	}
+}
+
+func hangs(ctx context.Context) (*Incoming, error) {
+	<-ctx.Done()
+	return nil, &SendError{Written: true, Err: ctx.Err()}
+}
+
+// racedRequest is one request before two targets.
+type racedRequest struct {
+	*flow
+	fleet    *Fleet
+	sender   *raceSender
+	recorder *httptest.ResponseRecorder
+	// log is what the daemon logged.
+	log *strings.Builder
+}
+
+func raceAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+}
+
+func raceTarget(i int) proto.RelayTarget {
+	t := listed(fmt.Sprint("t", i), "p", "z")
+	t.Address, t.Region = raceAddress(i), []string{"north", "south"}[i%2]
+	return t
+}
+
+// newRaced makes a request of a kind before one target for each racer; its answers are usually quick, and the first target is the cheaper one.
+func newRaced(kind proto.RouteKind, racers ...racer) *racedRequest {
+	clock := clockwork.NewRealClock()
+	sender := &raceSender{racers: map[netip.AddrPort]racer{}, asked: map[netip.AddrPort]int{}, gaveUp: map[netip.AddrPort]int{}}
+	fleet := NewFleet(func(string) {}, WithColdTerms(ColdTerms{Over: 1.5, Slack: 5}))
+	for i, r := range racers {
+		sender.racers[raceAddress(i)] = r
+		t := raceTarget(i)
+		if i > 0 {
+			t.Zone = "other"
+		}
+		fleet.Change(clock.Now(), []FleetChange{put(uint64(i+1), t)})
+	}
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	lines := &strings.Builder{}
+	log := hclog.New(&hclog.LoggerOptions{Output: lines})
+	s := NewServer(ServerConfig{
+		Clock: clock, Log: log, Dialect: raceDialect{}, Sender: sender, Fleet: fleet, Peers: peers, Zone: "z",
+		Placer: NewPlacer("self", clock, log, fleet, peers), Budget: BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+	})
+	for range 200 {
+		s.answers.observe("p", answerPrior, raceUsual)
+		s.firstEvents.observe(raceRoute, firstEventPrior, raceUsual)
+	}
+	now := clock.Now()
+	recorder := httptest.NewRecorder()
+	f := &flow{
+		server: s, w: recorder, req: &Request{ID: "r"}, pool: "p", spec: &proto.RelayPool{Name: "p"}, tried: map[string]bool{},
+		route: &proto.Route{Name: raceRoute, Kind: kind, MaxTargets: 3, Resumable: true, Gap: 100 * time.Millisecond},
+		began: now, due: now.Add(raceLeft), end: now.Add(raceLeft),
+	}
+	return &racedRequest{flow: f, fleet: fleet, sender: sender, recorder: recorder, log: lines}
+}
+
+// end runs the request to its end and returns the body that its caller got.
+func (r *racedRequest) end(t *testing.T) string {
+	t.Helper()
+	if fail := r.run(t.Context()); fail != nil {
+		t.Errorf("the request fails after %s: status %d, %s", time.Since(r.began), fail.status, fail.reason)
+	}
+	return r.recorder.Body.String()
+}
+
+func (r *racedRequest) change(t proto.RelayTarget) {
+	r.fleet.Change(time.Now(), []FleetChange{put(100, t)})
+}
+
+// eventsOf are the ids of the events that a caller got.
+func eventsOf(body string) string {
+	ids := ""
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids += strings.TrimSpace(id)
+		}
+	}
+	return ids
+}
