What targets say of themselves in answers is read, logged and counted

The heads of all answers of targets pass one place now, whatever was asked: attempts, streams, refusals, failures, calls for stages, calls that free results. Values are decoded in platform/; those that cannot be read are logged and nothing follows from them. Nothing is decided by it yet.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -318,7 +318,7 @@
 	a.keepInputs = a.freeOnceFetched()
 	fwd := &Forward{Target: spec, Left: f.left(), Workspace: f.workspace, Inputs: f.handles, After: f.after, Priority: f.rank}
 	out := &Outgoing{
-		Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
+		Target: spec, Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
 		Once: !f.route.Repeatable(),
 		Mine: func(h http.Header) bool { return s.dialect.ReadReply(0, h).Request == f.req.ID },
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -131,6 +131,8 @@
 	evacuationRows map[string]uint64
 	heldSince      map[string]time.Time
 	coldTerms      ColdTerms
+	// heard is what runs of targets have said of themselves in answers.
+	heard map[proto.RunName]*heard
 }
 
 // FleetOption changes a Fleet at construction.
@@ -144,7 +146,7 @@
 	f := &Fleet{
 		pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]voidEntry{}, judged: map[string]proto.Revision{},
 		left: map[string]leftTarget{}, evacuations: map[string]proto.Evacuation{}, evacuationRows: map[string]uint64{}, heldSince: map[string]time.Time{},
-		changed: changed, zones: DefaultZoneCosts(),
+		changed: changed, zones: DefaultZoneCosts(), heard: map[proto.RunName]*heard{},
 	}
 	for _, option := range options {
 		option(f)
--- a/relay/fleetlapse.go
+++ b/relay/fleetlapse.go
@@ -82,8 +82,12 @@
 	var notes []FleetNote
 	warmed := map[string]bool{}
 	f.forgetLeft(now)
+	f.forgetNotices(now)
 	for _, t := range f.where {
 		t.pool.mu.Lock()
+		if k := f.heard[t.Spec.RunName()]; k != nil {
+			k.listedAt = now
+		}
 		if !t.lapsedAt.IsZero() && (own || t.lapseTold) && now.Sub(t.lapsedAt) >= lapseWait {
 			f.noteLeft(now, t, t.version)
 			notes = append(notes, f.forget(t))
--- a/relay/piececall.go
+++ b/relay/piececall.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	out.Target = c.Target
 	in, err := p.sender.Send(ctx, c.Target.Address, &out)
 	if err != nil {
 		return nil, err
--- a/relay/pieces_test.go
+++ b/relay/pieces_test.go
@@ -31,6 +31,8 @@
 
 func (standDialect) Header(*Request, *Forward) http.Header { return http.Header{} }
 
+func (standDialect) ReadNotice(int, http.Header) Notice { return Notice{} }
+
 func (standDialect) FreeCall([]string) (Outgoing, error) { return Outgoing{URI: "/free"}, nil }
 
 func (standDialect) Maker(string) (netip.AddrPort, error) {
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -61,6 +61,19 @@
 	Load    Load
 }
 
+// Notice is what a target says of itself in the head of an answer.
+type Notice struct {
+	// Leaving says that the target is about to end.
+	Leaving bool
+	// Limit is how many requests a second the target takes from all daemons together; Limited says that it names one.
+	Limit   float64
+	Limited bool
+	// Rest is for how long the target, which turned a request away, wants nothing from this daemon; 0 if it does not say.
+	Rest time.Duration
+	// Unreadable holds the values that could not be read, with their names. Nothing follows from them, nor from what else is missing.
+	Unreadable []string
+}
+
 // Dialect spells requests, answers and pieces the way the platform does.
 type Dialect interface {
 	// ReadRequest reads the head of a caller's request; it fails with KindInvalid.
@@ -69,6 +82,8 @@
 	Header(r *Request, f *Forward) http.Header
 	// ReadReply reads the head of a target's answer.
 	ReadReply(status int, h http.Header) Reply
+	// ReadNotice reads what a target says of itself in the head of an answer of any kind.
+	ReadNotice(status int, h http.Header) Notice
 	// Refuse writes the header of an answer that tells when to come back.
 	Refuse(h http.Header, wait time.Duration)
 	// PiecesCall returns the request for a batch of pieces.
@@ -83,6 +98,8 @@
 
 // Outgoing is a request to a target.
 type Outgoing struct {
+	// Target is the run that the request is for; zero if only its address is known.
+	Target            proto.RelayTarget
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
--- a/relay/server.go
+++ b/relay/server.go
@@ -126,10 +126,11 @@
 // NewServer returns a server; it refuses requests until a configuration is known.
 func NewServer(c ServerConfig) *Server {
 	s := &Server{
-		clock: c.Clock, log: c.Log, dialect: c.Dialect, sender: c.Sender, fleet: c.Fleet, tables: c.Tables,
+		clock: c.Clock, log: c.Log, dialect: c.Dialect, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*Budget{},
 		crashes: c.Crashes, ends: c.Ends,
 	}
+	s.sender = newListener(c.Sender, c.Dialect, c.Fleet, c.Clock, c.Log)
 	s.ending, s.end = context.WithCancel(context.Background())
 	return s
 }
