--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -99,7 +99,7 @@
 	Cold relay.ColdCounts `json:"cold"`
 	// Notices counts the targets that leave, name a limit or want rest by their answers.
 	Notices relay.NoticeCounts `json:"notices"`
-	Open int64            `json:"openRequests"`
+	Open    int64              `json:"openRequests"`
 	// Store counts the calls to the store by table and kind.
 	Store   platform.CallCounts `json:"store"`
 	Dropped int64               `json:"logLinesDropped"`
