Limits that targets name are kept by all daemons together

What was seen: targets that name one request a second in their answers went on getting three (users' record), 70 and 140 a second in our test. Cause: nothing read the limit. Calls for stages keep to it where they are made; calls that free results are gathered for longer.

--- a/proto/codec.go
+++ b/proto/codec.go
@@ -128,4 +128,7 @@
 	MessageTargetEnds:     reader[TargetEnds],
 	MessageAdmitAsk:       reader[AdmitAsk],
 	MessageAdmitAnswer:    reader[AdmitAnswer],
+	MessageTargetNotices:  reader[TargetNotices],
+	MessagePermitAsk:      reader[PermitAsk],
+	MessagePermitAnswer:   reader[PermitAnswer],
 }
--- a/proto/codec_fuzz_test.go
+++ b/proto/codec_fuzz_test.go
@@ -14,6 +14,8 @@
 		PiecesAnswer{Fate: PiecesDone, Handles: []string{"h"}, InputsFreed: true},
 		PiecesDrop{Pool: "p", Handles: []string{"h"}, Shard: 2},
 		PlaceAsk{Pool: "p", Shared: []PromptShare{{ID: "a", Tokens: 5}}},
+		PermitAsk{Pool: "p", Notice: TargetNotice{Target: "t", Run: "t@7", Limit: 0.5, Limited: true, Change: 3}},
+		TargetNotices{Notices: []TargetNotice{{Target: "t", Run: "t", Leaving: true}}},
 		Alarm{About: "vm-1", By: "vm-2", Count: 4, Silent: true},
 	} {
 		data, err := Encode(m, 1, false, "")
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -53,6 +53,9 @@
 	MessageTargetEnds
 	MessageAdmitAsk
 	MessageAdmitAnswer
+	MessageTargetNotices
+	MessagePermitAsk
+	MessagePermitAnswer
 )
 
 // Heartbeat says that the sender is alive and what it has.
@@ -72,6 +75,8 @@
 	Void uint64 `cbor:"9,keyasint,omitempty"`
 	// Evacuations is the revision of the newest evacuation, or end of one, that the sender knows.
 	Evacuations Revision `cbor:"10,keyasint,omitzero"`
+	// Notices is a digest of what listed targets have said of themselves, as far as the sender knows; 0 if nothing.
+	Notices uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it by a higher count.
@@ -354,6 +359,9 @@
 func (TargetEnds) messageKind() MessageKind     { return MessageTargetEnds }
 func (AdmitAsk) messageKind() MessageKind       { return MessageAdmitAsk }
 func (AdmitAnswer) messageKind() MessageKind    { return MessageAdmitAnswer }
+func (TargetNotices) messageKind() MessageKind  { return MessageTargetNotices }
+func (PermitAsk) messageKind() MessageKind      { return MessagePermitAsk }
+func (PermitAnswer) messageKind() MessageKind   { return MessagePermitAnswer }
 
 // Envelope frames one message; Call is not 0 for a call and for its answer.
 type Envelope struct {
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -207,6 +207,8 @@
 	Void []VoidEntry `cbor:"7,keyasint,omitempty"`
 	// Evacuations holds what the sender knows of each zone that ever was evacuated, if the asker has older news.
 	Evacuations []Evacuation `cbor:"8,keyasint,omitempty"`
+	// Notices holds what listed targets have said of themselves, as far as the sender knows.
+	Notices []TargetNotice `cbor:"9,keyasint,omitempty"`
 }
 
 // PiecesAsk asks the daemon that batches a pool's calls for all pieces of one stage of a request.
@@ -376,6 +378,10 @@
 	Crowded bool `cbor:"4,keyasint,omitempty"`
 	// Busy says that requests for the pool are to be admitted before they are begun.
 	Busy bool `cbor:"5,keyasint,omitempty"`
+	// Permitted says that the request is counted within the limit that the target names.
+	Permitted bool `cbor:"6,keyasint,omitempty"`
+	// Limited says that targets are left that may take requests, and that what these allow is used up for that long.
+	Limited time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // PlaceNote tells how far a placed request has come.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -172,6 +172,7 @@
 	reasonHomes    = "the pool has no target in the regions that the request is bound to"
 	reasonCrowded  = "each target of the pool has as many requests as it may have at a time"
 	reasonCold     = "the targets of the pool are cold, and get no more for the moment"
+	reasonLimited  = "what the targets of the pool take by the limits that they name is used up for the moment"
 )
 
 func (f *flow) noTarget() string {
@@ -184,17 +185,28 @@
 	if _, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool); cold {
 		return reasonCold
 	}
+	if in, limited := f.server.placer.RoomIn(f.pool); limited && in > 0 {
+		return reasonLimited
+	}
 	return reasonNoTarget
 }
 
 // waitForTarget is when a caller should come back for whom no target took the request: where targets are cold, when the first
-// of them is warm.
+// of them is warm, and where they name limits, when one may get a request again.
 func (f *flow) waitForTarget(last *attemptEnd) time.Duration {
-	in, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool)
-	if !last.noTarget || !cold {
+	if !last.noTarget {
 		return waitBusy
 	}
-	return max(waitBusy, min(in, f.left()/comeBackPart))
+	wait := time.Duration(0)
+	for _, in := range []func() (time.Duration, bool){
+		func() (time.Duration, bool) { return f.server.fleet.WarmIn(f.server.clock.Now(), f.pool) },
+		func() (time.Duration, bool) { return f.server.placer.RoomIn(f.pool) },
+	} {
+		if length, waits := in(); waits && (wait == 0 || length < wait) {
+			wait = length
+		}
+	}
+	return max(waitBusy, min(wait, f.left()/comeBackPart))
 }
 
 func (f *flow) want() Want {
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -68,6 +68,10 @@
 	pace  float64
 	inRow int
 	outTo time.Time
+	// limit is how many requests a second the target takes, if it is limited, and allowed counts those.
+	limit   float64
+	limited bool
+	allowed allowance
 	// room are the bytes of results that are kept or being made, and hidden those found to be kept beside at hiddenAt.
 	room     int64
 	hidden   int64
@@ -101,6 +105,8 @@
 	hold float64
 	// refuses tells which requests are not worked on.
 	refuses func(proto.RequestDigest) bool
+	// reach is the part of a target's limit that this batcher may use.
+	reach float64
 }
 
 // BatcherOption changes a Batcher at construction.
@@ -113,7 +119,7 @@
 
 // NewBatcher returns a batcher without targets.
 func NewBatcher(spec proto.BatchSpec, options ...BatcherOption) *Batcher {
-	b := &Batcher{spec: spec, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}}
+	b := &Batcher{spec: spec, reach: 1, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}}
 	b.hold = holdCalls * b.fullCall(0)
 	b.refuses = func(proto.RequestDigest) bool { return false }
 	for _, option := range options {
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -28,7 +28,7 @@
 // idle counts the targets that can take a call now, and those in service.
 func (b *Batcher) idle(now time.Time) (idle, inService int) {
 	for _, t := range b.targets {
-		if t.spec.Leaving || now.Before(t.outTo) {
+		if t.spec.Leaving || b.isOut(now, t) {
 			continue
 		}
 		inService++
@@ -59,7 +59,7 @@
 	var best *batchTarget
 	least := math.Inf(1)
 	for _, t := range b.targets {
-		if t.call != nil || t.spec.Leaving || now.Before(t.outTo) || !j.Ask.Homes.Allow(t.spec.Region) || !b.hasRoom(now, t, j, b.whole(j)) {
+		if t.call != nil || t.spec.Leaving || b.isOut(now, t) || !j.Ask.Homes.Allow(t.spec.Region) || !b.hasRoom(now, t, j, b.whole(j)) {
 			continue
 		}
 		c := t.pace
@@ -97,7 +97,7 @@
 // patience is how long a job waits for a target in the zone of its inputs, if there is one in service.
 func (b *Batcher) patience(now time.Time, j *Job) time.Duration {
 	for _, t := range b.targets {
-		if !b.crosses(t, j) && j.Ask.Homes.Allow(t.spec.Region) && !t.spec.Leaving && !now.Before(t.outTo) {
+		if !b.crosses(t, j) && j.Ask.Homes.Allow(t.spec.Region) && !t.spec.Leaving && !b.isOut(now, t) {
 			return max(0, min(time.Duration(crossCalls*b.fullCall(j.Ask.Bytes)), j.Due.Sub(now)/4))
 		}
 	}
@@ -107,6 +107,7 @@
 func (b *Batcher) load(now time.Time, t *batchTarget, first *Job) *Call {
 	c := &Call{Target: t.spec, Began: now, Least: b.spec.CallCost}
 	t.call = c
+	b.countSend(now, t)
 	b.take(now, t, c, first)
 	if first.alone {
 		c.Expected = b.expected(c, t)
--- a/relay/batchqueue.go
+++ b/relay/batchqueue.go
@@ -44,7 +44,7 @@
 	free := make(capacity, 0, len(b.targets))
 	for _, t := range b.targets {
 		if !t.spec.Leaving {
-			free = append(free, freeTarget{b.freeIn(now, t), t.pace})
+			free = append(free, freeTarget{b.freeIn(now, t), b.paceWithin(t)})
 		}
 	}
 	slices.SortFunc(free, func(x, y freeTarget) int { return cmp.Compare(x.in, y.in) })
@@ -52,7 +52,7 @@
 }
 
 func (b *Batcher) freeIn(now time.Time, t *batchTarget) float64 {
-	in := max(0, float64(t.outTo.Sub(now)))
+	in := max(0, float64(t.outTo.Sub(now)), float64(b.allowedIn(now, t)))
 	if t.call != nil {
 		in = max(in, float64(t.call.Began.Add(t.call.Expected).Sub(now)))
 	}
--- a/relay/batchstanding.go
+++ b/relay/batchstanding.go
@@ -37,7 +37,7 @@
 		alone = alone || !b.hasOther(now, c, j)
 	}
 	switch {
-	case alone:
+	case alone && b.mayRepeat(now, c):
 		return callAlone
 	case needed:
 		return callWaited
@@ -49,7 +49,7 @@
 func (b *Batcher) hasOther(now time.Time, c *Call, j *Job) bool {
 	for id, t := range b.targets {
 		hangs := t.call != nil && t.call.overdue
-		if id != c.Target.ID && !hangs && !t.spec.Leaving && !now.Before(t.outTo) && j.Ask.Homes.Allow(t.spec.Region) {
+		if id != c.Target.ID && !hangs && !t.spec.Leaving && !b.isOut(now, t) && j.Ask.Homes.Allow(t.spec.Region) {
 			return true
 		}
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -69,8 +69,8 @@
 	Rank int
 	// Homes are the regions that the target must be in.
 	Homes proto.Homes
-	// Cold holds the cold targets that may be chosen.
-	Cold map[string]bool
+	// Cold holds the cold targets that may be chosen, and Limited those with a limit.
+	Cold, Limited map[string]bool
 }
 
 // Pick returns the target with the least expected delay, with an attempt begun on it, or nil if there is none: also where each that
@@ -178,7 +178,7 @@
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
 		cold := p.isCold(now, t)
-		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
+		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || t.notice.Limited && !w.Limited[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
 			continue
 		}
 		if !failing && p.crowded(now, t) {
@@ -227,7 +227,7 @@
 	var home *Target
 	var rank uint64
 	for _, t := range p.list {
-		if t.closed() || !w.Homes.Allow(t.Spec.Region) || p.isCold(now, t) || t.doubted || t.health.out(now) || t.long != long {
+		if t.closed() || !w.Homes.Allow(t.Spec.Region) || p.isCold(now, t) || t.notice.Limited || t.doubted || t.health.out(now) || t.long != long {
 			continue
 		}
 		h := state.Rank(part, t.hash)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -50,6 +50,8 @@
 	evacuated bool
 	// coldUntil is until when the target is cold; zero if it is warm.
 	coldUntil time.Time
+	// notice is what the target's run has said of itself in answers.
+	notice proto.TargetNotice
 	// lately is when the target was chosen within the last second, in pools whose targets may be cold.
 	lately []time.Time
 }
@@ -83,6 +85,8 @@
 	// cold says how targets warm up, and coldMost how many requests a cold one may get within a second from all daemons.
 	cold     proto.ColdSpec
 	coldMost int
+	// mayLimit says that a target may name a limit.
+	mayLimit bool
 	// coldTo is when the last of the targets that are known to be cold is warm.
 	coldTo time.Time
 }
@@ -133,6 +137,7 @@
 	coldTerms      ColdTerms
 	// heard is what runs of targets have said of themselves in answers.
 	heard map[proto.RunName]*heard
+	tell  func([]proto.TargetNotice)
 }
 
 // FleetOption changes a Fleet at construction.
@@ -141,12 +146,17 @@
 // WithZoneCosts sets what other zones count for instead of DefaultZoneCosts.
 func WithZoneCosts(costs ZoneCosts) FleetOption { return func(f *Fleet) { f.zones = costs } }
 
+// WithNoticeNews has what targets say told to other daemons, as it becomes known here.
+func WithNoticeNews(tell func([]proto.TargetNotice)) FleetOption {
+	return func(f *Fleet) { f.tell = tell }
+}
+
 // NewFleet returns an empty fleet; changed is told of each pool whose list of targets changes, without a lock held.
 func NewFleet(changed func(pool string), options ...FleetOption) *Fleet {
 	f := &Fleet{
 		pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]voidEntry{}, judged: map[string]proto.Revision{},
 		left: map[string]leftTarget{}, evacuations: map[string]proto.Evacuation{}, evacuationRows: map[string]uint64{}, heldSince: map[string]time.Time{},
-		changed: changed, zones: DefaultZoneCosts(), heard: map[proto.RunName]*heard{},
+		changed: changed, zones: DefaultZoneCosts(), heard: map[proto.RunName]*heard{}, tell: func([]proto.TargetNotice) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -345,6 +355,7 @@
 	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known, evacuated: f.isEvacuated(c.Target.Zone)}
 	t.running, t.end = context.WithCancel(context.Background())
 	t.warmsIn(now, c.Target.ColdFor)
+	t.goBy(f.heard[t.Spec.RunName()])
 	p.targets[c.ID] = t
 	f.where[c.ID] = t
 	p.stale = true
--- a/relay/frees.go
+++ b/relay/frees.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"emberlead/proto"
 )
@@ -36,12 +37,20 @@
 		if next == nil {
 			next = &freeing{worker: w}
 			f.due[maker] = next
-			f.pieces.clock.AfterFunc(freeEvery, func() { f.flush(maker) })
+			f.pieces.clock.AfterFunc(f.gather(maker), func() { f.flush(maker) })
 		}
 		next.handles = append(next.handles, h)
 	}
 }
 
+// gather is how long results are gathered that a target is to free.
+func (f *frees) gather(maker netip.AddrPort) time.Duration {
+	if f.pieces.fleet.limitsAt(maker) {
+		return limitedFreeEvery
+	}
+	return freeEvery
+}
+
 func (f *frees) flush(maker netip.AddrPort) {
 	f.mu.Lock()
 	next := f.due[maker]
--- /dev/null
+++ b/relay/limits.go
@@ -0,0 +1,244 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"emberlead/proto"
+)
+
+const (
+	// noLimit stands for the limit of a target that names none.
+	noLimit = -1.0
+	// limitLeast is the least rate at which a target with a limit gets requests, a second. Only an answer tells that the limit is over.
+	limitLeast = 0.2
+	// limitBurst is for how long requests that were not sent may be sent later, at one request the least.
+	limitBurst = 250 * time.Millisecond
+	// reachOver is how many times its part of the daemons a group that does not hear the others may use of a limit. The lost are most
+	// often dead; the groups of a fleet that is cut in two come to this much of the limit together.
+	reachOver = 1.25
+	// permitAgain is when to ask again where the daemon that hands out permits did not answer: by then another one may do it.
+	permitAgain = 100 * time.Millisecond
+	// limitTries is how often a target is chosen anew when other requests took what its limit left.
+	limitTries = 3
+)
+
+// allowance counts the requests that a target's limit allows, as they come to be over time.
+type allowance struct {
+	left float64
+	at   time.Time
+}
+
+// limitRate is how many requests a second go to a target that names a limit, from daemons that have a part of it.
+func limitRate(limit, part float64) float64 { return max(limitLeast, limit) * part }
+
+// pass adds what has come to be since it was last looked at. Nothing has when that is the first time.
+func (a *allowance) pass(now time.Time, rate float64) {
+	if !a.at.IsZero() {
+		a.left += rate * max(0, now.Sub(a.at)).Seconds()
+	}
+	a.at = now
+	a.left = min(a.left, max(1, rate*limitBurst.Seconds()))
+}
+
+// wait is how long it takes until a request is allowed; 0 if one is now.
+func (a *allowance) wait(now time.Time, rate float64) time.Duration {
+	a.pass(now, rate)
+	if a.left >= 1 {
+		return 0
+	}
+	return max(1, time.Duration((1-a.left)/rate*float64(time.Second)))
+}
+
+// take counts a request, unless none is allowed.
+func (a *allowance) take(now time.Time, rate float64) bool {
+	if a.wait(now, rate) > 0 {
+		return false
+	}
+	a.left--
+	return true
+}
+
+// permits hold what the targets with a limit may get. For each pool one daemon hands them out, which places its requests too; the
+// others ask it.
+type permits struct {
+	mu              sync.Mutex
+	runs            map[proto.RunName]*permit
+	granted, denied atomic.Int64
+}
+
+// permit is what is known of the permits for one target.
+type permit struct {
+	allowance
+	// usedUpTo is until when another daemon has none to hand out.
+	usedUpTo time.Time
+	asked    time.Time
+}
+
+func newPermits() permits {
+	return permits{runs: map[proto.RunName]*permit{}}
+}
+
+// of returns the permits for a target, and whether they are new; the lock is held.
+func (p *permits) of(now time.Time, run proto.RunName) (known *permit, isNew bool) {
+	known, ok := p.runs[run]
+	if !ok {
+		known = &permit{}
+		p.runs[run] = known
+	}
+	known.asked = now
+	return known, !ok
+}
+
+// sweep forgets the targets of which nobody asked for a while.
+func (p *permits) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for run, known := range p.runs {
+		if now.Sub(known.asked) > noticesKept {
+			delete(p.runs, run)
+		}
+	}
+}
+
+// reach is the part of common limits that the daemons may use together which hear each other.
+func (s *Share) reach() float64 {
+	if s.Counted <= 0 || s.Live <= 0 {
+		return 1
+	}
+	return min(1, reachOver*float64(s.Live)/float64(s.Counted))
+}
+
+// handsOut tells whether this daemon hands out the permits for the targets of a pool, or else who does.
+func (p *Placer) handsOut(pool string) (owner proto.VM, own bool) {
+	owner = p.peers.Owner(placeTask+pool, nil)
+	return owner, owner == "" || owner == p.self
+}
+
+// mayBeAsked returns the targets of a pool that name a limit and may have something left of it, as far as is known here.
+func (p *Placer) mayBeAsked(now time.Time, pool string) map[string]bool {
+	limited := p.fleet.limited(pool)
+	if len(limited) == 0 {
+		return nil
+	}
+	may := map[string]bool{}
+	for i := range limited {
+		may[limited[i].Target] = p.permitIn(now, pool, &limited[i]) == 0
+	}
+	return may
+}
+
+// permitIn is how long it takes until there may be a permit for a target, as far as is known here; 0 if there may be one now.
+func (p *Placer) permitIn(now time.Time, pool string, n *proto.TargetNotice) time.Duration {
+	_, own := p.handsOut(pool)
+	share := p.peers.Share()
+	p.permits.mu.Lock()
+	defer p.permits.mu.Unlock()
+	known, _ := p.permits.of(now, n.Run)
+	if own {
+		return known.wait(now, limitRate(n.Limit, share.reach()))
+	}
+	return max(0, known.usedUpTo.Sub(now))
+}
+
+// handOut hands out a permit, if this daemon does so and there is one.
+func (p *Placer) handOut(now time.Time, pool string, n *proto.TargetNotice, to proto.VM) proto.PermitAnswer {
+	owner, own := p.handsOut(pool)
+	if !own {
+		p.log.Info("permits are handed out elsewhere", "pool", pool, "target", n.Target, "asker", to, "by", owner)
+		return proto.PermitAnswer{Wait: permitAgain}
+	}
+	share := p.peers.Share()
+	rate := limitRate(n.Limit, share.reach())
+	p.permits.mu.Lock()
+	defer p.permits.mu.Unlock()
+	known, isNew := p.permits.of(now, n.Run)
+	if isNew {
+		p.log.Info("permits for a target are handed out here", "pool", pool, "run", n.Run, "limit", n.Limit, "perSecond", rate, "live", share.Live, "counted", share.Counted)
+	}
+	if !known.take(now, rate) {
+		p.permits.denied.Add(1)
+		return proto.PermitAnswer{Wait: known.wait(now, rate)}
+	}
+	p.permits.granted.Add(1)
+	return proto.PermitAnswer{Granted: true}
+}
+
+// HandOut answers a daemon that asks for a permit.
+func (p *Placer) HandOut(from proto.VM, ask proto.PermitAsk) proto.PermitAnswer {
+	now := p.clock.Now()
+	if !ask.Notice.Valid() {
+		p.log.Warn("a limit in a message cannot be kept", "target", ask.Notice.Target, "limit", ask.Notice.Limit, "from", from)
+		return proto.PermitAnswer{Wait: permitAgain}
+	}
+	p.fleet.LearnNotices(now, []proto.TargetNotice{ask.Notice})
+	return p.handOut(now, ask.Pool, &ask.Notice, from)
+}
+
+// permitted counts a request within the limit of its target, if that names one; false means that the limit is used up.
+func (p *Placer) permitted(ctx context.Context, placed *Placed) bool {
+	n, limited := p.fleet.limitOf(placed.Target)
+	if !limited || placed.permitted {
+		return true
+	}
+	now := p.clock.Now()
+	owner, own := p.handsOut(placed.pool)
+	var answer proto.PermitAnswer
+	if own {
+		answer = p.handOut(now, placed.pool, &n, p.self)
+	} else {
+		answer = p.askPermit(ctx, owner, placed.pool, &n)
+	}
+	placed.permitted = answer.Granted
+	if !answer.Granted && !own {
+		p.noteUsedUp(now, answer.Wait, n)
+	}
+	return answer.Granted
+}
+
+func (p *Placer) askPermit(ctx context.Context, owner proto.VM, pool string, n *proto.TargetNotice) proto.PermitAnswer {
+	ctx, cancel := context.WithTimeout(ctx, placeWait)
+	defer cancel()
+	m, err := p.peers.Call(ctx, owner, proto.PermitAsk{Pool: pool, Notice: *n})
+	answer, ok := m.(proto.PermitAnswer)
+	if err != nil || !ok {
+		p.log.Info("no word on a permit", "pool", pool, "target", n.Target, "limit", n.Limit, "owner", owner, "error", err)
+		return proto.PermitAnswer{Wait: permitAgain}
+	}
+	return answer
+}
+
+// noteUsedUp takes in that the daemon that hands out permits for targets has none for a while.
+func (p *Placer) noteUsedUp(now time.Time, wait time.Duration, targets ...proto.TargetNotice) {
+	p.permits.mu.Lock()
+	defer p.permits.mu.Unlock()
+	for i := range targets {
+		known, _ := p.permits.of(now, targets[i].Run)
+		known.usedUpTo = now.Add(wait)
+	}
+}
+
+// RoomIn returns how long it takes until a target of a pool that names a limit may get a request, and false if none names one.
+func (p *Placer) RoomIn(pool string) (in time.Duration, limited bool) {
+	now := p.clock.Now()
+	for _, n := range p.fleet.limited(pool) {
+		if wait := p.permitIn(now, pool, &n); !limited || wait < in {
+			in, limited = wait, true
+		}
+	}
+	return in, limited
+}
+
+// PermitCounts are totals of permits for targets that name a limit, since the start.
+type PermitCounts struct {
+	Granted int64 `json:"granted"`
+	// Denied counts how often a limit was used up.
+	Denied int64 `json:"denied"`
+}
+
+// PermitCounts returns the totals.
+func (p *Placer) PermitCounts() PermitCounts {
+	return PermitCounts{Granted: p.permits.granted.Load(), Denied: p.permits.denied.Load()}
+}
--- /dev/null
+++ b/relay/limits_test.go
@@ -0,0 +1,298 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+const (
+	// limitTick is the step of the model, and limitAnswer how long a target takes to answer.
+	limitTick   = 10 * time.Millisecond
+	limitAnswer = 20 * time.Millisecond
+	// limitHop is how long news takes to other daemons, and limitLag how long a daemon takes to find out who is cut off.
+	limitHop = 100 * time.Millisecond
+	limitLag = time.Second
+	// limitSpan, limitOver and limitSlack are what may arrive at a target beyond its limit, limitTold after it first named that.
+	limitSpan  = 4 * time.Second
+	limitOver  = 1.5
+	limitSlack = 5
+	limitTold  = 3 * time.Second
+	// limitUse is the part of what a target takes that a calm fleet uses at least.
+	limitUse = 0.8
+)
+
+// limitFleet is a deployment of daemons before one target that names a limit, under a clock of its own.
+type limitFleet struct {
+	clock   *clockwork.FakeClock
+	random  *rand.Rand
+	daemons []*limitDaemon
+	// limit is what the target names; it names none if it is negative.
+	limit    float64
+	arrivals []time.Time
+	due      []limitEvent
+}
+
+// limitEvent is an answer or a message on its way.
+type limitEvent struct {
+	at time.Time
+	do func()
+}
+
+// limitDaemon is one daemon; it reaches the others of its group, and believes to reach those of the group of some time ago.
+type limitDaemon struct {
+	world  *limitFleet
+	vm     proto.VM
+	placer *Placer
+	fleet  *Fleet
+	group  int
+	// believed is the group that the daemon goes by.
+	believed int
+}
+
+func newLimitFleet(seed uint64, daemons int, limit float64) *limitFleet {
+	w := &limitFleet{clock: clockwork.NewFakeClockAt(start), random: rand.New(rand.NewPCG(seed, 11)), limit: limit}
+	for i := range daemons {
+		d := &limitDaemon{world: w, vm: proto.VM(fmt.Sprint("vm-", i))}
+		d.fleet = NewFleet(func(string) {}, WithNoticeNews(d.tell))
+		d.fleet.Change(start, []FleetChange{put(1, listed("t", "p", "z"))})
+		d.placer = NewPlacer(d.vm, w.clock, hclog.NewNullLogger(), d.fleet, d)
+		w.daemons = append(w.daemons, d)
+	}
+	return w
+}
+
+func (w *limitFleet) after(wait time.Duration, do func()) {
+	w.due = append(w.due, limitEvent{w.clock.Now().Add(wait), do})
+}
+
+// tell passes news on to the daemons of the group.
+func (d *limitDaemon) tell(news []proto.TargetNotice) {
+	for _, other := range d.world.daemons {
+		if other != d && other.group == d.group {
+			d.world.after(limitHop, func() { other.fleet.LearnNotices(d.world.clock.Now(), news) })
+		}
+	}
+}
+
+func (d *limitDaemon) Owner(task string, _ map[proto.VM]bool) proto.VM {
+	var owner proto.VM
+	var best uint64
+	for _, other := range d.world.daemons {
+		if rank := state.Rank(state.Hash(task), state.Hash(string(other.vm))); other.believed == d.believed && (owner == "" || rank > best) {
+			owner, best = other.vm, rank
+		}
+	}
+	return owner
+}
+
+func (d *limitDaemon) Silent(proto.VM) bool            { return false }
+func (d *limitDaemon) Sole(string, time.Duration) bool { return true }
+func (d *limitDaemon) Send(to proto.VM, m proto.Message) {
+	if note, ok := m.(proto.PlaceNote); ok && d.reaches(to) {
+		d.world.daemon(to).placer.Note(note)
+	}
+}
+
+func (d *limitDaemon) Share() Share {
+	live := 0
+	for _, other := range d.world.daemons {
+		if other.believed == d.believed {
+			live++
+		}
+	}
+	return Share{Counted: len(d.world.daemons), Live: live}
+}
+
+func (d *limitDaemon) Call(_ context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
+	if !d.reaches(to) {
+		return nil, fmt.Errorf("cut off")
+	}
+	switch ask := m.(type) {
+	case proto.PermitAsk:
+		return d.world.daemon(to).placer.HandOut(d.vm, ask), nil
+	case proto.PlaceAsk:
+		return d.world.daemon(to).placer.Place(ask), nil
+	}
+	return nil, fmt.Errorf("not known")
+}
+
+func (d *limitDaemon) reaches(vm proto.VM) bool { return d.world.daemon(vm).group == d.group }
+
+func (w *limitFleet) daemon(vm proto.VM) *limitDaemon {
+	for _, d := range w.daemons {
+		if d.vm == vm {
+			return d
+		}
+	}
+	return nil
+}
+
+// asks has a daemon send a request, if it finds a target.
+func (w *limitFleet) asks(d *limitDaemon, engine bool) {
+	placed := d.placer.Choose(context.Background(), "p", Want{Engine: engine, Route: "r", OwnTokens: 100})
+	if placed == nil {
+		return
+	}
+	sent := w.clock.Now()
+	w.arrivals = append(w.arrivals, sent)
+	notice := Notice{Limit: max(0, w.limit), Limited: w.limit >= 0}
+	w.after(limitAnswer, func() {
+		d.fleet.Hear(w.clock.Now(), &Hearing{Notice: notice, Target: placed.Spec, Sent: sent})
+		placed.Ended(VerdictGood, Load{})
+	})
+}
+
+// runs plays a time with so many requests a second; spread is the number of daemons that get them.
+func (w *limitFleet) runs(length time.Duration, perSecond float64, spread int, engine bool) {
+	credit := 0.0
+	for end := w.clock.Now().Add(length); w.clock.Now().Before(end); w.clock.Advance(limitTick) {
+		w.events()
+		for credit += perSecond * limitTick.Seconds(); credit >= 1; credit-- {
+			w.asks(w.daemons[w.random.IntN(spread)], engine)
+		}
+	}
+}
+
+func (w *limitFleet) events() {
+	now := w.clock.Now()
+	var later []limitEvent
+	due := w.due
+	w.due = nil
+	for _, e := range due {
+		if now.Before(e.at) {
+			later = append(later, e)
+			continue
+		}
+		e.do()
+	}
+	w.due = append(later, w.due...)
+}
+
+// splits puts each daemon into one of so many groups, which do not reach each other from now on and find that out later.
+func (w *limitFleet) splits(groups int) {
+	for _, d := range w.daemons {
+		d.group = w.random.IntN(groups)
+		group := d.group
+		w.after(time.Duration(w.random.Int64N(int64(limitLag))), func() { d.believed = group })
+	}
+}
+
+// most is the largest number of arrivals within a span, from a moment on.
+func (w *limitFleet) most(from time.Time) int {
+	most, first := 0, 0
+	for last, at := range w.arrivals {
+		for w.arrivals[first].Before(from) && first < last || at.Sub(w.arrivals[first]) > limitSpan {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+func limitMost(limit float64) int { return int(limitOver*limitSpan.Seconds()*limit + limitSlack) }
+
+// TestALimitIsKeptAndUsedByACalmFleet guards against a limit that each daemon keeps for itself, or that is divided until nobody is served.
+func TestALimitIsKeptAndUsedByACalmFleet(t *testing.T) {
+	const length = 40 * time.Second
+	for _, daemons := range []int{6, 30, 95} {
+		for _, limit := range []float64{0.3, 1, 5, 50} {
+			for _, load := range []struct {
+				testName string
+				spread   int
+				engine   bool
+			}{{"even, engines", daemons, true}, {"even, plain", daemons, false}, {"all at one daemon", 1, false}} {
+				t.Run(fmt.Sprintf("%d daemons, limit %g, %s", daemons, limit, load.testName), func(t *testing.T) {
+					t.Parallel()
+					w := newLimitFleet(1, daemons, limit)
+					w.runs(limitTold, 3*limit+3, load.spread, load.engine)
+					from := w.clock.Now()
+					w.runs(length, 3*limit+3, load.spread, load.engine)
+					if got, may := w.most(from), limitMost(limit); got > may {
+						t.Errorf("%d requests arrived within %s, %d may", got, limitSpan, may)
+					}
+					used := 0
+					for _, at := range w.arrivals {
+						if !at.Before(from) {
+							used++
+						}
+					}
+					if takes := limit * length.Seconds(); float64(used) < limitUse*takes {
+						t.Errorf("%d requests arrived, the target takes %.0f", used, takes)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestALimitIsKeptByAFleetThatIsSplit guards against groups of daemons that each use a whole limit while they do not hear each other.
+func TestALimitIsKeptByAFleetThatIsSplit(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		daemons, limit := []int{6, 30, 95}[random.IntN(3)], []float64{0.3, 1, 5, 50}[random.IntN(4)]
+		w := newLimitFleet(seed, daemons, limit)
+		engine := random.IntN(2) == 0
+		w.runs(limitTold, 2*limit+3, daemons, engine)
+		from := w.clock.Now()
+		for range 8 {
+			w.splits(1 + random.IntN(3))
+			w.runs(time.Duration(1+random.IntN(8))*time.Second, 2*limit+3, daemons, engine)
+		}
+		if got, may := w.most(from), limitMost(limit); got > may {
+			t.Errorf("seed %d: %d daemons: %d requests arrived within %s at a target with a limit of %g, %d may", seed, daemons, got, limitSpan, limit, may)
+		}
+	}
+}
+
+// TestALimitEndsWithTheAnswersThatNameIt guards against a target that is held to a limit which it names no more.
+func TestALimitEndsWithTheAnswersThatNameIt(t *testing.T) {
+	for _, limit := range []float64{0, 0.01, 1} {
+		t.Run(fmt.Sprintf("limit %g", limit), func(t *testing.T) {
+			w := newLimitFleet(1, 6, limit)
+			w.runs(10*time.Second, 20, 6, false)
+			limited := len(w.arrivals)
+			w.limit = noLimit
+			w.runs(10*time.Second, 20, 6, false)
+			if after := len(w.arrivals) - limited; after < 60 {
+				t.Errorf("%d of 200 requests arrived within ten seconds of the end of a limit; %d had before", after, limited)
+			}
+		})
+	}
+}
+
+// TestLimitsThatSayNothingDoNoHarm guards against values that would stop all work for a target, or let it through in a burst.
+func TestLimitsThatSayNothingDoNoHarm(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		notice   Notice
+		partial  bool
+		limited  bool
+	}{
+		{"a limit", Notice{Limited: true, Limit: 2}, false, true},
+		{"a limit that no number of requests reaches", Notice{Limited: true, Limit: 1e300}, false, true},
+		{"a value that cannot be read", Notice{Unreadable: []string{"x"}}, true, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			w := newLimitFleet(1, 2, noLimit)
+			f := w.daemons[0].fleet
+			f.Hear(start, &Hearing{Notice: s.notice, Target: listed("t", "p", "z"), Sent: start, Partial: s.partial})
+			if got := len(f.limited("p")) > 0; got != s.limited {
+				t.Errorf("limited: %v", got)
+			}
+			w.runs(5*time.Second, 10, 2, false)
+			if len(w.arrivals) < 10 {
+				t.Errorf("%d of 50 requests arrived", len(w.arrivals))
+			}
+		})
+	}
+}
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -20,6 +20,8 @@
 	silenceCheck = 150 * time.Millisecond
 	// freeEvery is how long results to be freed are gathered, since a call for each would cost more than their room.
 	freeEvery = 20 * time.Millisecond
+	// limitedFreeEvery is the same for targets that name a limit, which calls that free results must not use up.
+	limitedFreeEvery = time.Second
 	// expireEvery is how often a worker with jobs looks for those whose time is over.
 	expireEvery = 50 * time.Millisecond
 	// callSlack is how many times its expected time, or that of an empty call as configured if that is more, a call may
@@ -260,6 +262,7 @@
 	}
 	w := &worker{pieces: p, shard: of, batch: NewBatcher(*spec.Batch, WithRefusals(p.refuses)), waiting: map[*Job]chan proto.PiecesAnswer{}}
 	w.batch.SetTargets(w.targets())
+	w.limits = p.fleet.limited(of.pool)
 	p.workers[of] = w
 	return w
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -41,6 +41,8 @@
 	busyUntil  map[string]time.Time
 	// cold counts what this daemon sends to cold targets.
 	cold coldSends
+	// permits are those for targets that name a limit.
+	permits permits
 
 	mu     sync.Mutex
 	next   uint64
@@ -57,7 +59,7 @@
 
 // NewPlacer returns a placer that has placed nothing.
 func NewPlacer(self proto.VM, clock clockwork.Clock, log hclog.Logger, fleet *Fleet, peers Peers) *Placer {
-	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}, cold: coldSends{targets: map[string]*coldTarget{}}, admissions: map[string]*admission{}, busyUntil: map[string]time.Time{}}
+	return &Placer{self: self, clock: clock, log: log, fleet: fleet, peers: peers, leases: map[uint64]placement{}, cold: coldSends{targets: map[string]*coldTarget{}}, permits: newPermits(), admissions: map[string]*admission{}, busyUntil: map[string]time.Time{}}
 }
 
 // Placed is a target chosen for an attempt.
@@ -75,22 +77,29 @@
 	// Cold says that the target is cold, and counted that the request counts as on its way there.
 	Cold    bool
 	counted bool
+	// permitted says that the request is counted within the limit of its target.
+	permitted bool
 }
 
 // Choose returns the target for an attempt, or nil if there is none; Ended must be called for it.
 func (p *Placer) Choose(ctx context.Context, pool string, w Want) *Placed {
-	for range coldTries {
+	for range max(coldTries, limitTries) {
 		now := p.clock.Now()
-		w.Cold = p.mayBeSent(now, pool, w.Rank)
+		w.Cold, w.Limited = p.mayBeSent(now, pool, w.Rank), p.mayBeAsked(now, pool)
 		placed := p.choose(ctx, pool, w)
-		if placed == nil || !w.Cold[placed.Spec.ID] || p.countCold(now, placed) {
+		if placed == nil || (!w.Cold[placed.Spec.ID] || p.countCold(now, placed)) && p.permitted(ctx, placed) {
 			return placed
 		}
-		// Other requests have taken what was left of the target's allowance.
+		// Other requests have taken what was left for the target.
 		placed.Ended(VerdictNone, Load{})
 	}
-	w.Cold = nil
-	return p.choose(ctx, pool, w)
+	w.Cold, w.Limited = nil, nil
+	placed := p.choose(ctx, pool, w)
+	if placed != nil && !p.permitted(ctx, placed) {
+		placed.Ended(VerdictNone, Load{})
+		return nil
+	}
+	return placed
 }
 
 func (p *Placer) choose(ctx context.Context, pool string, w Want) *Placed {
@@ -99,6 +108,7 @@
 			if placed, decided := p.remote(ctx, owner, pool, w); decided {
 				return placed
 			}
+			w.Limited = p.mayBeAsked(p.clock.Now(), pool)
 		}
 	}
 	t := p.fleet.Pick(p.clock.Now(), pool, w)
@@ -122,8 +132,11 @@
 	if err == nil && ok && a.Crowded {
 		return nil, true
 	}
+	if a.Limited > 0 {
+		p.noteUsedUp(p.clock.Now(), a.Limited, p.fleet.limited(pool)...)
+	}
 	if err != nil || !ok || a.Target == "" {
-		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err)
+		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err, "limitsUsedUpFor", brief(a.Limited))
 		return nil, false
 	}
 	p.fleet.AdoptEngineTimes(pool, a.Times)
@@ -133,7 +146,7 @@
 		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "target", a.Target, "reason", "it is not listed here")
 		return nil, false
 	}
-	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease}, true
+	return &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w, owner: owner, lease: a.Lease, permitted: a.Permitted}, true
 }
 
 // errLateAnswer says that the daemon that places for a pool has not answered in time.
@@ -185,7 +198,7 @@
 // HasOther tells whether a request could go to another target than those that it was sent to, as far as is known here.
 func (p *Placer) HasOther(pool string, w Want) bool {
 	now := p.clock.Now()
-	w.Cold = p.mayBeSent(now, pool, w.Rank)
+	w.Cold, w.Limited = p.mayBeSent(now, pool, w.Rank), p.mayBeAsked(now, pool)
 	return p.fleet.Has(now, pool, w)
 }
 
@@ -217,16 +230,37 @@
 		w.Cold[id] = true
 	}
 	busy := p.isBusy(now, ask.Pool)
-	t := p.fleet.Pick(now, ask.Pool, w)
+	t, permitted := p.pick(now, ask.Pool, w)
 	if t == nil {
-		return proto.PlaceAnswer{Crowded: p.fleet.Crowded(now, ask.Pool), Busy: busy}
+		in, _ := p.RoomIn(ask.Pool)
+		return proto.PlaceAnswer{Crowded: p.fleet.Crowded(now, ask.Pool), Limited: in, Busy: busy}
 	}
 	id, times := p.fleet.Spec(t).ID, p.fleet.EngineTimes(ask.Pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.next++
 	p.leases[p.next] = placement{target: t, want: w, at: now}
-	return proto.PlaceAnswer{Target: id, Lease: p.next, Times: times, Busy: busy}
+	return proto.PlaceAnswer{Target: id, Lease: p.next, Times: times, Busy: busy, Permitted: permitted}
+}
+
+// pick chooses a target for another daemon, and counts the request within the limit of the target if that names one.
+func (p *Placer) pick(now time.Time, pool string, w Want) (t *Target, permitted bool) {
+	for range limitTries {
+		w.Limited = p.mayBeAsked(now, pool)
+		t = p.fleet.Pick(now, pool, w)
+		if t == nil {
+			return nil, false
+		}
+		n, limited := p.fleet.limitOf(t)
+		if !limited {
+			return t, false
+		}
+		if p.handOut(now, pool, &n, "").Granted {
+			return t, true
+		}
+		p.fleet.Ended(now, t, w, false, VerdictNone, Load{})
+	}
+	return nil, false
 }
 
 // Note takes in how far a placed attempt has come.
@@ -256,6 +290,7 @@
 func (p *Placer) Sweep() {
 	now := p.clock.Now()
 	p.cold.sweep(now)
+	p.permits.sweep(now)
 	p.sweepAdmissions(now)
 	p.mu.Lock()
 	var over []placement
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -152,8 +152,9 @@
 type Share struct {
 	// Part is from 0 to 1; the parts of all daemons come to 1 at the most at any time.
 	Part float64 `json:"part"`
-	// Counted is the number of daemons that it is divided between.
+	// Counted is the number of daemons that it is divided between, and Live that of the daemons that are heard of, this one included.
 	Counted int `json:"counted"`
+	Live    int `json:"live"`
 	// Reason says why the part is 0, if it is.
 	Reason string `json:"reason,omitempty"`
 }
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -18,6 +18,8 @@
 	batch   *Batcher
 	waiting map[*Job]chan proto.PiecesAnswer
 	armed   bool
+	// limits are those that targets of the pool name.
+	limits []proto.TargetNotice
 }
 
 func (w *worker) add(j *Job) (chan proto.PiecesAnswer, *proto.PiecesAnswer) {
@@ -50,10 +52,11 @@
 }
 
 func (w *worker) retarget() {
-	targets := w.targets()
+	targets, limits := w.targets(), w.pieces.fleet.limited(w.pool)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle(w.batch.SetTargets(targets))
+	w.limits = limits
 	w.turn()
 }
 
@@ -66,6 +69,7 @@
 
 // turn sends the calls that are due; the lock is held.
 func (w *worker) turn() {
+	w.batch.SetLimits(w.limits, w.reach())
 	calls, ends := w.batch.Next(w.pieces.clock.Now())
 	w.settle(ends)
 	for _, c := range calls {
@@ -77,6 +81,15 @@
 	}
 }
 
+// reach is the part of the targets' limits that may be used from here.
+func (w *worker) reach() float64 {
+	if len(w.limits) == 0 {
+		return 1
+	}
+	share := w.pieces.peers.Share()
+	return share.reach()
+}
+
 func (w *worker) due() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -74,6 +74,8 @@
 	crashes *relay.Crashes
 	ends    *relay.EndWatch
 	endNews *endNews
+	// noticeNews passes on what targets say of themselves.
+	noticeNews *noticeNews
 	// endRows tells them to daemons that this one does not reach.
 	endRows *endRows
 	// routingView and targetsView say how old what is known of the store's tables is.
@@ -146,10 +148,11 @@
 	}
 	d.exchange = wire.NewExchange(clock)
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
-		relay.WithColdTerms(relay.ColdTerms{Over: settings.ColdOver, Slack: settings.ColdSlack}))
+		relay.WithColdTerms(relay.ColdTerms{Over: settings.ColdOver, Slack: settings.ColdSlack}), relay.WithNoticeNews(d.noteNotices))
 	d.census = coord.NewCensus(d.self.VM, censusTiming(settings))
 	d.newPeers()
 	dialect := platform.Dialect{}
+	d.noticeNews = newNoticeNews(clock, func(m proto.TargetNotices) { d.peers.tellLinks(m) })
 	d.endNews = newEndNews(clock, func(m proto.TargetEnds) { d.peers.tellLinks(m) })
 	d.endRows = newEndRows(d)
 	d.crashes = relay.NewCrashes(d.self.VM, clock, log.Named("crashes"), d.ended)
@@ -182,7 +185,7 @@
 func (d *Relay) heartbeat() proto.Heartbeat {
 	return proto.Heartbeat{
 		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), Ends: d.crashes.Digest(), Void: d.fleet.VoidDigest(),
-		Evacuations: d.fleet.EvacuationsVersion(),
+		Notices: d.fleet.NoticeDigest(), Evacuations: d.fleet.EvacuationsVersion(),
 	}
 }
 
@@ -203,6 +206,9 @@
 		if d.endNews.differs(now, from, d.crashes.Digest(), msg.Ends, d.crashes.Counts().Ends) {
 			go d.tellEnds(from)
 		}
+		if d.noticeNews.differs(now, from, d.fleet.NoticeDigest(), msg.Notices) {
+			d.peers.Send(from, proto.TargetNotices{Notices: d.fleet.Notices()})
+		}
 	case proto.Alive:
 		d.peers.members.Alive(now, msg, from)
 	case proto.Alarm:
@@ -221,6 +227,10 @@
 		return d.placer.Place(msg)
 	case proto.PlaceNote:
 		d.placer.Note(msg)
+	case proto.PermitAsk:
+		return d.placer.HandOut(from, msg)
+	case proto.TargetNotices:
+		d.learnNotices(now, msg.Notices, from)
 	case proto.AdmitAsk:
 		return d.placer.Decide(msg)
 	case proto.Confirmed:
--- a/serve/relaydocs.go
+++ b/serve/relaydocs.go
@@ -231,7 +231,7 @@
 func (d *Relay) answerAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
 	d.docs.mu.Lock()
 	defer d.docs.mu.Unlock()
-	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version(), Void: d.fleet.Void()}
+	a := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version(), Void: d.fleet.Void(), Notices: d.fleet.Notices()}
 	if d.fleet.EvacuationsVersion().After(ask.Evacuations) {
 		a.Evacuations = d.fleet.Evacuations()
 	}
@@ -269,6 +269,7 @@
 	}
 	d.noteFleet(d.fleet.LearnVoid(d.clock.Now(), a.Void), string(from))
 	d.takeEvacuations(a.Evacuations, string(from))
+	d.learnNotices(d.clock.Now(), a.Notices, from)
 	if len(a.RoutingBody) > 0 {
 		d.adoptRouting(a.RoutingBody, string(from))
 	}
--- a/serve/relayends.go
+++ b/serve/relayends.go
@@ -32,8 +32,7 @@
 
 	mu      sync.Mutex
 	waiting []waitingEnd
-	// differ is since when other daemons know other ends, and told when they were last told all.
-	differ, told map[proto.VM]time.Time
+	others  digestWatch
 }
 
 // waitingEnd is an end that the other daemons are to be told, with when its age held.
@@ -43,7 +42,7 @@
 }
 
 func newEndNews(clock clockwork.Clock, send func(proto.TargetEnds)) *endNews {
-	return &endNews{clock: clock, send: send, differ: map[proto.VM]time.Time{}, told: map[proto.VM]time.Time{}}
+	return &endNews{clock: clock, send: send, others: newDigestWatch()}
 }
 
 // add takes in what was news here, from whomever; it is not sent back by its receivers, for whom it is none.
@@ -73,26 +72,11 @@
 	e.send(m)
 }
 
-// differs takes in the digest of a linked daemon and tells whether to tell it all now: at once if it knows nothing, as one
-// that has just started. known is how many ends it would be told.
+// differs tells whether to tell a linked daemon all now, by its digest.
 func (e *endNews) differs(now time.Time, from proto.VM, own, theirs uint64, known int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if own == theirs || own == 0 {
-		delete(e.differ, from)
-		return false
-	}
-	since, noted := e.differ[from]
-	if !noted {
-		since = now
-		e.differ[from] = now
-	}
-	again := max(endsAgain, time.Duration(known)*time.Second/endsPace)
-	if theirs != 0 && now.Sub(since) < endsDiffer || now.Sub(e.told[from]) < again {
-		return false
-	}
-	e.told[from] = now
-	return true
+	return e.others.differs(now, from, own, theirs, known)
 }
 
 // tellEnds tells another daemon all ends of targets that this one knows of.
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -99,6 +99,8 @@
 	Cold relay.ColdCounts `json:"cold"`
 	// Notices counts the targets that leave, name a limit or want rest by their answers.
 	Notices relay.NoticeCounts `json:"notices"`
+	// Permits counts what this daemon handed out for targets that name a limit.
+	Permits relay.PermitCounts `json:"permits"`
 	Open    int64              `json:"openRequests"`
 	// Store counts the calls to the store by table and kind.
 	Store   platform.CallCounts `json:"store"`
@@ -115,7 +117,7 @@
 		RoutingAge: ageVar(&d.routingView, now), TargetsAge: ageVar(&d.targetsView, now),
 		Requests: d.server.Counts().Report(), Pieces: d.pieces.Counts(), Targets: d.exchange.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.Evacuated(), Open: d.server.Open(),
-		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Cold: d.placer.ColdCounts(), Notices: d.fleet.NoticeCounts(now), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
+		LinkAuth: d.linkAuth(), Crashes: d.crashes.Counts(), Cold: d.placer.ColdCounts(), Notices: d.fleet.NoticeCounts(now), Permits: d.placer.PermitCounts(), Store: d.store.Counts(), Dropped: d.sink.Dropped(),
 	}
 }
 
@@ -130,5 +132,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.Targets, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "cold", v.Cold, "notices", v.Notices, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "cold", v.Cold, "notices", v.Notices, "permits", v.Permits, "open", v.Open, "store", v.Store, "dropped", v.Dropped)
 }
--- a/serve/relaylist.go
+++ b/serve/relaylist.go
@@ -217,7 +217,7 @@
 // Share returns this daemon's part of what all daemons together are allowed.
 func (p *relayPeers) Share() relay.Share {
 	s := p.census.Share(p.clock.Now())
-	share := relay.Share{Counted: s.Counted, Reason: string(s.Reason)}
+	share := relay.Share{Counted: s.Counted, Live: p.Count(), Reason: string(s.Reason)}
 	if s.Usable {
 		share.Part = 1 / float64(s.Counted)
 	}
