A target that says in an answer that it leaves gets no more work

What callers and targets saw: requests reached an engine up to 10 s after its answers had told the sending daemon that it leaves; they ran there and would have been cut off at its end. Ruled out: a change that undid what was known, since no change came before. Now what an answer says closes the target like its entry does, for attempts, calls and choices for others, also where no other target is left. It holds for the run: through a store that is away or restored, an entry that is spoilt, written again or gone for a while, until another run starts. Other daemons are told. A target that leaves so and goes has not crashed.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -357,7 +357,7 @@
 func (f *Fleet) Listed(t *Target) bool {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	return !t.gone && !t.Spec.Leaving
+	return !t.gone && !t.leaves()
 }
 
 // InService tells whether the run of a target as it was listed is still listed and has not said that it leaves.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -56,8 +56,11 @@
 	lately []time.Time
 }
 
+// leaves tells whether the target has said that it leaves, by its entry or in an answer.
+func (t *Target) leaves() bool { return t.Spec.Leaving || t.notice.Leaving }
+
 // closed tells whether the target is to get no new work, whatever its health.
-func (t *Target) closed() bool { return t.Spec.Leaving || t.evacuated }
+func (t *Target) closed() bool { return t.leaves() || t.evacuated }
 
 type targetPool struct {
 	mu      sync.Mutex
@@ -368,6 +371,7 @@
 func (f *Fleet) restart(now time.Time, t *Target, c FleetChange) []FleetNote {
 	ended := f.forget(t)
 	ended.Outcome, ended.Version = OutcomeEnded, c.Version
+	delete(f.heard, t.Spec.RunName())
 	t.end()
 	if c.Target.Pool != t.Spec.Pool {
 		return []FleetNote{ended, f.add(now, c, health{})}
@@ -382,7 +386,7 @@
 	}
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	if v, void := f.void[c.ID]; t.Spec.Leaving || void && !v.until.IsZero() {
+	if v, void := f.void[c.ID]; t.leaves() || void && !v.until.IsZero() {
 		f.noteLeft(now, t, c.Version)
 	}
 	return f.unusable(t, c)
@@ -411,7 +415,7 @@
 	if !c.Told {
 		lapsed = c.Restored || f.mayHaveLapsed(now)
 	}
-	if !t.Spec.Leaving && lapsed {
+	if !t.leaves() && lapsed {
 		if !t.lapsedAt.IsZero() {
 			return nil
 		}
@@ -427,7 +431,9 @@
 	delete(t.pool.targets, t.Spec.ID)
 	delete(f.where, t.Spec.ID)
 	t.pool.stale = true
-	return FleetNote{Target: t.Spec, Outcome: outcomeRemoved}
+	ended := t.Spec
+	ended.Leaving = t.leaves()
+	return FleetNote{Target: ended, Outcome: outcomeRemoved}
 }
 
 // Size returns the number of a pool's targets, leaving and doubted ones included.
--- a/relay/fleetvoid.go
+++ b/relay/fleetvoid.go
@@ -34,7 +34,7 @@
 
 // noteLeft remembers a target that has left as of a revision.
 func (f *Fleet) noteLeft(now time.Time, t *Target, version proto.Revision) {
-	f.left[t.Spec.ID] = leftTarget{born: t.Spec.Born, said: t.Spec.Leaving, version: version, at: now}
+	f.left[t.Spec.ID] = leftTarget{born: t.Spec.Born, said: t.leaves(), version: version, at: now}
 }
 
 func (f *Fleet) forgetLeft(now time.Time) {
