A target that turns a daemon away with a time to come back gets nothing from it until then

What was seen: a target that wanted 3 s of rest got 10, 8 and 3 requests from that daemon within it, one request visiting three such targets in 6 ms, and the attempts were spent on refusals. Cause: Retry-After of a target was read by nothing; a refusal counted as a full target for two seconds, which orders targets and closes none. Ruled out: another daemon's choice, since the violating daemon was the one turned away. Now the target is closed for that daemon until its rest is over, for attempts, calls, choices that another daemon makes for it, and calls that free results; the daemon that places for a pool still chooses it for others. A request whose whole pool rests for longer than its stages take is refused at once, with when the first has rested. Five minutes are the most; over an hour is not believed.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -172,6 +172,7 @@
 	reasonHomes    = "the pool has no target in the regions that the request is bound to"
 	reasonCrowded  = "each target of the pool has as many requests as it may have at a time"
 	reasonCold     = "the targets of the pool are cold, and get no more for the moment"
+	reasonRest     = "the targets of the pool want rest from this daemon"
 	reasonLimited  = "what the targets of the pool take by the limits that they name is used up for the moment"
 )
 
@@ -188,11 +189,14 @@
 	if in, limited := f.server.placer.RoomIn(f.pool); limited && in > 0 {
 		return reasonLimited
 	}
+	if _, rests := f.server.fleet.RestsFor(f.server.clock.Now(), f.pool); rests {
+		return reasonRest
+	}
 	return reasonNoTarget
 }
 
 // waitForTarget is when a caller should come back for whom no target took the request: where targets are cold, when the first
-// of them is warm, and where they name limits, when one may get a request again.
+// of them is warm, and where they name limits or want rest, when one may get a request again.
 func (f *flow) waitForTarget(last *attemptEnd) time.Duration {
 	if !last.noTarget {
 		return waitBusy
@@ -200,12 +204,18 @@
 	wait := time.Duration(0)
 	for _, in := range []func() (time.Duration, bool){
 		func() (time.Duration, bool) { return f.server.fleet.WarmIn(f.server.clock.Now(), f.pool) },
+		func() (time.Duration, bool) { return f.server.fleet.RestsFor(f.server.clock.Now(), f.pool) },
 		func() (time.Duration, bool) { return f.server.placer.RoomIn(f.pool) },
 	} {
 		if length, waits := in(); waits && (wait == 0 || length < wait) {
 			wait = length
 		}
 	}
+	return f.comeBackIn(wait)
+}
+
+// comeBackIn is when a caller should come back for whom there is room after a time, while it still waits for an answer.
+func (f *flow) comeBackIn(wait time.Duration) time.Duration {
 	return max(waitBusy, min(wait, f.left()/comeBackPart))
 }
 
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -68,6 +68,8 @@
 	pace  float64
 	inRow int
 	outTo time.Time
+	// restUntil is until when the target wants no call.
+	restUntil time.Time
 	// limit is how many requests a second the target takes, if it is limited, and allowed counts those.
 	limit   float64
 	limited bool
--- a/relay/batchlimits.go
+++ b/relay/batchlimits.go
@@ -1,27 +1,24 @@
 package relay
 
-import (
-	"time"
+import "time"
 
-	"emberlead/proto"
-)
-
-// SetLimits takes over the limits that targets name, and the part of them that this batcher may use.
-func (b *Batcher) SetLimits(limits []proto.TargetNotice, reach float64) {
+// setTerms takes over what targets have said of the work that they take, and the part of their limits that this batcher may use.
+func (b *Batcher) setTerms(terms []targetTerms, reach float64) {
 	b.reach = reach
 	for _, t := range b.targets {
 		t.limited = false
 	}
-	for _, n := range limits {
-		if t := b.targets[n.Target]; t != nil {
-			t.limit, t.limited = n.Limit, true
+	for _, said := range terms {
+		if t := b.targets[said.id]; t != nil {
+			t.limit, t.limited = said.limit, said.limit != noLimit
+			t.restUntil = said.restUntil
 		}
 	}
 }
 
 // isOut tells whether a target gets no call for the moment.
 func (b *Batcher) isOut(now time.Time, t *batchTarget) bool {
-	return now.Before(t.outTo) || b.allowedIn(now, t) > 0
+	return now.Before(t.outTo) || now.Before(t.restUntil) || b.allowedIn(now, t) > 0
 }
 
 func (b *Batcher) rate(t *batchTarget) float64 { return limitRate(t.limit, b.reach) }
@@ -44,7 +41,13 @@
 // mayRepeat tells whether a call may be made again at its target, and counts it.
 func (b *Batcher) mayRepeat(now time.Time, c *Call) bool {
 	t := b.targets[c.Target.ID]
-	return t == nil || !t.limited || t.allowed.take(now, b.rate(t))
+	switch {
+	case t == nil:
+		return true
+	case now.Before(t.restUntil):
+		return false
+	}
+	return !t.limited || t.allowed.take(now, b.rate(t))
 }
 
 // paceWithin is the pace of a target's calls, or that of its limit if that is slower.
--- a/relay/batchqueue.go
+++ b/relay/batchqueue.go
@@ -52,7 +52,7 @@
 }
 
 func (b *Batcher) freeIn(now time.Time, t *batchTarget) float64 {
-	in := max(0, float64(t.outTo.Sub(now)), float64(b.allowedIn(now, t)))
+	in := max(0, float64(t.outTo.Sub(now)), float64(t.restUntil.Sub(now)), float64(b.allowedIn(now, t)))
 	if t.call != nil {
 		in = max(in, float64(t.call.Began.Add(t.call.Expected).Sub(now)))
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -69,6 +69,8 @@
 	Rank int
 	// Homes are the regions that the target must be in.
 	Homes proto.Homes
+	// Elsewhere says that another daemon sends the request, from which no target wants rest that is not in Tried.
+	Elsewhere bool
 	// Cold holds the cold targets that may be chosen, and Limited those with a limit.
 	Cold, Limited map[string]bool
 }
@@ -128,7 +130,7 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.closed() || !w.Homes.Allow(t.Spec.Region) || p.isCold(now, t) && !w.Cold[id] {
+	if t == nil || t.closed() || t.rests(now) || !w.Homes.Allow(t.Spec.Region) || p.isCold(now, t) && !w.Cold[id] {
 		return nil
 	}
 	if w.Engine {
@@ -178,7 +180,7 @@
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
 		cold := p.isCold(now, t)
-		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || t.notice.Limited && !w.Limited[t.Spec.ID] || !failing && (t.doubted || t.health.out(now)) {
+		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || t.notice.Limited && !w.Limited[t.Spec.ID] || !w.Elsewhere && t.rests(now) || !failing && (t.doubted || t.health.out(now)) {
 			continue
 		}
 		if !failing && p.crowded(now, t) {
@@ -368,7 +370,7 @@
 	return t != nil && f.Listed(t) && f.Spec(t).Born.Equal(spec.Born)
 }
 
-// Out returns the targets of a pool that this daemon leaves out, for their failures or since they may have left.
+// Out returns the targets of a pool that this daemon leaves out: for their failures, since they may have left, or since they want rest.
 func (f *Fleet) Out(now time.Time, pool string) []string {
 	p := f.pool(pool)
 	if p == nil {
@@ -378,7 +380,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for _, t := range p.list {
-		if t.doubted || t.health.out(now) {
+		if t.doubted || t.health.out(now) || t.rests(now) {
 			ids = append(ids, t.Spec.ID)
 		}
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -52,6 +52,8 @@
 	coldUntil time.Time
 	// notice is what the target's run has said of itself in answers.
 	notice proto.TargetNotice
+	// restUntil is until when the target wants nothing from this daemon.
+	restUntil time.Time
 	// lately is when the target was chosen within the last second, in pools whose targets may be cold.
 	lately []time.Time
 }
--- a/relay/fleetnotices.go
+++ b/relay/fleetnotices.go
@@ -13,6 +13,14 @@
 // after another writer spoilt it or with a copy of the store.
 const noticesKept = 10 * time.Minute
 
+// What targets that turn a daemon away may ask of it.
+const (
+	// restMost bounds a rest, since a target may recover sooner than it thought.
+	restMost = 5 * time.Minute
+	// restCredible is the longest rest that is believed. One that asks for more, such as a year, is not left out for that.
+	restCredible = time.Hour
+)
+
 // Hearing is what a target said in one answer.
 type Hearing struct {
 	Notice
@@ -57,20 +65,16 @@
 	return proto.RelayTarget{}, false
 }
 
-// limitsAt tells whether the target that has an address names a limit.
-func (f *Fleet) limitsAt(address netip.AddrPort) bool {
+// saidAt returns whether the target that has an address names a limit, and until when it wants rest from this daemon.
+func (f *Fleet) saidAt(address netip.AddrPort) (limited bool, restUntil time.Time) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	for _, k := range f.heard {
-		t := f.where[k.target]
-		if t == nil || k.limit == noLimit {
-			continue
-		}
-		if f.Spec(t).Address == address {
-			return true
+		if t := f.where[k.target]; t != nil && f.Spec(t).Address == address {
+			return k.limit != noLimit, k.restUntil
 		}
 	}
-	return false
+	return false, time.Time{}
 }
 
 // Hear takes in what a target said in an answer, and returns what changed by it.
@@ -96,23 +100,18 @@
 	if change, changed := k.hearRest(now, h); changed {
 		changes = append(changes, change)
 	}
-	notice := k.notice(run)
-	if notice == before {
-		f.mu.Unlock()
-		return changes
+	pool, notice := "", k.notice(run)
+	if len(changes) > 0 {
+		pool = f.mark(run, k)
 	}
-	pool := f.mark(run, k)
 	f.mu.Unlock()
-	f.noticed(pool, notice)
-	return changes
-}
-
-// noticed tells of notices that are new here; the fleet is not locked.
-func (f *Fleet) noticed(pool string, notices ...proto.TargetNotice) {
 	if pool != "" {
 		f.changed(pool)
 	}
-	f.tell(notices)
+	if notice != before {
+		f.tell([]proto.TargetNotice{notice})
+	}
+	return changes
 }
 
 // mark has a listed target go by what its run has said, and returns its pool, or "" if the run is not listed; the fleet is locked.
@@ -135,7 +134,7 @@
 	if k == nil {
 		return
 	}
-	t.notice = k.notice(t.Spec.RunName())
+	t.notice, t.restUntil = k.notice(t.Spec.RunName()), k.restUntil
 	t.pool.mayLimit = t.pool.mayLimit || t.notice.Limited
 }
 
@@ -282,13 +281,92 @@
 
 // hearRest takes in for how long the target wants nothing from this daemon.
 func (k *heard) hearRest(now time.Time, h *Hearing) (change NoticeChange, changed bool) {
-	until := now.Add(h.Rest)
-	if h.Rest <= 0 || until.Before(k.restUntil) {
+	change = NoticeChange{Text: "a target wants rest", Limit: k.limit, Before: k.limit, Rest: h.Rest}
+	if h.Rest > restCredible {
+		change.Text = "a target wants more rest than is believed"
+		return change, true
+	}
+	until := now.Add(min(h.Rest, restMost))
+	if h.Rest <= 0 || !until.After(k.restUntil) {
 		return NoticeChange{}, false
 	}
-	rests := now.Before(k.restUntil)
 	k.restUntil = until
-	return NoticeChange{Text: "a target wants rest", Limit: k.limit, Before: k.limit, Rest: h.Rest}, !rests
+	return change, true
+}
+
+// rests tells whether the target wants nothing from this daemon.
+func (t *Target) rests(now time.Time) bool { return now.Before(t.restUntil) }
+
+// RestsFor returns how long it takes until a target of a pool that wants rest from this daemon may get work, and false if none wants rest.
+func (f *Fleet) RestsFor(now time.Time, pool string) (left time.Duration, rests bool) {
+	p := f.pool(pool)
+	if p == nil {
+		return 0, false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	for _, t := range p.list {
+		if t.closed() || !t.rests(now) {
+			continue
+		}
+		if in := t.restUntil.Sub(now); !rests || in < left {
+			left, rests = in, true
+		}
+	}
+	return left, rests
+}
+
+// AllRest tells whether all targets of a pool in some regions that may get work want rest from this daemon, and for how long the first
+// of them does.
+func (f *Fleet) AllRest(now time.Time, pool string, homes proto.Homes) (left time.Duration, all bool) {
+	p := f.pool(pool)
+	if p == nil {
+		return 0, false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	for _, t := range p.list {
+		if t.closed() || !homes.Allow(t.Spec.Region) {
+			continue
+		}
+		if !t.rests(now) {
+			return 0, false
+		}
+		if in := t.restUntil.Sub(now); !all || in < left {
+			left, all = in, true
+		}
+	}
+	return left, all
+}
+
+// targetTerms are what a target has said of the work that it takes from this daemon.
+type targetTerms struct {
+	id string
+	// limit is in requests a second, from all daemons together; noLimit if it names none.
+	limit     float64
+	restUntil time.Time
+}
+
+// terms returns what the targets of a pool have said of the work that they take.
+func (f *Fleet) terms(now time.Time, pool string) []targetTerms {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	var list []targetTerms
+	for _, t := range p.list {
+		if !t.notice.Limited && !t.rests(now) {
+			continue
+		}
+		terms := targetTerms{id: t.Spec.ID, limit: noLimit, restUntil: t.restUntil}
+		if t.notice.Limited {
+			terms.limit = t.notice.Limit
+		}
+		list = append(list, terms)
+	}
+	return list
 }
 
 // forgetNotices forgets what runs have said that are not listed any more; the fleet is locked.
--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"emberlead/proto"
 )
 
@@ -93,3 +95,95 @@
 		}
 	}
 }
+
+// TestANewTargetUnderAnIDIsNotHeldToWhatTheLastOneSaid guards against a target that starts in another pool and does not tell its start.
+func TestANewTargetUnderAnIDIsNotHeldToWhatTheLastOneSaid(t *testing.T) {
+	f := NewFleet(func(string) {})
+	f.Change(start, []FleetChange{put(1, listed("t", "q", "z"))})
+	f.Hear(start, &Hearing{Notice: Notice{Leaving: true}, Target: listed("t", "q", "z"), Sent: start})
+	f.Change(start, []FleetChange{put(2, listed("t", "p", "z"))})
+	if f.Pick(start, "p", Want{}) == nil {
+		t.Error("the target gets no work")
+	}
+}
+
+// asked has a target of the pool "p" turn this daemon away for a time.
+func asked(f *Fleet, id string, rest time.Duration) {
+	f.Hear(start, &Hearing{Notice: Notice{Rest: rest}, Target: listed(id, "p", "z"), Sent: start})
+}
+
+// TestATargetRestsForAsLongAsItAskedFor guards against requests within a rest, and against a rest that no target can mean or that never ends.
+func TestATargetRestsForAsLongAsItAskedFor(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		rest     time.Duration
+		rests    time.Duration
+	}{
+		{"three seconds", 3 * time.Second, 3 * time.Second},
+		{"a part of a second", 100 * time.Millisecond, 100 * time.Millisecond},
+		{"none", 0, 0},
+		{"half an hour", 30 * time.Minute, restMost},
+		{"a year", 365 * 24 * time.Hour, 0},
+		{"for ever", 1<<63 - 1, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newFleet(put(1, listed("t", "p", "z")))
+			asked(f, "t", s.rest)
+			if s.rests > 0 && f.Pick(start.Add(s.rests-time.Nanosecond), "p", Want{}) != nil {
+				t.Error("the target gets work while it rests")
+			}
+			if s.rests > 0 && f.Take(start.Add(s.rests-time.Nanosecond), "p", "t", Want{}) != nil {
+				t.Error("the target gets work that another daemon chose it for while it rests")
+			}
+			if f.Pick(start.Add(s.rests), "p", Want{}) == nil {
+				t.Error("the target gets no work after its rest")
+			}
+		})
+	}
+}
+
+// TestARestHoldsForTheDaemonThatWasTurnedAway guards against a target that no daemon uses, since the one that places for the pool was turned away.
+func TestARestHoldsForTheDaemonThatWasTurnedAway(t *testing.T) {
+	all, _ := placers(clockwork.NewFakeClockAt(start), engines(1), engines(1))
+	owner, other := all["vm-0"], all["vm-1"]
+	owner.fleet.Hear(start, &Hearing{Notice: Notice{Rest: time.Second}, Target: listed("e00", "p", "y"), Sent: start})
+	if owner.Choose(t.Context(), "p", prompt("part", 0, 100)) != nil {
+		t.Error("the daemon that was turned away sends a request")
+	}
+	if other.Choose(t.Context(), "p", prompt("part", 0, 100)) == nil {
+		t.Error("another daemon sends none")
+	}
+}
+
+// TestARequestThatNoTargetTakesInTimeIsRefusedAtOnce guards against stages that are done for a request whose pool rests.
+func TestARequestThatNoTargetTakesInTimeIsRefusedAtOnce(t *testing.T) {
+	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	f := stagedFlow(peers, 1, 1)
+	f.server.fleet.Change(f.began, []FleetChange{put(1, listed("e", "engines", "z"))})
+	f.server.fleet.Hear(f.began, &Hearing{Notice: Notice{Rest: 3 * time.Second}, Target: listed("e", "engines", "z"), Sent: f.began})
+	fail := f.run(t.Context())
+	if fail == nil || fail.status != 503 || fail.reason != reasonRest || fail.wait < 2*time.Second {
+		t.Errorf("end %+v", fail)
+	}
+	if len(peers.asked) > 0 {
+		t.Errorf("%d stages were begun", len(peers.asked))
+	}
+}
+
+// TestACallIsMadeWhenItsTargetHasRested guards against calls for pieces within a rest of the only target, and against pieces that are never made.
+func TestACallIsMadeWhenItsTargetHasRested(t *testing.T) {
+	b := NewBatcher(spec)
+	b.SetTargets([]proto.RelayTarget{listed("t", "p", "z")})
+	b.setTerms([]targetTerms{{id: "t", limit: noLimit, restUntil: start.Add(time.Second)}}, 1)
+	j := &Job{Ask: proto.PiecesAsk{Request: "r", Pieces: 1}, Due: start.Add(time.Minute), End: start.Add(time.Minute)}
+	if refused := b.Add(start, j); refused != nil {
+		t.Fatalf("refused: %+v", refused)
+	}
+	if calls, _ := b.Next(start.Add(time.Second - time.Nanosecond)); len(calls) > 0 {
+		t.Error("a call is made while the target rests")
+	}
+	if calls, _ := b.Next(start.Add(time.Second)); len(calls) != 1 {
+		t.Errorf("%d calls are made after the rest", len(calls))
+	}
+}
--- a/relay/frees.go
+++ b/relay/frees.go
@@ -45,13 +45,18 @@
 
 // gather is how long results are gathered that a target is to free.
 func (f *frees) gather(maker netip.AddrPort) time.Duration {
-	if f.pieces.fleet.limitsAt(maker) {
+	limited, _ := f.pieces.fleet.saidAt(maker)
+	if limited {
 		return limitedFreeEvery
 	}
 	return freeEvery
 }
 
 func (f *frees) flush(maker netip.AddrPort) {
+	if _, restUntil := f.pieces.fleet.saidAt(maker); f.pieces.clock.Now().Before(restUntil) {
+		f.pieces.clock.AfterFunc(f.pieces.clock.Until(restUntil), func() { f.flush(maker) })
+		return
+	}
 	f.mu.Lock()
 	next := f.due[maker]
 	delete(f.due, maker)
--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -262,7 +262,7 @@
 	}
 	w := &worker{pieces: p, shard: of, batch: NewBatcher(*spec.Batch, WithRefusals(p.refuses)), waiting: map[*Job]chan proto.PiecesAnswer{}}
 	w.batch.SetTargets(w.targets())
-	w.limits = p.fleet.limited(of.pool)
+	w.terms = p.fleet.terms(p.clock.Now(), of.pool)
 	p.workers[of] = w
 	return w
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -222,7 +222,7 @@
 // Place chooses a target for another daemon.
 func (p *Placer) Place(ask proto.PlaceAsk) proto.PlaceAnswer {
 	now := p.clock.Now()
-	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Homes: ask.Homes, Engine: true, Tried: map[string]bool{}, Cold: map[string]bool{}}
+	w := Want{Route: ask.Route, Shared: ask.Shared, OwnTokens: ask.Own, Zone: ask.Zone, Inputs: ask.Inputs, Gap: ask.Gap, Homes: ask.Homes, Engine: true, Elsewhere: true, Tried: map[string]bool{}, Cold: map[string]bool{}}
 	for _, id := range ask.Without {
 		w.Tried[id] = true
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -276,6 +276,9 @@
 		// Its stages would be made in vain.
 		return f.notRun(waitUnknown, f.noTarget())
 	}
+	if in, all := f.server.fleet.AllRest(f.server.clock.Now(), f.pool, f.homes); all && in > f.untilEngine() {
+		return f.notRun(f.comeBackIn(in), reasonRest)
+	}
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
 	if fail := f.admit(ctx); fail != nil {
 		return fail
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -18,8 +18,8 @@
 	batch   *Batcher
 	waiting map[*Job]chan proto.PiecesAnswer
 	armed   bool
-	// limits are those that targets of the pool name.
-	limits []proto.TargetNotice
+	// terms are what targets of the pool have said of the work that they take.
+	terms []targetTerms
 }
 
 func (w *worker) add(j *Job) (chan proto.PiecesAnswer, *proto.PiecesAnswer) {
@@ -52,11 +52,11 @@
 }
 
 func (w *worker) retarget() {
-	targets, limits := w.targets(), w.pieces.fleet.limited(w.pool)
+	targets, terms := w.targets(), w.pieces.fleet.terms(w.pieces.clock.Now(), w.pool)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle(w.batch.SetTargets(targets))
-	w.limits = limits
+	w.terms = terms
 	w.turn()
 }
 
@@ -69,7 +69,7 @@
 
 // turn sends the calls that are due; the lock is held.
 func (w *worker) turn() {
-	w.batch.SetLimits(w.limits, w.reach())
+	w.batch.setTerms(w.terms, w.reach())
 	calls, ends := w.batch.Next(w.pieces.clock.Now())
 	w.settle(ends)
 	for _, c := range calls {
@@ -83,7 +83,7 @@
 
 // reach is the part of the targets' limits that may be used from here.
 func (w *worker) reach() float64 {
-	if len(w.limits) == 0 {
+	if len(w.terms) == 0 {
 		return 1
 	}
 	share := w.pieces.peers.Share()
