--- a/relay/batchlimits.go
+++ b/relay/batchlimits.go
@@ -44,7 +44,7 @@
 	switch {
 	case t == nil:
 		return true
-	case now.Before(t.restUntil):
+	case t.spec.Leaving || now.Before(t.restUntil):
 		return false
 	}
 	return !t.limited || t.allowed.take(now, b.rate(t))
--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -187,3 +187,38 @@
 		t.Errorf("%d calls are made after the rest", len(calls))
 	}
 }
+
+// TestACallIsMadeAgainOnlyAtATargetThatTakesIt guards against a second call, beside one that takes long, to a target that leaves, rests or is at its limit.
+func TestACallIsMadeAgainOnlyAtATargetThatTakesIt(t *testing.T) {
+	target := listed("t", "p", "z")
+	scenarios := []struct {
+		testName string
+		change   func(b *Batcher)
+		want     callStanding
+	}{
+		{"nothing is said", func(*Batcher) {}, callAlone},
+		{"it leaves", func(b *Batcher) { b.SetTargets(nil) }, callWaited},
+		{"it rests", func(b *Batcher) {
+			b.setTerms([]targetTerms{{id: "t", limit: noLimit, restUntil: start.Add(time.Hour)}}, 1)
+		}, callWaited},
+		{"it is at its limit", func(b *Batcher) { b.setTerms([]targetTerms{{id: "t", limit: 1}}, 1) }, callWaited},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			b := NewBatcher(spec)
+			b.SetTargets([]proto.RelayTarget{target})
+			j := &Job{Ask: proto.PiecesAsk{Request: "r", Pieces: 1}, Due: start.Add(time.Hour), End: start.Add(time.Hour)}
+			if refused := b.Add(start, j); refused != nil {
+				t.Fatalf("refused: %+v", refused)
+			}
+			calls, _ := b.Next(start)
+			if len(calls) != 1 {
+				t.Fatalf("%d calls", len(calls))
+			}
+			s.change(b)
+			if got := b.standing(start.Add(time.Minute), calls[0]); got != s.want {
+				t.Errorf("standing %d, want %d", got, s.want)
+			}
+		})
+	}
+}
