A limited target is used again when its zone comes back; names and comments of notices

Found by reading the diff: nothing noted that a pool has a target with a limit once all such targets were closed for a moment, as by an evacuation, so that no permit was asked for it any more and it got nothing. The test fails without the change. What a target said at an address counts only for the run that is listed there.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -186,10 +186,10 @@
 	if _, cold := f.server.fleet.WarmIn(f.server.clock.Now(), f.pool); cold {
 		return reasonCold
 	}
-	if in, limited := f.server.placer.RoomIn(f.pool); limited && in > 0 {
+	if in, limited := f.server.placer.roomIn(f.pool); limited && in > 0 {
 		return reasonLimited
 	}
-	if _, rests := f.server.fleet.RestsFor(f.server.clock.Now(), f.pool); rests {
+	if _, rests := f.server.fleet.restsFor(f.server.clock.Now(), f.pool); rests {
 		return reasonRest
 	}
 	return reasonNoTarget
@@ -204,8 +204,8 @@
 	wait := time.Duration(0)
 	for _, in := range []func() (time.Duration, bool){
 		func() (time.Duration, bool) { return f.server.fleet.WarmIn(f.server.clock.Now(), f.pool) },
-		func() (time.Duration, bool) { return f.server.fleet.RestsFor(f.server.clock.Now(), f.pool) },
-		func() (time.Duration, bool) { return f.server.placer.RoomIn(f.pool) },
+		func() (time.Duration, bool) { return f.server.fleet.restsFor(f.server.clock.Now(), f.pool) },
+		func() (time.Duration, bool) { return f.server.placer.roomIn(f.pool) },
 	} {
 		if length, waits := in(); waits && (wait == 0 || length < wait) {
 			wait = length
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -360,7 +360,7 @@
 	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known, evacuated: f.isEvacuated(c.Target.Zone)}
 	t.running, t.end = context.WithCancel(context.Background())
 	t.warmsIn(now, c.Target.ColdFor)
-	t.goBy(f.heard[t.Spec.RunName()])
+	t.apply(f.heard[t.Spec.RunName()])
 	p.targets[c.ID] = t
 	f.where[c.ID] = t
 	p.stale = true
--- a/relay/fleetnotices.go
+++ b/relay/fleetnotices.go
@@ -21,22 +21,23 @@
 	restCredible = time.Hour
 )
 
-// Hearing is what a target said in one answer.
-type Hearing struct {
+// hearing is what a target said in one answer.
+type hearing struct {
 	Notice
-	Target proto.RelayTarget
-	// Sent is when the request went out that it answers.
-	Sent time.Time
-	// Partial answers end nothing by not mentioning it.
-	Partial bool
+	target proto.RelayTarget
+	// sent is when the request went out that was answered.
+	sent time.Time
+	// partial answers may lack headers that hold all the same, so that a limit does not end with one.
+	partial bool
 }
 
-// NoticeChange is what became known by an answer.
-type NoticeChange struct {
-	Text string
-	// Limit and Before are the limits in force now and before, in requests a second; negative if there is none.
-	Limit, Before float64
-	Rest          time.Duration
+// noticeChange is what became known by an answer.
+type noticeChange struct {
+	// event is the line for the log.
+	event string
+	// limit and before are the limits in force now and before, in requests a second; negative if there is none.
+	limit, before float64
+	rest          time.Duration
 }
 
 // heard is what a run of a target has said of itself.
@@ -69,17 +70,21 @@
 func (f *Fleet) saidAt(address netip.AddrPort) (limited bool, restUntil time.Time) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	for _, k := range f.heard {
-		if t := f.where[k.target]; t != nil && f.Spec(t).Address == address {
+	for run, k := range f.heard {
+		t := f.where[k.target]
+		if t == nil {
+			continue
+		}
+		if spec := f.Spec(t); spec.Address == address && spec.RunName() == run {
 			return k.limit != noLimit, k.restUntil
 		}
 	}
 	return false, time.Time{}
 }
 
-// Hear takes in what a target said in an answer, and returns what changed by it.
-func (f *Fleet) Hear(now time.Time, h *Hearing) []NoticeChange {
-	run := h.Target.RunName()
+// hear takes in what a target said in an answer, and returns what changed by it.
+func (f *Fleet) hear(now time.Time, h *hearing) []noticeChange {
+	run := h.target.RunName()
 	f.mu.RLock()
 	_, known := f.heard[run]
 	f.mu.RUnlock()
@@ -87,12 +92,12 @@
 		return nil
 	}
 	f.mu.Lock()
-	k := f.heardOf(now, run, h.Target.ID)
+	k := f.heardOf(now, run, h.target.ID)
 	before := k.notice(run)
-	var changes []NoticeChange
+	var changes []noticeChange
 	if h.Leaving && !k.leaving {
 		k.leaving = true
-		changes = append(changes, NoticeChange{Text: "a target says that it leaves", Limit: k.limit, Before: k.limit})
+		changes = append(changes, noticeChange{event: "a target says that it leaves", limit: k.limit, before: k.limit})
 	}
 	if change, changed := k.hearLimit(now, h); changed {
 		changes = append(changes, change)
@@ -114,7 +119,7 @@
 	return changes
 }
 
-// mark has a listed target go by what its run has said, and returns its pool, or "" if the run is not listed; the fleet is locked.
+// mark applies what a run has said to its target, and returns the pool, or "" if the run is not listed; the fleet is locked.
 func (f *Fleet) mark(run proto.RunName, k *heard) (pool string) {
 	t := f.where[k.target]
 	if t == nil {
@@ -125,12 +130,12 @@
 	if t.Spec.RunName() != run {
 		return ""
 	}
-	t.goBy(k)
+	t.apply(k)
 	return t.Spec.Pool
 }
 
-// goBy takes over what the target's run has said, if anything; its pool is locked.
-func (t *Target) goBy(k *heard) {
+// apply takes over what the target's run has said, if anything; its pool is locked.
+func (t *Target) apply(k *heard) {
 	if k == nil {
 		return
 	}
@@ -234,13 +239,14 @@
 	if !p.mayLimit {
 		return nil
 	}
+	p.mayLimit = false
 	var list []proto.TargetNotice
 	for _, t := range p.list {
+		p.mayLimit = p.mayLimit || t.notice.Limited
 		if t.notice.Limited && !t.closed() {
 			list = append(list, t.notice)
 		}
 	}
-	p.mayLimit = len(list) > 0
 	return list
 }
 
@@ -262,17 +268,17 @@
 
 // hearLimit takes in the limit that an answer names, or that it names none. An answer to a request from before the limit became known
 // may be older than that.
-func (k *heard) hearLimit(now time.Time, h *Hearing) (change NoticeChange, changed bool) {
+func (k *heard) hearLimit(now time.Time, h *hearing) (change noticeChange, changed bool) {
 	limit := noLimit
 	if h.Limited {
 		limit = h.Limit
 	}
-	if limit == k.limit || h.Sent.Before(k.limitAt) || h.Partial && !h.Limited {
-		return NoticeChange{}, false
+	if limit == k.limit || h.sent.Before(k.limitAt) || h.partial && !h.Limited {
+		return noticeChange{}, false
 	}
-	change = NoticeChange{Text: "a target names a limit", Limit: limit, Before: k.limit}
+	change = noticeChange{event: "a target names a limit", limit: limit, before: k.limit}
 	if !h.Limited {
-		change.Text = "a target names no limit any more"
+		change.event = "a target names no limit any more"
 	}
 	k.limit, k.limitAt = limit, now
 	k.change++
@@ -280,15 +286,15 @@
 }
 
 // hearRest takes in for how long the target wants nothing from this daemon.
-func (k *heard) hearRest(now time.Time, h *Hearing) (change NoticeChange, changed bool) {
-	change = NoticeChange{Text: "a target wants rest", Limit: k.limit, Before: k.limit, Rest: h.Rest}
+func (k *heard) hearRest(now time.Time, h *hearing) (change noticeChange, changed bool) {
+	change = noticeChange{event: "a target wants rest", limit: k.limit, before: k.limit, rest: h.Rest}
 	if h.Rest > restCredible {
-		change.Text = "a target wants more rest than is believed"
+		change.event = "a target wants more rest than is believed"
 		return change, true
 	}
 	until := now.Add(min(h.Rest, restMost))
 	if h.Rest <= 0 || !until.After(k.restUntil) {
-		return NoticeChange{}, false
+		return noticeChange{}, false
 	}
 	k.restUntil = until
 	return change, true
@@ -297,8 +303,8 @@
 // rests tells whether the target wants nothing from this daemon.
 func (t *Target) rests(now time.Time) bool { return now.Before(t.restUntil) }
 
-// RestsFor returns how long it takes until a target of a pool that wants rest from this daemon may get work, and false if none wants rest.
-func (f *Fleet) RestsFor(now time.Time, pool string) (left time.Duration, rests bool) {
+// restsFor returns how long it takes until a target of a pool that wants rest from this daemon may get work, and false if none wants rest.
+func (f *Fleet) restsFor(now time.Time, pool string) (left time.Duration, rests bool) {
 	p := f.pool(pool)
 	if p == nil {
 		return 0, false
@@ -316,9 +322,9 @@
 	return left, rests
 }
 
-// AllRest tells whether all targets of a pool in some regions that may get work want rest from this daemon, and for how long the first
+// allRest tells whether all targets of a pool in some regions that may get work want rest from this daemon, and for how long the first
 // of them does.
-func (f *Fleet) AllRest(now time.Time, pool string, homes proto.Homes) (left time.Duration, all bool) {
+func (f *Fleet) allRest(now time.Time, pool string, homes proto.Homes) (left time.Duration, all bool) {
 	p := f.pool(pool)
 	if p == nil {
 		return 0, false
--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -27,7 +27,7 @@
 		{"nothing changes", func(*Fleet) {}, false},
 		{"the entry is written again", func(f *Fleet) { f.Change(start, []FleetChange{put(2, bornAt(1))}) }, false},
 		{"a later answer does not say so", func(f *Fleet) {
-			f.Hear(start.Add(time.Minute), &Hearing{Target: bornAt(1), Sent: start.Add(time.Minute)})
+			f.hear(start.Add(time.Minute), &hearing{target: bornAt(1), sent: start.Add(time.Minute)})
 		}, false},
 		{"the store is restored from a copy", func(f *Fleet) {
 			f.Replace(start, proto.Revision{Era: 1, Version: 1}, []FleetChange{putIn(1, 1, bornAt(1))}, false)
@@ -47,7 +47,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			f := NewFleet(func(string) {})
 			f.Change(start, []FleetChange{put(1, bornAt(1))})
-			f.Hear(start, &Hearing{Notice: Notice{Leaving: true}, Target: bornAt(1), Sent: start})
+			f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start})
 			s.change(f)
 			if used := f.Pick(start.Add(time.Minute), "p", Want{}) != nil; used != s.used {
 				t.Errorf("used: %v", used)
@@ -63,7 +63,7 @@
 func TestATargetThatLeavesByItsAnswersHasNotCrashed(t *testing.T) {
 	f := NewFleet(func(string) {})
 	f.Change(start, []FleetChange{put(1, bornAt(1))})
-	f.Hear(start, &Hearing{Notice: Notice{Leaving: true}, Target: bornAt(1), Sent: start})
+	f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start})
 	for _, n := range f.Change(start, []FleetChange{{ID: "t", Version: proto.Revision{Version: 2}, Removed: true}}) {
 		if n.Crashed() {
 			t.Errorf("counts as crashed: %+v", n)
@@ -78,7 +78,7 @@
 	for _, n := range heard {
 		f := NewFleet(func(string) {})
 		f.Change(start, []FleetChange{put(1, bornAt(1))})
-		f.Hear(start, &Hearing{Notice: n, Target: bornAt(1), Sent: start})
+		f.hear(start, &hearing{Notice: n, target: bornAt(1), sent: start})
 		fleets = append(fleets, f)
 	}
 	for range 2 {
@@ -100,7 +100,7 @@
 func TestANewTargetUnderAnIDIsNotHeldToWhatTheLastOneSaid(t *testing.T) {
 	f := NewFleet(func(string) {})
 	f.Change(start, []FleetChange{put(1, listed("t", "q", "z"))})
-	f.Hear(start, &Hearing{Notice: Notice{Leaving: true}, Target: listed("t", "q", "z"), Sent: start})
+	f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: listed("t", "q", "z"), sent: start})
 	f.Change(start, []FleetChange{put(2, listed("t", "p", "z"))})
 	if f.Pick(start, "p", Want{}) == nil {
 		t.Error("the target gets no work")
@@ -109,7 +109,7 @@
 
 // asked has a target of the pool "p" turn this daemon away for a time.
 func asked(f *Fleet, id string, rest time.Duration) {
-	f.Hear(start, &Hearing{Notice: Notice{Rest: rest}, Target: listed(id, "p", "z"), Sent: start})
+	f.hear(start, &hearing{Notice: Notice{Rest: rest}, target: listed(id, "p", "z"), sent: start})
 }
 
 // TestATargetRestsForAsLongAsItAskedFor guards against requests within a rest, and against a rest that no target can mean or that never ends.
@@ -147,7 +147,7 @@
 func TestARestHoldsForTheDaemonThatWasTurnedAway(t *testing.T) {
 	all, _ := placers(clockwork.NewFakeClockAt(start), engines(1), engines(1))
 	owner, other := all["vm-0"], all["vm-1"]
-	owner.fleet.Hear(start, &Hearing{Notice: Notice{Rest: time.Second}, Target: listed("e00", "p", "y"), Sent: start})
+	owner.fleet.hear(start, &hearing{Notice: Notice{Rest: time.Second}, target: listed("e00", "p", "y"), sent: start})
 	if owner.Choose(t.Context(), "p", prompt("part", 0, 100)) != nil {
 		t.Error("the daemon that was turned away sends a request")
 	}
@@ -161,7 +161,7 @@
 	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
 	f := stagedFlow(peers, 1, 1)
 	f.server.fleet.Change(f.began, []FleetChange{put(1, listed("e", "engines", "z"))})
-	f.server.fleet.Hear(f.began, &Hearing{Notice: Notice{Rest: 3 * time.Second}, Target: listed("e", "engines", "z"), Sent: f.began})
+	f.server.fleet.hear(f.began, &hearing{Notice: Notice{Rest: 3 * time.Second}, target: listed("e", "engines", "z"), sent: f.began})
 	fail := f.run(t.Context())
 	if fail == nil || fail.status != 503 || fail.reason != reasonRest || fail.wait < 2*time.Second {
 		t.Errorf("end %+v", fail)
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -220,8 +220,8 @@
 	}
 }
 
-// RoomIn returns how long it takes until a target of a pool that names a limit may get a request, and false if none names one.
-func (p *Placer) RoomIn(pool string) (in time.Duration, limited bool) {
+// roomIn returns how long it takes until a target of a pool that names a limit may get a request, and false if none names one.
+func (p *Placer) roomIn(pool string) (in time.Duration, limited bool) {
 	now := p.clock.Now()
 	for _, n := range p.fleet.limited(pool) {
 		if wait := p.permitIn(now, pool, &n); !limited || wait < in {
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -146,7 +146,7 @@
 	w.arrivals = append(w.arrivals, sent)
 	notice := Notice{Limit: max(0, w.limit), Limited: w.limit >= 0}
 	w.after(limitAnswer, func() {
-		d.fleet.Hear(w.clock.Now(), &Hearing{Notice: notice, Target: placed.Spec, Sent: sent})
+		d.fleet.hear(w.clock.Now(), &hearing{Notice: notice, target: placed.Spec, sent: sent})
 		placed.Ended(VerdictGood, Load{})
 	})
 }
@@ -285,7 +285,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			w := newLimitFleet(1, 2, noLimit)
 			f := w.daemons[0].fleet
-			f.Hear(start, &Hearing{Notice: s.notice, Target: listed("t", "p", "z"), Sent: start, Partial: s.partial})
+			f.hear(start, &hearing{Notice: s.notice, target: listed("t", "p", "z"), sent: start, partial: s.partial})
 			if got := len(f.limited("p")) > 0; got != s.limited {
 				t.Errorf("limited: %v", got)
 			}
@@ -296,3 +296,18 @@
 		})
 	}
 }
+
+// TestALimitedTargetOfAZoneThatComesBackIsUsed guards against a target that is never used again since nothing counts what its limit allows.
+func TestALimitedTargetOfAZoneThatComesBackIsUsed(t *testing.T) {
+	w := newLimitFleet(1, 1, 1)
+	d := w.daemons[0]
+	w.runs(5*time.Second, 5, 1, false)
+	d.fleet.Evacuate(w.clock.Now(), []proto.Evacuation{{Zone: "z", Version: proto.Revision{Version: 5}}})
+	w.runs(2*time.Second, 5, 1, false)
+	d.fleet.Evacuate(w.clock.Now(), []proto.Evacuation{{Zone: "z", Version: proto.Revision{Version: 6}, Over: true}})
+	from := len(w.arrivals)
+	w.runs(5*time.Second, 5, 1, false)
+	if len(w.arrivals) == from {
+		t.Error("nothing arrived after the zone came back")
+	}
+}
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -35,8 +35,8 @@
 }
 
 func (l *listener) hear(sent time.Time, to netip.AddrPort, out *Outgoing, in *Incoming) {
-	h := Hearing{Notice: l.dialect.ReadNotice(in.Status, in.Header), Target: out.Target, Sent: sent}
-	if h.Target.ID == "" {
+	h := hearing{Notice: l.dialect.ReadNotice(in.Status, in.Header), target: out.Target, sent: sent}
+	if h.target.ID == "" {
 		if !h.Leaving && !h.Limited && h.Rest <= 0 {
 			return
 		}
@@ -45,14 +45,14 @@
 			return
 		}
 		// Such calls are not part of the work, and may be answered without what is said with work.
-		h.Target, h.Partial = target, true
+		h.target, h.partial = target, true
 	}
 	if len(h.Unreadable) > 0 {
-		l.log.Warn("a target's notice cannot be read", "target", h.Target.ID, "pool", h.Target.Pool, "address", to, "status", in.Status, "values", h.Unreadable)
-		h.Partial = true
+		l.log.Warn("a target's notice cannot be read", "target", h.target.ID, "pool", h.target.Pool, "address", to, "status", in.Status, "values", h.Unreadable)
+		h.partial = true
 	}
-	for _, change := range l.fleet.Hear(l.clock.Now(), &h) {
-		l.log.Info(change.Text, "target", h.Target.ID, "run", h.Target.RunName(), "pool", h.Target.Pool, "address", to, "limit", change.Limit, "before", change.Before,
-			"rest", brief(change.Rest), "status", in.Status, "uri", out.URI, "took", brief(l.clock.Now().Sub(sent)))
+	for _, change := range l.fleet.hear(l.clock.Now(), &h) {
+		l.log.Info(change.event, "target", h.target.ID, "run", h.target.RunName(), "pool", h.target.Pool, "address", to, "limit", change.limit, "before", change.before,
+			"rest", brief(change.rest), "status", in.Status, "uri", out.URI, "took", brief(l.clock.Now().Sub(sent)))
 	}
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -232,7 +232,7 @@
 	busy := p.isBusy(now, ask.Pool)
 	t, permitted := p.pick(now, ask.Pool, w)
 	if t == nil {
-		in, _ := p.RoomIn(ask.Pool)
+		in, _ := p.roomIn(ask.Pool)
 		return proto.PlaceAnswer{Crowded: p.fleet.Crowded(now, ask.Pool), Limited: in, Busy: busy}
 	}
 	id, times := p.fleet.Spec(t).ID, p.fleet.EngineTimes(ask.Pool)
--- a/relay/server.go
+++ b/relay/server.go
@@ -276,7 +276,7 @@
 		// Its stages would be made in vain.
 		return f.notRun(waitUnknown, f.noTarget())
 	}
-	if in, all := f.server.fleet.AllRest(f.server.clock.Now(), f.pool, f.homes); all && in > f.untilEngine() {
+	if in, all := f.server.fleet.allRest(f.server.clock.Now(), f.pool, f.homes); all && in > f.untilEngine() {
 		return f.notRun(f.comeBackIn(in), reasonRest)
 	}
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
