--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -105,6 +105,7 @@
 			return f.notRun(waitBusy, "an input of the request is gone"), true
 		}
 		if last.noTarget {
+			f.noteNoTarget(last.reason)
 			break
 		}
 	}
@@ -176,6 +177,13 @@
 	reasonLimited  = "what the targets of the pool take by the limits that they name is used up for the moment"
 )
 
+// noteNoTarget logs what the targets of the pool have said of themselves, if anything.
+func (f *flow) noteNoTarget(reason string) {
+	if said := f.server.fleet.said(f.server.clock.Now(), f.pool); len(said) > 0 {
+		f.note("no target", "pool", f.pool, "reason", reason, "targetsSay", said)
+	}
+}
+
 func (f *flow) noTarget() string {
 	if f.homes.Bound && f.server.fleet.Open(f.pool, f.homes) == 0 {
 		return reasonHomes
--- a/relay/fleetnotices.go
+++ b/relay/fleetnotices.go
@@ -375,6 +375,49 @@
 	return list
 }
 
+// saidMost bounds the targets whose notices stand in one line of the log.
+const saidMost = 8
+
+// saidLine is what a target has said of itself, for the log. It belongs to the line of a request, so the age tells how old it was then.
+type saidLine struct {
+	Target  string  `json:"target"`
+	Leaving bool    `json:"leaving,omitempty"`
+	Limit   float64 `json:"perSecond,omitempty"`
+	// Age is how long ago the limit became known here, and Rest how much longer the target wants rest.
+	Age  string `json:"age,omitempty"`
+	Rest string `json:"rest,omitempty"`
+}
+
+// said returns what the first targets of a pool have said of themselves that holds.
+func (f *Fleet) said(now time.Time, pool string) []saidLine {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	p.lock()
+	defer p.mu.Unlock()
+	var lines []saidLine
+	for _, t := range p.list {
+		k := f.heard[t.Spec.RunName()]
+		if k == nil || len(lines) == saidMost {
+			continue
+		}
+		line := saidLine{Target: t.Spec.ID, Leaving: k.leaving}
+		if k.limit != noLimit {
+			line.Limit, line.Age = k.limit, brief(now.Sub(k.limitAt))
+		}
+		if t.rests(now) {
+			line.Rest = brief(t.restUntil.Sub(now))
+		}
+		if line != (saidLine{Target: t.Spec.ID}) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // forgetNotices forgets what runs have said that are not listed any more; the fleet is locked.
 func (f *Fleet) forgetNotices(now time.Time) {
 	for run, k := range f.heard {
--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -222,3 +223,16 @@
 		})
 	}
 }
+
+// TestTheLogTellsWhatTargetsSaid guards against refusals whose log does not say which targets would have taken the request, and when.
+func TestTheLogTellsWhatTargetsSaid(t *testing.T) {
+	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")), put(3, listed("c", "p", "z")), put(4, listed("d", "p", "z")))
+	asked(f, "a", 3*time.Second)
+	f.hear(start, &hearing{Notice: Notice{Limited: true, Limit: 0.5}, target: listed("b", "p", "z"), sent: start})
+	f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: listed("c", "p", "z"), sent: start})
+	got := f.said(start.Add(400*time.Millisecond), "p")
+	want := []saidLine{{Target: "a", Rest: "2.6s"}, {Target: "b", Limit: 0.5, Age: "400ms"}, {Target: "c", Leaving: true}}
+	if !slices.Equal(got, want) {
+		t.Errorf("said %+v, want %+v", got, want)
+	}
+}
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -39,6 +39,9 @@
 	limit    float64
 	arrivals []time.Time
 	due      []limitEvent
+	// calls counts what daemons ask each other; unasked ones do not answer.
+	calls   int
+	unasked bool
 }
 
 // limitEvent is an answer or a message on its way.
@@ -113,7 +116,8 @@
 }
 
 func (d *limitDaemon) Call(_ context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
-	if !d.reaches(to) {
+	d.world.calls++
+	if !d.reaches(to) || d.world.unasked {
 		return nil, fmt.Errorf("cut off")
 	}
 	switch ask := m.(type) {
