A daemon that makes calls beside the owner of a shard keeps to a part of its targets' limits

By reading: who takes over from an owner that it held to be silent, or has jobs left of before, would have used a target's whole limit beside it.

--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -315,3 +315,20 @@
 		t.Error("nothing arrived after the zone came back")
 	}
 }
+
+// TestADaemonThatMakesCallsBesideTheOwnerKeepsToAPart guards against two daemons that each use a target's whole limit for calls.
+func TestADaemonThatMakesCallsBesideTheOwnerKeepsToAPart(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(start)
+	p := newPieces(clock, &scriptedPeers{silent: make(chan struct{})}, &standSender{})
+	p.fleet.hear(start, &hearing{Notice: Notice{Limited: true, Limit: 4}, target: listed("t1", "p", "z"), sent: start})
+	w := p.worker(shard{pool: "p"})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if got := w.reach(); got != besideOwner {
+		t.Errorf("%g of the limit is used beside the owner, want %g", got, besideOwner)
+	}
+	w.pieces.self = "other"
+	if got := w.reach(); got != 1 {
+		t.Errorf("%g of the limit is used by the owner", got)
+	}
+}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -81,12 +81,19 @@
 	}
 }
 
+// besideOwner is the part of the targets' limits for a daemon that makes calls although another one does so for the shard: one that took
+// over from an owner that it held to be silent, or has jobs left of before.
+const besideOwner = 0.25
+
 // reach is the part of the targets' limits that may be used from here.
 func (w *worker) reach() float64 {
 	if len(w.terms) == 0 {
 		return 1
 	}
 	share := w.pieces.peers.Share()
+	if owner := w.pieces.peers.Owner(w.task(), nil); owner != "" && owner != w.pieces.self {
+		return besideOwner * share.reach()
+	}
 	return share.reach()
 }
 
