The newer of two known limits holds for permits; conditions on targets in one place

The daemon that hands out goes by the newer. The share of the fleet is looked up once for all limited targets of a pool.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -210,15 +210,15 @@
 		return waitBusy
 	}
 	wait := time.Duration(0)
-	for _, in := range []func() (time.Duration, bool){
-		func() (time.Duration, bool) { return f.server.fleet.WarmIn(f.server.clock.Now(), f.pool) },
-		func() (time.Duration, bool) { return f.server.fleet.restsFor(f.server.clock.Now(), f.pool) },
-		func() (time.Duration, bool) { return f.server.placer.roomIn(f.pool) },
-	} {
-		if length, waits := in(); waits && (wait == 0 || length < wait) {
-			wait = length
+	sooner := func(in time.Duration, waits bool) {
+		if waits && (wait == 0 || in < wait) {
+			wait = in
 		}
 	}
+	now := f.server.clock.Now()
+	sooner(f.server.fleet.WarmIn(now, f.pool))
+	sooner(f.server.fleet.restsFor(now, f.pool))
+	sooner(f.server.placer.roomIn(f.pool))
 	return f.comeBackIn(wait)
 }
 
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -180,7 +180,7 @@
 	for i := range p.list {
 		t := p.list[(p.turn+i)%len(p.list)]
 		cold := p.isCold(now, t)
-		if t.closed() || !w.Homes.Allow(t.Spec.Region) || w.Tried[t.Spec.ID] || cold && !w.Cold[t.Spec.ID] || t.notice.Limited && !w.Limited[t.Spec.ID] || !w.Elsewhere && t.rests(now) || !failing && (t.doubted || t.health.out(now)) {
+		if !p.isOpen(now, t, &w) || !failing && (t.doubted || t.health.out(now)) {
 			continue
 		}
 		if !failing && p.crowded(now, t) {
@@ -198,6 +198,18 @@
 	return best, crowded
 }
 
+// isOpen tells whether a request may go to a target, whatever its health.
+func (p *targetPool) isOpen(now time.Time, t *Target, w *Want) bool {
+	id := t.Spec.ID
+	switch {
+	case t.closed() || w.Tried[id] || !w.Homes.Allow(t.Spec.Region):
+		return false
+	case p.isCold(now, t) && !w.Cold[id] || t.notice.Limited && !w.Limited[id]:
+		return false
+	}
+	return w.Elsewhere || !t.rests(now)
+}
+
 // Crowded tells whether each target of a pool that is in good health has as many requests as it may have at a time.
 func (f *Fleet) Crowded(now time.Time, pool string) bool {
 	p := f.pool(pool)
--- a/relay/fleetnotices.go
+++ b/relay/fleetnotices.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	f.mu.Lock()
-	k := f.heardOf(now, run, h.target.ID)
+	k := f.keep(now, run, h.target.ID)
 	before := k.notice(run)
 	var changes []noticeChange
 	if h.Leaving && !k.leaving {
@@ -161,7 +161,7 @@
 		if k := f.heard[n.Run]; !n.Valid() || k != nil && !k.lacks(n) {
 			continue
 		}
-		k := f.heardOf(now, n.Run, n.Target)
+		k := f.keep(now, n.Run, n.Target)
 		k.learn(now, n)
 		pools[f.mark(n.Run, k)] = true
 		news = append(news, k.notice(n.Run))
@@ -257,7 +257,18 @@
 	return t.notice, t.notice.Limited
 }
 
-func (f *Fleet) heardOf(now time.Time, run proto.RunName, target string) *heard {
+// heardOf returns what is known of what a run has said.
+func (f *Fleet) heardOf(run proto.RunName) proto.TargetNotice {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if k := f.heard[run]; k != nil {
+		return k.notice(run)
+	}
+	return proto.TargetNotice{}
+}
+
+// keep returns what is kept of a run, which is nothing yet if it is new; the fleet is locked.
+func (f *Fleet) keep(now time.Time, run proto.RunName, target string) *heard {
 	k := f.heard[run]
 	if k == nil {
 		k = &heard{target: target, limit: noLimit, listedAt: now}
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,27 +125,33 @@
 		return nil
 	}
 	may := map[string]bool{}
-	for i := range limited {
-		may[limited[i].Target] = p.permitIn(now, pool, &limited[i]) == 0
+	for i, in := range p.permitsIn(now, pool, limited) {
+		may[limited[i].Target] = in == 0
 	}
 	return may
 }
 
-// permitIn is how long it takes until there may be a permit for a target, as far as is known here; 0 if there may be one now.
-func (p *Placer) permitIn(now time.Time, pool string, n *proto.TargetNotice) time.Duration {
+// permitsIn is how long it takes until there may be a permit for each of some targets of a pool, as far as is known here; 0 if there may be
+// one now.
+func (p *Placer) permitsIn(now time.Time, pool string, targets []proto.TargetNotice) []time.Duration {
 	_, own := p.handsOut(pool)
 	share := p.peers.Share()
+	reach := share.reach()
 	p.permits.mu.Lock()
 	defer p.permits.mu.Unlock()
-	known, _ := p.permits.of(now, n.Run)
-	if own {
-		return known.wait(now, limitRate(n.Limit, share.reach()))
+	in := make([]time.Duration, len(targets))
+	for i := range targets {
+		known, _ := p.permits.of(now, targets[i].Run)
+		in[i] = max(0, known.usedUpTo.Sub(now))
+		if own {
+			in[i] = known.wait(now, limitRate(targets[i].Limit, reach))
+		}
 	}
-	return max(0, known.usedUpTo.Sub(now))
+	return in
 }
 
-// handOut hands out a permit, if this daemon does so and there is one.
-func (p *Placer) handOut(now time.Time, pool string, n *proto.TargetNotice, to proto.VM) proto.PermitAnswer {
+// grant hands out a permit, if this daemon does so and there is one.
+func (p *Placer) grant(now time.Time, pool string, n *proto.TargetNotice, to proto.VM) proto.PermitAnswer {
 	owner, own := p.handsOut(pool)
 	if !own {
 		p.log.Info("permits are handed out elsewhere", "pool", pool, "target", n.Target, "asker", to, "by", owner)
@@ -166,15 +173,18 @@
 	return proto.PermitAnswer{Granted: true}
 }
 
-// HandOut answers a daemon that asks for a permit.
-func (p *Placer) HandOut(from proto.VM, ask proto.PermitAsk) proto.PermitAnswer {
+// Permit answers a daemon that asks for a permit. Of what the two know of the limit, the newer holds.
+func (p *Placer) Permit(from proto.VM, ask proto.PermitAsk) proto.PermitAnswer {
 	now := p.clock.Now()
 	if !ask.Notice.Valid() {
 		p.log.Warn("a limit in a message cannot be kept", "target", ask.Notice.Target, "limit", ask.Notice.Limit, "from", from)
 		return proto.PermitAnswer{Wait: permitAgain}
 	}
 	p.fleet.LearnNotices(now, []proto.TargetNotice{ask.Notice})
-	return p.handOut(now, ask.Pool, &ask.Notice, from)
+	if known := p.fleet.heardOf(ask.Notice.Run); known.Limited {
+		return p.grant(now, ask.Pool, &known, from)
+	}
+	return p.grant(now, ask.Pool, &ask.Notice, from)
 }
 
 // permitted counts a request within the limit of its target, if that names one; false means that the limit is used up.
@@ -187,7 +197,7 @@
 	owner, own := p.handsOut(placed.pool)
 	var answer proto.PermitAnswer
 	if own {
-		answer = p.handOut(now, placed.pool, &n, p.self)
+		answer = p.grant(now, placed.pool, &n, p.self)
 	} else {
 		answer = p.askPermit(ctx, owner, placed.pool, &n)
 	}
@@ -222,13 +232,11 @@
 
 // roomIn returns how long it takes until a target of a pool that names a limit may get a request, and false if none names one.
 func (p *Placer) roomIn(pool string) (in time.Duration, limited bool) {
-	now := p.clock.Now()
-	for _, n := range p.fleet.limited(pool) {
-		if wait := p.permitIn(now, pool, &n); !limited || wait < in {
-			in, limited = wait, true
-		}
+	targets := p.fleet.limited(pool)
+	if len(targets) == 0 {
+		return 0, false
 	}
-	return in, limited
+	return slices.Min(p.permitsIn(p.clock.Now(), pool, targets)), true
 }
 
 // PermitCounts are totals of permits for targets that name a limit, since the start.
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -122,7 +122,7 @@
 	}
 	switch ask := m.(type) {
 	case proto.PermitAsk:
-		return d.world.daemon(to).placer.HandOut(d.vm, ask), nil
+		return d.world.daemon(to).placer.Permit(d.vm, ask), nil
 	case proto.PlaceAsk:
 		return d.world.daemon(to).placer.Place(ask), nil
 	}
@@ -332,3 +332,24 @@
 		t.Errorf("%g of the limit is used by the owner", got)
 	}
 }
+
+// TestANewerLimitHoldsForPermits guards against permits at a limit that an asking daemon knows and that the target has lowered since.
+func TestANewerLimitHoldsForPermits(t *testing.T) {
+	w := newLimitFleet(1, 1, 1)
+	d := w.daemons[0]
+	for i, limit := range []float64{100, 1} {
+		at := start.Add(time.Duration(i) * time.Second)
+		d.fleet.hear(at, &hearing{Notice: Notice{Limited: true, Limit: limit}, target: listed("t", "p", "z"), sent: at})
+	}
+	stale := proto.PermitAsk{Pool: "p", Notice: proto.TargetNotice{Target: "t", Run: "t", Limited: true, Limit: 100, Change: 1}}
+	granted := 0
+	for range 100 {
+		w.clock.Advance(20 * time.Millisecond)
+		if d.placer.Permit("other", stale).Granted {
+			granted++
+		}
+	}
+	if granted > 2 {
+		t.Errorf("%d permits were handed out within two seconds, the target takes one a second", granted)
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -255,7 +255,7 @@
 		if !limited {
 			return t, false
 		}
-		if p.handOut(now, pool, &n, "").Granted {
+		if p.grant(now, pool, &n, "").Granted {
 			return t, true
 		}
 		p.fleet.Ended(now, t, w, false, VerdictNone, Load{})
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -228,7 +228,7 @@
 	case proto.PlaceNote:
 		d.placer.Note(msg)
 	case proto.PermitAsk:
-		return d.placer.HandOut(from, msg)
+		return d.placer.Permit(from, msg)
 	case proto.TargetNotices:
 		d.learnNotices(now, msg.Notices, from)
 	case proto.AdmitAsk:
