--- a/relay/pieces.go
+++ b/relay/pieces.go
@@ -69,7 +69,7 @@
 
 // NewPieces returns a driver without work.
 func NewPieces(self proto.VM, clock clockwork.Clock, log hclog.Logger, dialect Dialect, sender Sender, peers Peers, fleet *Fleet, tables *Tables, options ...PiecesOption) *Pieces {
-	p := &Pieces{self: self, clock: clock, log: log, dialect: dialect, sender: newListener(sender, dialect, fleet, clock, log), peers: peers, fleet: fleet, tables: tables, workers: map[shard]*worker{}}
+	p := &Pieces{self: self, clock: clock, log: log, dialect: dialect, sender: newNoticingSender(sender, dialect, fleet, clock, log), peers: peers, fleet: fleet, tables: tables, workers: map[shard]*worker{}}
 	p.frees = &frees{pieces: p, due: map[netip.AddrPort]*freeing{}}
 	for _, option := range options {
 		option(p)
--- a/relay/server.go
+++ b/relay/server.go
@@ -130,7 +130,7 @@
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*Budget{},
 		crashes: c.Crashes, ends: c.Ends,
 	}
-	s.sender = newListener(c.Sender, c.Dialect, c.Fleet, c.Clock, c.Log)
+	s.sender = newNoticingSender(c.Sender, c.Dialect, c.Fleet, c.Clock, c.Log)
 	s.ending, s.end = context.WithCancel(context.Background())
 	return s
 }
