--- /dev/null
+++ b/relay/noticescope_test.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// TestALateAnswerChangesNothingThatIsNewer guards against a limit that ends or changes by an answer from before it was known, or by one that
+// may lack what holds, and against a run that is closed by what the one before said.
+func TestALateAnswerChangesNothingThatIsNewer(t *testing.T) {
+	limited := Notice{Limited: true, Limit: 2}
+	known := start.Add(time.Second)
+	scenarios := []struct {
+		testName string
+		h        hearing
+		limited  bool
+		used     bool
+	}{
+		{"an answer to an earlier request names none", hearing{target: bornAt(1), sent: start}, true, true},
+		{"a call that frees results names none", hearing{target: bornAt(1), sent: known, partial: true}, true, true},
+		{"an answer to a later request names none", hearing{target: bornAt(1), sent: known}, false, true},
+		{"an answer of the run before says that it leaves", hearing{Notice: Notice{Leaving: true}, target: bornAt(0), sent: known}, true, true},
+		{"an answer of the run says that it leaves", hearing{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start}, true, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			f := newFleet(put(1, bornAt(1)))
+			f.hear(known, &hearing{Notice: limited, target: bornAt(1), sent: start})
+			f.hear(known.Add(time.Millisecond), &s.h)
+			if got := len(f.limited("p")) > 0; got != (s.limited && s.used) {
+				t.Errorf("limited: %v", got)
+			}
+			if got := f.Pick(known, "p", Want{Limited: map[string]bool{"t": true}}) != nil; got != s.used {
+				t.Errorf("used: %v", got)
+			}
+		})
+	}
+}
+
+// TestALimitThatCannotBeKeptIsNotLearnt guards against a value in a message of another daemon that would stop or open a target.
+func TestALimitThatCannotBeKeptIsNotLearnt(t *testing.T) {
+	for _, limit := range []float64{-1, math.NaN(), math.Inf(1)} {
+		w := newLimitFleet(1, 1, 1)
+		n := proto.TargetNotice{Target: "t", Run: "t", Limited: true, Limit: limit, Change: 9}
+		if news := w.daemons[0].fleet.LearnNotices(start, []proto.TargetNotice{n}); len(news) > 0 {
+			t.Errorf("a limit of %g was learnt", limit)
+		}
+		for range 2 {
+			if w.daemons[0].placer.Permit("other", proto.PermitAsk{Pool: "p", Notice: n}).Granted {
+				t.Errorf("a permit was handed out at a limit of %g", limit)
+			}
+			w.clock.Advance(time.Minute)
+		}
+	}
+}
+
+// TestAPlacerThatWasTurnedAwayChoosesForOthers guards against a target that no other daemon is sent to while it wants rest from the one that places.
+func TestAPlacerThatWasTurnedAwayChoosesForOthers(t *testing.T) {
+	all, _ := placers(clockwork.NewFakeClockAt(start), engines(1))
+	owner := all["vm-0"]
+	owner.fleet.hear(start, &hearing{Notice: Notice{Rest: time.Second}, target: listed("e00", "p", "y"), sent: start})
+	if a := owner.Place(proto.PlaceAsk{Pool: "p"}); a.Target != "e00" {
+		t.Errorf("chosen for another daemon: %+v", a)
+	}
+	if a := owner.Place(proto.PlaceAsk{Pool: "p", Without: []string{"e00"}}); a.Target != "" {
+		t.Errorf("chosen for a daemon that the target wants rest from: %+v", a)
+	}
+}
+
+// noticeDialect reads every answer as saying the same.
+type noticeDialect struct {
+	standDialect
+	says Notice
+}
+
+func (d noticeDialect) ReadNotice(int, http.Header) Notice { return d.says }
+
+// statusSender answers with a status.
+type statusSender struct{ status int }
+
+func (s statusSender) Send(context.Context, netip.AddrPort, *Outgoing) (*Incoming, error) {
+	return &Incoming{Status: s.status, Header: http.Header{}}, nil
+}
+
+// TestAnAnswerOfAnotherTargetSaysNothingOfTheOneAsked guards against a target that is closed by what another one at its address says.
+func TestAnAnswerOfAnotherTargetSaysNothingOfTheOneAsked(t *testing.T) {
+	for status, leaves := range map[int]bool{http.StatusOK: true, http.StatusServiceUnavailable: true, http.StatusMisdirectedRequest: false} {
+		f := newFleet(put(1, listed("t", "p", "z")))
+		s := newNoticingSender(statusSender{status}, noticeDialect{says: Notice{Leaving: true}}, f, clockwork.NewFakeClockAt(start), hclog.NewNullLogger())
+		target := listed("t", "p", "z")
+		if _, err := s.Send(t.Context(), target.Address, &Outgoing{Target: target}); err != nil {
+			t.Fatal(err)
+		}
+		if closed := f.Pick(start, "p", Want{}) == nil; closed != leaves {
+			t.Errorf("closed after status %d: %v", status, closed)
+		}
+	}
+}
+
+// stuckAfter bounds the wait for a goroutine; it decides no verdict on a machine that is not stuck.
+const stuckAfter = 20 * time.Second
+
+// TestResultsAreFreedWhenTheirMakerTakesCalls guards against calls that free results at a target that rests, or that use up its limit.
+func TestResultsAreFreedWhenTheirMakerTakesCalls(t *testing.T) {
+	maker := netip.MustParseAddrPort("10.0.0.1:80")
+	scenarios := []struct {
+		testName string
+		notice   Notice
+		after    time.Duration
+	}{
+		{"nothing said", Notice{}, freeEvery},
+		{"a limit", Notice{Limited: true, Limit: 1}, limitedFreeEvery},
+		{"rest", Notice{Rest: 3 * time.Second}, 3 * time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			clock, sender := clockwork.NewFakeClockAt(start), &standSender{}
+			p := newPieces(clock, &scriptedPeers{silent: make(chan struct{})}, sender)
+			target := listed("m", "p", "z")
+			target.Address = maker
+			p.fleet.Change(start, []FleetChange{removed(2, "t1"), put(3, target)})
+			p.fleet.hear(start, &hearing{Notice: s.notice, target: target, sent: start})
+			p.frees.add(nil, []string{"10.0.0.1:80/a"})
+			calls := func() int {
+				sender.mu.Lock()
+				defer sender.mu.Unlock()
+				return sender.calls
+			}
+			clock.Advance(s.after - time.Nanosecond)
+			time.Sleep(5 * time.Millisecond)
+			if n := calls(); n > 0 {
+				t.Fatalf("%d calls before %s", n, s.after)
+			}
+			clock.Advance(time.Nanosecond)
+			for end := time.Now().Add(stuckAfter); calls() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("no call after %s", s.after)
+				}
+			}
+		})
+	}
+}
