A stream returns to a target that was given up for one that then failed

What callers saw: a resumable stream that broke off, although one of its two targets would have brought it whole. Cause: once the attempt beside a late one has begun to answer, the late one is given up after 50 ms; when the other then breaks off or falls silent, both count among the targets that the route allows, and nothing is left. Ruled out: letting both go on to the end, since a request must not be worked on at two engines for longer than 400 ms. Change: a target whose attempt was given up for another has not failed, and it is a target that the route has counted already. The request returns to it, after the caller's last event, when no other target is allowed or there; each return takes one from the retry budget and counts among the six attempts of a request.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -144,7 +144,7 @@
 	switch {
 	case !last.notRun && !f.route.Repeatable():
 		return false
-	case !last.notRun && f.runs >= max(1, f.route.MaxTargets):
+	case !last.notRun && f.runs >= f.mostRuns() && len(f.overtaken) == 0:
 		f.note("no retry", "reason", "as many targets as allowed have run it", "runs", f.runs, "last", last.reason)
 		return false
 	case f.sent > 0 && !f.spendRetry(last.reason):
@@ -258,6 +258,8 @@
 	load    Load
 	// late says that it has taken longer than it should, which was held against its target already.
 	late bool
+	// returns says that its target may have run the request already.
+	returns bool
 	// counted says that it is among the runs of the request, first that its first event has come, and answered that the whole answer
 	// did, which is no failure.
 	counted, first, answered bool
@@ -319,15 +321,45 @@
 	return w
 }
 
-// newAttempt chooses a target for an attempt; nil if there is none.
+// nextAttempt chooses a target for an attempt: a new one as long as the route allows one, and else one whose attempt was given up for
+// another, which has failed or is late; nil if there is none.
+func (r *race) nextAttempt() *attempt {
+	if r.runsAtMost() < r.flow.mostRuns() {
+		if a := r.newAttempt(); a != nil {
+			return a
+		}
+	}
+	return r.returningAttempt()
+}
+
+// newAttempt chooses a target that was not tried yet; nil if there is none.
 func (r *race) newAttempt() *attempt {
 	f := r.flow
-	s := f.server
-	placed := s.placer.Choose(r.ctx, f.pool, f.want())
+	return r.attemptAt(f.server.placer.Choose(r.ctx, f.pool, f.want()))
+}
+
+// returningAttempt chooses a target whose attempt was given up, each once; nil if there is none.
+func (r *race) returningAttempt() *attempt {
+	f := r.flow
+	for len(f.overtaken) > 0 {
+		id := f.overtaken[0]
+		f.overtaken = f.overtaken[1:]
+		a := r.attemptAt(f.server.placer.ChooseAgain(r.ctx, f.pool, id, f.want()))
+		f.note("return to a target", "target", id, "runs", f.runs, "lastEvent", f.after, "taken", a != nil)
+		if a != nil {
+			a.returns = true
+			return a
+		}
+	}
+	return nil
+}
+
+func (r *race) attemptAt(placed *Placed) *attempt {
 	if placed == nil {
 		return nil
 	}
-	return &attempt{race: r, placed: placed, began: s.clock.Now(), starting: f.startBound()}
+	f := r.flow
+	return &attempt{race: r, placed: placed, began: f.server.clock.Now(), starting: f.startBound()}
 }
 
 // start sends the request.
@@ -388,7 +420,9 @@
 	}
 	a.counted = true
 	a.race.flow.sent++
-	a.race.flow.runs++
+	if !a.returns {
+		a.race.flow.runs++
+	}
 }
 
 // bad holds a failure against the target, once for each attempt.
--- a/relay/place.go
+++ b/relay/place.go
@@ -102,6 +102,23 @@
 	return placed
 }
 
+// ChooseAgain returns a target that has run the request before for another attempt, or nil if it may get none now; Ended must be called
+// for it.
+func (p *Placer) ChooseAgain(ctx context.Context, pool, id string, w Want) *Placed {
+	now := p.clock.Now()
+	w.Cold, w.Limited = p.mayBeSent(now, pool, w.Rank), p.mayBeAsked(now, pool)
+	t := p.fleet.Take(now, pool, id, w)
+	if t == nil {
+		return nil
+	}
+	placed := &Placed{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, want: w}
+	if w.Cold[id] && !p.countCold(now, placed) || !p.permitted(ctx, placed) {
+		placed.Ended(VerdictNone, Load{})
+		return nil
+	}
+	return placed
+}
+
 func (p *Placer) choose(ctx context.Context, pool string, w Want) *Placed {
 	if w.Engine {
 		if owner := p.peers.Owner(placeTask+pool, nil); owner != "" && owner != p.self {
--- a/relay/race.go
+++ b/relay/race.go
@@ -76,7 +76,7 @@
 // run makes an attempt, and others beside it where it takes longer than usual, until one has answered or all have failed; it returns the
 // end of the last one.
 func (r *race) run() attemptEnd {
-	first := r.newAttempt()
+	first := r.nextAttempt()
 	if first == nil {
 		return attemptEnd{notRun: true, noTarget: true, reason: r.flow.noTarget()}
 	}
@@ -97,6 +97,7 @@
 		case <-r.settled.Chan():
 			if r.leader != nil {
 				r.overtake(r.leader)
+				r.expect(r.flow.silenceBound())
 			}
 		}
 	}
@@ -114,7 +115,7 @@
 // expect has the race look for another target after a time, unless something comes before.
 func (r *race) expect(wait lateBound) {
 	r.wait = wait
-	if !r.flow.route.Repeatable() || r.runsAtMost() >= r.flow.mostRuns() {
+	if !r.flow.route.Repeatable() || !r.mayRunElsewhere() {
 		r.slow.Stop()
 		r.due = time.Time{}
 		return
@@ -130,13 +131,18 @@
 func (r *race) runsAtMost() int {
 	runs := r.flow.runs
 	for _, a := range r.running {
-		if !a.counted {
+		if !a.counted && !a.returns {
 			runs++
 		}
 	}
 	return runs
 }
 
+// mayRunElsewhere tells whether the route allows another target to run the request beside those at work, or one to run it again.
+func (r *race) mayRunElsewhere() bool {
+	return r.runsAtMost() < r.flow.mostRuns() || len(r.flow.overtaken) > 0
+}
+
 // take takes in what an attempt tells, and tells whether the request has its whole answer.
 func (r *race) take(news *attemptNews) (done bool) {
 	a := news.attempt
@@ -203,11 +209,12 @@
 	return false
 }
 
-// overtake gives up all attempts but one.
+// overtake gives up all attempts but one. Their targets have not failed: the request may return to them.
 func (r *race) overtake(by *attempt) {
 	for _, a := range slices.Clone(r.running) {
 		if a != by {
 			r.giveUp(a, by.placed.Spec.ID, errOvertaken.Error())
+			r.flow.overtaken = append(r.flow.overtaken, a.placed.Spec.ID)
 		}
 	}
 }
@@ -299,7 +306,7 @@
 			return alone
 		}
 	}
-	a := r.newAttempt()
+	a := r.nextAttempt()
 	if a == nil {
 		return f.noTarget()
 	}
@@ -340,13 +347,13 @@
 		return reasonTimeUp
 	case len(r.running) >= besideMost:
 		return reasonBeside
-	case r.runsAtMost() >= f.mostRuns():
+	case !r.mayRunElsewhere():
 		return reasonRuns
 	case r.begun >= attemptsMost:
 		return reasonAttempts
 	case crashing:
 		return reasonCrashing
-	case !s.placer.HasOther(f.pool, f.want()):
+	case len(f.overtaken) == 0 && !s.placer.HasOther(f.pool, f.want()):
 		return f.noTarget()
 	case !s.budgetOf(f.pool).Left(now, s.peers.Share().Part):
 		return reasonBudget
--- a/relay/race_test.go
+++ b/relay/race_test.go
@@ -196,6 +196,55 @@
 	}
 }
 
+// TestAStreamReturnsToATargetThatWasGivenUp guards against a stream that is lost although the attempt given up for the one that broke off
+// would have brought it whole.
+func TestAStreamReturnsToATargetThatWasGivenUp(t *testing.T) {
+	breaksLate := func(events ...int) racer {
+		parts := eventParts(events...)
+		parts[len(parts)-1].after = 2 * overlap
+		return answersAfter(raceUsual, http.StatusOK, io.ErrUnexpectedEOF, parts...)
+	}
+	silentAfter := func(events ...int) racer {
+		parts := append(eventParts(events...), part{raceLeft, "id: 3\ndata: x\n\n"})
+		return answersAfter(raceUsual, http.StatusOK, io.EOF, parts...)
+	}
+	scenarios := []struct {
+		testName string
+		// second is how the target that answers earlier fails, and again what the first one answers when it is asked once more.
+		second     racer
+		again      racer
+		maxTargets int
+		budget     BudgetTerms
+		want       string
+		asked      int
+	}{
+		{"the route allows two targets", breaksLate(1, 2), streamed(raceUsual, 2, 3, 4), 2, raceBudget, "1234", 2},
+		{"there are only two targets", breaksLate(1, 2), streamed(raceUsual, 2, 3, 4), 3, raceBudget, "1234", 2},
+		{"it begins anew", breaksLate(1, 2), streamed(raceUsual, 1, 2, 3, 4), 2, raceBudget, "1234", 2},
+		{"it breaks off as well", breaksLate(1, 2), breaksAfter(raceUsual), 2, raceBudget, "12", 2},
+		{"the other one falls silent", silentAfter(1, 2), streamed(raceUsual, 3, 4), 2, raceBudget, "1234", 2},
+		{"the retry budget has one attempt", breaksLate(1, 2), streamed(raceUsual, 2, 3, 4), 2, BudgetTerms{Slack: 2, Window: raceBudget.Window}, "12", 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRaced(proto.RouteStream, inTurn(streamed(raceLate, 1, 2, 3, 4), s.again), s.second)
+				r.route.MaxTargets, r.server.budget = s.maxTargets, s.budget
+				r.run(t.Context())
+				if got := eventsOf(r.recorder.Body.String()); got != s.want {
+					t.Errorf("the caller got the events %q, want %q\n%s", got, s.want, r.log)
+				}
+				if n := r.sender.askedOf(0); n != s.asked {
+					t.Errorf("the first target was asked %d times, want %d", n, s.asked)
+				}
+				if n := r.sender.askedOf(1); n != 1 {
+					t.Errorf("the target that broke off was asked %d times", n)
+				}
+			})
+		})
+	}
+}
+
 // TestACallerWhoLeavesEndsAllAttempts has two attempts at work when the caller leaves.
 func TestACallerWhoLeavesEndsAllAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -193,11 +193,13 @@
 	zone string
 	bulk int
 
-	// sent counts the attempts that reached a target, and runs those that may have run there.
+	// sent counts the attempts that reached a target, and runs the targets that may have run the request.
 	sent, runs int
 	// target is the last target that was tried.
-	target    string
-	tried     map[string]bool
+	target string
+	tried  map[string]bool
+	// overtaken are the targets whose attempts were given up for one that answered earlier.
+	overtaken []string
 	committed bool
 	after     int
 	// ready is a target's failure answer that is passed on if nothing better comes.
