What a restored store lacks holds: the old check is back, by a passed-in clock

Cause: the check of TestWhatTheStoreLostStaysInForce counted only for the 10 and 15 s of real time for which a copy of the store is doubted, and so said little on a machine whose play takes longer. TestTheDoubtAboutARestoredStoreEnds advances the clock: by it a target and a zone are used again that the store shows after a restoration.

--- a/serve/relay.go
+++ b/serve/relay.go
@@ -57,9 +57,11 @@
 type Relay struct {
 	settings platform.Settings
 	clock    clockwork.Clock
-	log      hclog.Logger
-	sink     *LogSink
-	self     proto.Alive
+	// restoreClock says when what a restored store lacks is given up.
+	restoreClock clockwork.Clock
+	log          hclog.Logger
+	sink         *LogSink
+	self         proto.Alive
 
 	store    *platform.Store
 	tables   *relay.Tables
@@ -132,10 +134,15 @@
 // WithZoneCosts sets what other availability zones count for in the choice of a target.
 func WithZoneCosts(costs relay.ZoneCosts) RelayOption { return func(d *Relay) { d.zoneCosts = costs } }
 
+// WithRestoreClock sets the clock by which the doubt about a restored store ends; tests hold it.
+func WithRestoreClock(clock clockwork.Clock) RelayOption {
+	return func(d *Relay) { d.restoreClock = clock }
+}
+
 // NewRelay returns a daemon that does nothing yet.
 func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink, options ...RelayOption) *Relay {
 	// The platform gives no secret; the store's address keeps daemons of two deployments apart.
-	d := &Relay{settings: settings, clock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store), linkKey: settings.Store.String(), zoneCosts: relay.DefaultZoneCosts()}
+	d := &Relay{settings: settings, clock: clock, restoreClock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.Store), linkKey: settings.Store.String(), zoneCosts: relay.DefaultZoneCosts()}
 	for _, option := range options {
 		option(d)
 	}
@@ -328,8 +335,8 @@
 		}),
 		d.every(sweepEvery, func() {
 			d.noteFleet(d.fleet.Sweep(d.clock.Now()), "time")
-			d.judgeAnew(d.fleet.VoidOver(d.clock.Now()))
-			d.endHeldEvacuations(d.clock.Now())
+			d.judgeAnew(d.fleet.VoidOver(d.restoreClock.Now()))
+			d.endHeldEvacuations(d.restoreClock.Now())
 			d.exchange.Sweep()
 			d.placer.Sweep()
 			d.ends.Sweep()
