--- a/coord/alarms.go
+++ b/coord/alarms.go
@@ -111,8 +111,8 @@
 	if mem == nil || mem.alarming || !mem.known {
 		return
 	}
-	if mem.heard.IsZero() {
-		mem.heard = now
+	if mem.lastSeen.IsZero() {
+		mem.lastSeen = now
 	}
 	if now.Sub(m.expectedSince(mem)) > m.timing.Silence {
 		mem.alarming = true
@@ -125,7 +125,7 @@
 	m.pausedAt = now
 	for _, mem := range m.members {
 		if !mem.alarming {
-			mem.heard = now
+			mem.lastSeen = now
 		}
 	}
 	m.announce()
@@ -201,7 +201,7 @@
 		if run.VM == m.self.VM || mem == nil || mem.dead || mem.alive.Incarnation != run.Incarnation {
 			continue
 		}
-		if slices.Contains(links, run.VM) && now.Sub(mem.heard) < m.timing.Silence {
+		if slices.Contains(links, run.VM) && now.Sub(mem.lastSeen) < m.timing.Silence {
 			continue
 		}
 		m.bury(now, mem)
--- a/coord/beats.go
+++ b/coord/beats.go
@@ -25,7 +25,7 @@
 		fresh.Incarnation, fresh.Count, fresh.Stopping = beat.Incarnation, 0, beat.Stopping
 		m.alive(now, fresh, from)
 	}
-	mem.heard = now
+	mem.lastSeen = now
 	if mem.alarming {
 		mem.alarming = false
 		m.raise(now, mem, false)
@@ -128,10 +128,10 @@
 // expectedSince is from when on silence of a daemon counts: it was heard then, or came to have a link to this one,
 // before which it owed no heartbeat.
 func (m *Members) expectedSince(mem *member) time.Time {
-	if since := m.linked[mem.alive.VM]; since.After(mem.heard) {
+	if since := m.linked[mem.alive.VM]; since.After(mem.lastSeen) {
 		return since
 	}
-	return mem.heard
+	return mem.lastSeen
 }
 
 func (m *Members) forget(now time.Time) {
--- a/coord/listed.go
+++ b/coord/listed.go
@@ -107,7 +107,7 @@
 		if !entry.Entry || m.members[entry.VM] != nil {
 			continue
 		}
-		mem := &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
+		mem := &member{alarms: map[proto.VM]proto.Alarm{}, lastSeen: now}
 		mem.alive = proto.Alive{VM: entry.VM, Zone: entry.Zone, Peer: entry.Peer}
 		m.members[entry.VM] = mem
 		joined = true
--- a/coord/members.go
+++ b/coord/members.go
@@ -35,7 +35,7 @@
 	dead     bool
 	deadAt   time.Time
 	alarms   map[proto.VM]proto.Alarm
-	heard    time.Time
+	lastSeen time.Time
 	alarming bool
 	// agreement compares its view of who is dead with the own one.
 	agreement agreement
@@ -184,7 +184,7 @@
 			continue
 		}
 		others = true
-		if now.Sub(mem.heard) < since {
+		if now.Sub(mem.lastSeen) < since {
 			return false
 		}
 	}
@@ -237,7 +237,7 @@
 	mem := m.members[a.VM]
 	isNew := mem == nil
 	if isNew {
-		mem = &member{alarms: map[proto.VM]proto.Alarm{}, heard: now}
+		mem = &member{alarms: map[proto.VM]proto.Alarm{}, lastSeen: now}
 		m.members[a.VM] = mem
 	}
 	if !isNew && (a.Incarnation < mem.alive.Incarnation || a.Incarnation == mem.alive.Incarnation && a.Count <= mem.alive.Count) {
@@ -253,7 +253,7 @@
 	if restarted || mem.dead {
 		mem.dead = false
 		mem.alarming = false
-		mem.heard = now
+		mem.lastSeen = now
 		mem.alarms = map[proto.VM]proto.Alarm{}
 	}
 	m.passAlive(now, a, from)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -179,8 +179,8 @@
 
 // noteNoTarget logs what the targets of the pool have said of themselves, if anything.
 func (f *flow) noteNoTarget(reason string) {
-	if said := f.server.fleet.said(f.server.clock.Now(), f.pool); len(said) > 0 {
-		f.note("no target", "pool", f.pool, "reason", reason, "targetsSay", said)
+	if said := f.server.fleet.signalLines(f.server.clock.Now(), f.pool); len(said) > 0 {
+		f.note("no target", "pool", f.pool, "reason", reason, "targetSignals", said)
 	}
 }
 
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -107,8 +107,8 @@
 	hold float64
 	// refuses tells which requests are not worked on.
 	refuses func(proto.RequestDigest) bool
-	// reach is the part of a target's limit that this batcher may use.
-	reach float64
+	// liveShare is the part of a target's limit that this batcher may use.
+	liveShare float64
 }
 
 // BatcherOption changes a Batcher at construction.
@@ -121,7 +121,7 @@
 
 // NewBatcher returns a batcher without targets.
 func NewBatcher(spec proto.BatchSpec, options ...BatcherOption) *Batcher {
-	b := &Batcher{spec: spec, reach: 1, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}}
+	b := &Batcher{spec: spec, liveShare: 1, targets: map[string]*batchTarget{}, model: newCallModel(spec), kept: map[string]*batchTarget{}}
 	b.hold = holdCalls * b.fullCall(0)
 	b.refuses = func(proto.RequestDigest) bool { return false }
 	for _, option := range options {
--- a/relay/batchlimits.go
+++ b/relay/batchlimits.go
@@ -3,8 +3,8 @@
 import "time"
 
 // setTerms takes over what targets have said of the work that they take, and the part of their limits that this batcher may use.
-func (b *Batcher) setTerms(terms []targetTerms, reach float64) {
-	b.reach = reach
+func (b *Batcher) setTerms(terms []targetTerms, liveShare float64) {
+	b.liveShare = liveShare
 	for _, t := range b.targets {
 		t.limited = false
 	}
@@ -21,7 +21,7 @@
 	return now.Before(t.outTo) || now.Before(t.restUntil) || b.allowedIn(now, t) > 0
 }
 
-func (b *Batcher) rate(t *batchTarget) float64 { return limitRate(t.limit, b.reach) }
+func (b *Batcher) rate(t *batchTarget) float64 { return limitRate(t.limit, b.liveShare) }
 
 // allowedIn is how long it takes until the limit of a target allows a call.
 func (b *Batcher) allowedIn(now time.Time, t *batchTarget) time.Duration {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -27,13 +27,13 @@
 	err error
 }
 
-// heardHook is a function that is called when an attempt has told of an answer.
-type heardHook struct {
+// answerHook holds the function that runs when an attempt has an answer.
+type answerHook struct {
 	fn atomic.Pointer[context.CancelFunc]
 }
 
 // set sets the function, or none if it is nil.
-func (h *heardHook) set(fn context.CancelFunc) {
+func (h *answerHook) set(fn context.CancelFunc) {
 	if fn == nil {
 		h.fn.Store(nil)
 		return
@@ -41,7 +41,7 @@
 	h.fn.Store(&fn)
 }
 
-func (h *heardHook) call() {
+func (h *answerHook) call() {
 	if fn := h.fn.Load(); fn != nil {
 		(*fn)()
 	}
@@ -65,7 +65,7 @@
 	select {
 	case r.news <- news:
 		if news.answers() {
-			r.heard.call()
+			r.onAnswer.call()
 		}
 	case <-r.over:
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -140,9 +140,9 @@
 	evacuationRows map[string]uint64
 	heldSince      map[string]time.Time
 	coldTerms      ColdTerms
-	// heard is what runs of targets have said of themselves in answers.
-	heard map[proto.RunName]*heard
-	tell  func([]proto.TargetNotice)
+	// signals are those that runs of targets gave in answers.
+	signals map[proto.RunName]*targetSignals
+	tell    func([]proto.TargetNotice)
 }
 
 // FleetOption changes a Fleet at construction.
@@ -161,7 +161,7 @@
 	f := &Fleet{
 		pools: map[string]*targetPool{}, where: map[string]*Target{}, void: map[string]voidEntry{}, judged: map[string]proto.Revision{},
 		left: map[string]leftTarget{}, evacuations: map[string]proto.Evacuation{}, evacuationRows: map[string]uint64{}, heldSince: map[string]time.Time{},
-		changed: changed, zones: DefaultZoneCosts(), heard: map[proto.RunName]*heard{}, tell: func([]proto.TargetNotice) {},
+		changed: changed, zones: DefaultZoneCosts(), signals: map[proto.RunName]*targetSignals{}, tell: func([]proto.TargetNotice) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -360,7 +360,7 @@
 	t := &Target{Spec: c.Target, pool: p, hash: state.Hash(c.Target.ID), pace: 1, version: c.Version, health: known, evacuated: f.isEvacuated(c.Target.Zone)}
 	t.running, t.end = context.WithCancel(context.Background())
 	t.warmsIn(now, c.Target.ColdFor)
-	t.apply(f.heard[t.Spec.RunName()])
+	t.apply(f.signals[t.Spec.RunName()])
 	p.targets[c.ID] = t
 	f.where[c.ID] = t
 	p.stale = true
@@ -373,7 +373,7 @@
 func (f *Fleet) restart(now time.Time, t *Target, c FleetChange) []FleetNote {
 	ended := f.forget(t)
 	ended.Outcome, ended.Version = OutcomeEnded, c.Version
-	delete(f.heard, t.Spec.RunName())
+	delete(f.signals, t.Spec.RunName())
 	t.end()
 	if c.Target.Pool != t.Spec.Pool {
 		return []FleetNote{ended, f.add(now, c, health{})}
--- a/relay/fleetlapse.go
+++ b/relay/fleetlapse.go
@@ -85,7 +85,7 @@
 	f.forgetNotices(now)
 	for _, t := range f.where {
 		t.pool.mu.Lock()
-		if k := f.heard[t.Spec.RunName()]; k != nil {
+		if k := f.signals[t.Spec.RunName()]; k != nil {
 			k.listedAt = now
 		}
 		if !t.lapsedAt.IsZero() && (own || t.lapseTold) && now.Sub(t.lapsedAt) >= lapseWait {
--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -28,7 +28,7 @@
 		{"nothing changes", func(*Fleet) {}, false},
 		{"the entry is written again", func(f *Fleet) { f.Change(start, []FleetChange{put(2, bornAt(1))}) }, false},
 		{"a later answer does not say so", func(f *Fleet) {
-			f.hear(start.Add(time.Minute), &hearing{target: bornAt(1), sent: start.Add(time.Minute)})
+			f.takeSignal(start.Add(time.Minute), &signal{target: bornAt(1), sent: start.Add(time.Minute)})
 		}, false},
 		{"the store is restored from a copy", func(f *Fleet) {
 			f.Replace(start, proto.Revision{Era: 1, Version: 1}, []FleetChange{putIn(1, 1, bornAt(1))}, false)
@@ -48,7 +48,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			f := NewFleet(func(string) {})
 			f.Change(start, []FleetChange{put(1, bornAt(1))})
-			f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start})
+			f.takeSignal(start, &signal{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start})
 			s.change(f)
 			if used := f.Pick(start.Add(time.Minute), "p", Want{}) != nil; used != s.used {
 				t.Errorf("used: %v", used)
@@ -64,7 +64,7 @@
 func TestATargetThatLeavesByItsAnswersHasNotCrashed(t *testing.T) {
 	f := NewFleet(func(string) {})
 	f.Change(start, []FleetChange{put(1, bornAt(1))})
-	f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start})
+	f.takeSignal(start, &signal{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start})
 	for _, n := range f.Change(start, []FleetChange{{ID: "t", Version: proto.Revision{Version: 2}, Removed: true}}) {
 		if n.Crashed() {
 			t.Errorf("counts as crashed: %+v", n)
@@ -79,7 +79,7 @@
 	for _, n := range heard {
 		f := NewFleet(func(string) {})
 		f.Change(start, []FleetChange{put(1, bornAt(1))})
-		f.hear(start, &hearing{Notice: n, target: bornAt(1), sent: start})
+		f.takeSignal(start, &signal{Notice: n, target: bornAt(1), sent: start})
 		fleets = append(fleets, f)
 	}
 	for range 2 {
@@ -101,7 +101,7 @@
 func TestANewTargetUnderAnIDIsNotHeldToWhatTheLastOneSaid(t *testing.T) {
 	f := NewFleet(func(string) {})
 	f.Change(start, []FleetChange{put(1, listed("t", "q", "z"))})
-	f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: listed("t", "q", "z"), sent: start})
+	f.takeSignal(start, &signal{Notice: Notice{Leaving: true}, target: listed("t", "q", "z"), sent: start})
 	f.Change(start, []FleetChange{put(2, listed("t", "p", "z"))})
 	if f.Pick(start, "p", Want{}) == nil {
 		t.Error("the target gets no work")
@@ -110,7 +110,7 @@
 
 // asked has a target of the pool "p" turn this daemon away for a time.
 func asked(f *Fleet, id string, rest time.Duration) {
-	f.hear(start, &hearing{Notice: Notice{Rest: rest}, target: listed(id, "p", "z"), sent: start})
+	f.takeSignal(start, &signal{Notice: Notice{Rest: rest}, target: listed(id, "p", "z"), sent: start})
 }
 
 // TestATargetRestsForAsLongAsItAskedFor guards against requests within a rest, and against a rest that no target can mean or that never ends.
@@ -148,7 +148,7 @@
 func TestARestHoldsForTheDaemonThatWasTurnedAway(t *testing.T) {
 	all, _ := placers(clockwork.NewFakeClockAt(start), engines(1), engines(1))
 	owner, other := all["vm-0"], all["vm-1"]
-	owner.fleet.hear(start, &hearing{Notice: Notice{Rest: time.Second}, target: listed("e00", "p", "y"), sent: start})
+	owner.fleet.takeSignal(start, &signal{Notice: Notice{Rest: time.Second}, target: listed("e00", "p", "y"), sent: start})
 	if owner.Choose(t.Context(), "p", prompt("part", 0, 100)) != nil {
 		t.Error("the daemon that was turned away sends a request")
 	}
@@ -162,7 +162,7 @@
 	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
 	f := stagedFlow(peers, 1, 1)
 	f.server.fleet.Change(f.began, []FleetChange{put(1, listed("e", "engines", "z"))})
-	f.server.fleet.hear(f.began, &hearing{Notice: Notice{Rest: 3 * time.Second}, target: listed("e", "engines", "z"), sent: f.began})
+	f.server.fleet.takeSignal(f.began, &signal{Notice: Notice{Rest: 3 * time.Second}, target: listed("e", "engines", "z"), sent: f.began})
 	fail := f.run(t.Context())
 	if fail == nil || fail.status != 503 || fail.reason != reasonRest || fail.wait < 2*time.Second {
 		t.Errorf("end %+v", fail)
@@ -228,10 +228,10 @@
 func TestTheLogTellsWhatTargetsSaid(t *testing.T) {
 	f := newFleet(put(1, listed("a", "p", "z")), put(2, listed("b", "p", "z")), put(3, listed("c", "p", "z")), put(4, listed("d", "p", "z")))
 	asked(f, "a", 3*time.Second)
-	f.hear(start, &hearing{Notice: Notice{Limited: true, Limit: 0.5}, target: listed("b", "p", "z"), sent: start})
-	f.hear(start, &hearing{Notice: Notice{Leaving: true}, target: listed("c", "p", "z"), sent: start})
-	got := f.said(start.Add(400*time.Millisecond), "p")
-	want := []saidLine{{Target: "a", Rest: "2.6s"}, {Target: "b", Limit: 0.5, Age: "400ms"}, {Target: "c", Leaving: true}}
+	f.takeSignal(start, &signal{Notice: Notice{Limited: true, Limit: 0.5}, target: listed("b", "p", "z"), sent: start})
+	f.takeSignal(start, &signal{Notice: Notice{Leaving: true}, target: listed("c", "p", "z"), sent: start})
+	got := f.signalLines(start.Add(400*time.Millisecond), "p")
+	want := []signalLine{{Target: "a", Rest: "2.6s"}, {Target: "b", Limit: 0.5, Age: "400ms"}, {Target: "c", Leaving: true}}
 	if !slices.Equal(got, want) {
 		t.Errorf("said %+v, want %+v", got, want)
 	}
--- a/relay/frees.go
+++ b/relay/frees.go
@@ -45,7 +45,7 @@
 
 // gather is how long results are gathered that a target is to free.
 func (f *frees) gather(maker netip.AddrPort) time.Duration {
-	limited, _ := f.pieces.fleet.saidAt(maker)
+	limited, _ := f.pieces.fleet.signalsAt(maker)
 	if limited {
 		return limitedFreeEvery
 	}
@@ -53,7 +53,7 @@
 }
 
 func (f *frees) flush(maker netip.AddrPort) {
-	if _, restUntil := f.pieces.fleet.saidAt(maker); f.pieces.clock.Now().Before(restUntil) {
+	if _, restUntil := f.pieces.fleet.signalsAt(maker); f.pieces.clock.Now().Before(restUntil) {
 		f.pieces.clock.AfterFunc(f.pieces.clock.Until(restUntil), func() { f.flush(maker) })
 		return
 	}
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"emberlead/proto"
 )
 
@@ -17,49 +19,49 @@
 	limitLeast = 0.2
 	// limitBurst is for how long requests that were not sent may be sent later, at one request the least.
 	limitBurst = 250 * time.Millisecond
-	// reachOver is how many times its part of the daemons a group that does not hear the others may use of a limit. The lost are most
+	// liveShareOver is how many times its part of the daemons a group that does not hear the others may use of a limit. The lost are most
 	// often dead; the groups of a fleet that is cut in two come to this much of the limit together.
-	reachOver = 1.25
+	liveShareOver = 1.25
 	// permitAgain is when to ask again where the daemon that hands out permits did not answer: by then another one may do it.
 	permitAgain = 100 * time.Millisecond
 	// limitTries is how often a target is chosen anew when other requests took what its limit left.
 	limitTries = 3
 )
 
-// allowance counts the requests that a target's limit allows, as they come to be over time.
+// allowance is a token bucket for the requests that a target's limit allows, which is empty at first and whose rate may change.
 type allowance struct {
-	left float64
-	at   time.Time
+	bucket *rate.Limiter
 }
 
 // limitRate is how many requests a second go to a target that names a limit, from daemons that have a part of it.
 func limitRate(limit, part float64) float64 { return max(limitLeast, limit) * part }
 
-// pass adds what has come to be since it was last looked at. Nothing has when that is the first time.
-func (a *allowance) pass(now time.Time, rate float64) {
-	if !a.at.IsZero() {
-		a.left += rate * max(0, now.Sub(a.at)).Seconds()
+// refill sets the rate, a second, from a moment on.
+func (a *allowance) refill(now time.Time, perSecond float64) {
+	burst := max(1, int(perSecond*limitBurst.Seconds()))
+	if a.bucket == nil {
+		a.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
+		a.bucket.AllowN(now, burst)
+		return
 	}
-	a.at = now
-	a.left = min(a.left, max(1, rate*limitBurst.Seconds()))
+	a.bucket.SetLimitAt(now, rate.Limit(perSecond))
+	a.bucket.SetBurstAt(now, burst)
 }
 
 // wait is how long it takes until a request is allowed; 0 if one is now.
-func (a *allowance) wait(now time.Time, rate float64) time.Duration {
-	a.pass(now, rate)
-	if a.left >= 1 {
+func (a *allowance) wait(now time.Time, perSecond float64) time.Duration {
+	a.refill(now, perSecond)
+	lacking := 1 - a.bucket.TokensAt(now)
+	if lacking <= 0 {
 		return 0
 	}
-	return max(1, time.Duration((1-a.left)/rate*float64(time.Second)))
+	return max(1, time.Duration(lacking/perSecond*float64(time.Second)))
 }
 
 // take counts a request, unless none is allowed.
-func (a *allowance) take(now time.Time, rate float64) bool {
-	if a.wait(now, rate) > 0 {
-		return false
-	}
-	a.left--
-	return true
+func (a *allowance) take(now time.Time, perSecond float64) bool {
+	a.refill(now, perSecond)
+	return a.bucket.AllowN(now, 1)
 }
 
 // permits hold what the targets with a limit may get. For each pool one daemon hands them out, which places its requests too; the
@@ -73,9 +75,9 @@
 // permit is what is known of the permits for one target.
 type permit struct {
 	allowance
-	// usedUpTo is until when another daemon has none to hand out.
-	usedUpTo time.Time
-	asked    time.Time
+	// exhaustedUntil is until when another daemon has none to hand out.
+	exhaustedUntil time.Time
+	asked          time.Time
 }
 
 func newPermits() permits {
@@ -104,12 +106,12 @@
 	}
 }
 
-// reach is the part of common limits that the daemons may use together which hear each other.
-func (s *Share) reach() float64 {
+// liveShare is the part of common limits that the daemons may use together which hear each other.
+func (s *Share) liveShare() float64 {
 	if s.Counted <= 0 || s.Live <= 0 {
 		return 1
 	}
-	return min(1, reachOver*float64(s.Live)/float64(s.Counted))
+	return min(1, liveShareOver*float64(s.Live)/float64(s.Counted))
 }
 
 // handsOut tells whether this daemon hands out the permits for the targets of a pool, or else who does.
@@ -136,15 +138,15 @@
 func (p *Placer) permitsIn(now time.Time, pool string, targets []proto.TargetNotice) []time.Duration {
 	_, own := p.handsOut(pool)
 	share := p.peers.Share()
-	reach := share.reach()
+	liveShare := share.liveShare()
 	p.permits.mu.Lock()
 	defer p.permits.mu.Unlock()
 	in := make([]time.Duration, len(targets))
 	for i := range targets {
 		known, _ := p.permits.of(now, targets[i].Run)
-		in[i] = max(0, known.usedUpTo.Sub(now))
+		in[i] = max(0, known.exhaustedUntil.Sub(now))
 		if own {
-			in[i] = known.wait(now, limitRate(targets[i].Limit, reach))
+			in[i] = known.wait(now, limitRate(targets[i].Limit, liveShare))
 		}
 	}
 	return in
@@ -158,16 +160,16 @@
 		return proto.PermitAnswer{Wait: permitAgain}
 	}
 	share := p.peers.Share()
-	rate := limitRate(n.Limit, share.reach())
+	perSecond := limitRate(n.Limit, share.liveShare())
 	p.permits.mu.Lock()
 	defer p.permits.mu.Unlock()
 	known, isNew := p.permits.of(now, n.Run)
 	if isNew {
-		p.log.Info("permits for a target are handed out here", "pool", pool, "run", n.Run, "limit", n.Limit, "perSecond", rate, "live", share.Live, "counted", share.Counted)
+		p.log.Info("permits for a target are handed out here", "pool", pool, "run", n.Run, "limit", n.Limit, "perSecond", perSecond, "live", share.Live, "counted", share.Counted)
 	}
-	if !known.take(now, rate) {
+	if !known.take(now, perSecond) {
 		p.permits.denied.Add(1)
-		return proto.PermitAnswer{Wait: known.wait(now, rate)}
+		return proto.PermitAnswer{Wait: known.wait(now, perSecond)}
 	}
 	p.permits.granted.Add(1)
 	return proto.PermitAnswer{Granted: true}
@@ -181,7 +183,7 @@
 		return proto.PermitAnswer{Wait: permitAgain}
 	}
 	p.fleet.LearnNotices(now, []proto.TargetNotice{ask.Notice})
-	if known := p.fleet.heardOf(ask.Notice.Run); known.Limited {
+	if known := p.fleet.signalsOf(ask.Notice.Run); known.Limited {
 		return p.grant(now, ask.Pool, &known, from)
 	}
 	return p.grant(now, ask.Pool, &ask.Notice, from)
@@ -203,7 +205,7 @@
 	}
 	placed.permitted = answer.Granted
 	if !answer.Granted && !own {
-		p.noteUsedUp(now, answer.Wait, n)
+		p.noteExhausted(now, answer.Wait, n)
 	}
 	return answer.Granted
 }
@@ -220,13 +222,13 @@
 	return answer
 }
 
-// noteUsedUp takes in that the daemon that hands out permits for targets has none for a while.
-func (p *Placer) noteUsedUp(now time.Time, wait time.Duration, targets ...proto.TargetNotice) {
+// noteExhausted takes in that the daemon that hands out permits for targets has none for a while.
+func (p *Placer) noteExhausted(now time.Time, wait time.Duration, targets ...proto.TargetNotice) {
 	p.permits.mu.Lock()
 	defer p.permits.mu.Unlock()
 	for i := range targets {
 		known, _ := p.permits.of(now, targets[i].Run)
-		known.usedUpTo = now.Add(wait)
+		known.exhaustedUntil = now.Add(wait)
 	}
 }
 
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -150,7 +150,7 @@
 	w.arrivals = append(w.arrivals, sent)
 	notice := Notice{Limit: max(0, w.limit), Limited: w.limit >= 0}
 	w.after(limitAnswer, func() {
-		d.fleet.hear(w.clock.Now(), &hearing{Notice: notice, target: placed.Spec, sent: sent})
+		d.fleet.takeSignal(w.clock.Now(), &signal{Notice: notice, target: placed.Spec, sent: sent})
 		placed.Ended(VerdictGood, Load{})
 	})
 }
@@ -289,7 +289,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			w := newLimitFleet(1, 2, noLimit)
 			f := w.daemons[0].fleet
-			f.hear(start, &hearing{Notice: s.notice, target: listed("t", "p", "z"), sent: start, partial: s.partial})
+			f.takeSignal(start, &signal{Notice: s.notice, target: listed("t", "p", "z"), sent: start, partial: s.partial})
 			if got := len(f.limited("p")) > 0; got != s.limited {
 				t.Errorf("limited: %v", got)
 			}
@@ -320,15 +320,15 @@
 func TestADaemonThatMakesCallsBesideTheOwnerKeepsToAPart(t *testing.T) {
 	clock := clockwork.NewFakeClockAt(start)
 	p := newPieces(clock, &scriptedPeers{silent: make(chan struct{})}, &standSender{})
-	p.fleet.hear(start, &hearing{Notice: Notice{Limited: true, Limit: 4}, target: listed("t1", "p", "z"), sent: start})
+	p.fleet.takeSignal(start, &signal{Notice: Notice{Limited: true, Limit: 4}, target: listed("t1", "p", "z"), sent: start})
 	w := p.worker(shard{pool: "p"})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if got := w.reach(); got != besideOwner {
+	if got := w.liveShare(); got != besideOwner {
 		t.Errorf("%g of the limit is used beside the owner, want %g", got, besideOwner)
 	}
 	w.pieces.self = "other"
-	if got := w.reach(); got != 1 {
+	if got := w.liveShare(); got != 1 {
 		t.Errorf("%g of the limit is used by the owner", got)
 	}
 }
@@ -339,7 +339,7 @@
 	d := w.daemons[0]
 	for i, limit := range []float64{100, 1} {
 		at := start.Add(time.Duration(i) * time.Second)
-		d.fleet.hear(at, &hearing{Notice: Notice{Limited: true, Limit: limit}, target: listed("t", "p", "z"), sent: at})
+		d.fleet.takeSignal(at, &signal{Notice: Notice{Limited: true, Limit: limit}, target: listed("t", "p", "z"), sent: at})
 	}
 	stale := proto.PermitAsk{Pool: "p", Notice: proto.TargetNotice{Target: "t", Run: "t", Limited: true, Limit: 100, Change: 1}}
 	granted := 0
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -29,13 +29,13 @@
 	in, err := s.sender.Send(ctx, to, out)
 	// An answer of another target that has the address now says nothing of the one that was asked.
 	if err == nil && in.Status != http.StatusMisdirectedRequest {
-		s.hear(sent, to, out, in)
+		s.takeSignal(sent, to, out, in)
 	}
 	return in, err
 }
 
-func (s *noticingSender) hear(sent time.Time, to netip.AddrPort, out *Outgoing, in *Incoming) {
-	h := hearing{Notice: s.dialect.ReadNotice(in.Status, in.Header), target: out.Target, sent: sent}
+func (s *noticingSender) takeSignal(sent time.Time, to netip.AddrPort, out *Outgoing, in *Incoming) {
+	h := signal{Notice: s.dialect.ReadNotice(in.Status, in.Header), target: out.Target, sent: sent}
 	if h.target.ID == "" {
 		if !h.Leaving && !h.Limited && h.Rest <= 0 {
 			return
@@ -51,7 +51,7 @@
 		s.log.Warn("a target's notice cannot be read", "target", h.target.ID, "pool", h.target.Pool, "address", to, "status", in.Status, "values", h.Unreadable)
 		h.partial = true
 	}
-	for _, change := range s.fleet.hear(s.clock.Now(), &h) {
+	for _, change := range s.fleet.takeSignal(s.clock.Now(), &h) {
 		s.log.Info(change.event, "target", h.target.ID, "run", h.target.RunName(), "pool", h.target.Pool, "address", to, "limit", change.limit, "before", change.before,
 			"rest", brief(change.rest), "status", in.Status, "uri", out.URI, "took", brief(s.clock.Now().Sub(sent)))
 	}
--- a/relay/noticescope_test.go
+++ b/relay/noticescope_test.go
@@ -21,21 +21,21 @@
 	known := start.Add(time.Second)
 	scenarios := []struct {
 		testName string
-		h        hearing
+		h        signal
 		limited  bool
 		used     bool
 	}{
-		{"an answer to an earlier request names none", hearing{target: bornAt(1), sent: start}, true, true},
-		{"a call that frees results names none", hearing{target: bornAt(1), sent: known, partial: true}, true, true},
-		{"an answer to a later request names none", hearing{target: bornAt(1), sent: known}, false, true},
-		{"an answer of the run before says that it leaves", hearing{Notice: Notice{Leaving: true}, target: bornAt(0), sent: known}, true, true},
-		{"an answer of the run says that it leaves", hearing{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start}, true, false},
+		{"an answer to an earlier request names none", signal{target: bornAt(1), sent: start}, true, true},
+		{"a call that frees results names none", signal{target: bornAt(1), sent: known, partial: true}, true, true},
+		{"an answer to a later request names none", signal{target: bornAt(1), sent: known}, false, true},
+		{"an answer of the run before says that it leaves", signal{Notice: Notice{Leaving: true}, target: bornAt(0), sent: known}, true, true},
+		{"an answer of the run says that it leaves", signal{Notice: Notice{Leaving: true}, target: bornAt(1), sent: start}, true, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
 			f := newFleet(put(1, bornAt(1)))
-			f.hear(known, &hearing{Notice: limited, target: bornAt(1), sent: start})
-			f.hear(known.Add(time.Millisecond), &s.h)
+			f.takeSignal(known, &signal{Notice: limited, target: bornAt(1), sent: start})
+			f.takeSignal(known.Add(time.Millisecond), &s.h)
 			if got := len(f.limited("p")) > 0; got != (s.limited && s.used) {
 				t.Errorf("limited: %v", got)
 			}
@@ -67,7 +67,7 @@
 func TestAPlacerThatWasTurnedAwayChoosesForOthers(t *testing.T) {
 	all, _ := placers(clockwork.NewFakeClockAt(start), engines(1))
 	owner := all["vm-0"]
-	owner.fleet.hear(start, &hearing{Notice: Notice{Rest: time.Second}, target: listed("e00", "p", "y"), sent: start})
+	owner.fleet.takeSignal(start, &signal{Notice: Notice{Rest: time.Second}, target: listed("e00", "p", "y"), sent: start})
 	if a := owner.Place(proto.PlaceAsk{Pool: "p"}); a.Target != "e00" {
 		t.Errorf("chosen for another daemon: %+v", a)
 	}
@@ -128,7 +128,7 @@
 			target := listed("m", "p", "z")
 			target.Address = maker
 			p.fleet.Change(start, []FleetChange{removed(2, "t1"), put(3, target)})
-			p.fleet.hear(start, &hearing{Notice: s.notice, target: target, sent: start})
+			p.fleet.takeSignal(start, &signal{Notice: s.notice, target: target, sent: start})
 			p.frees.add(nil, []string{"10.0.0.1:80/a"})
 			calls := func() int {
 				sender.mu.Lock()
--- a/relay/place.go
+++ b/relay/place.go
@@ -150,10 +150,10 @@
 		return nil, true
 	}
 	if a.Limited > 0 {
-		p.noteUsedUp(p.clock.Now(), a.Limited, p.fleet.limited(pool)...)
+		p.noteExhausted(p.clock.Now(), a.Limited, p.fleet.limited(pool)...)
 	}
 	if err != nil || !ok || a.Target == "" {
-		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err, "limitsUsedUpFor", brief(a.Limited))
+		p.log.Info("choosing a target alone", "pool", pool, "owner", owner, "error", err, "limitsExhaustedFor", brief(a.Limited))
 		return nil, false
 	}
 	p.fleet.AdoptEngineTimes(pool, a.Times)
--- a/relay/queues.go
+++ b/relay/queues.go
@@ -15,31 +15,31 @@
 	rank  int
 }
 
-type heardQueue struct {
+type queueReport struct {
 	wait time.Duration
 	at   time.Time
 }
 
-// queues is what a daemon has heard of the queues of pools, whichever daemons batch for them.
+// queues holds the last report on the queue of each pool, whichever daemon batches for it.
 type queues struct {
-	mu    sync.Mutex
-	heard map[queueKey]heardQueue
+	mu      sync.Mutex
+	reports map[queueKey]queueReport
 }
 
 func (q *queues) note(now time.Time, key queueKey, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.heard == nil {
-		q.heard = map[queueKey]heardQueue{}
+	if q.reports == nil {
+		q.reports = map[queueKey]queueReport{}
 	}
-	q.heard[key] = heardQueue{wait, now}
+	q.reports[key] = queueReport{wait, now}
 }
 
 // read returns the queue that was heard of last, less the older that is.
 func (q *queues) read(now time.Time, key queueKey) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	h := q.heard[key]
+	h := q.reports[key]
 	age := now.Sub(h.at)
 	if age >= queueFade {
 		return 0
--- a/relay/race.go
+++ b/relay/race.go
@@ -23,8 +23,8 @@
 	// news is what attempts tell, and over is closed when nobody takes it any more.
 	news chan *attemptNews
 	over chan struct{}
-	// heard is called when an attempt has told of an answer while the race waits for something else.
-	heard heardHook
+	// onAnswer runs when an attempt has an answer while the race waits for something else.
+	onAnswer answerHook
 
 	running []*attempt
 	// begun counts the attempts.
@@ -369,8 +369,8 @@
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
-	r.heard.set(cancel)
-	defer r.heard.set(nil)
+	r.onAnswer.set(cancel)
+	defer r.onAnswer.set(nil)
 	if len(r.news) > 0 {
 		return reasonBegun
 	}
--- /dev/null
+++ b/relay/signalterms.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"time"
+
+	"emberlead/proto"
+)
+
+// limited returns the targets of a pool that name a limit and may get new work.
+func (f *Fleet) limited(pool string) []proto.TargetNotice {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	if !p.mayLimit {
+		return nil
+	}
+	p.mayLimit = false
+	var list []proto.TargetNotice
+	for _, t := range p.list {
+		p.mayLimit = p.mayLimit || t.notice.Limited
+		if t.notice.Limited && !t.closed() {
+			list = append(list, t.notice)
+		}
+	}
+	return list
+}
+
+// limitOf returns the limit that a target names, if it names one.
+func (f *Fleet) limitOf(t *Target) (n proto.TargetNotice, limited bool) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.notice, t.notice.Limited
+}
+
+// rests tells whether the target wants nothing from this daemon.
+func (t *Target) rests(now time.Time) bool { return now.Before(t.restUntil) }
+
+// restsFor returns how long it takes until a target of a pool that wants rest from this daemon may get work, and false if none wants rest.
+func (f *Fleet) restsFor(now time.Time, pool string) (left time.Duration, rests bool) {
+	p := f.pool(pool)
+	if p == nil {
+		return 0, false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	for _, t := range p.list {
+		if t.closed() || !t.rests(now) {
+			continue
+		}
+		if in := t.restUntil.Sub(now); !rests || in < left {
+			left, rests = in, true
+		}
+	}
+	return left, rests
+}
+
+// allRest tells whether all targets of a pool in some regions that may get work want rest from this daemon, and for how long the first
+// of them does.
+func (f *Fleet) allRest(now time.Time, pool string, homes proto.Homes) (left time.Duration, all bool) {
+	p := f.pool(pool)
+	if p == nil {
+		return 0, false
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	for _, t := range p.list {
+		if t.closed() || !homes.Allow(t.Spec.Region) {
+			continue
+		}
+		if !t.rests(now) {
+			return 0, false
+		}
+		if in := t.restUntil.Sub(now); !all || in < left {
+			left, all = in, true
+		}
+	}
+	return left, all
+}
+
+// targetTerms are what a target accepts from this daemon.
+type targetTerms struct {
+	id string
+	// limit is in requests a second, from all daemons together; noLimit if it names none.
+	limit     float64
+	restUntil time.Time
+}
+
+// terms returns what the targets of a pool accept.
+func (f *Fleet) terms(now time.Time, pool string) []targetTerms {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	p.lock()
+	defer p.mu.Unlock()
+	var list []targetTerms
+	for _, t := range p.list {
+		if !t.notice.Limited && !t.rests(now) {
+			continue
+		}
+		terms := targetTerms{id: t.Spec.ID, limit: noLimit, restUntil: t.restUntil}
+		if t.notice.Limited {
+			terms.limit = t.notice.Limit
+		}
+		list = append(list, terms)
+	}
+	return list
+}
+
+// signalLinesMost bounds the targets whose notices stand in one line of the log.
+const signalLinesMost = 8
+
+// signalLine is what a target signals, for the log. It belongs to the line of a request, so the age tells how old it was then.
+type signalLine struct {
+	Target  string  `json:"target"`
+	Leaving bool    `json:"leaving,omitempty"`
+	Limit   float64 `json:"perSecond,omitempty"`
+	// Age is how long ago the limit became known here, and Rest how much longer the target wants rest.
+	Age  string `json:"age,omitempty"`
+	Rest string `json:"rest,omitempty"`
+}
+
+// signalLines returns what the first targets of a pool signal that holds.
+func (f *Fleet) signalLines(now time.Time, pool string) []signalLine {
+	p := f.pool(pool)
+	if p == nil {
+		return nil
+	}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	p.lock()
+	defer p.mu.Unlock()
+	var lines []signalLine
+	for _, t := range p.list {
+		s := f.signals[t.Spec.RunName()]
+		if s == nil || len(lines) == signalLinesMost {
+			continue
+		}
+		line := signalLine{Target: t.Spec.ID, Leaving: s.leaving}
+		if s.limit != noLimit {
+			line.Limit, line.Age = s.limit, brief(now.Sub(s.limitAt))
+		}
+		if t.rests(now) {
+			line.Rest = brief(t.restUntil.Sub(now))
+		}
+		if line != (signalLine{Target: t.Spec.ID}) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -69,7 +69,7 @@
 
 // turn sends the calls that are due; the lock is held.
 func (w *worker) turn() {
-	w.batch.setTerms(w.terms, w.reach())
+	w.batch.setTerms(w.terms, w.liveShare())
 	calls, ends := w.batch.Next(w.pieces.clock.Now())
 	w.settle(ends)
 	for _, c := range calls {
@@ -85,16 +85,16 @@
 // over from an owner that it held to be silent, or has jobs left of before.
 const besideOwner = 0.25
 
-// reach is the part of the targets' limits that may be used from here.
-func (w *worker) reach() float64 {
+// liveShare is the part of the targets' limits that may be used from here.
+func (w *worker) liveShare() float64 {
 	if len(w.terms) == 0 {
 		return 1
 	}
 	share := w.pieces.peers.Share()
 	if owner := w.pieces.peers.Owner(w.task(), nil); owner != "" && owner != w.pieces.self {
-		return besideOwner * share.reach()
+		return besideOwner * share.liveShare()
 	}
-	return share.reach()
+	return share.liveShare()
 }
 
 func (w *worker) due() {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -241,7 +241,7 @@
 	case proto.AdmitAsk:
 		return d.placer.Decide(msg)
 	case proto.Confirmed:
-		d.hearViews(now, msg)
+		d.takeRelayedViews(now, msg)
 	case proto.TargetEnds:
 		d.crashes.Learn(msg, from)
 	}
--- a/serve/relayview.go
+++ b/serve/relayview.go
@@ -19,8 +19,8 @@
 	mu sync.Mutex
 	// confirmed is the latest moment as of which the store told this daemon what is in the table; zero if it never did.
 	confirmed time.Time
-	// heard is the same, as told by another daemon that had no newer state than this one.
-	heard time.Time
+	// relayed is the same, as told by another daemon that had no newer state than this one.
+	relayed time.Time
 	// stale says that the log has a line about the age.
 	stale bool
 }
@@ -32,18 +32,18 @@
 	v.confirmed = later(v.confirmed, at)
 }
 
-// hear notes that the store told another daemon what was in the table at a moment.
-func (v *view) hear(at time.Time) {
+// relay notes that the store told another daemon what was in the table at a moment.
+func (v *view) relay(at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.heard = later(v.heard, at)
+	v.relayed = later(v.relayed, at)
 }
 
 // asOf returns when the copy was last known to be right, zero if it never was.
 func (v *view) asOf() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return later(v.confirmed, v.heard)
+	return later(v.confirmed, v.relayed)
 }
 
 // confirmedAfter tells whether the store has answered a question of this daemon that was sent after a moment.
@@ -105,13 +105,13 @@
 	}
 }
 
-// hearViews takes over until when another daemon knows the store's tables, where this one has no older state.
-func (d *Relay) hearViews(now time.Time, m proto.Confirmed) {
+// takeRelayedViews takes over until when another daemon knows the store's tables, where this one has no older state.
+func (d *Relay) takeRelayedViews(now time.Time, m proto.Confirmed) {
 	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() && !m.Evacuations.After(d.fleet.EvacuationsVersion()) {
-		d.routingView.hear(now.Add(-m.RoutingAge))
+		d.routingView.relay(now.Add(-m.RoutingAge))
 	}
 	if m.TargetsAge > 0 && !m.Targets.After(d.fleet.Version()) {
-		d.targetsView.hear(now.Add(-m.TargetsAge))
+		d.targetsView.relay(now.Add(-m.TargetsAge))
 	}
 }
 
--- a/serve/relayview_test.go
+++ b/serve/relayview_test.go
@@ -116,7 +116,7 @@
 func TestAViewThatAnotherDaemonConfirmedIsNotChecked(t *testing.T) {
 	c := startCheckedWatch(t, true)
 	for range 10 {
-		c.watcher.view.hear(c.clock.Now().Add(checkAfter))
+		c.watcher.view.relay(c.clock.Now().Add(checkAfter))
 		c.pass(t, checkAfter+checkSpread)
 	}
 	if err := c.clock.BlockUntilContext(t.Context(), 1); err != nil {
@@ -161,7 +161,7 @@
 	scenarios := []struct {
 		testName  string
 		confirmed time.Time
-		heard     time.Time
+		relayed   time.Time
 		err       error
 		want      bool
 	}{
@@ -172,7 +172,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.testName, func(t *testing.T) {
-			w := &watcher{daemon: &Relay{log: hclog.NewNullLogger()}, view: &view{confirmed: s.confirmed, heard: s.heard}}
+			w := &watcher{daemon: &Relay{log: hclog.NewNullLogger()}, view: &view{confirmed: s.confirmed, relayed: s.relayed}}
 			version, err := w.endWatch(reply{asked: began, err: s.err}, proto.Revision{Version: 7})
 			if got := err == nil; got != s.want || version != (proto.Revision{Version: 7}) {
 				t.Errorf("hung: %t, to go on from %s, want %t and 7", got, version, s.want)
@@ -187,7 +187,7 @@
 	if got := v.ownAge(now); got != 0 {
 		t.Errorf("age %s before the store answered, want none", got)
 	}
-	v.hear(now)
+	v.relay(now)
 	if got := v.ownAge(now); got != 0 {
 		t.Errorf("age %s after another daemon told, want none", got)
 	}
@@ -210,7 +210,7 @@
 	for _, age := range []time.Duration{0, staleMost, staleMost + 1, 2 * staleMost} {
 		v.report(at.Add(age), log, "routing", proto.Revision{Version: 3})
 	}
-	v.hear(at.Add(2 * staleMost))
+	v.relay(at.Add(2 * staleMost))
 	v.report(at.Add(2*staleMost), log, "routing", proto.Revision{Version: 4})
 	v.report(at.Add(2*staleMost), log, "routing", proto.Revision{Version: 4})
 	if lost, back := strings.Count(text.String(), "not confirmed"), strings.Count(text.String(), "confirmed again"); lost != 1 || back != 1 {
@@ -238,7 +238,7 @@
 		t.Run(s.testName, func(t *testing.T) {
 			d := &Relay{tables: &relay.Tables{}, fleet: relay.NewFleet(func(string) {})}
 			d.tables.Adopt(&proto.Routing{Version: 5})
-			d.hearViews(now, s.told)
+			d.takeRelayedViews(now, s.told)
 			if got := d.routingView.asOf().Equal(now.Add(-time.Second)); got != s.routing {
 				t.Errorf("configuration confirmed: %t, want %t", got, s.routing)
 			}
