A stop answers what it cannot end, and lets answers go out that are being written

What callers saw: a connection that a planned stop closed without an answer, 2.3 to 2.5 s after SIGTERM with a grace time of 3 s, while a target was at work on the request, or right after it had answered; the daemon's log said "caller left". Cause: 900 ms before the kill the listeners were closed one after the other, each with 100 ms for what was open, and then all its connections were cut. Requests are taken in a stop by how long their kind nearly always takes, so that on a busy machine one is still open then. Change: at the last moment the daemon itself answers what targets still run, with 504, or 503 where none has run it; then all listeners close side by side and have 400 ms, of 700 before the kill, for the answers to go out. What is cut all the same is logged as such. TestAStoppingDaemonAnswersWhatItCannotEnd failed before in two of three routes (the third, which may take 3 s, ran into its time-out) and passes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,6 +44,7 @@
 var (
 	errOvertaken = errors.New("another target answered first")
 	errTimeUp    = errors.New("the time for the request is over")
+	errClosing   = errors.New("the daemon stops")
 	errRestarted = errors.New("the target has started again")
 )
 
@@ -85,6 +86,9 @@
 		if f.left() < leastLeft {
 			return f.timedOut(last.reason), false
 		}
+		if s.closing.Err() != nil {
+			return f.cutShort(), false
+		}
 		if fail := f.refuseCrashing(); fail != nil {
 			if f.passReady() {
 				return nil, false
@@ -138,6 +142,14 @@
 	return &failure{status: http.StatusServiceUnavailable, wait: retryFloor, reason: "the time is over: " + reason}
 }
 
+// cutShort is the answer to a request that has not ended when the daemon does.
+func (f *flow) cutShort() *failure {
+	if f.runs > 0 {
+		return &failure{status: http.StatusGatewayTimeout, reason: "the daemon stops while a target runs the request"}
+	}
+	return &failure{status: http.StatusServiceUnavailable, wait: waitStopping, reason: "the daemon stops before a target has run the request"}
+}
+
 // mayRetry decides whether another target may get the request.
 func (f *flow) mayRetry(last *attemptEnd) bool {
 	s := f.server
@@ -446,7 +458,7 @@
 	case errors.Is(cause, errRestarted):
 		a.bad()
 		end.reason = cause.Error()
-	case errors.Is(cause, errTimeUp):
+	case errors.Is(cause, errTimeUp), errors.Is(cause, errClosing):
 		// Most of the time may have gone into the stages, so this alone says nothing of the target.
 		end.reason = cause.Error()
 	case a.ctx.Err() != nil:
--- a/relay/race.go
+++ b/relay/race.go
@@ -20,6 +20,8 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timeUp clockwork.Timer
+	// released ends the watch for the end of the daemon.
+	released func() bool
 	// news is what attempts tell, and over is closed when nobody takes it any more.
 	news chan *attemptNews
 	over chan struct{}
@@ -54,6 +56,7 @@
 	ctx, cancel := context.WithCancelCause(caller)
 	r.ctx, r.cancel = ctx, cancel
 	r.timeUp = f.server.clock.AfterFunc(f.left(), func() { cancel(errTimeUp) })
+	r.released = context.AfterFunc(f.server.closing, func() { cancel(errClosing) })
 	r.slow = f.server.clock.NewTimer(f.left())
 	r.slow.Stop()
 	r.settled = f.server.clock.NewTimer(f.left())
@@ -67,6 +70,7 @@
 		r.giveUp(r.running[0], "", "the request has ended")
 	}
 	close(r.over)
+	r.released()
 	r.timeUp.Stop()
 	r.slow.Stop()
 	r.settled.Stop()
--- a/relay/server.go
+++ b/relay/server.go
@@ -81,9 +81,10 @@
 	started  <-chan struct{}
 	open     atomic.Int64
 	stopping atomic.Pointer[stopPlan]
-	// ending ends, by end, when requests that no target has are refused since the daemon stops.
-	ending context.Context
-	end    context.CancelFunc
+	// ending ends, by end, when requests that no target has are refused since the daemon stops, and closing, by close, when those that
+	// targets still run are answered.
+	ending, closing context.Context
+	end, close      context.CancelFunc
 }
 
 // stopPlan is how a daemon that stops goes on for a while: from began on, until the last moment.
@@ -132,6 +133,7 @@
 	}
 	s.sender = newNoticingSender(c.Sender, c.Dialect, c.Fleet, c.Clock, c.Log)
 	s.ending, s.end = context.WithCancel(context.Background())
+	s.closing, s.close = context.WithCancel(context.Background())
 	return s
 }
 
@@ -140,10 +142,11 @@
 
 // Stop makes each answer from now on close its connection, so that callers go to other daemons. Callers that keep a
 // connection may send for a while; what might not end before the last moment is refused as not run, at once or, if its
-// stages take longer than expected, shortly before that moment.
+// stages take longer than expected, shortly before that moment; what a target still runs by then is answered as such.
 func (s *Server) Stop(began, last time.Time) {
 	s.stopping.Store(&stopPlan{began: began, last: last})
 	s.clock.AfterFunc(last.Sub(began)-stopAnswer, s.end)
+	s.clock.AfterFunc(last.Sub(began), s.close)
 }
 
 // Counts returns the totals since the start.
@@ -356,6 +359,11 @@
 		s.log.Info("request delivered", append(f.facts(now), "inTime", f.inTime(now))...)
 		return
 	}
+	if ctx.Err() != nil && s.closing.Err() != nil {
+		s.counts.broken.Add(1)
+		s.log.Warn("request cut off by the stop", append(f.facts(now), "reason", fail.reason)...)
+		panic(http.ErrAbortHandler)
+	}
 	if ctx.Err() != nil {
 		s.counts.left.Add(1)
 		s.log.Info("caller left", append(f.facts(now), "reason", fail.reason)...)
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -32,10 +32,10 @@
 	// unreadyLeast is how long a stopping daemon goes on taking requests: the balancer asks every second and takes a
 	// daemon out after two misses.
 	unreadyLeast = 3500 * time.Millisecond
-	// stopMargin is how long before the kill a stopping daemon begins to close its listeners, one after the other.
-	stopMargin = 900 * time.Millisecond
-	// closeWait bounds the closing of one listener.
-	closeWait = 100 * time.Millisecond
+	// stopMargin is how long before the kill a stopping daemon begins to close its listeners.
+	stopMargin = 700 * time.Millisecond
+	// closeWait bounds the closing of the listeners, which lets answers go out that are being written.
+	closeWait = 400 * time.Millisecond
 	// sweepEvery is how often lapsed targets and resting connections are looked at.
 	sweepEvery = 200 * time.Millisecond
 	// statusEvery is how often the counters are logged, so that a log alone tells how much work there was.
--- a/serve/relayhttp.go
+++ b/serve/relayhttp.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -63,10 +64,22 @@
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	g.Add(func() error { return server.Serve(listener) }, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), closeWait)
-		defer cancel()
-		wire.Shutdown(ctx, server)
+	// The listeners close side by side, so that each has the whole of the time for it.
+	closed := make(chan struct{})
+	serve := func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-closed
+		}
+		return err
+	}
+	g.Add(serve, func(error) {
+		go func() {
+			defer close(closed)
+			ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+			defer cancel()
+			wire.Shutdown(ctx, server)
+		}()
 	})
 	return nil
 }
