A request is refused before its stages where all targets of its pool are at their limits

Cause: only rest was looked at before the stages; where all targets of a pool name limits, stages were done and the request was then refused. Change: rest and limits count together: a request that would be there before the first target takes one is refused at once, with the time until then, and the log tells what the targets signal. Measured: TestARequestThatNoTargetTakesInTimeIsRefusedAtOnce fails in two of five cases with limits left out, as they were, and passes. Waiting for a permit, and the order of urgency among those who wait, are not built.

--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -157,18 +160,49 @@
 	}
 }
 
-// TestARequestThatNoTargetTakesInTimeIsRefusedAtOnce guards against stages that are done for a request whose pool rests.
+// TestARequestThatNoTargetTakesInTimeIsRefusedAtOnce guards against stages that are done for a request whose pool rests, or is at its limits.
 func TestARequestThatNoTargetTakesInTimeIsRefusedAtOnce(t *testing.T) {
-	peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
-	f := stagedFlow(peers, 1, 1)
-	f.server.fleet.Change(f.began, []FleetChange{put(1, listed("e", "engines", "z"))})
-	f.server.fleet.takeSignal(f.began, &signal{Notice: Notice{Rest: 3 * time.Second}, target: listed("e", "engines", "z"), sent: f.began})
-	fail := f.run(t.Context())
-	if fail == nil || fail.status != 503 || fail.reason != reasonRest || fail.wait < 2*time.Second {
-		t.Errorf("end %+v", fail)
-	}
-	if len(peers.asked) > 0 {
-		t.Errorf("%d stages were begun", len(peers.asked))
+	const exhausted = 4 * time.Second
+	rest, limit := Notice{Rest: 3 * time.Second}, Notice{Limited: true, Limit: 0.25}
+	scenarios := []struct {
+		testName string
+		notices  []Notice
+		reason   string
+		wait     time.Duration
+		stages   bool
+	}{
+		{"the only target rests", []Notice{rest}, reasonRest, 3 * time.Second, false},
+		{"the only target has a limit that is used up", []Notice{limit}, reasonLimited, exhausted, false},
+		{"one rests, one is at its limit", []Notice{rest, limit}, reasonRest, 3 * time.Second, false},
+		{"a limit is not used up", []Notice{{Limited: true, Limit: 1000}}, "", 0, true},
+		{"one signals nothing", []Notice{rest, {}}, "", 0, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, leave := context.WithCancel(t.Context())
+				peers := &ownerPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}, takes: func(int) time.Duration {
+					leave()
+					return time.Hour
+				}}
+				f := stagedFlow(peers, 1, 1)
+				for i, notice := range s.notices {
+					target := listed(fmt.Sprint("e", i), "engines", "z")
+					f.server.fleet.Change(f.began, []FleetChange{put(uint64(i+1), target)})
+					f.server.fleet.takeSignal(f.began, &signal{Notice: notice, target: target, sent: f.began})
+					if notice.Limit == limit.Limit {
+						f.server.placer.noteExhausted(f.began, exhausted, f.server.fleet.signalsOf(target.RunName()))
+					}
+				}
+				fail := f.run(ctx)
+				if s.stages != (ctx.Err() != nil) {
+					t.Errorf("stages were begun: %t", ctx.Err() != nil)
+				}
+				if !s.stages && (fail == nil || fail.status != 503 || fail.reason != s.reason || fail.wait != s.wait) {
+					t.Errorf("end %+v", fail)
+				}
+			})
+		})
 	}
 }
 
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -241,6 +241,24 @@
 	return slices.Min(p.permitsIn(p.clock.Now(), pool, targets)), true
 }
 
+// heldFor returns how long it takes until a target of a pool in some regions may get a request, by what the targets signal, and why none may
+// get one now; 0 if one may, as far as is known here.
+func (p *Placer) heldFor(pool string, homes proto.Homes) (in time.Duration, reason string) {
+	now := p.clock.Now()
+	for i, t := range p.fleet.allHeld(now, pool, homes) {
+		left, why := t.left, reasonRest
+		if t.notice.Limited {
+			if wait := p.permitsIn(now, pool, []proto.TargetNotice{t.notice})[0]; wait > left {
+				left, why = wait, reasonLimited
+			}
+		}
+		if i == 0 || left < in {
+			in, reason = left, why
+		}
+	}
+	return in, reason
+}
+
 // PermitCounts are totals of permits for targets that name a limit, since the start.
 type PermitCounts struct {
 	Granted int64 `json:"granted"`
--- a/relay/server.go
+++ b/relay/server.go
@@ -281,8 +281,9 @@
 		// Its stages would be made in vain.
 		return f.notRun(waitUnknown, f.noTarget())
 	}
-	if in, all := f.server.fleet.allRest(f.server.clock.Now(), f.pool, f.homes); all && in > f.untilEngine() {
-		return f.notRun(f.comeBackIn(in), reasonRest)
+	if in, reason := f.server.placer.heldFor(f.pool, f.homes); in > f.untilEngine() {
+		f.noteNoTarget(reason)
+		return f.notRun(f.comeBackIn(in), reason)
 	}
 	f.server.budgetOf(f.pool).Asked(f.server.clock.Now())
 	if fail := f.admit(ctx); fail != nil {
--- a/relay/signalterms.go
+++ b/relay/signalterms.go
@@ -57,27 +57,31 @@
 	return left, rests
 }
 
-// allRest tells whether all targets of a pool in some regions that may get work want rest from this daemon, and for how long the first
-// of them does.
-func (f *Fleet) allRest(now time.Time, pool string, homes proto.Homes) (left time.Duration, all bool) {
+// heldTarget is a target that may get no request for a while by what it signals: for left, if it asked for rest, and within its limit.
+type heldTarget struct {
+	notice proto.TargetNotice
+	left   time.Duration
+}
+
+// allHeld returns the targets of a pool in some regions that may get work, if each of them rests or names a limit; nil if one does neither.
+func (f *Fleet) allHeld(now time.Time, pool string, homes proto.Homes) []heldTarget {
 	p := f.pool(pool)
 	if p == nil {
-		return 0, false
+		return nil
 	}
 	p.lock()
 	defer p.mu.Unlock()
+	var held []heldTarget
 	for _, t := range p.list {
 		if t.closed() || !homes.Allow(t.Spec.Region) {
 			continue
 		}
-		if !t.rests(now) {
-			return 0, false
-		}
-		if in := t.restUntil.Sub(now); !all || in < left {
-			left, all = in, true
+		if !t.rests(now) && !t.notice.Limited {
+			return nil
 		}
+		held = append(held, heldTarget{t.notice, max(0, t.restUntil.Sub(now))})
 	}
-	return left, all
+	return held
 }
 
 // targetTerms are what a target accepts from this daemon.
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -61,7 +61,10 @@
 func stagedFlow(peers *ownerPeers, counts ...int) *flow {
 	clock := clockwork.NewRealClock()
 	pieces := newPieces(clock, peers, &standSender{})
-	s := NewServer(ServerConfig{Clock: clock, Log: hclog.NewNullLogger(), Fleet: pieces.fleet, Tables: pieces.tables, Pieces: pieces, Peers: peers, Zone: "z"})
+	s := NewServer(ServerConfig{
+		Clock: clock, Log: hclog.NewNullLogger(), Fleet: pieces.fleet, Tables: pieces.tables, Pieces: pieces, Peers: peers, Zone: "z",
+		Placer: NewPlacer("self", clock, hclog.NewNullLogger(), pieces.fleet, peers), Budget: raceBudget,
+	})
 	now := clock.Now()
 	return &flow{
 		server: s, req: &Request{ID: "r", Pieces: counts, PieceKey: "k"}, spec: &proto.RelayPool{}, pool: "engines", began: now, due: now.Add(5 * time.Second), end: now.Add(time.Minute),
