The log of a refusal tells who told a limit and when the next request may go

Cause: from a request's id one saw the limits of its pool's targets and their age, but neither which daemon had told them nor when this one may send again. Change: `from` and `next` in `targetSignals` of the line `no target`. TestTheLogTellsWhatTargetsSaid has a limit that another daemon told, used up for 0.7 s; it did not compile before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -189,10 +189,10 @@
 	reasonLimited  = "what the targets of the pool take by the limits that they name is used up for the moment"
 )
 
-// noteNoTarget logs what the targets of the pool have said of themselves, if anything.
+// noteNoTarget logs what the targets of the pool signal, if anything.
 func (f *flow) noteNoTarget(reason string) {
-	if said := f.server.fleet.signalLines(f.server.clock.Now(), f.pool); len(said) > 0 {
-		f.note("no target", "pool", f.pool, "reason", reason, "targetSignals", said)
+	if lines := f.server.placer.signalLines(f.pool); len(lines) > 0 {
+		f.note("no target", "pool", f.pool, "reason", reason, "targetSignals", lines)
 	}
 }
 
--- a/relay/fleetnotices.go
+++ b/relay/fleetnotices.go
@@ -18,7 +18,7 @@
 }
 
 // LearnNotices takes in what another daemon knows of what targets have signalled, and returns what was news here.
-func (f *Fleet) LearnNotices(now time.Time, list []proto.TargetNotice) []proto.TargetNotice {
+func (f *Fleet) LearnNotices(now time.Time, list []proto.TargetNotice, from proto.VM) []proto.TargetNotice {
 	var news []proto.TargetNotice
 	pools := map[string]bool{}
 	f.mu.Lock()
@@ -27,7 +27,7 @@
 			continue
 		}
 		s := f.keep(now, n.Run, n.Target)
-		s.learn(now, n)
+		s.learn(now, n, from)
 		pools[f.mark(n.Run, s)] = true
 		news = append(news, s.notice(n.Run))
 	}
@@ -49,12 +49,12 @@
 	return n.Leaving && !s.leaving || newer
 }
 
-func (s *targetSignals) learn(now time.Time, n proto.TargetNotice) {
+func (s *targetSignals) learn(now time.Time, n proto.TargetNotice, from proto.VM) {
 	s.leaving = s.leaving || n.Leaving
 	if n.Change < s.change {
 		return
 	}
-	s.limit, s.limitAt, s.change = noLimit, now, n.Change
+	s.limit, s.limitAt, s.limitFrom, s.change = noLimit, now, from, n.Change
 	if n.Limited {
 		s.limit = n.Limit
 	}
--- a/relay/fleetnotices_test.go
+++ b/relay/fleetnotices_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
 	"emberlead/proto"
@@ -88,7 +89,7 @@
 	for range 2 {
 		for _, from := range fleets {
 			for _, to := range fleets {
-				to.LearnNotices(start, from.Notices())
+				to.LearnNotices(start, from.Notices(), "other")
 			}
 		}
 	}
@@ -264,9 +265,23 @@
 	asked(f, "a", 3*time.Second)
 	f.takeSignal(start, &signal{Notice: Notice{Limited: true, Limit: 0.5}, target: listed("b", "p", "z"), sent: start})
 	f.takeSignal(start, &signal{Notice: Notice{Leaving: true}, target: listed("c", "p", "z"), sent: start})
-	got := f.signalLines(start.Add(400*time.Millisecond), "p")
-	want := []signalLine{{Target: "a", Rest: "2.6s"}, {Target: "b", Limit: 0.5, Age: "400ms"}, {Target: "c", Leaving: true}}
-	if !slices.Equal(got, want) {
-		t.Errorf("said %+v, want %+v", got, want)
+	fourth := listed("d", "p", "z")
+	told := proto.TargetNotice{Target: "d", Run: fourth.RunName(), Limited: true, Limit: 2, Change: 1}
+	f.LearnNotices(start.Add(100*time.Millisecond), []proto.TargetNotice{told}, "vm-2")
+	clock := clockwork.NewFakeClockAt(start.Add(400 * time.Millisecond))
+	p := NewPlacer("self", clock, hclog.NewNullLogger(), f, &scriptedPeers{silent: make(chan struct{})})
+	p.noteExhausted(clock.Now(), 700*time.Millisecond, told)
+	lines := p.signalLines("p")
+	for i := range lines {
+		lines[i].notice = proto.TargetNotice{}
+	}
+	want := []signalLine{
+		{Target: "a", Rest: "2.6s"},
+		{Target: "b", Limit: 0.5, Age: "400ms", Next: "0s"},
+		{Target: "c", Leaving: true},
+		{Target: "d", Limit: 2, Age: "300ms", From: "vm-2", Next: "700ms"},
+	}
+	if !slices.Equal(lines, want) {
+		t.Errorf("said %+v, want %+v", lines, want)
 	}
 }
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -182,7 +182,7 @@
 		p.log.Warn("a limit in a message cannot be kept", "target", ask.Notice.Target, "limit", ask.Notice.Limit, "from", from)
 		return proto.PermitAnswer{Wait: permitAgain}
 	}
-	p.fleet.LearnNotices(now, []proto.TargetNotice{ask.Notice})
+	p.fleet.LearnNotices(now, []proto.TargetNotice{ask.Notice}, from)
 	if known := p.fleet.signalsOf(ask.Notice.Run); known.Limited {
 		return p.grant(now, ask.Pool, &known, from)
 	}
@@ -241,6 +241,18 @@
 	return slices.Min(p.permitsIn(p.clock.Now(), pool, targets)), true
 }
 
+// signalLines returns what the first targets of a pool signal, and when those with a limit may get a request.
+func (p *Placer) signalLines(pool string) []signalLine {
+	now := p.clock.Now()
+	lines := p.fleet.signalLines(now, pool)
+	for i := range lines {
+		if line := &lines[i]; line.notice.Limited {
+			line.Next = brief(p.permitsIn(now, pool, []proto.TargetNotice{line.notice})[0])
+		}
+	}
+	return lines
+}
+
 // heldFor returns how long it takes until a target of a pool in some regions may get a request, by what the targets signal, and why none may
 // get one now; 0 if one may, as far as is known here.
 func (p *Placer) heldFor(pool string, homes proto.Homes) (in time.Duration, reason string) {
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -81,7 +81,7 @@
 func (d *limitDaemon) tell(news []proto.TargetNotice) {
 	for _, other := range d.world.daemons {
 		if other != d && other.group == d.group {
-			d.world.after(limitHop, func() { other.fleet.LearnNotices(d.world.clock.Now(), news) })
+			d.world.after(limitHop, func() { other.fleet.LearnNotices(d.world.clock.Now(), news, d.vm) })
 		}
 	}
 }
--- a/relay/noticescope_test.go
+++ b/relay/noticescope_test.go
@@ -51,7 +51,7 @@
 	for _, limit := range []float64{-1, math.NaN(), math.Inf(1)} {
 		w := newLimitFleet(1, 1, 1)
 		n := proto.TargetNotice{Target: "t", Run: "t", Limited: true, Limit: limit, Change: 9}
-		if news := w.daemons[0].fleet.LearnNotices(start, []proto.TargetNotice{n}); len(news) > 0 {
+		if news := w.daemons[0].fleet.LearnNotices(start, []proto.TargetNotice{n}, "other"); len(news) > 0 {
 			t.Errorf("a limit of %g was learnt", limit)
 		}
 		for range 2 {
--- a/relay/signalterms.go
+++ b/relay/signalterms.go
@@ -122,9 +122,15 @@
 	Target  string  `json:"target"`
 	Leaving bool    `json:"leaving,omitempty"`
 	Limit   float64 `json:"perSecond,omitempty"`
-	// Age is how long ago the limit became known here, and Rest how much longer the target wants rest.
-	Age  string `json:"age,omitempty"`
+	// Age is how long ago the limit became known here, From the daemon that told it, if an answer did not, and Next how long it takes until
+	// a request may be sent within it.
+	Age  string   `json:"age,omitempty"`
+	From proto.VM `json:"from,omitempty"`
+	Next string   `json:"next,omitempty"`
+	// Rest is how much longer the target wants rest.
 	Rest string `json:"rest,omitempty"`
+
+	notice proto.TargetNotice
 }
 
 // signalLines returns what the first targets of a pool signal that holds.
@@ -145,7 +151,7 @@
 		}
 		line := signalLine{Target: t.Spec.ID, Leaving: s.leaving}
 		if s.limit != noLimit {
-			line.Limit, line.Age = s.limit, brief(now.Sub(s.limitAt))
+			line.Limit, line.Age, line.From, line.notice = s.limit, brief(now.Sub(s.limitAt)), s.limitFrom, t.notice
 		}
 		if t.rests(now) {
 			line.Rest = brief(t.restUntil.Sub(now))
--- a/relay/targetsignals.go
+++ b/relay/targetsignals.go
@@ -45,6 +45,8 @@
 	// limit is in requests a second, and limitAt is when it became known here.
 	limit   float64
 	limitAt time.Time
+	// limitFrom is the daemon that told the limit; "" if an answer to this one did.
+	limitFrom proto.VM
 	// change counts the changes of the limit, at whatever daemon.
 	change    uint64
 	restUntil time.Time
@@ -151,7 +153,7 @@
 	if !h.Limited {
 		change.event = "target limit lifted"
 	}
-	s.limit, s.limitAt = limit, now
+	s.limit, s.limitAt, s.limitFrom = limit, now, ""
 	s.change++
 	return change, true
 }
