--- a/relay/race_test.go
+++ b/relay/race_test.go
@@ -245,6 +245,39 @@
 	}
 }
 
+// TestARequestIsAnsweredWhenItsDaemonCloses guards against requests that end without an answer, or with a promise that they were not run, since the
+// daemon stops.
+func TestARequestIsAnsweredWhenItsDaemonCloses(t *testing.T) {
+	scenarios := []struct {
+		testName string
+		kind     proto.RouteKind
+		closes   time.Duration
+		status   int
+	}{
+		{"a target runs it", proto.RouteOnce, 100 * time.Millisecond, http.StatusGatewayTimeout},
+		{"two targets run it", proto.RouteRepeatable, 100 * time.Millisecond, http.StatusGatewayTimeout},
+		{"no target has it yet", proto.RouteOnce, 0, http.StatusServiceUnavailable},
+	}
+	for _, s := range scenarios {
+		t.Run(s.testName, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRaced(s.kind, hangs, hangs)
+				if s.closes == 0 {
+					r.server.close()
+				}
+				time.AfterFunc(s.closes, r.server.close)
+				fail := r.run(t.Context())
+				if fail == nil || fail.status != s.status {
+					t.Errorf("end %+v, want status %d", fail, s.status)
+				}
+				if took := time.Since(r.began); took != s.closes {
+					t.Errorf("the answer took %s", took)
+				}
+			})
+		})
+	}
+}
+
 // TestACallerWhoLeavesEndsAllAttempts has two attempts at work when the caller leaves.
 func TestACallerWhoLeavesEndsAllAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
