The periodic check of targets visits only those that are cold or have lapsed

Cause: five times a second each daemon visited all targets, locked a pool and built a name for each one. With 9,992 targets this is some 50,000 allocations a second at each daemon, more than its requests cost.

Change: targets that are cold or have lapsed are kept in a set, which is all that the check visits; signals are marked as listed from their own list.

Test: TestSweepDoesNotVisitCalmTargets counts what is visited and allocated at 300 and 3,000 targets.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -142,7 +142,9 @@
 	heldSince             map[string]time.Time
 	coldConfig            ColdConfig
 	// signals holds what runs of targets have reported in responses.
-	signals   map[proto.RunName]*targetSignals
+	signals map[proto.RunName]*targetSignals
+	// watched holds the targets that Sweep has to check.
+	watched   map[*Target]struct{}
 	onNotices func([]proto.TargetNotice)
 }
 
@@ -162,7 +164,7 @@
 	f := &Fleet{
 		pools: map[string]*targetPool{}, byID: map[string]*Target{}, invalid: map[string]invalidEntry{}, revalidated: map[string]proto.Revision{},
 		departed: map[string]departedTarget{}, evacuations: map[string]proto.Evacuation{}, evacuationRowVersions: map[string]uint64{}, heldSince: map[string]time.Time{},
-		changed: changed, zones: DefaultZoneCosts(), signals: map[proto.RunName]*targetSignals{}, onNotices: func([]proto.TargetNotice) {},
+		changed: changed, zones: DefaultZoneCosts(), signals: map[proto.RunName]*targetSignals{}, watched: map[*Target]struct{}{}, onNotices: func([]proto.TargetNotice) {},
 	}
 	for _, option := range options {
 		option(f)
@@ -334,6 +336,7 @@
 	}
 	if c.Version.After(t.version) {
 		t.setWarmUp(now, c.Target.ColdRemaining)
+		f.watch(t)
 	}
 	t.Spec, t.version, t.evacuated = c.Target, c.Version, f.isEvacuated(c.Target.Zone)
 	t.lapsedAt, t.suspected = time.Time{}, false
@@ -360,6 +363,7 @@
 	t := &Target{Spec: c.Target, pool: p, idHash: state.Hash(c.Target.ID), slowdown: 1, version: c.Version, health: known, evacuated: f.isEvacuated(c.Target.Zone)}
 	t.runCtx, t.cancelRun = context.WithCancel(context.Background())
 	t.setWarmUp(now, c.Target.ColdRemaining)
+	f.watch(t)
 	t.apply(f.signals[t.Spec.RunName()])
 	p.targets[c.ID] = t
 	f.byID[c.ID] = t
@@ -421,6 +425,7 @@
 			return nil
 		}
 		t.lapsedAt, t.lapseFromPeer = now, c.FromPeer
+		f.watch(t)
 		return []FleetEvent{{Target: t.Spec, Outcome: OutcomeLapsed, Version: c.Version}}
 	}
 	f.recordDeparture(now, t, c.Version)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -296,3 +296,18 @@
 		})
 	}
 }
+
+// TestSweepDoesNotVisitCalmTargets states that the periodic check of the fleet costs the same at any size while no target is cold or has
+// lapsed: it runs several times a second at each daemon.
+func TestSweepDoesNotVisitCalmTargets(t *testing.T) {
+	for _, targets := range []int{300, 3000} {
+		var changes []FleetChange
+		for i := range targets {
+			changes = append(changes, putChange(uint64(i+1), testTarget(fmt.Sprint("t-", i), "p", "z")))
+		}
+		f := fleetWith(changes...)
+		if allocations := testing.AllocsPerRun(10, func() { f.Sweep(start.Add(time.Second)) }); len(f.watched) > 0 || allocations > 4 {
+			t.Errorf("%d targets: %d are checked, with %.0f allocations", targets, len(f.watched), allocations)
+		}
+	}
+}
--- a/relay/fleetlapse.go
+++ b/relay/fleetlapse.go
@@ -83,18 +83,19 @@
 	warmed := map[string]bool{}
 	f.forgetDepartures(now)
 	f.forgetNotices(now)
-	for _, t := range f.byID {
+	f.markListedSignals(now)
+	for t := range f.watched {
 		t.pool.mu.Lock()
-		if k := f.signals[t.Spec.RunName()]; k != nil {
-			k.listedAt = now
-		}
-		if !t.lapsedAt.IsZero() && (own || t.lapseFromPeer) && now.Sub(t.lapsedAt) >= lapseGracePeriod {
+		if !t.unlisted && !t.lapsedAt.IsZero() && (own || t.lapseFromPeer) && now.Sub(t.lapsedAt) >= lapseGracePeriod {
 			f.recordDeparture(now, t, t.version)
 			events = append(events, f.unlist(t))
 		}
-		if t.warmed(now) {
+		if !t.unlisted && t.warmed(now) {
 			warmed[t.Spec.Pool] = true
 		}
+		if t.unlisted || t.lapsedAt.IsZero() && t.coldUntil.IsZero() {
+			delete(f.watched, t)
+		}
 		t.pool.mu.Unlock()
 	}
 	f.mu.Unlock()
@@ -104,3 +105,11 @@
 	}
 	return events
 }
+
+// watch makes Sweep check a target that has lapsed or is cold. Most targets are neither, and visiting all of them several times a second
+// would cost a daemon more than its requests. The fleet is locked.
+func (f *Fleet) watch(t *Target) {
+	if !t.lapsedAt.IsZero() || !t.coldUntil.IsZero() {
+		f.watched[t] = struct{}{}
+	}
+}
--- a/relay/fleetzones.go
+++ b/relay/fleetzones.go
@@ -70,6 +70,7 @@
 			t.evacuated = !e.Ended
 			if e.Ended {
 				t.setWarmUp(now, t.pool.coldSpec.WarmUpTime)
+				f.watch(t)
 			}
 			pools[t.Spec.Pool] = true
 		}
--- a/relay/targetsignals.go
+++ b/relay/targetsignals.go
@@ -205,3 +205,12 @@
 		}
 	}
 }
+
+// markListedSignals records that runs with signals are still listed; the fleet is locked.
+func (f *Fleet) markListedSignals(now time.Time) {
+	for run, s := range f.signals {
+		if f.isListed(run, s) {
+			s.listedAt = now
+		}
+	}
+}
