A fleet that starts reads the store by its readers; lists, links and logs cost by change

Causes, found by reading and by counting, each of which grows with the square of the fleet or faster: - all daemons that start together read the configuration and 9,992 targets from the store, 20 pages each; - each daemon read the table of the daemons by itself, at its start, five seconds later and each minute; - a changed view ordered all daemons anew in each of four rings, for each of some thousand announcements; - an introduction made its receiver forward the whole list over eight links; - each change of a target sent eight heartbeats at once at each daemon it reached, and each answer to a question for newer targets looked at all of them; - a line was logged for each target of the fleet at each start; - the heap could grow to four times what lives, which is megabytes in a small deployment and not here.

Changes: the readers of a zone read the tables and the list of daemons, the others take both over the links; if that fails, the number of those that read doubles every two seconds. Rings are kept in order. A complete membership is asked for by digest and not forwarded. Heartbeats for changed content are at most three in an interval. Documents are found by version. More than 32 targets to which the same happens are one log line. The growth of the heap follows from what lives and from the VM's memory.

Mixed builds: questions of the new kinds go only to daemons that announce the new protocol; the old builds read for themselves.

--- a/coord/alarms.go
+++ b/coord/alarms.go
@@ -78,11 +78,12 @@
 	if dead == mem.dead {
 		return
 	}
-	mem.dead = false
 	if dead {
 		m.markDead(now, mem)
+		return
 	}
-	m.markChanged()
+	mem.dead = false
+	m.updateGraph(mem)
 }
 
 // isSuspect reports whether more than one daemon has raised an alarm about this one. Such a daemon may be dead itself,
@@ -102,7 +103,7 @@
 // reported on it.
 func (m *Members) monitors(mem *member) []proto.VM {
 	if !mem.dead {
-		return m.linkGraph().regional[mem.announcement.VM]
+		return m.graph.regionalLinks(mem.announcement.VM)
 	}
 	monitors := make([]proto.VM, 0, len(mem.alarms))
 	for vm := range mem.alarms {
@@ -216,7 +217,6 @@
 	if len(forwarded.Runs) == 0 {
 		return
 	}
-	m.markChanged()
 	for _, vm := range m.links() {
 		if vm != from {
 			m.peers.Send(vm, forwarded)
@@ -228,6 +228,7 @@
 	mem.dead = true
 	mem.deadAt = now
 	m.deathCount++
+	m.updateGraph(mem)
 }
 
 // probeEvery is the number of heartbeats between two probes of daemons that are considered dead.
--- a/coord/bench_test.go
+++ b/coord/bench_test.go
@@ -86,13 +86,15 @@
 	}
 }
 
-// BenchmarkRing measures recomputing the links after one daemon came or went.
+// BenchmarkRing measures updating the links after one daemon died or came back.
 func BenchmarkRing(b *testing.B) {
 	for _, n := range []int{8, 60, 400, 2000} {
 		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
 			m, _ := newMembers(n)
+			mem := m.members[m.Links()[0]]
 			for b.Loop() {
-				m.markChanged()
+				mem.dead = !mem.dead
+				m.updateGraph(mem)
 				m.Links()
 			}
 		})
--- /dev/null
+++ b/coord/digests.go
@@ -0,0 +1,72 @@
+package coord
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"emberlead/proto"
+	"emberlead/state"
+)
+
+const (
+	// minMembersInterval is the minimum time between two complete memberships that a daemon sends to starting daemons. One takes
+	// milliseconds to send, and when all daemons start together the few in everyone's settings would do nothing else.
+	minMembersInterval = 50 * time.Millisecond
+	// membersAskHeartbeats is for how many heartbeats a linked daemon must know other runs before it is asked for them, and the minimum
+	// time between two such questions: single announcements arrive within a heartbeat or two.
+	membersAskHeartbeats = 3
+)
+
+// membersDigest returns a digest that is equal at daemons that consider the same runs alive.
+func (m *Members) membersDigest() uint64 {
+	if m.liveDigest != 0 {
+		return m.liveDigest
+	}
+	digest := uint64(0)
+	for vm, mem := range m.members {
+		if mem.announced && !mem.dead {
+			digest ^= state.RendezvousScore(xxhash.Sum64String(string(vm)), uint64(mem.announcement.Incarnation))
+		}
+	}
+	m.liveDigest = max(1, digest)
+	return m.liveDigest
+}
+
+// compareMembers asks a linked daemon for the runs that it knows if they keep differing from those that this daemon knows, as when this
+// daemon has just started or announcements were lost.
+func (m *Members) compareMembers(now time.Time, mem *member, theirDigest uint64) {
+	if theirDigest == 0 || theirDigest == m.membersDigest() {
+		mem.membersDifferSince = time.Time{}
+		return
+	}
+	if mem.membersDifferSince.IsZero() {
+		mem.membersDifferSince = now
+		return
+	}
+	wait := membersAskHeartbeats * m.timing.HeartbeatInterval
+	if now.Sub(mem.membersDifferSince) < wait || now.Sub(m.membersAskedAt) < wait {
+		return
+	}
+	m.membersAskedAt = now
+	m.peers.Send(mem.announcement.VM, proto.MembersAsk{})
+}
+
+// HandleMembersAsk sends the known membership to a daemon that asked for it.
+func (m *Members) HandleMembersAsk(from proto.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sendMembers(from)
+}
+
+func (m *Members) sendMembers(to proto.VM) {
+	membership := proto.News{Complete: true}
+	for vm, mem := range m.members {
+		if vm != to && vm != m.self.VM && mem.announced && !mem.dead {
+			membership.Alive = append(membership.Alive, mem.announcement)
+		}
+	}
+	if len(membership.Alive) > 0 {
+		m.peers.Send(to, membership)
+	}
+}
--- a/coord/gossip.go
+++ b/coord/gossip.go
@@ -72,6 +72,12 @@
 func (m *Members) HandleNews(now time.Time, news proto.News, from proto.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if news.Complete {
+		for _, a := range news.Alive {
+			m.applyAlive(now, a, from)
+		}
+		return
+	}
 	for _, a := range news.Alive {
 		m.handleAlive(now, a, from)
 	}
--- a/coord/heartbeats.go
+++ b/coord/heartbeats.go
@@ -31,17 +31,22 @@
 		m.raiseAlarm(now, mem, false)
 	}
 	m.compareDeaths(now, mem, heartbeat.DeadDigest)
+	m.compareMembers(now, mem, heartbeat.MembersDigest)
 }
 
+// links returns the daemons that this one links to; callers must not change the slice.
 func (m *Members) links() []proto.VM {
-	return m.linkGraph().links(m.self.VM)
+	if m.selfLinksVersion != m.graph.version {
+		m.selfLinks, m.selfLinksVersion = m.graph.links(m.self.VM), m.graph.version
+	}
+	return m.selfLinks
 }
 
 func (m *Members) sendHeartbeats(now time.Time) {
-	m.lastHeartbeat = now
+	m.lastHeartbeat, m.contentChanged = now, false
 	heartbeat := m.heartbeat()
 	heartbeat.Incarnation = m.self.Incarnation
-	heartbeat.DeadDigest = m.deadDigestSent
+	heartbeat.DeadDigest, heartbeat.MembersDigest = m.deadDigestSent, m.membersDigest()
 	m.heartbeatCount++
 	if m.heartbeatCount%probeEvery == 0 {
 		m.probe()
@@ -54,11 +59,20 @@
 	}
 }
 
-// SendHeartbeats sends heartbeats at once, because their content has changed.
+// SendHeartbeats sends heartbeats because their content has changed: at once, or with a later tick if that was done a
+// moment ago. Many changes in quick succession would otherwise cost as many messages over each link of each daemon.
 func (m *Members) SendHeartbeats(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sendHeartbeats(now)
+	m.contentChanged = true
+	m.sendChangedContent(now)
+}
+
+func (m *Members) sendChangedContent(now time.Time) {
+	if m.contentChanged && now.Sub(m.contentSentAt) >= m.timing.HeartbeatInterval/batchesPerHeartbeat {
+		m.contentSentAt = now
+		m.sendHeartbeats(now)
+	}
 }
 
 // Tick sends heartbeats and raises alarms; it is called several times per second.
@@ -75,6 +89,7 @@
 	if now.Sub(m.lastHeartbeat) >= m.timing.HeartbeatInterval {
 		m.sendHeartbeats(now)
 	}
+	m.sendChangedContent(now)
 	m.viewChanged(now)
 	for _, vm := range m.links() {
 		m.checkLink(now, m.members[vm])
@@ -139,7 +154,7 @@
 	for vm, mem := range m.members {
 		if _, listed := m.entries[vm]; mem.dead && !listed && now.Sub(mem.deadAt) > m.timing.ForgetAfter {
 			delete(m.members, vm)
-			m.markChanged()
+			m.version++
 			delete(m.lastListedAt, vm)
 		}
 	}
--- a/coord/members.go
+++ b/coord/members.go
@@ -39,6 +39,8 @@
 	alarmRaised  bool
 	// agreement compares the daemon's set of dead runs with that of this daemon.
 	agreement agreement
+	// membersDifferSince is since when its set of live runs differs from that of this daemon; zero if it does not.
+	membersDifferSince time.Time
 }
 
 // Members is one daemon's view of the others. Views may differ between daemons, so safety must never depend on it.
@@ -50,6 +52,8 @@
 	peers               Peers
 	members             map[proto.VM]*member
 	graph               *graph
+	selfLinks           []proto.VM // this daemon's links in selfLinksVersion of the graph
+	selfLinksVersion    uint64
 	linkedSince         map[proto.VM]time.Time // when the link to each linked daemon was created
 	linkedVersion       uint64                 // the view's version that linkedSince belongs to
 	deadDigestSent      uint64                 // digest of the runs considered dead in that version, sent in heartbeats
@@ -59,6 +63,8 @@
 	started             time.Time
 	lastTick            time.Time
 	lastHeartbeat       time.Time
+	contentChanged      bool      // the content of heartbeats has changed since the last ones were sent
+	contentSentAt       time.Time // when heartbeats were last sent because of that
 	pausedAt            time.Time
 	alarmSequence       uint64
 	leaving             map[proto.VM]bool
@@ -73,6 +79,9 @@
 	alarmCount          int64
 	deathCount          int64
 	deniedAt            time.Time
+	liveDigest          uint64    // digest of the live runs; 0 if it has to be computed
+	membersSentAt       time.Time // when the membership was last sent to a daemon that had just started
+	membersAskedAt      time.Time // when this daemon last asked another one for its membership
 }
 
 // MembersOption configures a Members.
@@ -92,31 +101,25 @@
 	for _, option := range options {
 		option(m)
 	}
-	m.members[self.VM] = &member{announcement: self, announced: true, alarms: map[proto.VM]proto.Alarm{}}
+	m.graph = rings.graph(nil)
+	m.addMember(&member{announcement: self, announced: true, alarms: map[proto.VM]proto.Alarm{}})
 	return m
 }
 
-// markChanged records a change of the view and invalidates the link graph, which is recomputed when it is next needed.
-func (m *Members) markChanged() {
-	m.graph = nil
-	m.version++
-}
-
-func (m *Members) linkGraph() *graph {
-	if m.graph == nil {
-		m.graph = m.rings.graph(m.nodes())
-	}
-	return m.graph
+func (m *Members) addMember(mem *member) {
+	m.members[mem.announcement.VM] = mem
+	m.updateGraph(mem)
 }
 
-func (m *Members) nodes() []ringNode {
-	nodes := make([]ringNode, 0, len(m.members))
-	for vm, mem := range m.members {
-		if !mem.dead {
-			nodes = append(nodes, ringNode{vm: vm, region: mem.announcement.Zone.Region()})
-		}
+// updateGraph records in the view that a daemon was added, died, came back or moved to another zone.
+func (m *Members) updateGraph(mem *member) {
+	m.version++
+	m.liveDigest = 0
+	if mem.dead {
+		m.graph.remove(mem.announcement.VM)
+		return
 	}
-	return nodes
+	m.graph.insert(ringNode{vm: mem.announcement.VM, region: mem.announcement.Zone.Region()})
 }
 
 // Version returns a number that changes whenever the view does.
@@ -130,7 +133,14 @@
 func (m *Members) Links() []proto.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.links()
+	return slices.Clone(m.links())
+}
+
+// LiveCount returns the number of daemons that are not considered dead, including this one.
+func (m *Members) LiveCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.graph.regions)
 }
 
 // Live returns the daemons that are not considered dead, including this one, sorted by name.
@@ -231,24 +241,34 @@
 }
 
 func (m *Members) handleAlive(now time.Time, a proto.Alive, from proto.VM) {
+	restarted, isNew := m.applyAlive(now, a, from)
+	if !isNew {
+		return
+	}
+	m.forwardAlive(now, a, from)
+	if restarted && from == a.VM {
+		m.introduce(now, a.VM)
+	}
+}
+
+// applyAlive adds an announcement to the view. It reports whether the announcement was new, and whether it is of another run of its
+// daemon than the one known before.
+func (m *Members) applyAlive(now time.Time, a proto.Alive, from proto.VM) (restarted, isNew bool) {
 	if a.VM == m.self.VM {
 		m.raiseIncarnation(a.Incarnation)
-		return
+		return false, false
 	}
 	mem := m.members[a.VM]
-	isNew := mem == nil
-	if isNew {
+	isUnknown := mem == nil
+	if isUnknown {
 		mem = &member{alarms: map[proto.VM]proto.Alarm{}, lastSeen: now}
-		m.members[a.VM] = mem
 	}
-	if !isNew && (a.Incarnation < mem.announcement.Incarnation || a.Incarnation == mem.announcement.Incarnation && a.Sequence <= mem.announcement.Sequence) {
+	if !isUnknown && (a.Incarnation < mem.announcement.Incarnation || a.Incarnation == mem.announcement.Incarnation && a.Sequence <= mem.announcement.Sequence) {
 		m.sendCorrection(mem, a.Incarnation, from)
-		return
-	}
-	restarted := a.Incarnation != mem.announcement.Incarnation
-	if isNew || mem.dead || a.Zone != mem.announcement.Zone {
-		m.markChanged()
+		return false, false
 	}
+	restarted = a.Incarnation != mem.announcement.Incarnation
+	viewChanged := isUnknown || mem.dead || a.Zone != mem.announcement.Zone
 	mem.announcement = a
 	mem.announced = true
 	if restarted || mem.dead {
@@ -257,10 +277,11 @@
 		mem.lastSeen = now
 		mem.alarms = map[proto.VM]proto.Alarm{}
 	}
-	m.forwardAlive(now, a, from)
-	if restarted && from == a.VM {
-		m.introduce(a.VM)
+	if viewChanged {
+		m.addMember(mem)
 	}
+	m.liveDigest = 0
+	return restarted, true
 }
 
 // sendCorrection sends a daemon that speaks for an older run the newest announcement known for it.
@@ -279,19 +300,16 @@
 	m.announce()
 }
 
-// introduce sends the known membership to a daemon that has just started.
-func (m *Members) introduce(vm proto.VM) {
+// introduce sends the known membership to a daemon that has just started. If many start together, most of them get it a moment later
+// from other daemons, whose digests show that they know more.
+func (m *Members) introduce(now time.Time, vm proto.VM) {
 	m.peers.Send(vm, m.self)
-	var membership proto.News
-	for other, mem := range m.members {
-		if other != vm && other != m.self.VM && mem.announced && !mem.dead {
-			membership.Alive = append(membership.Alive, mem.announcement)
-		}
-	}
-	if len(membership.Alive) > 0 {
-		m.peers.Send(vm, membership)
-	}
 	m.peers.Send(vm, m.allEntries())
+	if now.Sub(m.membersSentAt) < minMembersInterval {
+		return
+	}
+	m.membersSentAt = now
+	m.sendMembers(vm)
 }
 
 // MemberCounts holds the current size of the view, and the alarms and deaths since the start.
--- a/coord/members_test.go
+++ b/coord/members_test.go
@@ -108,6 +108,8 @@
 			to.HandleAlarm(s.now, m, msg.from)
 		case proto.News:
 			to.HandleNews(s.now, m, msg.from)
+		case proto.MembersAsk:
+			to.HandleMembersAsk(msg.from)
 		case proto.Deaths:
 			to.HandleDeaths(s.now, m, msg.from)
 		case proto.Listed:
--- a/coord/node.go
+++ b/coord/node.go
@@ -180,6 +180,8 @@
 		n.Members.HandleAlarm(now, msg, from)
 	case proto.Deaths:
 		n.Members.HandleDeaths(now, msg, from)
+	case proto.MembersAsk:
+		n.Members.HandleMembersAsk(from)
 	case proto.News:
 		n.Members.HandleNews(now, msg, from)
 	case proto.Listed:
--- a/coord/owner.go
+++ b/coord/owner.go
@@ -95,6 +95,15 @@
 	return len(ranked) <= limit || slices.Contains(ranked[:limit], m.self.VM)
 }
 
+// FirstInZone returns the first daemons of this daemon's zone for a task, up to the given number, of those that are live and not
+// stopping.
+func (m *Members) FirstInZone(task string, limit int) []proto.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ranked := m.notStopping(m.candidatesFor(task, m.self.Zone))
+	return ranked[:min(len(ranked), limit)]
+}
+
 // FirstPerZone returns, zone by zone in order of name, the first daemons of each zone for a task, up to the given
 // number, of those that are live and not stopping.
 func (m *Members) FirstPerZone(task string, limit int) []proto.VM {
--- a/coord/vmlist.go
+++ b/coord/vmlist.go
@@ -110,7 +110,7 @@
 		}
 		mem := &member{alarms: map[proto.VM]proto.Alarm{}, lastSeen: now}
 		mem.announcement = proto.Alive{VM: entry.VM, Zone: entry.Zone, Peer: entry.Peer}
-		m.members[entry.VM] = mem
+		m.addMember(mem)
 		joined = true
 	}
 	leaving := map[proto.VM]bool{}
@@ -121,7 +121,6 @@
 	}
 	m.leaving = leaving
 	if joined {
-		m.markChanged()
 		m.announce()
 	}
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -56,6 +56,9 @@
 	MessageTargetNotices
 	MessagePermitAsk
 	MessagePermitAnswer
+	MessageMembersAsk
+	MessageDaemonRowsAsk
+	MessageDaemonRowsAnswer
 )
 
 // Heartbeat tells a peer that the sender is alive and which versions of the shared state it has.
@@ -77,6 +80,8 @@
 	Evacuations Revision `cbor:"10,keyasint,omitzero"`
 	// NoticesDigest is a digest of the notices of listed targets that the sender knows of; 0 if there are none.
 	NoticesDigest uint64 `cbor:"11,keyasint,omitempty"`
+	// MembersDigest is a digest of the daemon runs that the sender considers alive; 0 if it does not say.
+	MembersDigest uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it with a higher sequence number.
@@ -87,8 +92,20 @@
 	Incarnation Incarnation    `cbor:"4,keyasint"`
 	Sequence    uint64         `cbor:"5,keyasint"`
 	Stopping    bool           `cbor:"6,keyasint,omitempty"`
+	// Protocol is the version of the messages that the daemon understands.
+	Protocol PeerProtocol `cbor:"7,keyasint,omitempty"`
 }
 
+// PeerProtocol is a version of the messages between daemons. A daemon closes the link over which it gets a message of a kind that it
+// does not know, so newer kinds are only sent to daemons that announce them.
+type PeerProtocol uint8
+
+// Versions of the messages between daemons.
+const (
+	// PeerProtocolRows has DaemonRowsAsk and MembersAsk.
+	PeerProtocolRows PeerProtocol = 1
+)
+
 // Alarm reports that a daemon has stopped hearing from a peer it is connected to, or hears from it again.
 type Alarm struct {
 	Subject     VM          `cbor:"1,keyasint"`
@@ -113,8 +130,14 @@
 type News struct {
 	Alive  []Alive `cbor:"1,keyasint,omitempty"`
 	Alarms []Alarm `cbor:"2,keyasint,omitempty"`
+	// Complete means that Alive holds all daemons that the sender knows, which the others know too, so that the receiver
+	// does not forward them.
+	Complete bool `cbor:"3,keyasint,omitempty"`
 }
 
+// MembersAsk requests a complete News from a daemon that knows other runs than the sender.
+type MembersAsk struct{}
+
 // ChangeKind is the kind of an accepted configuration change.
 type ChangeKind string
 
@@ -327,41 +350,44 @@
 // Done is the answer to a call that needs no result.
 type Done struct{}
 
-func (Heartbeat) messageKind() MessageKind      { return MessageHeartbeat }
-func (Alive) messageKind() MessageKind          { return MessageAlive }
-func (Alarm) messageKind() MessageKind          { return MessageAlarm }
-func (ChangesAsk) messageKind() MessageKind     { return MessageChangesAsk }
-func (ChangesAnswer) messageKind() MessageKind  { return MessageChangesAnswer }
-func (RosterAsk) messageKind() MessageKind      { return MessageRosterAsk }
-func (RosterAnswer) messageKind() MessageKind   { return MessageRosterAnswer }
-func (ClaimAsk) messageKind() MessageKind       { return MessageClaimAsk }
-func (ClaimAnswer) messageKind() MessageKind    { return MessageClaimAnswer }
-func (Settle) messageKind() MessageKind         { return MessageSettle }
-func (TransferAsk) messageKind() MessageKind    { return MessageTransferAsk }
-func (TransferAnswer) messageKind() MessageKind { return MessageTransferAnswer }
-func (Usage) messageKind() MessageKind          { return MessageUsage }
-func (Loads) messageKind() MessageKind          { return MessageLoads }
-func (Listed) messageKind() MessageKind         { return MessageListed }
-func (Done) messageKind() MessageKind           { return MessageDone }
-func (Demand) messageKind() MessageKind         { return MessageDemand }
-func (SlotReady) messageKind() MessageKind      { return MessageSlotReady }
-func (RoutingAsk) messageKind() MessageKind     { return MessageRoutingAsk }
-func (RoutingAnswer) messageKind() MessageKind  { return MessageRoutingAnswer }
-func (PiecesAsk) messageKind() MessageKind      { return MessagePiecesAsk }
-func (PiecesAnswer) messageKind() MessageKind   { return MessagePiecesAnswer }
-func (PiecesDrop) messageKind() MessageKind     { return MessagePiecesDrop }
-func (PlaceAsk) messageKind() MessageKind       { return MessagePlaceAsk }
-func (PlaceAnswer) messageKind() MessageKind    { return MessagePlaceAnswer }
-func (PlaceNote) messageKind() MessageKind      { return MessagePlaceNote }
-func (Confirmed) messageKind() MessageKind      { return MessageConfirmed }
-func (Deaths) messageKind() MessageKind         { return MessageDeaths }
-func (News) messageKind() MessageKind           { return MessageNews }
-func (TargetEnds) messageKind() MessageKind     { return MessageTargetEnds }
-func (AdmitAsk) messageKind() MessageKind       { return MessageAdmitAsk }
-func (AdmitAnswer) messageKind() MessageKind    { return MessageAdmitAnswer }
-func (TargetNotices) messageKind() MessageKind  { return MessageTargetNotices }
-func (PermitAsk) messageKind() MessageKind      { return MessagePermitAsk }
-func (PermitAnswer) messageKind() MessageKind   { return MessagePermitAnswer }
+func (Heartbeat) messageKind() MessageKind        { return MessageHeartbeat }
+func (Alive) messageKind() MessageKind            { return MessageAlive }
+func (Alarm) messageKind() MessageKind            { return MessageAlarm }
+func (ChangesAsk) messageKind() MessageKind       { return MessageChangesAsk }
+func (ChangesAnswer) messageKind() MessageKind    { return MessageChangesAnswer }
+func (RosterAsk) messageKind() MessageKind        { return MessageRosterAsk }
+func (RosterAnswer) messageKind() MessageKind     { return MessageRosterAnswer }
+func (ClaimAsk) messageKind() MessageKind         { return MessageClaimAsk }
+func (ClaimAnswer) messageKind() MessageKind      { return MessageClaimAnswer }
+func (Settle) messageKind() MessageKind           { return MessageSettle }
+func (TransferAsk) messageKind() MessageKind      { return MessageTransferAsk }
+func (TransferAnswer) messageKind() MessageKind   { return MessageTransferAnswer }
+func (Usage) messageKind() MessageKind            { return MessageUsage }
+func (Loads) messageKind() MessageKind            { return MessageLoads }
+func (Listed) messageKind() MessageKind           { return MessageListed }
+func (Done) messageKind() MessageKind             { return MessageDone }
+func (Demand) messageKind() MessageKind           { return MessageDemand }
+func (SlotReady) messageKind() MessageKind        { return MessageSlotReady }
+func (RoutingAsk) messageKind() MessageKind       { return MessageRoutingAsk }
+func (RoutingAnswer) messageKind() MessageKind    { return MessageRoutingAnswer }
+func (PiecesAsk) messageKind() MessageKind        { return MessagePiecesAsk }
+func (PiecesAnswer) messageKind() MessageKind     { return MessagePiecesAnswer }
+func (PiecesDrop) messageKind() MessageKind       { return MessagePiecesDrop }
+func (PlaceAsk) messageKind() MessageKind         { return MessagePlaceAsk }
+func (PlaceAnswer) messageKind() MessageKind      { return MessagePlaceAnswer }
+func (PlaceNote) messageKind() MessageKind        { return MessagePlaceNote }
+func (Confirmed) messageKind() MessageKind        { return MessageConfirmed }
+func (Deaths) messageKind() MessageKind           { return MessageDeaths }
+func (News) messageKind() MessageKind             { return MessageNews }
+func (TargetEnds) messageKind() MessageKind       { return MessageTargetEnds }
+func (AdmitAsk) messageKind() MessageKind         { return MessageAdmitAsk }
+func (AdmitAnswer) messageKind() MessageKind      { return MessageAdmitAnswer }
+func (TargetNotices) messageKind() MessageKind    { return MessageTargetNotices }
+func (PermitAsk) messageKind() MessageKind        { return MessagePermitAsk }
+func (PermitAnswer) messageKind() MessageKind     { return MessagePermitAnswer }
+func (MembersAsk) messageKind() MessageKind       { return MessageMembersAsk }
+func (DaemonRowsAsk) messageKind() MessageKind    { return MessageDaemonRowsAsk }
+func (DaemonRowsAnswer) messageKind() MessageKind { return MessageDaemonRowsAnswer }
 
 // Envelope frames one message. Call is nonzero for a call and for its answer.
 type Envelope struct {
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -411,3 +411,24 @@
 	// configuration table.
 	Evacuations Revision `cbor:"5,keyasint,omitzero"`
 }
+
+// DaemonRowsAsk requests the table of the daemons from a daemon that reads the store, as the store held it at most MaxAge ago.
+type DaemonRowsAsk struct {
+	MaxAge time.Duration `cbor:"1,keyasint"`
+}
+
+// DaemonRow is a daemon's row in the store, in the format in which daemons write it.
+type DaemonRow struct {
+	VM      VM       `cbor:"1,keyasint"`
+	Version Revision `cbor:"2,keyasint"`
+	Body    []byte   `cbor:"3,keyasint"`
+}
+
+// DaemonRowsAnswer holds the table of the daemons. Known is false if the sender could not read it.
+type DaemonRowsAnswer struct {
+	Known bool `cbor:"1,keyasint,omitempty"`
+	// Age is how long before the answer the read of the table began.
+	Age     time.Duration `cbor:"2,keyasint"`
+	Version Revision      `cbor:"3,keyasint"`
+	Rows    []DaemonRow   `cbor:"4,keyasint,omitempty"`
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -25,8 +25,6 @@
 const (
 	// memoryFraction is the fraction of a VM's memory that the garbage collector aims to stay below.
 	memoryFraction = 0.6
-	// gcPercent lets the heap double twice before a collection, because the live heap is only a few megabytes.
-	gcPercent = 300
 	// maxOpenPerMB limits open requests by memory; each request takes some tens of kilobytes at most.
 	maxOpenPerMB = 5
 	// minUnreadyTime is how long a stopping daemon continues to accept requests: the balancer polls every second and
@@ -96,7 +94,10 @@
 	settingsFailed, credentialsFailed bool
 
 	// eraChanged receives a value when the store is in a newer era, for the loop that maintains this daemon's row.
-	eraChanged   chan struct{}
+	eraChanged chan struct{}
+	// rowTable is the table of the daemons as this one last read it.
+	rowTable rowTable
+
 	targetsKnown atomic.Bool
 	// rowsRead is set once the store's list of daemons was read, from which the daemon knows which daemon owns which task.
 	rowsRead atomic.Bool
@@ -108,6 +109,7 @@
 	rowsTimeoutOnce sync.Once
 	pulling         atomic.Bool
 	stopping        atomic.Bool
+	heapTuner       heapTuner
 }
 
 // MemberCount returns the number of live daemons that this one knows, itself included.
@@ -154,7 +156,7 @@
 	d.documents.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
-		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1,
+		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolRows,
 	}
 	d.transport = wire.NewTargetTransport(clock)
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
@@ -225,6 +227,8 @@
 		d.peers.members.HandleAlarm(now, msg, from)
 	case proto.Deaths:
 		d.peers.members.HandleDeaths(now, msg, from)
+	case proto.MembersAsk:
+		d.peers.members.HandleMembersAsk(from)
 	case proto.News:
 		d.peers.members.HandleNews(now, msg, from)
 	case proto.RoutingAsk:
@@ -237,6 +241,8 @@
 		return d.placer.HandlePlaceAsk(msg)
 	case proto.PlaceNote:
 		d.placer.HandlePlaceNote(msg)
+	case proto.DaemonRowsAsk:
+		return d.answerDaemonRowsAsk(ctx, msg)
 	case proto.PermitAsk:
 		return d.placer.HandlePermitAsk(from, msg)
 	case proto.TargetNotices:
@@ -297,7 +303,7 @@
 // Run serves until the context ends, which is when the platform asks the process to stop, and then shuts down gracefully.
 func (d *Relay) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryFraction * float64(d.settings.MemoryBytes)))
-	debug.SetGCPercent(gcPercent)
+	d.heapTuner.adjust(uint64(d.settings.MemoryBytes))
 	d.log.Info("starting", "version", Version, "incarnation", d.self.Incarnation, "zone", d.self.Zone, "callers", d.settings.CallerAddr,
 		"health", d.settings.HealthAddr, "peers", d.settings.PeerAddr, "metrics", d.settings.MetricsAddr, "store", d.settings.StoreAddr,
 		"seeds", len(d.settings.Seeds), "memory", d.settings.MemoryBytes, "openMost", max(64, d.settings.MemoryBytes/1_000_000*maxOpenPerMB))
@@ -347,6 +353,7 @@
 		}),
 		d.periodic(forgetInterval, d.crashTracker.Sweep),
 		d.periodic(endRowInterval, d.endRowSync.writeIfDue),
+		d.periodic(heapTuneInterval, func() { d.heapTuner.adjust(uint64(d.settings.MemoryBytes)) }),
 		d.periodic(statusInterval, d.logStatus),
 	} {
 		g.Add(func() error {
--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -16,7 +16,9 @@
 	mu      sync.Mutex
 	routing []byte
 	// targets also holds entries that were removed after completeSince.
-	targets       map[string]proto.TargetDocument
+	targets map[string]proto.TargetDocument
+	// targetLog orders targets by version.
+	targetLog     documentLog
 	completeSince proto.Revision
 	// lastFullSend is when a daemon without any state was last sent everything.
 	lastFullSend time.Time
@@ -142,6 +144,7 @@
 	}
 	d.documents.mu.Lock()
 	d.documents.targets, d.documents.completeSince = byID, d.fleet.Version()
+	d.documents.targetLog.rebuild(byID)
 	d.documents.mu.Unlock()
 	d.handleFleetEvents(events, from)
 	d.targetsKnown.Store(true)
@@ -169,10 +172,16 @@
 	d.documents.mu.Lock()
 	for _, doc := range docs {
 		doc.Lapsed = doc.Removed && lapsed[doc.ID]
-		if !d.documents.targets[doc.ID].Version.After(doc.Version) {
-			d.documents.targets[doc.ID] = doc
+		known, exists := d.documents.targets[doc.ID]
+		if known.Version.After(doc.Version) {
+			continue
+		}
+		d.documents.targets[doc.ID] = doc
+		if !exists || known.Version != doc.Version {
+			d.documents.targetLog.add(doc)
 		}
 	}
+	d.documents.targetLog.compact(d.documents.targets)
 	d.documents.mu.Unlock()
 	d.handleFleetEvents(events, from)
 }
@@ -185,8 +194,8 @@
 		if event.Crashed() {
 			d.crashDetector.RecordEnd(event.Target, "its entry is gone")
 		}
-		d.log.Info("target "+event.Outcome, "target", event.Target.ID, "pool", event.Target.Pool, "address", event.Target.Address, "zone", event.Target.Zone, "born", formatStartTime(event.Target.StartedAt), "coldFor", event.Target.ColdRemaining.String(), "version", d.fleet.Version(), "from", from)
 	}
+	d.logFleetEvents(events, from)
 	if len(events) > 0 {
 		d.peers.members.SendHeartbeats(d.clock.Now())
 	}
@@ -195,6 +204,31 @@
 	}
 }
 
+// maxEventLines is up to how many targets of one pool are logged one by one if the same happens to them together. A daemon that starts
+// would otherwise log a line for each target of the fleet.
+const maxEventLines = 32
+
+// fleetEventGroup identifies the targets of a pool to which the same happened.
+type fleetEventGroup struct{ pool, outcome string }
+
+func (d *Relay) logFleetEvents(events []relay.FleetEvent, from string) {
+	counts := map[fleetEventGroup]int{}
+	for _, event := range events {
+		counts[fleetEventGroup{event.Target.Pool, event.Outcome}]++
+	}
+	version := d.fleet.Version()
+	for _, event := range events {
+		if counts[fleetEventGroup{event.Target.Pool, event.Outcome}] <= maxEventLines {
+			d.log.Info("target "+event.Outcome, "target", event.Target.ID, "pool", event.Target.Pool, "address", event.Target.Address, "zone", event.Target.Zone, "born", formatStartTime(event.Target.StartedAt), "coldFor", event.Target.ColdRemaining.String(), "version", version, "from", from)
+		}
+	}
+	for group, count := range counts {
+		if count > maxEventLines {
+			d.log.Info("targets "+group.outcome, "pool", group.pool, "targets", count, "version", version, "from", from)
+		}
+	}
+}
+
 // formatStartTime formats the start time of a target's run for the log; empty if the target does not report it.
 func formatStartTime(startedAt time.Time) string {
 	if startedAt.IsZero() {
@@ -238,7 +272,7 @@
 	if d.fleet.EvacuationsVersion().After(ask.Evacuations) {
 		answer.Evacuations = d.fleet.Evacuations()
 	}
-	if ask == (proto.RoutingAsk{}) && !d.documents.allowFullSend(d.clock.Now()) {
+	if ask.Targets.IsZero() && !d.documents.allowFullSend(d.clock.Now()) {
 		return answer
 	}
 	if answer.Routing > ask.Routing {
@@ -248,8 +282,13 @@
 		return answer
 	}
 	answer.HasTargets, answer.Full = true, d.documents.completeSince.After(ask.Targets)
+	if !answer.Full {
+		answer.TargetEntries = d.documents.targetLog.after(ask.Targets, d.documents.targets)
+		return answer
+	}
+	answer.TargetEntries = make([]proto.TargetDocument, 0, len(d.documents.targets))
 	for _, doc := range d.documents.targets {
-		if answer.Full && !doc.Removed || !answer.Full && doc.Version.After(ask.Targets) {
+		if !doc.Removed {
 			answer.TargetEntries = append(answer.TargetEntries, doc)
 		}
 	}
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -84,7 +84,7 @@
 }
 
 // Count returns the number of live daemons, this one included.
-func (p *relayPeers) Count() int { return len(p.members.Live()) }
+func (p *relayPeers) Count() int { return p.members.LiveCount() }
 
 // Send queues a message.
 func (p *relayPeers) Send(to proto.VM, m proto.Message) { p.links.Send(to, m) }
--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -30,6 +31,11 @@
 	shareDelay = time.Second
 	// maxReadAge is how old the last read of the daemons' rows may be: two read intervals, and an outage of the store of 5 s.
 	maxReadAge = 2*rowReadInterval + 5*time.Second
+	// maxRelayedRowsAge is how old the table may be that a daemon takes from another, and maxFreshRowsAge the same where all rows that
+	// were just written must be in it. The readers of the store read the table for the others at most once in that time.
+	maxRelayedRowsAge, maxFreshRowsAge = 10 * time.Second, time.Second
+	// rowsAskTimeout limits a request for the table to another daemon.
+	rowsAskTimeout = 2 * time.Second
 	// taskRemoveOldRows names the task of removing the rows of VMs that are gone.
 	taskRemoveOldRows = "remove old rows"
 )
@@ -69,28 +75,55 @@
 	knownToOthers bool
 	// era is the era of the store in which this daemon's row was last checked.
 	era uint64
-	// reread is set once the rows were read a second time in the first start of all daemons.
-	reread bool
+	// settled is set in the first start of all daemons once the others had time to write their rows, and reread once the table was read
+	// after that.
+	settled, reread bool
 }
 
 // step reads the rows, writes this daemon's row if it is due, and returns how long to wait afterwards.
 func (l *rowMaintainer) step(ctx context.Context) time.Duration {
 	d := l.daemon
 	l.resetOnNewEra(d.store.Era())
-	read := l.read(ctx)
-	written := !l.writeDue() || l.write(ctx)
-	switch {
-	case !read || !written:
+	if d.settings.FirstStart && !l.reread {
+		return l.firstStart(ctx)
+	}
+	if !d.rowsRead.Load() {
+		d.waitForMembers(ctx)
+	}
+	read := l.read(ctx, maxRelayedRowsAge)
+	if written := !l.writeDue() || l.write(ctx); !read || !written {
 		d.waitForStore(ctx, maxRowRetryWait)
 		return initialRetryDelay
-	case d.settings.FirstStart && !l.reread:
-		// By then all daemons have written their rows, and none uses a share yet.
-		l.reread = true
-		return d.settings.RetryWindow / 2
 	}
 	return rowReadInterval
 }
 
+// waitForMembers gives a daemon that has just started a moment to hear from another one, which may have the table.
+func (d *Relay) waitForMembers(ctx context.Context) {
+	for end := d.clock.Now().Add(bootstrapTimeout); d.peers.Count() == 1 && len(d.settings.Seeds) > 0 && d.clock.Now().Before(end) && ctx.Err() == nil; {
+		d.sleep(ctx, bootstrapTimeout/20)
+	}
+}
+
+// firstStart writes the row of a daemon that starts together with all others, and reads the table once all have written theirs; none
+// uses a share before that. Until then the daemons learn of each other over the links.
+func (l *rowMaintainer) firstStart(ctx context.Context) time.Duration {
+	d := l.daemon
+	d.shareTracker.Start(d.clock.Now(), true)
+	l.knownToOthers = true
+	switch {
+	case l.writtenAt.IsZero() && !l.write(ctx):
+	case l.settled && l.read(ctx, maxFreshRowsAge):
+		l.reread = true
+		return rowReadInterval
+	case !l.settled:
+		l.settled = true
+		return d.settings.RetryWindow/2 + rand.N(maxFreshRowsAge)
+	}
+	d.waitForStore(ctx, maxRowRetryWait)
+	return initialRetryDelay
+}
+
 // resetOnNewEra forgets what was known about this daemon's row in an earlier era of the store.
 func (l *rowMaintainer) resetOnNewEra(era uint64) {
 	if era == l.era {
@@ -149,12 +182,12 @@
 	return true
 }
 
-func (l *rowMaintainer) read(ctx context.Context) bool {
+// read reads the table of the daemons as it was at most the given time ago.
+func (l *rowMaintainer) read(ctx context.Context, maxAge time.Duration) bool {
 	d := l.daemon
 	ctx, cancel := context.WithTimeout(ctx, tableReadTimeout)
 	defer cancel()
-	sentAt := d.clock.Now()
-	rows, err := d.store.Daemons().Read(ctx)
+	rows, sentAt, err := d.daemonRows(ctx, maxAge)
 	if err != nil {
 		d.log.Debug("cannot read the list of daemons", "error", err)
 		return false
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -52,6 +52,14 @@
 	// readersPerZone is how many daemons of a zone watch the store and tell the others. With two, one may fail or be
 	// refused; a deployment of a few daemons has no others.
 	readersPerZone = 2
+	// readerDoublingInterval is how long daemons without the tables wait for those that read them before twice as many read. A list of
+	// thousands of targets takes a second or two to reach all daemons over links of small VMs.
+	readerDoublingInterval = 2 * time.Second
+	// maxReaderDoublings makes all daemons of a zone readers, whatever their number.
+	maxReaderDoublings = 20
+	// membersWait is how long a daemon waits until it knows the others, from which it knows whether it should read: from the list of
+	// daemons or, in the first start of all, over the links.
+	membersWait = time.Second
 	// taskReadStore names the task by which the readers of each zone are chosen.
 	taskReadStore = "read the store"
 	// lapsedQueryRounds is how often peers are asked how a lapsed entry was removed; in the first round, some may not know of it yet.
@@ -99,7 +107,13 @@
 	retryDelay := backoff.NewExponentialBackOff()
 	retryDelay.InitialInterval, retryDelay.MaxInterval = initialRetryDelay, maxRetryDelay
 	var version proto.Revision
+	startedAt := w.daemon.clock.Now()
 	for ctx.Err() == nil {
+		waited := w.daemon.clock.Now().Sub(startedAt)
+		if !w.daemon.hasTables() && !w.daemon.mayReadFirst(waited) || waited < membersWait && !w.daemon.rowsRead.Load() {
+			w.daemon.sleep(ctx, initialRetryDelay)
+			continue
+		}
 		if w.daemon.hasTables() && !w.daemon.isReader() {
 			version = proto.Revision{}
 			w.daemon.sleep(ctx, readerCheckInterval)
@@ -155,6 +169,18 @@
 	return members.IsAmongFirst(taskReadStore, readersPerZone, d.peers.isSilentPeer) || members.AllSilent(d.clock.Now(), peerSilenceTimeout)
 }
 
+// mayReadFirst reports whether a daemon without the tables, which started to need them a time ago, should read them from the store. Where
+// all daemons start together the readers of each zone do so, and the others get the tables over the links. Should that fail, the number
+// of those that read doubles in each interval, so that the load of the store grows slowly.
+func (d *Relay) mayReadFirst(waited time.Duration) bool {
+	members := d.peers.members
+	if members.AllSilent(d.clock.Now(), peerSilenceTimeout) {
+		return true
+	}
+	limit := readersPerZone << min(int(waited/readerDoublingInterval), maxReaderDoublings)
+	return members.IsAmongFirst(taskReadStore, limit, d.peers.isSilentPeer)
+}
+
 // watchResult is the result of one watch of the table.
 type watchResult struct {
 	sentAt  time.Time
