--- a/relay/server.go
+++ b/relay/server.go
@@ -281,6 +281,9 @@
 		// The results of the stages could not be used.
 		return f.notRunFailure(unknownPoolRetryAfter, f.noTargetReason())
 	}
+	if pool, closed := f.closedStagePool(); closed {
+		return f.notRunFailure(unknownPoolRetryAfter, "stage "+pool+": "+reasonNoTarget)
+	}
 	if wait, reason := f.server.placer.signalWait(f.pool, f.allowedRegions); wait > f.timeToEngine() {
 		f.logNoTarget(reason)
 		return f.notRunFailure(f.limitRetryAfter(wait), reason)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -59,6 +59,17 @@
 	return f.req.Pieces[stage]
 }
 
+// closedStagePool returns the pool of a stage that no target may work for, so that the other stages are not run in vain.
+func (f *flow) closedStagePool() (pool string, closed bool) {
+	for i := range f.route.Stages {
+		pool := f.route.Stages[i].Pool
+		if f.pieceCount(i) > 0 && f.server.fleet.OpenCount(pool, f.allowedRegions) == 0 {
+			return pool, true
+		}
+	}
+	return "", false
+}
+
 // runStages runs all stages that the request does not skip, each as soon as its dependencies are done. lost is set if a
 // result was lost, so that the stages may be run again.
 func (f *flow) runStages(ctx context.Context) (fail *failure, lost bool) {
--- a/relay/stages_test.go
+++ b/relay/stages_test.go
@@ -227,3 +227,22 @@
 		t.Errorf("Retry-After is %s, before the queue has drained", got)
 	}
 }
+
+// TestRequestIsRefusedBeforeWorkIfAStageHasNoTarget has the only target of the last stage's pool announce that it leaves. The stages
+// before it must not be run: their results would be of no use, and the caller would learn later that it has to come back.
+func TestRequestIsRefusedBeforeWorkIfAStageHasNoTarget(t *testing.T) {
+	peers := &recordingPeers{scriptedPeers: scriptedPeers{silent: make(chan struct{})}}
+	f := newStagedFlow(peers, 0, 1, 2, 3)
+	f.route.Stages[3].Pool = "last"
+	leaving := testTarget("t2", "last", "z")
+	f.server.fleet.ApplyChanges(start, []FleetChange{putChange(2, leaving), putChange(3, testTarget("e", "engines", "z"))})
+	if pool, closed := f.closedStagePool(); closed {
+		t.Fatalf("pool %s counts as closed", pool)
+	}
+	leaving.Leaving = true
+	f.server.fleet.ApplyChanges(start, []FleetChange{putChange(4, leaving)})
+	fail := f.run(context.Background())
+	if fail == nil || fail.retryAfter <= 0 || len(peers.asked) > 0 {
+		t.Errorf("failure %+v after %d stages were requested, want a refusal before any", fail, len(peers.asked))
+	}
+}
