A target of a stage pool that was not called for a while is tried again

What was seen: TestATargetThatWantsRestGetsIt/calls_for_stages, beside another target, fails at times with 'the target is used again': after its rest it gets no call.

Cause, by reading and by the new test: of the free targets the one with the least slowdown gets the call. One that is faster by as little as noise and mostly free gets all, and the slowdown of the others is never measured again.

Change: a target without a call for five seconds gets the next job that has the time for it at the target's slowdown.

Test: TestRecoveredTargetIsCalledAgain fails without the change ('work that has time'), and states that urgent work does not go there.

--- a/relay/batch.go
+++ b/relay/batch.go
@@ -57,6 +57,10 @@
 	minRetryWait = 300 * time.Millisecond
 	// noRoomBackoff is how long a target without room for results is skipped: results are freed every 20 ms.
 	noRoomBackoff = 100 * time.Millisecond
+	// remeasureInterval is after what time without a call a target is tried again although others seem to be faster: its slowdown may
+	// date from a disturbance that is over. remeasureSlack is how many times the expected time of that call a job must have left.
+	remeasureInterval = 5 * time.Second
+	remeasureSlack    = 2
 	// minCallBackoff and maxCallBackoff limit how long a target is skipped after a failed call.
 	minCallBackoff = 250 * time.Millisecond
 	maxCallBackoff = 3 * time.Second
@@ -66,6 +70,8 @@
 	spec                proto.RelayTarget
 	call                *Call
 	slowdown            float64
+	// calledAt is when the latest call started; zero before the first.
+	calledAt            time.Time
 	consecutiveFailures int
 	skippedUntil        time.Time
 	// backoffUntil is the end of the backoff that the target asked for.
--- a/relay/batch_test.go
+++ b/relay/batch_test.go
@@ -418,3 +418,39 @@
 		})
 	}
 }
+
+// TestRecoveredTargetIsCalledAgain has a target take much longer than another one, which alone could do all the work from then on: once
+// its slowdown is out of date it must be tried again, with work that has the time for it, or the pool would have lost it for good.
+func TestRecoveredTargetIsCalledAgain(t *testing.T) {
+	for _, scenario := range []struct {
+		name  string
+		due   time.Duration
+		again bool
+	}{
+		{"work that has time", time.Hour, true},
+		{"urgent work", time.Second, false},
+	} {
+		b := batcher(testTarget("slow", "p", "z"), testTarget("steady", "p", "z"))
+		b.spec.MaxResultBytes = 0
+		b.targets["slow"].slowdown, b.targets["slow"].calledAt = 3, start
+		calledSlow := false
+		now := start
+		for i := range 30 {
+			j := job(fmt.Sprint("r", i), 4)
+			j.Due, j.Deadline = now.Add(scenario.due), now.Add(2*time.Hour)
+			if refused := b.Add(now, j); refused != nil {
+				t.Fatal(refused.Detail)
+			}
+			calls := next(b, now)
+			if len(calls) != 1 {
+				t.Fatalf("%s: %d calls", scenario.name, len(calls))
+			}
+			calledSlow = calledSlow || calls[0].Target.ID == "slow"
+			now = now.Add(300 * time.Millisecond)
+			b.CallDone(now, calls[0], results(calls[0]))
+		}
+		if calledSlow != scenario.again {
+			t.Errorf("%s: the slow target was called: %t, want %t", scenario.name, calledSlow, scenario.again)
+		}
+	}
+}
--- a/relay/batchfill.go
+++ b/relay/batchfill.go
@@ -63,6 +63,9 @@
 			continue
 		}
 		cost := t.slowdown
+		if b.shouldRemeasure(now, t, j) {
+			cost = 0
+		}
 		if t.spec.ID == j.avoidTarget {
 			cost += 10
 		}
@@ -79,6 +82,15 @@
 	return best
 }
 
+// shouldRemeasure reports whether a target that was called before, but not for a while, should get a job that has the time for it.
+// Otherwise one that is faster and mostly idle would get all calls, and the pool would never learn that others have recovered.
+func (b *Batcher) shouldRemeasure(now time.Time, t *batchTarget, j *Job) bool {
+	if t.calledAt.IsZero() || now.Sub(t.calledAt) < remeasureInterval {
+		return false
+	}
+	return j.Due.Sub(now) >= time.Duration(remeasureSlack*t.slowdown*j.callTime)
+}
+
 // requiredPieces returns for how many pieces of a job a target must have room before the job starts: the results of
 // some would only occupy storage until the others are made. Jobs that need a large part of the storage may start with
 // any number, or they would wait too long.
@@ -106,7 +118,7 @@
 
 func (b *Batcher) buildCall(now time.Time, t *batchTarget, first *Job) *Call {
 	c := &Call{Target: t.spec, StartedAt: now, BaseTime: b.spec.CallCost}
-	t.call = c
+	t.call, t.calledAt = c, now
 	b.countSend(now, t)
 	b.addPieces(now, t, c, first)
 	if first.separate {
