--- a/proto/relay.go
+++ b/proto/relay.go
@@ -211,6 +211,8 @@
 	Evacuations []Evacuation `cbor:"8,keyasint,omitempty"`
 	// Notices holds the notices of listed targets that the sender knows of.
 	Notices []TargetNotice `cbor:"9,keyasint,omitempty"`
+	// CompleteSince is the revision after which a full list has all removed entries too; zero if it has none.
+	CompleteSince Revision `cbor:"10,keyasint,omitzero"`
 }
 
 // PiecesAsk requests all pieces of one stage of a request from the daemon that batches the calls to a pool.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/run"
+	"golang.org/x/time/rate"
 
 	"emberlead/coord"
 	"emberlead/platform"
@@ -110,6 +111,8 @@
 	pulling         atomic.Bool
 	stopping        atomic.Bool
 	heapTuner       heapTuner
+	// eventLimiter limits the log lines about single targets.
+	eventLimiter *rate.Limiter
 }
 
 // MemberCount returns the number of live daemons that this one knows, itself included.
@@ -151,6 +154,7 @@
 	for _, option := range options {
 		option(d)
 	}
+	d.eventLimiter = newEventLimiter()
 	d.started, d.bootstrapped, d.eraChanged = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	d.store.OnRestored(d.handleStoreRestored)
 	d.documents.targets = map[string]proto.TargetDocument{}
--- a/serve/relaybootstrap.go
+++ b/serve/relaybootstrap.go
@@ -38,7 +38,7 @@
 			d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
 			d.applyEvacuations(answer.Evacuations, "another daemon")
 			d.applyRouting(answer.RoutingBody, "another daemon")
-			d.replaceTargets(answer.Targets, answer.TargetEntries, "another daemon", true)
+			d.adoptTargets(&answer, "another daemon")
 			break
 		}
 	}
--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"emberlead/platform"
 	"emberlead/proto"
 	"emberlead/relay"
@@ -124,11 +127,17 @@
 }
 
 func (d *Relay) handleTargetTable(rows platform.RowSet) bool {
-	return d.replaceTargets(rows.Version, targetDocuments(rows), "store", false)
+	return d.replaceTargets(rows.Version, targetDocuments(rows), "store", false, proto.Revision{})
+}
+
+// adoptTargets applies the whole list of targets that another daemon sent.
+func (d *Relay) adoptTargets(answer *proto.RoutingAnswer, from string) {
+	d.replaceTargets(answer.Targets, answer.TargetEntries, from, true, answer.CompleteSince)
 }
 
-// replaceTargets applies a whole list of targets; one that another daemon sent is complete up to its version.
-func (d *Relay) replaceTargets(asOf proto.Revision, docs []proto.TargetDocument, from string, complete bool) bool {
+// replaceTargets applies a whole list of targets; one that another daemon sent is complete up to its version. The list has the removed
+// entries after completeSince, or none if that is zero.
+func (d *Relay) replaceTargets(asOf proto.Revision, docs []proto.TargetDocument, from string, complete bool, completeSince proto.Revision) bool {
 	var entries []relay.FleetChange
 	byID := map[string]proto.TargetDocument{}
 	for _, doc := range docs {
@@ -144,6 +153,9 @@
 	}
 	d.documents.mu.Lock()
 	d.documents.targets, d.documents.completeSince = byID, d.fleet.Version()
+	if !completeSince.IsZero() {
+		d.documents.completeSince = completeSince
+	}
 	d.documents.targetLog.rebuild(byID)
 	d.documents.mu.Unlock()
 	d.handleFleetEvents(events, from)
@@ -204,28 +216,36 @@
 	}
 }
 
-// maxEventLines is up to how many targets of one pool are logged one by one if the same happens to them together. A daemon that starts
-// would otherwise log a line for each target of the fleet.
-const maxEventLines = 32
+// Targets are logged one by one as long as few change. A daemon that starts would otherwise log a line for each target of the fleet, and
+// lines for single targets are those that explain a request.
+const (
+	eventLinesPerSecond = 8
+	maxEventLines       = 64
+)
+
+func newEventLimiter() *rate.Limiter { return rate.NewLimiter(eventLinesPerSecond, maxEventLines) }
 
 // fleetEventGroup identifies the targets of a pool to which the same happened.
 type fleetEventGroup struct{ pool, outcome string }
 
+// logFleetEvents logs a line for each target, or one for each group of targets if there are too many.
 func (d *Relay) logFleetEvents(events []relay.FleetEvent, from string) {
-	counts := map[fleetEventGroup]int{}
-	for _, event := range events {
-		counts[fleetEventGroup{event.Target.Pool, event.Outcome}]++
+	if len(events) == 0 {
+		return
 	}
 	version := d.fleet.Version()
-	for _, event := range events {
-		if counts[fleetEventGroup{event.Target.Pool, event.Outcome}] <= maxEventLines {
+	if d.eventLimiter.AllowN(d.clock.Now(), len(events)) {
+		for _, event := range events {
 			d.log.Info("target "+event.Outcome, "target", event.Target.ID, "pool", event.Target.Pool, "address", event.Target.Address, "zone", event.Target.Zone, "born", formatStartTime(event.Target.StartedAt), "coldFor", event.Target.ColdRemaining.String(), "version", version, "from", from)
 		}
+		return
+	}
+	counts := map[fleetEventGroup]int{}
+	for _, event := range events {
+		counts[fleetEventGroup{event.Target.Pool, event.Outcome}]++
 	}
 	for group, count := range counts {
-		if count > maxEventLines {
-			d.log.Info("targets "+group.outcome, "pool", group.pool, "targets", count, "version", version, "from", from)
-		}
+		d.log.Info("targets "+group.outcome, "pool", group.pool, "targets", count, "version", version, "from", from)
 	}
 }
 
@@ -286,12 +306,8 @@
 		answer.TargetEntries = d.documents.targetLog.after(ask.Targets, d.documents.targets)
 		return answer
 	}
-	answer.TargetEntries = make([]proto.TargetDocument, 0, len(d.documents.targets))
-	for _, doc := range d.documents.targets {
-		if !doc.Removed {
-			answer.TargetEntries = append(answer.TargetEntries, doc)
-		}
-	}
+	answer.CompleteSince = d.documents.completeSince
+	answer.TargetEntries = slices.Collect(maps.Values(d.documents.targets))
 	return answer
 }
 
@@ -320,7 +336,7 @@
 	}
 	d.log.Info("targets taken from another daemon", "from", from, "version", answer.Targets, "entries", len(answer.TargetEntries), "whole", answer.Full)
 	if answer.Full {
-		d.replaceTargets(answer.Targets, answer.TargetEntries, string(from), true)
+		d.adoptTargets(&answer, string(from))
 		return
 	}
 	d.applyTargetChanges(answer.TargetEntries, string(from), true)
