Zones with enough targets have shards and groups of engines of their own, run by daemons there

Causes: one daemon placed all requests to 5,634 engines. Shards of stage pools took their 24 targets from all zones, and their daemons are anywhere, so that five of six stages crossed zones twice although each zone has two hundred targets.

Changes: a zone with at least 24 targets of a stage pool has shards of its own, batched for by daemons of the zone; work goes there while its queues are no longer than the way elsewhere is costly, and a refused stage is tried in one other shard. A zone with at least 240 engines of a pool has groups of its own, chosen by the prompt's last shared part; one daemon of the zone places the requests of each, and another group of the zone takes over while that is busy. Smaller zones stay together, so that pools of today's other deployments are divided as before.

Tried and not kept: groups of 96 engines in pools of one zone, and a median of the slowdowns that is 250 ms old: both failed TestLossOfMostEngines and TestUrgentRequestsAreServedFirstAfterLoss, since a loaded group does not get the idle engines of others.

Mixed builds: an old daemon that is asked for a shard of a zone batches for an old shard instead, and one that places requests ignores the group; both serve.

--- a/coord/owner.go
+++ b/coord/owner.go
@@ -52,14 +52,19 @@
 // not stopping. Daemons for which skip returns true are excluded. Views may differ for a moment, so two daemons may
 // both consider themselves the owner.
 func (m *Members) Owner(task string, skip func(proto.VM) bool) proto.VM {
+	return m.OwnerInZone("", task, skip)
+}
+
+// OwnerInZone is Owner among the daemons of a zone or, if it is empty, of all zones.
+func (m *Members) OwnerInZone(zone proto.Zone, task string, skip func(proto.VM) bool) proto.VM {
 	m.mu.Lock()
-	ranked := m.notStopping(m.candidatesFor(task, ""))
+	ranked := m.notStopping(m.candidatesFor(task, zone))
 	m.mu.Unlock()
 	if i := slices.IndexFunc(ranked, func(vm proto.VM) bool { return !skip(vm) }); i >= 0 {
 		return ranked[i]
 	}
 	m.mu.Lock()
-	ranked = m.notStopping(m.ranked(task, ""))
+	ranked = m.notStopping(m.ranked(task, zone))
 	m.mu.Unlock()
 	if i := slices.IndexFunc(ranked, func(vm proto.VM) bool { return !skip(vm) }); i >= 0 {
 		return ranked[i]
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -332,6 +332,8 @@
 	// Cold lists the cold targets to which the sender, and no other daemon, may send a request now.
 	Cold           []string       `cbor:"9,keyasint,omitempty"`
 	AllowedRegions AllowedRegions `cbor:"10,keyasint,omitzero"`
+	// Group is the group of the pool's engines to choose from; 0 for all.
+	Group int `cbor:"11,keyasint,omitempty"`
 }
 
 // EngineTimes holds what was learned about the engines of a pool: the time that each request, each prompt token and
@@ -354,6 +356,8 @@
 	OwnTokens int `cbor:"6,keyasint"`
 	// Slack is how long the request can wait and still be on time, after the time for its stages and its first event.
 	Slack time.Duration `cbor:"7,keyasint"`
+	// Group is the group of the pool's engines that the request is for; 0 for all.
+	Group int `cbor:"8,keyasint,omitempty"`
 }
 
 // AdmitAnswer tells whether to start a request.
--- a/relay/admit.go
+++ b/relay/admit.go
@@ -75,17 +75,17 @@
 	return time.Duration(queueFraction * float64(l.maxPause))
 }
 
-// engineLoad returns the load of a pool. Engines whose last request failed are ignored until one succeeds.
-func (f *Fleet) engineLoad(now time.Time, pool string) engineLoad {
+// engineLoad returns the load of a group of engines. Engines whose last request failed are ignored until one succeeds.
+func (f *Fleet) engineLoad(now time.Time, group engineGroup) engineLoad {
 	load := engineLoad{maxPause: defaultMaxPause}
-	p := f.pool(pool)
+	p := f.pool(group.pool)
 	if p == nil {
 		return load
 	}
 	p.lock()
 	defer p.mu.Unlock()
 	token, _ := p.model.rates()
-	for _, t := range p.list {
+	for _, t := range p.candidates(group.index) {
 		if t.closed() || t.suspected || t.health.consecutiveFailures > 0 || p.isCold(now, t) {
 			continue
 		}
--- a/relay/admitask.go
+++ b/relay/admitask.go
@@ -20,6 +20,8 @@
 		Pool: f.pool, Route: f.route.Name, Digest: f.digest, Seed: state.Hash(f.req.ID), Rank: f.rank, OwnTokens: f.criteria().OwnTokens,
 		Slack: f.due.Sub(f.server.clock.Now()) - stagesTime - f.timeToFirstEvent(),
 	}
+	criteria := f.criteria()
+	ask.Group = f.server.placer.groupFor(f.pool, &criteria).index
 	answer, owner := f.server.placer.Admit(ctx, ask)
 	if !answer.Refused {
 		return nil
@@ -56,14 +58,15 @@
 // Admit returns whether to start a request, and the daemon that decided: the owner of the pool's placement. The owner
 // is not asked while the pool is not busy. Without its answer the request is admitted.
 func (p *Placer) Admit(ctx context.Context, ask proto.AdmitAsk) (proto.AdmitAnswer, proto.VM) {
-	owner := p.peers.Owner(placementTaskPrefix+ask.Pool, nil)
+	group := engineGroup{ask.Pool, ask.Group}
+	owner := p.groupOwner(group)
 	if owner == "" || owner == p.self {
-		if !p.isBusy(p.clock.Now(), ask.Pool) {
+		if !p.isBusy(p.clock.Now(), group) {
 			return proto.AdmitAnswer{}, ""
 		}
 		return p.DecideAdmission(ask), p.self
 	}
-	if !p.reportedBusy(ask.Pool) {
+	if !p.reportedBusy(group.key()) {
 		return proto.AdmitAnswer{}, ""
 	}
 	ctx, cancel := context.WithTimeout(ctx, placementTimeout)
@@ -74,55 +77,56 @@
 		p.log.Info("the owner of the pool did not answer; admitting the request without a decision", "pool", ask.Pool, "owner", owner, "error", err)
 		return proto.AdmitAnswer{}, ""
 	}
-	p.recordBusy(ask.Pool, answer.AdmissionRequired)
+	p.recordBusy(group.key(), answer.AdmissionRequired)
 	return answer, owner
 }
 
 // DecideAdmission decides whether to start a request. It runs on the owner of the pool's placement.
 func (p *Placer) DecideAdmission(ask proto.AdmitAsk) proto.AdmitAnswer {
 	now := p.clock.Now()
-	load := p.fleet.engineLoad(now, ask.Pool)
+	group := engineGroup{ask.Pool, ask.Group}
+	load := p.fleet.engineLoad(now, group)
 	tokens := float64(ask.OwnTokens) + p.fleet.missingTokens(now, ask.Pool, ask.Route)
 	p.admitMu.Lock()
 	defer p.admitMu.Unlock()
-	a := p.admissionFor(ask.Pool)
+	a := p.admissionFor(group.key())
 	busy := a.observe(now, load)
 	answer := a.decide(now, load, &ask, tokens)
 	answer.AdmissionRequired = busy
 	return answer
 }
 
-func (p *Placer) admissionFor(pool string) *admissionController {
-	a := p.admissions[pool]
+func (p *Placer) admissionFor(group string) *admissionController {
+	a := p.admissions[group]
 	if a == nil {
 		a = newAdmissionController()
-		p.admissions[pool] = a
+		p.admissions[group] = a
 	}
 	return a
 }
 
-// isBusy reports whether admission control is on for a pool that this daemon owns.
-func (p *Placer) isBusy(now time.Time, pool string) bool {
-	load := p.fleet.engineLoad(now, pool)
+// isBusy reports whether admission control is on for a group that this daemon owns.
+func (p *Placer) isBusy(now time.Time, group engineGroup) bool {
+	load := p.fleet.engineLoad(now, group)
 	p.admitMu.Lock()
 	defer p.admitMu.Unlock()
-	return p.admissionFor(pool).observe(now, load)
+	return p.admissionFor(group.key()).observe(now, load)
 }
 
-// recordBusy records that the owner of a pool reported it as busy.
-func (p *Placer) recordBusy(pool string, busy bool) {
+// recordBusy records that the owner of a group reported it as busy.
+func (p *Placer) recordBusy(group string, busy bool) {
 	if !busy {
 		return
 	}
 	p.admitMu.Lock()
 	defer p.admitMu.Unlock()
-	p.busyUntil[pool] = p.clock.Now().Add(busyDuration)
+	p.busyUntil[group] = p.clock.Now().Add(busyDuration)
 }
 
-func (p *Placer) reportedBusy(pool string) bool {
+func (p *Placer) reportedBusy(group string) bool {
 	p.admitMu.Lock()
 	defer p.admitMu.Unlock()
-	return p.clock.Now().Before(p.busyUntil[pool])
+	return p.clock.Now().Before(p.busyUntil[group])
 }
 
 func (p *Placer) sweepAdmissions(now time.Time) {
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -67,9 +67,9 @@
 )
 
 type batchTarget struct {
-	spec                proto.RelayTarget
-	call                *Call
-	slowdown            float64
+	spec     proto.RelayTarget
+	call     *Call
+	slowdown float64
 	// calledAt is when the latest call started; zero before the first.
 	calledAt            time.Time
 	consecutiveFailures int
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -61,6 +61,8 @@
 	Route string
 	// Engine is set if the targets are model engines.
 	Engine bool
+	// Group is the group of engines to choose from; 0 for the whole pool.
+	Group int
 	// MaxPause is the longest pause between events that is still in time; 0 if unlimited.
 	MaxPause time.Duration
 	// Tried holds the targets that were tried before.
@@ -89,6 +91,10 @@
 		p.recordPrompt(now, w)
 	}
 	best, atCapacity := p.best(now, w, false)
+	if best == nil && w.Group != 0 {
+		w.Group = 0
+		best, atCapacity = p.best(now, w, false)
+	}
 	if best == nil && !atCapacity {
 		best, _ = p.best(now, w, true)
 	}
@@ -177,8 +183,9 @@
 	lowest := math.Inf(1)
 	// Start at another target each time, so that targets of equal cost share the work.
 	p.rotation++
-	for i := range p.list {
-		t := p.list[(p.rotation+i)%len(p.list)]
+	candidates := p.candidates(w.Group)
+	for i := range candidates {
+		t := candidates[(p.rotation+i)%len(candidates)]
 		cold := p.isCold(now, t)
 		if !p.isEligible(now, t, &w) || !failing && (t.suspected || t.health.ejected(now)) {
 			continue
@@ -240,7 +247,7 @@
 	part := state.Hash(w.SharedParts[len(w.SharedParts)-1].ID)
 	var preferred *Target
 	var rank uint64
-	for _, t := range p.list {
+	for _, t := range p.candidates(w.Group) {
 		if t.closed() || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) || t.notice.HasLimit || t.suspected || t.health.ejected(now) || t.longPrompts != longPrompts {
 			continue
 		}
--- a/relay/coldsends_test.go
+++ b/relay/coldsends_test.go
@@ -29,6 +29,10 @@
 	all  []proto.VM
 }
 
+func (p *coldPeers) OwnerInZone(_ proto.Zone, task string, skip map[proto.VM]bool) proto.VM {
+	return p.Owner(task, skip)
+}
+
 func (p *coldPeers) Owner(string, map[proto.VM]bool) proto.VM { return p.self }
 func (p *coldPeers) Silent(proto.VM) bool                     { return true }
 func (p *coldPeers) Share() Share                             { return Share{} }
--- a/relay/enginemodel.go
+++ b/relay/enginemodel.go
@@ -125,17 +125,22 @@
 	took := float64(now.Sub(r.startedAt))
 	ratio := took / model.times.sum(r.work)
 	t.slowdown = min(maxSlowdown, max(minSlowdown, t.slowdown+slowdownWeight*(ratio-t.slowdown)))
-	model.times.observe(r.work, took/(t.slowdown/t.pool.medianSlowdown()))
+	model.times.observe(r.work, took/(t.slowdown/t.pool.medianSlowdown(t)))
 }
 
-// medianSlowdown returns the median slowdown of the targets of the pool.
-func (p *targetPool) medianSlowdown() float64 {
-	if len(p.list) == 0 {
+// medianSlowdown returns the median slowdown of the targets of the pool, or of the group of an engine if the pool is divided.
+func (p *targetPool) medianSlowdown(t *Target) float64 {
+	group := 0
+	if layout := p.groupLayout(); layout.count() > 1 {
+		group = layout.shardOf(&t.Spec) + 1
+	}
+	candidates := p.candidates(group)
+	if len(candidates) == 0 {
 		return 1
 	}
 	p.slowdowns = p.slowdowns[:0]
-	for _, t := range p.list {
-		p.slowdowns = append(p.slowdowns, t.slowdown)
+	for _, other := range candidates {
+		p.slowdowns = append(p.slowdowns, other.slowdown)
 	}
 	slices.Sort(p.slowdowns)
 	return p.slowdowns[len(p.slowdowns)/2]
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -73,12 +73,19 @@
 	// listVersion counts the rebuilds of list, and sortedVersion is that of sortedByHash.
 	listVersion, sortedVersion uint64
 	sortedByHash               []*Target
-	prompts                    map[string]*promptStats
-	rotation                   int
-	dividedAt                  time.Time
-	allPrompts                 promptStats
-	model                      engineModel
-	slowdowns                  []float64
+	// layout divides the targets of listVersion layoutVersion into shards.
+	layout        *shardLayout
+	layoutVersion uint64
+	// groups divides the engines of listVersion groupsVersion into groups, and groupLists holds the engines of each.
+	groups        *shardLayout
+	groupsVersion uint64
+	groupLists    map[int][]*Target
+	prompts       map[string]*promptStats
+	rotation      int
+	dividedAt     time.Time
+	allPrompts    promptStats
+	model         engineModel
+	slowdowns     []float64
 	// tokenCost and streamCost are the milliseconds that a prompt token and a concurrent stream add to the time to the
 	// first event, as of the latest pick.
 	tokenCost, streamCost float64
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -89,6 +89,10 @@
 	}
 }
 
+func (d *limitDaemon) OwnerInZone(_ proto.Zone, task string, skip map[proto.VM]bool) proto.VM {
+	return d.Owner(task, skip)
+}
+
 func (d *limitDaemon) Owner(task string, _ map[proto.VM]bool) proto.VM {
 	var owner proto.VM
 	var best uint64
--- a/relay/piecescheduler.go
+++ b/relay/piecescheduler.go
@@ -37,7 +37,9 @@
 
 // PieceScheduler runs the pieces of stages. Each shard of a pool has one daemon that batches the calls to its targets.
 type PieceScheduler struct {
-	self    proto.VM
+	self proto.VM
+	// zone is the daemon's availability zone; empty if it does not matter.
+	zone    string
 	clock   clockwork.Clock
 	log     hclog.Logger
 	dialect Dialect
@@ -67,6 +69,11 @@
 	return func(p *PieceScheduler) { p.crashes, p.crashDetector = crashes, crashDetector }
 }
 
+// WithOwnZone makes the scheduler prefer targets in the daemon's own availability zone, which is given by its name.
+func WithOwnZone(zone string) PieceSchedulerOption {
+	return func(p *PieceScheduler) { p.zone = zone }
+}
+
 // NewPieceScheduler returns a scheduler without jobs.
 func NewPieceScheduler(self proto.VM, clock clockwork.Clock, log hclog.Logger, dialect Dialect, sender Sender, peers Peers, fleet *Fleet, tables *Tables, options ...PieceSchedulerOption) *PieceScheduler {
 	p := &PieceScheduler{self: self, clock: clock, log: log, dialect: dialect, sender: newNoticeSender(sender, dialect, fleet, clock, log), peers: peers, fleet: fleet, tables: tables, workers: map[shard]*worker{}}
@@ -79,7 +86,20 @@
 
 // Run makes all pieces of a stage, on the daemon that batches for the pool or, if that is silent, on another.
 func (p *PieceScheduler) Run(ctx context.Context, ask proto.PiecesAsk, due, deadline time.Time) proto.PiecesAnswer {
-	ask.Shard = p.chooseShard(ask.Pool, ask.RequestID, ask.Rank)
+	ask.Shard = p.chooseShard(&ask)
+	answer := p.runInShard(ctx, ask, due, deadline)
+	if answer.Outcome != proto.PiecesRefused {
+		return answer
+	}
+	// The refusal tells how long the queue is; another shard may have a shorter one, or the only targets in service.
+	if next := p.chooseShard(&ask); next != ask.Shard {
+		ask.Shard = next
+		return p.runInShard(ctx, ask, due, deadline)
+	}
+	return answer
+}
+
+func (p *PieceScheduler) runInShard(ctx context.Context, ask proto.PiecesAsk, due, deadline time.Time) proto.PiecesAnswer {
 	answer := p.run(ctx, ask, due, deadline)
 	answer.Shard = ask.Shard
 	if answer.Outcome == proto.PiecesDone || answer.Outcome == proto.PiecesRefused {
@@ -92,9 +112,10 @@
 // job goes to the shorter of two.
 func (p *PieceScheduler) QueueDelay(pool string, rank int) time.Duration {
 	now := p.clock.Now()
-	shortest := p.queueDelays.estimate(now, queueKey{shard{pool, 0}, rank})
-	for i := 1; i < shardCount(p.fleet.Size(pool)); i++ {
-		shortest = min(shortest, p.queueDelays.estimate(now, queueKey{shard{pool, i}, rank}))
+	layout := p.fleet.shardLayout(pool)
+	shortest := p.queueDelays.estimate(now, queueKey{shard{pool, layout.at(0)}, rank})
+	for n := 1; n < layout.count() && shortest > 0; n++ {
+		shortest = min(shortest, p.queueDelays.estimate(now, queueKey{shard{pool, layout.at(n)}, rank}))
 	}
 	return shortest
 }
@@ -102,7 +123,7 @@
 func (p *PieceScheduler) run(ctx context.Context, ask proto.PiecesAsk, due, deadline time.Time) proto.PiecesAnswer {
 	skip := map[proto.VM]bool{}
 	for ask.Attempt = 0; ctx.Err() == nil; ask.Attempt++ {
-		owner := p.peers.Owner(shard{ask.Pool, ask.Shard}.taskName(), skip)
+		owner := p.owner(shard{ask.Pool, ask.Shard}, skip)
 		if owner == p.self || owner == "" {
 			return p.RunLocally(ctx, ask, due, deadline)
 		}
@@ -191,7 +212,7 @@
 		return
 	}
 	drop := proto.PiecesDrop{Pool: pool, Shard: index, Handles: handles}
-	owner := p.peers.Owner(shard{pool, index}.taskName(), nil)
+	owner := p.owner(shard{pool, index}, nil)
 	if owner == p.self || owner == "" {
 		p.Drop(drop)
 		return
--- a/relay/piecescheduler_test.go
+++ b/relay/piecescheduler_test.go
@@ -68,6 +68,10 @@
 	sent   []proto.Message
 }
 
+func (p *scriptedPeers) OwnerInZone(_ proto.Zone, task string, skip map[proto.VM]bool) proto.VM {
+	return p.Owner(task, skip)
+}
+
 func (p *scriptedPeers) Owner(_ string, skip map[proto.VM]bool) proto.VM {
 	if skip["other"] {
 		return "self"
--- a/relay/place.go
+++ b/relay/place.go
@@ -25,8 +25,8 @@
 	maxLeaseAge = 25 * time.Second
 )
 
-// Placer chooses the targets of a pool of engines. One daemon, the owner, places the requests of all, so that it knows
-// the load of each engine. A daemon that cannot reach it chooses alone.
+// Placer chooses the targets of pools of engines. One daemon, the owner, places the requests of all to a pool or a group of it, so that it
+// knows the load of each engine. A daemon that cannot reach it chooses alone.
 type Placer struct {
 	self  proto.VM
 	clock clockwork.Clock
@@ -34,8 +34,8 @@
 	fleet *Fleet
 	peers Peers
 
-	// admissions holds the admission state of the pools that this daemon owns, and busyUntil until when requests for a
-	// pool have to be admitted by its owner.
+	// admissions holds the admission state of the groups of engines that this daemon owns, and busyUntil until when requests for a
+	// group have to be admitted by its owner, both by the group's key.
 	admitMu    sync.Mutex
 	admissions map[string]*admissionController
 	busyUntil  map[string]time.Time
@@ -121,7 +121,9 @@
 
 func (p *Placer) choose(ctx context.Context, pool string, w TargetCriteria) *Placement {
 	if w.Engine {
-		if owner := p.peers.Owner(placementTaskPrefix+pool, nil); owner != "" && owner != p.self {
+		group := p.groupFor(pool, &w)
+		w.Group = group.index
+		if owner := p.groupOwner(group); owner != "" && owner != p.self {
 			if placed, decided := p.chooseRemotely(ctx, owner, pool, w); decided {
 				return placed
 			}
@@ -143,9 +145,9 @@
 	}
 	a, ok, err := p.ask(ctx, owner, proto.PlaceAsk{
 		Pool: pool, Route: w.Route, SharedParts: w.SharedParts, OwnTokens: w.OwnTokens, Zone: w.Zone, InputBytes: w.InputBytes, Excluded: excluded, MaxPause: w.MaxPause,
-		Cold: slices.Collect(maps.Keys(w.AllowedCold)), AllowedRegions: w.AllowedRegions,
+		Cold: slices.Collect(maps.Keys(w.AllowedCold)), AllowedRegions: w.AllowedRegions, Group: w.Group,
 	})
-	p.recordBusy(pool, a.AdmissionRequired)
+	p.recordBusy(engineGroup{pool, w.Group}.key(), a.AdmissionRequired)
 	if err == nil && ok && a.AtCapacity {
 		return nil, true
 	}
@@ -239,14 +241,14 @@
 // HandlePlaceAsk chooses a target for another daemon.
 func (p *Placer) HandlePlaceAsk(ask proto.PlaceAsk) proto.PlaceAnswer {
 	now := p.clock.Now()
-	w := TargetCriteria{Route: ask.Route, SharedParts: ask.SharedParts, OwnTokens: ask.OwnTokens, Zone: ask.Zone, InputBytes: ask.InputBytes, MaxPause: ask.MaxPause, AllowedRegions: ask.AllowedRegions, Engine: true, ForPeer: true, Tried: map[string]bool{}, AllowedCold: map[string]bool{}}
+	w := TargetCriteria{Route: ask.Route, SharedParts: ask.SharedParts, OwnTokens: ask.OwnTokens, Zone: ask.Zone, InputBytes: ask.InputBytes, MaxPause: ask.MaxPause, AllowedRegions: ask.AllowedRegions, Engine: true, Group: ask.Group, ForPeer: true, Tried: map[string]bool{}, AllowedCold: map[string]bool{}}
 	for _, id := range ask.Excluded {
 		w.Tried[id] = true
 	}
 	for _, id := range ask.Cold {
 		w.AllowedCold[id] = true
 	}
-	busy := p.isBusy(now, ask.Pool)
+	busy := p.isBusy(now, engineGroup{ask.Pool, ask.Group})
 	t, permitted := p.pickForPeer(now, ask.Pool, w)
 	if t == nil {
 		in, _ := p.limitWait(ask.Pool)
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -23,6 +23,10 @@
 	all   map[proto.VM]*Placer
 }
 
+func (p *stubPeers) OwnerInZone(_ proto.Zone, task string, skip map[proto.VM]bool) proto.VM {
+	return p.Owner(task, skip)
+}
+
 func (p *stubPeers) Owner(string, map[proto.VM]bool) proto.VM   { return p.owner }
 func (p *stubPeers) Silent(proto.VM) bool                       { return p.cut }
 func (p *stubPeers) OwnsExclusively(string, time.Duration) bool { return !p.cut }
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -163,6 +163,8 @@
 type Peers interface {
 	// Owner returns the daemon responsible for a task, ignoring those in skip, which did not respond.
 	Owner(task string, skip map[proto.VM]bool) proto.VM
+	// OwnerInZone is Owner among the daemons of an availability zone, or among all if none of them can take the task.
+	OwnerInZone(zone proto.Zone, task string, skip map[proto.VM]bool) proto.VM
 	// Silent reports whether a daemon has been silent for longer than a live daemon ever is.
 	Silent(vm proto.VM) bool
 	// Share returns this daemon's share of a quota that all daemons have in common.
--- a/relay/shards.go
+++ b/relay/shards.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
+	"time"
 
 	"emberlead/proto"
 	"emberlead/state"
@@ -12,6 +15,9 @@
 // targets calls are filled less: six daemons that batch separately for five targets earn half.
 const shardTargets = 24
 
+// closedShardDelay is the delay of a shard that has no target that a job may use.
+const closedShardDelay = time.Minute
+
 // shard is a part of a pool's targets for which one daemon fills the calls.
 type shard struct {
 	pool  string
@@ -26,52 +32,74 @@
 	return batchTaskPrefix + s.pool + "/" + strconv.Itoa(s.index)
 }
 
-// shardCount returns the number of shards that a number of targets is divided into.
-func shardCount(targets int) int { return max(1, (targets+shardTargets-1)/shardTargets) }
+// shardCount returns the number of shards of at most the given size that a number of targets is divided into.
+func shardCount(targets, size int) int { return max(1, (targets+size-1)/size) }
 
 // shardOf assigns a target to one of several shards by rendezvous hashing: an added shard takes targets from all
 // others, and daemons whose lists differ by a target agree on nearly all assignments.
 func shardOf(target string, shards int) int {
-	if shards == 1 {
-		return 0
+	hashes := make([]uint64, shards)
+	for i := range hashes {
+		hashes[i] = state.Hash(strconv.Itoa(i))
 	}
-	hash := state.Hash(target)
+	return bestShard(state.Hash(target), hashes)
+}
+
+// bestShard returns the shard whose hash ranks first for a target's hash.
+func bestShard(target uint64, hashes []uint64) int {
 	best, bestScore := 0, uint64(0)
-	for i := range shards {
-		if rank := state.RendezvousScore(hash, state.Hash(strconv.Itoa(i))); rank >= bestScore {
-			best, bestScore = i, rank
+	for i, hash := range hashes {
+		if score := state.RendezvousScore(target, hash); score >= bestScore {
+			best, bestScore = i, score
 		}
 	}
 	return best
 }
 
-// targetsInShard returns the targets of a shard. A shard that no longer exists because the pool has shrunk uses the
-// targets of another one until its work is done.
-func targetsInShard(targets []proto.RelayTarget, index, shards int) []proto.RelayTarget {
-	if shards == 1 {
-		return targets
+// chooseShard chooses the shard for a stage of a request: of two near the work and any other one, that with the shortest queue as last
+// reported, where a shard in another zone counts as longer by the cost of the way.
+func (p *PieceScheduler) chooseShard(ask *proto.PiecesAsk) int {
+	layout := p.fleet.shardLayout(ask.Pool)
+	if layout.count() == 1 {
+		return layout.at(0)
 	}
-	var own []proto.RelayTarget
-	for _, t := range targets {
-		if shardOf(t.ID, shards) == index%shards {
-			own = append(own, t)
-		}
+	zone := cmp.Or(ask.Zone, p.zone)
+	hash := state.Hash(ask.RequestID)
+	near := layout.nearRange(zone, ask.AllowedRegions, hash)
+	first := int(hash % uint64(near.shards))
+	candidates := []int{near.first + first}
+	if near.shards > 1 {
+		candidates = append(candidates, near.first+(first+1+int(hash>>32%uint64(near.shards-1)))%near.shards)
+	}
+	if layout.hasZones() {
+		candidates = append(candidates, layout.at(int(state.Mix(hash)>>40)))
 	}
-	return own
+	now := p.clock.Now()
+	return slices.MinFunc(candidates, func(a, b int) int {
+		return cmp.Compare(p.shardCost(now, layout, a, zone, ask), p.shardCost(now, layout, b, zone, ask))
+	})
 }
 
-// chooseShard chooses the shard for a stage of a request: of two candidates, the one whose queue was last reported to be shorter.
-func (p *PieceScheduler) chooseShard(pool, request string, rank int) int {
-	shards := shardCount(p.fleet.Size(pool))
-	if shards == 1 {
-		return 0
+// shardCost returns the expected delay at a shard, plus the cost of results that cross zones.
+func (p *PieceScheduler) shardCost(now time.Time, layout *shardLayout, index int, zone string, ask *proto.PiecesAsk) time.Duration {
+	cost := p.queueDelays.estimate(now, queueKey{shard{ask.Pool, index}, ask.Rank})
+	r, _ := layout.rangeOf(index)
+	switch {
+	case r.zone == "":
+	case !ask.AllowedRegions.Allows(r.region):
+		cost += closedShardDelay
+	case r.zone != zone:
+		costs := p.fleet.zones
+		cost += costs.PerRequest + time.Duration(float64(costs.PerMegabyte)*float64(ask.ResultBytes*ask.Pieces)/1e6)
 	}
-	hash := state.Hash(request)
-	first := int(hash % uint64(shards))
-	second := (first + 1 + int(hash>>32%uint64(shards-1))) % shards
-	now := p.clock.Now()
-	if p.queueDelays.estimate(now, queueKey{shard{pool, second}, rank}) < p.queueDelays.estimate(now, queueKey{shard{pool, first}, rank}) {
-		return second
+	return cost
+}
+
+// owner returns the daemon that batches for a shard: one in the shard's zone, if it has one.
+func (p *PieceScheduler) owner(s shard, skip map[proto.VM]bool) proto.VM {
+	r, _ := p.fleet.shardLayout(s.pool).rangeOf(s.index)
+	if r.zone == "" {
+		return p.peers.Owner(s.taskName(), skip)
 	}
-	return first
+	return p.peers.OwnerInZone(proto.Zone(r.region+"/"+r.zone), s.taskName(), skip)
 }
--- a/relay/shards_test.go
+++ b/relay/shards_test.go
@@ -19,9 +19,17 @@
 	return targets
 }
 
+func layoutOf(specs []proto.RelayTarget) *shardLayout {
+	var targets []*Target
+	for _, spec := range specs {
+		targets = append(targets, &Target{Spec: spec})
+	}
+	return newShardLayout(targets, shardTargets, shardTargets)
+}
+
 func TestShardCount(t *testing.T) {
 	for targets, want := range map[int]int{0: 1, 1: 1, 24: 1, 25: 2, 48: 2, 72: 3, 700: 30} {
-		if got := shardCount(targets); got != want {
+		if got := shardCount(targets, shardTargets); got != want {
 			t.Errorf("%d targets are divided into %d shards, want %d", targets, got, want)
 		}
 	}
@@ -29,10 +37,11 @@
 
 func TestTargetsInShardPartitionPool(t *testing.T) {
 	targets := testTargets(100)
-	shards := shardCount(len(targets))
+	layout := layoutOf(targets)
+	shards := shardCount(len(targets), shardTargets)
 	seen := map[string]int{}
 	for i := range shards {
-		own := targetsInShard(targets, i, shards)
+		own := layout.targetsOf(i, targets)
 		if len(own) < shardTargets/2 || len(own) > 2*shardTargets {
 			t.Errorf("shard %d of %d has %d targets", i, shards, len(own))
 		}
@@ -46,7 +55,7 @@
 		}
 	}
 	// A shard that no longer exists finishes its work with the targets of another one.
-	if own := targetsInShard(targets, shards, shards); len(own) == 0 {
+	if own := layout.targetsOf(shards, targets); len(own) == 0 {
 		t.Error("a removed shard has no target for its waiting jobs")
 	}
 }
@@ -85,7 +94,7 @@
 	p := shardedPieces(3 * shardTargets)
 	got := map[int]int{}
 	for i := range 300 {
-		got[p.chooseShard("p", fmt.Sprint("r", i), 0)]++
+		got[p.chooseShard(&proto.PiecesAsk{Pool: "p", RequestID: fmt.Sprint("r", i)})]++
 	}
 	for i := range 3 {
 		if got[i] < 50 {
@@ -94,7 +103,7 @@
 	}
 	p.queueDelays.record(p.clock.Now(), queueKey{shard{"p", 1}, 0}, time.Minute)
 	for i := range 300 {
-		if request := fmt.Sprint("r", i); p.chooseShard("p", request, 0) == 1 {
+		if request := fmt.Sprint("r", i); p.chooseShard(&proto.PiecesAsk{Pool: "p", RequestID: request}) == 1 {
 			t.Fatalf("%s goes to the shard with a queue of one minute", request)
 		}
 	}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -59,6 +59,13 @@
 	return f.req.Pieces[stage]
 }
 
+// preferredZone returns the zone of the engine that will probably get the request, or "".
+func (f *flow) preferredZone() string {
+	criteria := f.criteria()
+	criteria.Group = f.server.placer.groupFor(f.pool, &criteria).index
+	return f.server.fleet.PreferredZone(f.server.clock.Now(), f.pool, criteria)
+}
+
 // closedStagePool returns the pool of a stage that no target may work for, so that the other stages are not run in vain.
 func (f *flow) closedStagePool() (pool string, closed bool) {
 	for i := range f.route.Stages {
@@ -74,7 +81,7 @@
 // result was lost, so that the stages may be run again.
 func (f *flow) runStages(ctx context.Context) (fail *failure, lost bool) {
 	f.inputHandles, f.inputZone, f.inputBytes, f.inputsMissing = nil, "", 0, true
-	homeZone := f.server.fleet.PreferredZone(f.server.clock.Now(), f.pool, f.criteria())
+	homeZone := f.preferredZone()
 	stages := f.route.Stages
 	f.stageResults = make([]stageResult, len(stages))
 	ctx, cancel := context.WithCancel(ctx)
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -47,8 +47,7 @@
 
 // targets returns the targets of the shard that may get work.
 func (w *worker) targets() []proto.RelayTarget {
-	shards := shardCount(w.pieces.fleet.Size(w.pool))
-	return targetsInShard(w.pieces.fleet.Usable(w.pieces.clock.Now(), w.pool), w.index, shards)
+	return w.pieces.fleet.shardLayout(w.pool).targetsOf(w.index, w.pieces.fleet.Usable(w.pieces.clock.Now(), w.pool))
 }
 
 func (w *worker) updateTargets() {
@@ -91,7 +90,7 @@
 		return 1
 	}
 	share := w.pieces.peers.Share()
-	if owner := w.pieces.peers.Owner(w.taskName(), nil); owner != "" && owner != w.pieces.self {
+	if owner := w.pieces.owner(w.shard, nil); owner != "" && owner != w.pieces.self {
 		return nonOwnerShare * share.liveShare()
 	}
 	return share.liveShare()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -173,7 +173,7 @@
 	d.endRowSync = newEndRowSync(d)
 	d.crashTracker = relay.NewCrashTracker(d.self.VM, clock, log.Named("crashes"), d.handleEnds)
 	d.crashDetector = relay.NewCrashDetector(clock, log.Named("crashes"), d.transport, d.crashTracker)
-	d.pieces = relay.NewPieceScheduler(d.self.VM, clock, log.Named("pieces"), dialect, d.transport, d.peers, d.fleet, d.tables, relay.WithCrashDetection(d.crashTracker, d.crashDetector))
+	d.pieces = relay.NewPieceScheduler(d.self.VM, clock, log.Named("pieces"), dialect, d.transport, d.peers, d.fleet, d.tables, relay.WithCrashDetection(d.crashTracker, d.crashDetector), relay.WithOwnZone(settings.Zone))
 	d.placer = relay.NewPlacer(d.self.VM, clock, log.Named("place"), d.fleet, d.peers)
 	d.server = relay.NewServer(relay.ServerConfig{
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.transport, Fleet: d.fleet, Tables: d.tables,
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -75,6 +75,15 @@
 	return p.members.Owner(task, func(vm proto.VM) bool { return skip[vm] || p.isSilentPeer(vm) })
 }
 
+// OwnerInZone returns the daemon of a zone that performs a task on behalf of all, or one of another zone if it has none.
+func (p *relayPeers) OwnerInZone(zone proto.Zone, task string, skip map[proto.VM]bool) proto.VM {
+	owner := p.members.OwnerInZone(zone, task, func(vm proto.VM) bool { return skip[vm] || p.isSilentPeer(vm) })
+	if owner == "" {
+		return p.Owner(task, skip)
+	}
+	return owner
+}
+
 // isSilentPeer is Silent, except that it is false for this daemon itself.
 func (p *relayPeers) isSilentPeer(vm proto.VM) bool { return vm != p.self.VM && p.Silent(vm) }
 
