Fewer messages while many daemons or targets change; a starting daemon asks one daemon after another

Each change was told at once over each of 8 links of 985 daemons, up to ten times a second; a starting daemon asked all of its settings' daemons for the whole list, in 100 ms, which no small VM can send 10,000 targets in.

Changes: content that changes is told at once if nothing was told within the last heartbeat interval, else with the next heartbeat; updates of membership twice an interval. Daemons in the settings are asked one after another.

--- a/coord/gossip.go
+++ b/coord/gossip.go
@@ -7,9 +7,9 @@
 )
 
 // batchesPerHeartbeat bounds how often updates are forwarded: after a batch was sent, updates are collected for this
-// fraction of the heartbeat interval. A single update is forwarded at once; when many daemons start or die together,
-// the cost per message exceeds that of its content.
-const batchesPerHeartbeat = 3
+// fraction of the heartbeat interval. A single update is forwarded at once; when daemons start or die one after another,
+// each update goes over every link of the fleet, and the cost of a message exceeds that of its content.
+const batchesPerHeartbeat = 2
 
 // updateBatch holds the updates to be forwarded over the links.
 type updateBatch struct {
--- a/coord/heartbeats.go
+++ b/coord/heartbeats.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// SendHeartbeats sends heartbeats because their content has changed: at once, or with a later tick if that was done a
-// moment ago. Many changes in quick succession would otherwise cost as many messages over each link of each daemon.
+// SendHeartbeats sends heartbeats because their content has changed: at once, or with the next regular ones if that was done within the
+// last interval. Changes in quick succession would otherwise cost as many messages over each link of each daemon.
 func (m *Members) SendHeartbeats(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -69,7 +69,7 @@
 }
 
 func (m *Members) sendChangedContent(now time.Time) {
-	if m.contentChanged && now.Sub(m.contentSentAt) >= m.timing.HeartbeatInterval/batchesPerHeartbeat {
+	if m.contentChanged && now.Sub(m.contentSentAt) >= m.timing.HeartbeatInterval {
 		m.contentSentAt = now
 		m.sendHeartbeats(now)
 	}
--- a/coord/members.go
+++ b/coord/members.go
@@ -39,8 +39,8 @@
 	alarmRaised  bool
 	// agreement compares the daemon's set of dead runs with that of this daemon.
 	agreement agreement
-	// membersDifferSince is since when its set of live runs differs from that of this daemon; zero if it does not.
-	membersDifferSince time.Time
+	// difference tells since when its set of live runs differs from that of this daemon.
+	difference membersDifference
 }
 
 // Members is one daemon's view of the others. Views may differ between daemons, so safety must never depend on it.
--- a/serve/relaybootstrap.go
+++ b/serve/relaybootstrap.go
@@ -7,9 +7,15 @@
 	"emberlead/proto"
 )
 
-// bootstrapTimeout limits how long a starting daemon waits for other daemons to send it the contents of the store, before it reads the
-// store itself. They answer within some milliseconds, and a daemon without a configuration serves nobody.
-const bootstrapTimeout = 100 * time.Millisecond
+const (
+	// bootstrapTimeout limits how long a starting daemon waits for the daemons of its settings to send it the contents of the store,
+	// before it looks elsewhere. They answer within some milliseconds, or some hundred if there are thousands of targets.
+	bootstrapTimeout = time.Second
+	// bootstrapDelay is how long one of them is waited for before the next one is asked too.
+	bootstrapDelay = 100 * time.Millisecond
+	// rowsWait limits how long the list of daemons is waited for once the contents of the store are known.
+	rowsWait = 100 * time.Millisecond
+)
 
 // bootstrap asks the daemons in the settings for the configuration and the targets. A list of 3,000 targets is 0.08 MB
 // from another daemon, but more than a megabyte from the store, which all daemons would read when they are restarted.
@@ -20,35 +26,58 @@
 	if d.settings.FirstStart || len(seeds) == 0 {
 		return
 	}
+	if answer, ok := d.askSeeds(ctx, seeds); ok {
+		d.log.Info("loaded the store's tables from another daemon", "targets", len(answer.TargetEntries), "version", answer.Targets)
+		d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
+		d.applyEvacuations(answer.Evacuations, "another daemon")
+		d.applyRouting(answer.RoutingBody, "another daemon")
+		d.adoptTargets(&answer, "another daemon")
+	}
+	ctx, cancel := context.WithTimeout(ctx, rowsWait)
+	defer cancel()
+	d.waitForRows(ctx)
+}
+
+// askSeeds asks one daemon after another, the next one as soon as an earlier one fails or takes long, and returns the first complete
+// answer. A whole list is expensive for its sender, and one is enough.
+func (d *Relay) askSeeds(ctx context.Context, seeds []proto.VM) (proto.RoutingAnswer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
 	answers := make(chan proto.Message, len(seeds))
-	for _, seed := range seeds {
-		go func() {
-			m, err := d.peers.Call(ctx, seed, proto.RoutingAsk{})
-			if err != nil {
-				d.log.Debug("a daemon in the settings did not send its state", "from", seed, "error", err)
+	asked, pending := 0, 0
+	for asked < len(seeds) || pending > 0 {
+		if asked < len(seeds) {
+			seed := seeds[asked]
+			asked++
+			pending++
+			go func() {
+				m, err := d.peers.Call(ctx, seed, proto.RoutingAsk{})
+				if err != nil {
+					d.log.Debug("a daemon in the settings did not send its state", "from", seed, "error", err)
+				}
+				answers <- m
+			}()
+		}
+		var next <-chan time.Time
+		if asked < len(seeds) {
+			next = d.clock.After(bootstrapDelay)
+		}
+		select {
+		case m := <-answers:
+			pending--
+			if answer, ok := m.(proto.RoutingAnswer); ok && len(answer.RoutingBody) > 0 && answer.Full {
+				return answer, true
 			}
-			answers <- m
-		}()
-	}
-	for range seeds {
-		if answer, ok := (<-answers).(proto.RoutingAnswer); ok && len(answer.RoutingBody) > 0 && answer.Full {
-			d.log.Info("loaded the store's tables from another daemon", "targets", len(answer.TargetEntries), "version", answer.Targets)
-			d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
-			d.applyEvacuations(answer.Evacuations, "another daemon")
-			d.applyRouting(answer.RoutingBody, "another daemon")
-			d.adoptTargets(&answer, "another daemon")
-			break
+		case <-next:
 		}
 	}
-	d.waitForRows(ctx)
+	return proto.RoutingAnswer{}, false
 }
 
 // waitForRows waits for the list of daemons, which determines whether this daemon reads the store for others.
 func (d *Relay) waitForRows(ctx context.Context) {
 	for d.hasTables() && !d.rowsRead.Load() && ctx.Err() == nil {
-		d.sleep(ctx, bootstrapTimeout/20)
+		d.sleep(ctx, rowsWait/20)
 	}
 }
 
--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -100,8 +100,8 @@
 
 // waitForMembers gives a daemon that has just started a moment to hear from another one, which may have the table.
 func (d *Relay) waitForMembers(ctx context.Context) {
-	for end := d.clock.Now().Add(bootstrapTimeout); d.peers.Count() == 1 && len(d.settings.Seeds) > 0 && d.clock.Now().Before(end) && ctx.Err() == nil; {
-		d.sleep(ctx, bootstrapTimeout/20)
+	for end := d.clock.Now().Add(rowsWait); d.peers.Count() == 1 && len(d.settings.Seeds) > 0 && d.clock.Now().Before(end) && ctx.Err() == nil; {
+		d.sleep(ctx, rowsWait/20)
 	}
 }
 
