Prompts keep to engines that have cached their first parts; first rows are spread over seconds

An engine that no prompt of the kind had met was preferred for the prompt's last part, with a discount on all parts, so that reading the first one again seemed cheap. And 985 rows written within 0.3 s met the rate of a part of the table: 1.7 calls for each.

Changes: the discount counts for the last part. Daemons that all start for the first time spread their rows over two fifths of the retry budget's window, before the table is read.

Requests for newer state are spaced.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -18,8 +18,8 @@
 	// duplicateReadFactor is the weight of reading a shared part that another engine has cached: it takes engine time
 	// from all waiting requests, and memory from parts that others will ask for.
 	duplicateReadFactor = 2.0
-	// preferredDiscount is the fraction of a shared prompt's reading time that its preferred target is credited, so
-	// that daemons that choose alone, or have just become the owner, make the same choice.
+	// preferredDiscount is the fraction of the reading time of a prompt's last shared part that its preferred target is
+	// credited, so that daemons that choose alone, or have just become the owner, make the same choice.
 	preferredDiscount = 0.6
 	// stallWeight is the weight of the pauses in concurrent streams relative to the delay of the prompt itself.
 	stallWeight = 0.15
@@ -290,7 +290,10 @@
 	}
 	missingTokens := float64(t.cache.missingTokens(w.SharedParts))
 	if t == preferred {
-		missingTokens *= 1 - preferredDiscount
+		// Only the last part decided which target is preferred. An engine that has cached the parts before it, which many prompts begin
+		// with, is better than one that would have to read them too.
+		lastPart := float64(w.SharedParts[len(w.SharedParts)-1].Tokens)
+		missingTokens -= preferredDiscount * min(missingTokens, lastPart)
 	}
 	tokenCost, streamCost := t.pool.tokenCost, t.pool.streamCost
 	queued := float64(t.unreadTokens) * tokenCost * t.slowdown
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -30,6 +30,9 @@
 	pullDelay = 250 * time.Millisecond
 	// pullTimeout limits a request for newer state.
 	pullTimeout = time.Second
+	// pullSpacing is the minimum time between two requests for newer state: while much changes, each linked daemon has some other part of
+	// it first, and heartbeats show what is still missing.
+	pullSpacing = peerHeartbeatInterval / 2
 	// invalidAskInterval is how often a daemon is asked whose invalid entries differ from those known here. Entries
 	// that are on their way arrive within a few heartbeats.
 	invalidAskInterval = time.Second
@@ -56,6 +59,8 @@
 	seeds map[proto.VM]proto.Alive
 	// newerSince is since when the heartbeats of another daemon show newer state.
 	newerSince map[proto.VM]time.Time
+	// pulledAt is when another daemon was last asked for newer state.
+	pulledAt time.Time
 	// invalidAskedAt is when other daemons were last asked for the invalid entries that they know of.
 	invalidAskedAt map[proto.VM]time.Time
 }
@@ -132,18 +137,16 @@
 		return false
 	}
 	since, ok := p.newerSince[from]
-	if !ok && !isReader {
-		p.newerSince[from] = now
-		return true
-	}
-	if !ok {
+	switch {
+	case now.Sub(p.pulledAt) < pullSpacing:
+		return false
+	case !ok && isReader:
 		p.newerSince[from] = now
 		return false
-	}
-	if now.Sub(since) < pullDelay {
+	case ok && now.Sub(since) < pullDelay:
 		return false
 	}
-	p.newerSince[from] = now
+	p.newerSince[from], p.pulledAt = now, now
 	return true
 }
 
--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -36,6 +36,9 @@
 	maxRelayedRowsAge, maxFreshRowsAge = 10 * time.Second, time.Second
 	// rowsAskTimeout limits a request for the table to another daemon.
 	rowsAskTimeout = 2 * time.Second
+	// firstWriteSpread is the fraction of the retry budget's window over which daemons that all start for the first time write their rows:
+	// a part of a table takes some hundred writes a second.
+	firstWriteSpread = 0.4
 	// taskRemoveOldRows names the task of removing the rows of VMs that are gone.
 	taskRemoveOldRows = "remove old rows"
 )
@@ -75,9 +78,10 @@
 	knownToOthers bool
 	// era is the era of the store in which this daemon's row was last checked.
 	era uint64
-	// settled is set in the first start of all daemons once the others had time to write their rows, and reread once the table was read
-	// after that.
-	settled, reread bool
+	// startedAt is when this daemon started in the first start of all, and reread is set once the table was read after all had time to write
+	// their rows.
+	startedAt time.Time
+	reread    bool
 }
 
 // step reads the rows, writes this daemon's row if it is due, and returns how long to wait afterwards.
@@ -109,16 +113,20 @@
 // uses a share before that. Until then the daemons learn of each other over the links.
 func (l *rowMaintainer) firstStart(ctx context.Context) time.Duration {
 	d := l.daemon
-	d.shareTracker.Start(d.clock.Now(), true)
-	l.knownToOthers = true
+	now := d.clock.Now()
+	if l.startedAt.IsZero() {
+		l.startedAt, l.knownToOthers = now, true
+		d.shareTracker.Start(now, true)
+		return rand.N(time.Duration(firstWriteSpread * float64(d.settings.RetryWindow)))
+	}
+	settledAt := l.startedAt.Add(d.settings.RetryWindow / 2)
 	switch {
 	case l.writtenAt.IsZero() && !l.write(ctx):
-	case l.settled && l.read(ctx, maxFreshRowsAge):
+	case now.Before(settledAt):
+		return settledAt.Sub(now) + rand.N(maxFreshRowsAge)
+	case l.read(ctx, maxFreshRowsAge):
 		l.reread = true
 		return rowReadInterval
-	case !l.settled:
-		l.settled = true
-		return d.settings.RetryWindow/2 + rand.N(maxFreshRowsAge)
 	}
 	d.waitForStore(ctx, maxRowRetryWait)
 	return initialRetryDelay
