--- a/serve/relaybootstrap.go
+++ b/serve/relaybootstrap.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// bootstrapTimeout limits how long a starting daemon waits for the daemons of its settings to send it the contents of the store,
-	// before it looks elsewhere. They answer within some milliseconds, or some hundred if there are thousands of targets.
+	// bootstrapWait limits how long a starting daemon waits for the daemons of its settings to send it the contents of the store, before it
+	// looks elsewhere too. They answer within some milliseconds, and a daemon without a configuration serves nobody.
+	bootstrapWait = 100 * time.Millisecond
+	// bootstrapTimeout limits how long their answers are still of use: a list of thousands of targets takes some hundred milliseconds.
 	bootstrapTimeout = time.Second
 	// bootstrapDelay is how long one of them is waited for before the next one is asked too.
 	bootstrapDelay = 100 * time.Millisecond
@@ -26,18 +28,32 @@
 	if d.settings.FirstStart || len(seeds) == 0 {
 		return
 	}
-	if answer, ok := d.askSeeds(ctx, seeds); ok {
-		d.log.Info("loaded the store's tables from another daemon", "targets", len(answer.TargetEntries), "version", answer.Targets)
-		d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
-		d.applyEvacuations(answer.Evacuations, "another daemon")
-		d.applyRouting(answer.RoutingBody, "another daemon")
-		d.adoptTargets(&answer, "another daemon")
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		if answer, ok := d.askSeeds(ctx, seeds); ok && !d.hasTables() {
+			d.adoptState(&answer)
+		}
+	}()
+	select {
+	case <-asked:
+	case <-d.clock.After(bootstrapWait):
+	case <-ctx.Done():
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowsWait)
 	defer cancel()
 	d.waitForRows(ctx)
 }
 
+// adoptState applies the contents of the store that another daemon sent.
+func (d *Relay) adoptState(answer *proto.RoutingAnswer) {
+	d.log.Info("loaded the store's tables from another daemon", "targets", len(answer.TargetEntries), "version", answer.Targets)
+	d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
+	d.applyEvacuations(answer.Evacuations, "another daemon")
+	d.applyRouting(answer.RoutingBody, "another daemon")
+	d.adoptTargets(answer, "another daemon")
+}
+
 // askSeeds asks one daemon after another, the next one as soon as an earlier one fails or takes long, and returns the first complete
 // answer. A whole list is expensive for its sender, and one is enough.
 func (d *Relay) askSeeds(ctx context.Context, seeds []proto.VM) (proto.RoutingAnswer, bool) {
