Rows of a first start are in each table that shares rest on; readers double beyond 16

A daemon whose row came late was not in the tables of the others, and used a share all the same. Now the table is read after four fifths of the window, and a daemon whose row is not acknowledged well before waits until all have read the table again, as one that is added later does.

Cause 2, found by TestReadersDoubleUntilTheTablesAreKnown, written for the proof of the readers: 160 of 160 daemons counted as the first 16 of their zone, since no more than 16 are kept in order and as many as asked for counted as all. It would have let all of a zone read at once after six seconds. Failed before, passes now.

--- a/coord/owner.go
+++ b/coord/owner.go
@@ -91,7 +91,7 @@
 	ranked := m.notStopping(m.candidatesFor(task, zone))
 	m.mu.Unlock()
 	ranked = slices.DeleteFunc(ranked, skip)
-	if len(ranked) < limit {
+	if len(ranked) < limit || limit >= maxCandidates {
 		m.mu.Lock()
 		ranked = m.notStopping(m.ranked(task, zone))
 		m.mu.Unlock()
--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -36,9 +36,12 @@
 	maxRelayedRowsAge, maxFreshRowsAge = 10 * time.Second, time.Second
 	// rowsAskTimeout limits a request for the table to another daemon.
 	rowsAskTimeout = 2 * time.Second
-	// firstWriteSpread is the fraction of the retry budget's window over which daemons that all start for the first time write their rows:
-	// a part of a table takes some hundred writes a second.
-	firstWriteSpread = 0.4
+	// firstWriteSpread is the fraction of the retry budget's window over which daemons that all start for the first time write their rows,
+	// since a part of a table takes some hundred writes a second, and firstReadAt the one after which they read the table. None uses a
+	// share before the window is over.
+	firstWriteSpread, firstReadAt = 0.5, 0.8
+	// firstStartStagger is the longest time between the starts of two daemons in the first start of all.
+	firstStartStagger = 500 * time.Millisecond
 	// taskRemoveOldRows names the task of removing the rows of VMs that are gone.
 	taskRemoveOldRows = "remove old rows"
 )
@@ -113,23 +116,32 @@
 // uses a share before that. Until then the daemons learn of each other over the links.
 func (l *rowMaintainer) firstStart(ctx context.Context) time.Duration {
 	d := l.daemon
-	now := d.clock.Now()
+	window := float64(d.settings.RetryWindow)
 	if l.startedAt.IsZero() {
-		l.startedAt, l.knownToOthers = now, true
-		d.shareTracker.Start(now, true)
-		return rand.N(time.Duration(firstWriteSpread * float64(d.settings.RetryWindow)))
+		l.startedAt, l.knownToOthers = d.clock.Now(), true
+		return rand.N(time.Duration(firstWriteSpread * window))
+	}
+	readAt := l.startedAt.Add(time.Duration(firstReadAt * window))
+	if l.writtenAt.IsZero() && !l.write(ctx) {
+		d.waitForStore(ctx, maxRowRetryWait)
+		return initialRetryDelay
+	}
+	now := d.clock.Now()
+	// Rows that the store has by then are in every table that is read after it.
+	if inTime := now.Before(readAt.Add(-maxFreshRowsAge - firstStartStagger)); inTime {
+		d.shareTracker.Start(l.startedAt, true)
+	} else {
+		d.shareTracker.Start(now, false)
 	}
-	settledAt := l.startedAt.Add(d.settings.RetryWindow / 2)
-	switch {
-	case l.writtenAt.IsZero() && !l.write(ctx):
-	case now.Before(settledAt):
-		return settledAt.Sub(now) + rand.N(maxFreshRowsAge)
-	case l.read(ctx, maxFreshRowsAge):
-		l.reread = true
-		return rowReadInterval
+	if now.Before(readAt) {
+		return readAt.Sub(now) + rand.N(maxFreshRowsAge)
 	}
-	d.waitForStore(ctx, maxRowRetryWait)
-	return initialRetryDelay
+	if !l.read(ctx, maxFreshRowsAge) {
+		d.waitForStore(ctx, maxRowRetryWait)
+		return initialRetryDelay
+	}
+	l.reread = true
+	return rowReadInterval
 }
 
 // resetOnNewEra forgets what was known about this daemon's row in an earlier era of the store.
--- a/serve/relaywatcher_test.go
+++ b/serve/relaywatcher_test.go
@@ -93,3 +93,53 @@
 		})
 	}
 }
+
+// TestReadersDoubleUntilTheTablesAreKnown has a zone of 160 daemons start while nobody has the tables. Two of them read the store at
+// first; if that brings nothing the number doubles, and each daemon reads within some seconds, but never all at once.
+func TestReadersDoubleUntilTheTablesAreKnown(t *testing.T) {
+	const daemons = 160
+	clock := clockwork.NewFakeClock()
+	alive := func(i int) proto.Alive {
+		return proto.Alive{VM: proto.VM(fmt.Sprint("vm-", i)), Zone: "r/z", Incarnation: 1, Sequence: 1}
+	}
+	var relays []*Relay
+	for i := range daemons {
+		d := &Relay{clock: clock, tables: &relay.Tables{}, self: alive(i)}
+		d.peers = &relayPeers{clock: clock, self: d.self, members: coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), noPeers{}, nil)}
+		for other := range daemons {
+			d.peers.members.HandleAlive(clock.Now(), alive(other), "")
+		}
+		relays = append(relays, d)
+	}
+	before := 0
+	for _, scenario := range []struct {
+		waited  time.Duration
+		readers int
+	}{
+		{0, 2},
+		{readerDoublingInterval - 1, 2},
+		{readerDoublingInterval, 4},
+		{3 * readerDoublingInterval, 16},
+		{7 * readerDoublingInterval, daemons},
+	} {
+		readers := 0
+		for _, d := range relays {
+			if d.mayReadFirst(scenario.waited) {
+				readers++
+			}
+		}
+		if readers != scenario.readers || readers < before {
+			t.Errorf("after %s %d daemons may read the store, want %d", scenario.waited, readers, scenario.readers)
+		}
+		before = readers
+	}
+}
+
+// noPeers drops all messages.
+type noPeers struct{}
+
+func (noPeers) Send(proto.VM, proto.Message) {}
+
+func (noPeers) Call(context.Context, proto.VM, proto.Message) (proto.Message, error) {
+	return nil, context.DeadlineExceeded
+}
