--- a/relay/enginegroups_test.go
+++ b/relay/enginegroups_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("with all engines of the zone leaving, the choice is %v", got)
 	}
 }
+
+// TestPromptGoesWhereItsFirstPartIsCached sends prompts that begin alike and go on differently, one after another, to an idle pool: they
+// must not be spread over all engines, each of which would have to read the common part.
+func TestPromptGoesWhereItsFirstPartIsCached(t *testing.T) {
+	f := zonedEngines(10)
+	engines := map[string]bool{}
+	for prompt := range 60 {
+		w := zonedCriteria("b", prompt)
+		w.SharedParts[0].Tokens, w.SharedParts[1].Tokens = 2500, 3800
+		target := f.Pick(start, "p", w)
+		engines[target.Spec.ID] = true
+		f.RecordResponseStart(start, target, w)
+		f.FinishAttempt(start, target, w, true, VerdictSuccess, Load{})
+	}
+	if len(engines) > 3 {
+		t.Errorf("60 prompts with a common first part were read by %d engines", len(engines))
+	}
+}
