Log which daemon's attempts count against a target at the daemon that places for the pool

Each report of another daemon that counts there is logged with its sender and counted, so that reports of daemons without links to targets can be told from own failures.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -128,6 +128,13 @@
 	t.health.recordFailure(now)
 }
 
+// ejection returns the consecutive failures of a target, and for how long it is ejected.
+func (f *Fleet) ejection(now time.Time, t *Target) (failures int, remaining time.Duration) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.health.consecutiveFailures, max(0, t.health.ejectedUntil.Sub(now))
+}
+
 // PickByID starts an attempt on a target that another daemon picked, or returns nil if it must not get work.
 func (f *Fleet) PickByID(now time.Time, pool, id string, w TargetCriteria) *Target {
 	p := f.pool(pool)
--- a/relay/limits_test.go
+++ b/relay/limits_test.go
@@ -108,7 +108,7 @@
 func (d *limitDaemon) OwnsExclusively(string, time.Duration) bool { return true }
 func (d *limitDaemon) Send(to proto.VM, m proto.Message) {
 	if note, ok := m.(proto.PlaceNote); ok && d.reaches(to) {
-		d.sim.daemon(to).placer.HandlePlaceNote(note)
+		d.sim.daemon(to).placer.HandlePlaceNote(d.vm, note)
 	}
 }
 
--- a/relay/place.go
+++ b/relay/place.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -47,6 +48,8 @@
 	coldLimiter coldSendLimiter
 	// permits holds the permits for targets that report a limit.
 	permits permits
+	// reportedFailures counts the attempts of other daemons that counted against a target here.
+	reportedFailures atomic.Int64
 
 	mu        sync.Mutex
 	nextLease uint64
@@ -187,6 +190,17 @@
 	return &Placement{Target: t, Spec: p.fleet.Spec(t), placer: p, pool: pool, criteria: w, owner: owner, lease: a.Lease, permitted: a.Permitted}, true
 }
 
+// PlacementStats counts what a daemon that places requests learned from others.
+type PlacementStats struct {
+	// ReportedFailures counts the attempts of other daemons that counted against a target here.
+	ReportedFailures int64 `json:"reportedFailures"`
+}
+
+// PlacementStats returns the totals since the start.
+func (p *Placer) PlacementStats() PlacementStats {
+	return PlacementStats{ReportedFailures: p.reportedFailures.Load()}
+}
+
 // errLateAnswer means that the owner of a pool has not answered in time.
 var errLateAnswer = errors.New("owner did not answer in time")
 
@@ -302,7 +316,7 @@
 }
 
 // HandlePlaceNote records the progress of an attempt that was placed for another daemon.
-func (p *Placer) HandlePlaceNote(n proto.PlaceNote) {
+func (p *Placer) HandlePlaceNote(from proto.VM, n proto.PlaceNote) {
 	p.mu.Lock()
 	lease, ok := p.leases[n.Lease]
 	switch {
@@ -317,13 +331,25 @@
 	case !ok:
 	case n.Late:
 		p.fleet.ReportSlow(p.clock.Now(), lease.target)
+		p.recordReport(from, lease.target, "late")
 	case n.PromptRead:
 		p.fleet.RecordResponseStart(p.clock.Now(), lease.target, lease.criteria)
 	default:
 		p.fleet.FinishAttempt(p.clock.Now(), lease.target, lease.criteria, lease.began, HealthVerdict(n.Verdict), Load{})
+		if HealthVerdict(n.Verdict) == VerdictFailure {
+			p.recordReport(from, lease.target, "failed")
+		}
 	}
 }
 
+// recordReport logs and counts that another daemon's attempt at a target counts against the target here.
+func (p *Placer) recordReport(from proto.VM, t *Target, outcome string) {
+	p.reportedFailures.Add(1)
+	spec := p.fleet.Spec(t)
+	failures, ejectedFor := p.fleet.ejection(p.clock.Now(), t)
+	p.log.Info("another daemon's attempt counts against a target", "target", spec.ID, "pool", spec.Pool, "by", from, "outcome", outcome, "failures", failures, "ejectedFor", formatDuration(ejectedFor))
+}
+
 // Sweep ends expired leases and removes state that is no longer used; it is called several times a second.
 func (p *Placer) Sweep() {
 	now := p.clock.Now()
--- a/relay/place_test.go
+++ b/relay/place_test.go
@@ -37,7 +37,7 @@
 
 func (p *stubPeers) Send(to proto.VM, m proto.Message) {
 	if n, ok := m.(proto.PlaceNote); ok && !p.cut {
-		p.all[to].HandlePlaceNote(n)
+		p.all[to].HandlePlaceNote(p.self, n)
 	}
 }
 
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -269,7 +269,7 @@
 	case proto.PlaceAsk:
 		return d.placer.HandlePlaceAsk(msg)
 	case proto.PlaceNote:
-		d.placer.HandlePlaceNote(msg)
+		d.placer.HandlePlaceNote(from, msg)
 	case proto.DaemonRowsAsk:
 		return d.answerDaemonRowsAsk(ctx, msg)
 	case proto.PermitAsk:
