--- a/serve/relay.go
+++ b/serve/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -92,7 +93,8 @@
 	// routingFreshness and targetsFreshness tell how old the local copies of the store's tables are.
 	routingFreshness, targetsFreshness tableFreshness
 
-	linkKey string
+	linkKey          string
+	transportOptions []wire.TransportOption
 	// credentials holds the certificates used between daemons; nil if they authenticate with a key.
 	credentials *wire.Credentials
 	zoneCosts   relay.ZoneCosts
@@ -155,6 +157,11 @@
 	return func(d *Relay) { d.restoreClock = clock }
 }
 
+// WithTargetDialer sets the function that opens connections to targets. Tests use it to cut single daemons off from targets.
+func WithTargetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) RelayOption {
+	return func(d *Relay) { d.transportOptions = append(d.transportOptions, wire.WithDialer(dial)) }
+}
+
 // NewRelay returns a daemon that has not been started.
 func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink, options ...RelayOption) *Relay {
 	// The platform provides no secret; the store's address keeps the daemons of two deployments apart.
@@ -170,7 +177,7 @@
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
 		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolRows,
 	}
-	d.transport = wire.NewTargetTransport(clock)
+	d.transport = wire.NewTargetTransport(clock, d.transportOptions...)
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
 		relay.WithColdConfig(relay.ColdConfig{Factor: settings.ColdFactor, Slack: settings.ColdSlack}), relay.WithNoticeHandler(d.forwardNotices))
 	d.shareTracker = coord.NewShareTracker(d.self.VM, shareTiming(settings))
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -47,8 +47,8 @@
 // TargetTransport sends requests to targets over connections of its own. Unlike a general HTTP client, it never sends a
 // request twice, and it reports whether any byte was written.
 type TargetTransport struct {
-	clock  clockwork.Clock
-	dialer net.Dialer
+	clock clockwork.Clock
+	dial  dialFunc
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*targetConn
@@ -56,9 +56,21 @@
 	dialed, reused, stray atomic.Int64
 }
 
+// TransportOption configures a TargetTransport.
+type TransportOption func(*TargetTransport)
+
+// WithDialer sets the function that opens connections to targets.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) TransportOption {
+	return func(t *TargetTransport) { t.dial = dial }
+}
+
 // NewTargetTransport returns a transport without open connections.
-func NewTargetTransport(clock clockwork.Clock) *TargetTransport {
-	return &TargetTransport{clock: clock, idle: map[netip.AddrPort][]*targetConn{}, dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}}
+func NewTargetTransport(clock clockwork.Clock, options ...TransportOption) *TargetTransport {
+	t := &TargetTransport{clock: clock, idle: map[netip.AddrPort][]*targetConn{}, dial: (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext}
+	for _, option := range options {
+		option(t)
+	}
+	return t
 }
 
 // TransportCounts holds totals since the start.
@@ -183,7 +195,7 @@
 		return c, nil
 	}
 	t.dialed.Add(1)
-	conn, err := t.dialer.DialContext(ctx, "tcp4", to.String())
+	conn, err := t.dial(ctx, "tcp4", to.String())
 	if err != nil {
 		return nil, err
 	}
@@ -214,7 +226,7 @@
 
 // Refuses reports whether connections to an address are refused.
 func (t *TargetTransport) Refuses(ctx context.Context, to netip.AddrPort) bool {
-	conn, err := t.dialer.DialContext(ctx, "tcp4", to.String())
+	conn, err := t.dial(ctx, "tcp4", to.String())
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
