Daemons without a link to a target reach it through another daemon

Change: a connection that does not open within 80 ms, or fails, is opened by another daemon, which carries it for this one over one hop. Attempts, budgets, limits and what certainly did not run stay with the daemon of the request. A failure counts against a target only if other daemons, whose own links work, did not reach it either; the same holds for ends of targets that requests may have caused.

--- a/proto/peer.go
+++ b/proto/peer.go
@@ -82,6 +82,10 @@
 	NoticesDigest uint64 `cbor:"11,keyasint,omitempty"`
 	// MembersDigest is a digest of the daemon runs that the sender considers alive; 0 if it does not say.
 	MembersDigest uint64 `cbor:"12,keyasint,omitempty"`
+	// Load is the number of requests and of connections carried for others that the sender has open.
+	Load uint32 `cbor:"13,keyasint,omitempty"`
+	// CutOff is set if the sender has lost its links to all targets.
+	CutOff bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it with a higher sequence number.
@@ -104,6 +108,8 @@
 const (
 	// PeerProtocolRows has DaemonRowsAsk and MembersAsk.
 	PeerProtocolRows PeerProtocol = 1
+	// PeerProtocolTunnels has connections to targets that daemons carry for each other.
+	PeerProtocolTunnels PeerProtocol = 2
 )
 
 // Alarm reports that a daemon has stopped hearing from a peer it is connected to, or hears from it again.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -458,6 +458,22 @@
 	}
 }
 
+// reportSlow reports that the attempt takes long, unless the daemon's link to the target may be the cause.
+func (a *attempt) reportSlow() {
+	checker, placement, since := a.race.flow.server.linkChecker, a.placement, a.startedAt
+	if checker == nil {
+		placement.ReportSlow()
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
+		defer cancel()
+		if checker.CheckTarget(ctx, placement.Spec.Address, since) {
+			placement.ReportSlow()
+		}
+	}()
+}
+
 // handleError handles a missing or truncated response.
 func (a *attempt) handleError(err error, reason string) attemptResult {
 	result := attemptResult{reason: reason, err: err}
@@ -477,6 +493,8 @@
 		result.reason = cause.Error()
 	case a.ctx.Err() != nil:
 		result.reason = "the caller left"
+	case mayBeLink(err):
+		a.verdict = VerdictUnreached
 	default:
 		a.markFailed()
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -194,7 +194,7 @@
 	for i := range candidates {
 		t := candidates[(p.rotation+i)%len(candidates)]
 		cold := p.isCold(now, t)
-		if !p.isEligible(now, t, &w) || !failing && (t.suspected || t.health.ejected(now)) {
+		if !p.isEligible(now, t, &w) || !failing && (t.suspected || t.health.ejected(now) || !w.ForPeer && t.unreached(now)) {
 			continue
 		}
 		if !failing && p.atCapacity(now, t) {
@@ -342,6 +342,8 @@
 	VerdictFailure
 	// VerdictOverloaded is a refusal for lack of capacity.
 	VerdictOverloaded
+	// VerdictUnreached means that this daemon's link to the target may have failed, which says nothing about the target.
+	VerdictUnreached
 )
 
 // RecordResponseStart records that the response to an attempt began, so its prompt has been read.
@@ -371,6 +373,8 @@
 		t.health.recordSuccess()
 	case VerdictFailure:
 		t.health.recordFailure(now)
+	case VerdictUnreached:
+		t.unreachedUntil = now.Add(unreachedPause)
 	case VerdictOverloaded:
 		t.otherLoad = max(t.otherLoad, float64(t.Spec.Slots))
 		t.otherLoadAt = now
@@ -409,7 +413,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for _, t := range p.list {
-		if t.suspected || t.health.ejected(now) || t.backsOff(now) {
+		if t.suspected || t.health.ejected(now) || t.unreached(now) || t.backsOff(now) {
 			ids = append(ids, t.Spec.ID)
 		}
 	}
--- a/relay/crashdetector.go
+++ b/relay/crashdetector.go
@@ -30,10 +30,23 @@
 
 // Prober checks whether a process still listens at an address.
 type Prober interface {
-	// Refuses reports whether the address refuses connections, as it does once the process has ended.
-	Refuses(ctx context.Context, to netip.AddrPort) bool
+	// Probe tries to connect to an address.
+	Probe(ctx context.Context, to netip.AddrPort) ProbeResult
 }
 
+// ProbeResult is what an attempt to connect to an address shows.
+type ProbeResult uint8
+
+// Results of probes.
+const (
+	// ProbeListens means that a process accepts connections, and ProbeRefused that none listens there any more.
+	ProbeListens ProbeResult = iota
+	ProbeRefused
+	// ProbeSilent means that nothing answers, and ProbeUnknown that this daemon's link to the address may have failed.
+	ProbeSilent
+	ProbeUnknown
+)
+
 // CrashDetector finds out which requests a target was working on when it ended. An attempt may fail for many reasons,
 // so it counts against its request only once the target's address refuses connections or its entry is removed. A nil
 // *CrashDetector does nothing.
@@ -151,17 +164,23 @@
 
 // probe probes a target that closed the connection of an attempt.
 func (d *CrashDetector) probe(target proto.RelayTarget) {
-	for n := range maxProbes {
-		if n > 0 {
-			d.clock.Sleep(probePause)
-		}
+	begin, pause := d.clock.Now(), probePause
+	for n := 0; n < maxProbes && d.clock.Now().Sub(begin) <= openAttemptTTL; {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		refuses := d.prober.Refuses(ctx, target.Address)
+		result := d.prober.Probe(ctx, target.Address)
 		cancel()
-		if refuses {
+		if result == ProbeRefused {
 			d.RecordEnd(target, "its address refuses connections")
 			break
 		}
+		if result == ProbeUnknown {
+			pause *= 2
+		} else {
+			n++
+		}
+		if n < maxProbes {
+			d.clock.Sleep(pause)
+		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/relay/crashdetector_test.go
+++ b/relay/crashdetector_test.go
@@ -16,12 +16,12 @@
 
 // stubProber answers probes of a target in order, and then repeats the last answer.
 type stubProber struct {
-	answers []bool
+	answers []ProbeResult
 	probes  atomic.Int64
 	done    chan struct{}
 }
 
-func (p *stubProber) Refuses(context.Context, netip.AddrPort) bool {
+func (p *stubProber) Probe(context.Context, netip.AddrPort) ProbeResult {
 	n := int(p.probes.Add(1))
 	defer func() { p.done <- struct{}{} }()
 	return p.answers[min(n, len(p.answers))-1]
@@ -34,19 +34,20 @@
 		name   string
 		broken bool
 		// refuses holds the results of the probes of the target, and probes is how many are expected.
-		refuses []bool
+		refuses []ProbeResult
 		probes  int
 		// removedAfter is when the entry of the target is removed, or 0 if it stays.
 		removedAfter time.Duration
 		suspected    bool
 	}{
-		{"connection breaks and address refuses connections", true, []bool{true}, 1, 0, true},
-		{"address refuses connections a moment later", true, []bool{false, true}, 2, 0, true},
-		{"address accepts connections", true, []bool{false}, 2, 0, false},
-		{"address accepts connections and entry is removed soon", true, []bool{false}, 2, 4 * time.Second, true},
-		{"entry is removed much later", true, []bool{false}, 2, openAttemptTTL + time.Second, false},
-		{"target is silent and entry is removed soon", false, []bool{false}, 0, 4 * time.Second, true},
-		{"target is silent and entry stays", false, []bool{false}, 0, 0, false},
+		{"connection breaks and address refuses connections", true, []ProbeResult{ProbeRefused}, 1, 0, true},
+		{"address refuses connections a moment later", true, []ProbeResult{ProbeListens, ProbeRefused}, 2, 0, true},
+		{"address refuses connections once the link to it is no longer in doubt", true, []ProbeResult{ProbeUnknown, ProbeUnknown, ProbeUnknown, ProbeRefused}, 4, 0, true},
+		{"address accepts connections", true, []ProbeResult{ProbeListens}, 2, 0, false},
+		{"address accepts connections and entry is removed soon", true, []ProbeResult{ProbeListens}, 2, 4 * time.Second, true},
+		{"entry is removed much later", true, []ProbeResult{ProbeListens}, 2, openAttemptTTL + time.Second, false},
+		{"target is silent and entry is removed soon", false, []ProbeResult{ProbeListens}, 0, 4 * time.Second, true},
+		{"target is silent and entry stays", false, []ProbeResult{ProbeListens}, 0, 0, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
@@ -61,7 +62,7 @@
 					if err := clock.BlockUntilContext(context.Background(), 1); err != nil {
 						t.Fatal(err)
 					}
-					clock.Advance(probePause)
+					clock.Advance(probePause << try)
 				}
 				<-prober.done
 			}
@@ -208,7 +209,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClockAt(start)
 			c := newTestCrashTracker(clock)
-			w := NewCrashDetector(clock, hclog.NewNullLogger(), &stubProber{answers: []bool{false}, done: make(chan struct{}, maxProbes)}, c)
+			w := NewCrashDetector(clock, hclog.NewNullLogger(), &stubProber{answers: []ProbeResult{ProbeListens}, done: make(chan struct{}, maxProbes)}, c)
 			fleet := fleetWith(putChange(1, testTarget("t", "p", "z")))
 			target := fleet.Pick(start, "p", TargetCriteria{Zone: "z"})
 			ctx, cancel := context.WithCancelCause(context.Background())
--- a/relay/crashing.go
+++ b/relay/crashing.go
@@ -25,7 +25,7 @@
 	case a.answered:
 		f.server.crashTracker.RecordAnswer(f.digest)
 		f.server.crashDetector.RecordAlive(a.placement.Spec)
-	case result.misdirected || errors.Is(result.err, syscall.ECONNREFUSED):
+	case result.misdirected || errors.Is(result.err, syscall.ECONNREFUSED) && !mayBeLink(result.err):
 		a.recordTargetGone(result.reason)
 	case result.done || result.response != nil || result.notRun && result.sent:
 		f.server.crashDetector.RecordAlive(a.placement.Spec)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -54,6 +54,8 @@
 	notice proto.TargetNotice
 	// backoffUntil is the time before which the target accepts no requests from this daemon.
 	backoffUntil time.Time
+	// unreachedUntil is until when this daemon prefers other targets, since its link to this one may have failed.
+	unreachedUntil time.Time
 	// recentPicks holds when the target was picked within the last second, in pools whose targets may be cold.
 	recentPicks []time.Time
 }
@@ -61,6 +63,9 @@
 // leaves reports whether the target has announced that it leaves, in its entry or in a response.
 func (t *Target) leaves() bool { return t.Spec.Leaving || t.notice.Leaving }
 
+// unreached reports whether this daemon could not reach the target a moment ago.
+func (t *Target) unreached(now time.Time) bool { return now.Before(t.unreachedUntil) }
+
 // closed reports whether the target must not get new work, regardless of its health.
 func (t *Target) closed() bool { return t.leaves() || t.evacuated }
 
@@ -153,6 +158,7 @@
 	// watched holds the targets that Sweep has to check.
 	watched   map[*Target]struct{}
 	onNotices func([]proto.TargetNotice)
+	addresses addressSet
 }
 
 // FleetOption configures a Fleet.
--- a/relay/health.go
+++ b/relay/health.go
@@ -21,6 +21,8 @@
 	// other; one that restarts every few seconds loses the requests it is given.
 	restartCost     = failureWeight * failureCost
 	restartHalfLife = 20 * time.Second
+	// unreachedPause is for how long this daemon prefers other targets to one that it did not reach.
+	unreachedPause = 500 * time.Millisecond
 )
 
 // health is the health of a target according to this daemon's requests.
--- /dev/null
+++ b/relay/paths.go
@@ -0,0 +1,409 @@
+package relay
+
+import (
+	"iter"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+const (
+	// DirectHeadStart is how long an own connection to a target may take to open before another daemon is asked for one.
+	DirectHeadStart = 80 * time.Millisecond
+	// linkProbeInterval is the time between two own connections to a target whose link is lost, and between those to any
+	// target while this daemon is cut off.
+	linkProbeInterval = 500 * time.Millisecond
+	// cutOffTargets is how many links must be lost, without an own connection in between, for all to count as lost.
+	cutOffTargets = 2
+	// carrierPause is for how long a daemon is not asked again after it could not carry.
+	carrierPause = 300 * time.Millisecond
+	// unreachableTime is for how long a target counts as unreachable for all after another daemon could not reach it.
+	unreachableTime = 300 * time.Millisecond
+	// maxCarriersAsked is how many daemons are asked for one connection, and confirmations how many of them must not reach a target that
+	// counts as unreachable for all: one may have lost its own link without knowing it yet.
+	maxCarriersAsked, confirmations = 4, 2
+	// doubtfulFailures is the number of targets at which own connections must fail in a row for a daemon to doubt its links, unless one
+	// was opened within linkProofTime.
+	doubtfulFailures = 2
+	linkProofTime    = 500 * time.Millisecond
+	// verifyInterval is the minimum time between two connections that a daemon opens only to verify its links.
+	verifyInterval = 100 * time.Millisecond
+	// otherZoneLoad is the factor on the load of daemons in other zones: what they carry crosses zones once more.
+	otherZoneLoad = 1.5
+	// pathTTL is how long the state of an unused path is kept.
+	pathTTL = time.Minute
+)
+
+// Carrier is a daemon that may carry connections to targets for this one.
+type Carrier struct {
+	VM   proto.VM
+	Zone proto.Zone
+	// Load is the number of requests and carried connections that it had open when it was last heard.
+	Load int
+}
+
+// Carriers lists the other daemons.
+type Carriers interface {
+	// Carriers returns the daemons that are heard, reach targets themselves and can carry.
+	Carriers() []Carrier
+	// Count returns the number of live daemons, this one included.
+	Count() int
+}
+
+// CarryOutcome is why a daemon did not open a connection to a target for another one.
+type CarryOutcome uint8
+
+// Outcomes of a request to carry a connection.
+const (
+	// CarryUnanswered means that the daemon did not answer.
+	CarryUnanswered CarryOutcome = iota
+	// CarryBusy means that it carries as much as it can, or does not know the target.
+	CarryBusy
+	// CarryUnreachable means that it does not reach the target either.
+	CarryUnreachable
+)
+
+// Paths tracks which targets this daemon reaches over links of its own, and which ones only other daemons reach. A link is
+// lost if an own connection failed and another daemon could open one; a target that no daemon reaches is down. What is
+// known here holds for this daemon alone.
+type Paths struct {
+	zone     proto.Zone
+	clock    clockwork.Clock
+	log      hclog.Logger
+	carriers Carriers
+	// addresses returns those of all targets.
+	addresses func() iter.Seq[netip.AddrPort]
+
+	mu    sync.Mutex
+	paths map[netip.AddrPort]*path
+	// lost is the number of lost links, and lastFailures when own connections over those lost last had failed. connectedAt is when
+	// an own connection to any target was last opened.
+	lost         int
+	lastFailures [cutOffTargets]time.Time
+	connectedAt  time.Time
+	// cutOffAt is when this daemon lost its links to all targets; zero if it did not.
+	cutOffAt time.Time
+	// failedInRow holds the targets at which own connections failed since connectedAt.
+	failedInRow map[netip.AddrPort]bool
+	// probedAt is when an own connection was last tried over a lost link, and verifiedAt when one was only to verify links.
+	probedAt, verifiedAt time.Time
+	// pausedUntil holds until when daemons are not asked to carry, and open how many connections each one carries for this one.
+	pausedUntil map[proto.VM]time.Time
+	open        map[proto.VM]int
+	rotation    int
+	counts      PathStats
+}
+
+// path is the state of the link to one target.
+type path struct {
+	// connectedAt is when an own connection was last opened, and failedAt when one last failed.
+	connectedAt, failedAt time.Time
+	// carriedAt is when another daemon last opened a connection, and unreachableAt when others last confirmed that they could not.
+	carriedAt, unreachableAt time.Time
+	// heardAt is when data last arrived over an own connection.
+	heardAt  time.Time
+	probedAt time.Time
+	usedAt   time.Time
+	lost     bool
+}
+
+// PathStats counts what happened to links to targets since the start.
+type PathStats struct {
+	// Lost is the number of links that are lost now, and CutOff is set if all of them are.
+	Lost   int  `json:"lost"`
+	CutOff bool `json:"cutOff"`
+	// Carried counts the connections that other daemons opened for this one, and NotCarried those that they could not open.
+	Carried    int64 `json:"carried"`
+	NotCarried int64 `json:"notCarried"`
+	// Doubtful counts failures that did not count against a target, since its link may have failed.
+	Doubtful int64 `json:"doubtful"`
+}
+
+// NewPaths returns a tracker that considers all links as working. addresses returns the addresses of all targets.
+func NewPaths(zone proto.Zone, clock clockwork.Clock, log hclog.Logger, carriers Carriers, addresses func() iter.Seq[netip.AddrPort]) *Paths {
+	return &Paths{zone: zone, clock: clock, log: log, carriers: carriers, addresses: addresses, paths: map[netip.AddrPort]*path{}, failedInRow: map[netip.AddrPort]bool{}, pausedUntil: map[proto.VM]time.Time{}, open: map[proto.VM]int{}}
+}
+
+// path returns the state of a link, and adds it if necessary. The caller holds the lock.
+func (p *Paths) path(now time.Time, to netip.AddrPort) *path {
+	l := p.paths[to]
+	if l == nil {
+		l = &path{}
+		p.paths[to] = l
+	}
+	l.usedAt = now
+	return l
+}
+
+// usesLink reports whether an own connection to a target is likely to work. The caller holds the lock.
+func (p *Paths) usesLink(l *path) bool {
+	return !l.lost && (p.cutOffAt.IsZero() || l.connectedAt.After(p.cutOffAt))
+}
+
+// UsesLink reports whether own connections to a target are used.
+func (p *Paths) UsesLink(to netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lost == 0 {
+		return true
+	}
+	return p.usesLink(p.path(p.clock.Now(), to))
+}
+
+// Plan returns whether to open an own connection to a target, with other daemons as the second choice, instead of asking them at once.
+// probe is set if an own connection should be tried beside that.
+func (p *Paths) Plan(to netip.AddrPort) (direct, probe bool) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.path(now, to)
+	if p.usesLink(l) {
+		return true, false
+	}
+	probe = now.Sub(l.probedAt) >= linkProbeInterval && (p.cutOffAt.IsZero() || now.Sub(p.probedAt) >= linkProbeInterval)
+	if probe {
+		l.probedAt, p.probedAt = now, now
+	}
+	return false, probe
+}
+
+// Carriers returns the daemons that can carry connections now.
+func (p *Paths) Carriers() []Carrier { return p.carriers.Carriers() }
+
+// NextCarrier returns the daemon to ask for a connection: the one with the least load that was not asked yet.
+func (p *Paths) NextCarrier(asked map[proto.VM]bool) (Carrier, bool) {
+	if len(asked) >= maxCarriersAsked {
+		return Carrier{}, false
+	}
+	candidates := p.carriers.Carriers()
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best Carrier
+	lowest, found := 0.0, false
+	p.rotation++
+	for i := range candidates {
+		c := candidates[(p.rotation+i)%len(candidates)]
+		if asked[c.VM] || now.Before(p.pausedUntil[c.VM]) {
+			continue
+		}
+		load := float64(c.Load + p.open[c.VM] + 1)
+		if c.Zone != p.zone {
+			load *= otherZoneLoad
+		}
+		if !found || load < lowest {
+			best, lowest, found = c, load, true
+		}
+	}
+	return best, found
+}
+
+// RecordConnected records that an own connection to a target was opened.
+func (p *Paths) RecordConnected(to netip.AddrPort) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.path(now, to)
+	l.connectedAt, l.heardAt, p.connectedAt = now, now, now
+	clear(p.failedInRow)
+	if l.lost {
+		l.lost = false
+		p.lost--
+		p.log.Info("link to a target works again", "address", to, "lostLinks", p.lost)
+	}
+	if !p.cutOffAt.IsZero() {
+		p.log.Info("links to targets work again", "after", formatDuration(now.Sub(p.cutOffAt)), "lostLinks", p.lost)
+		p.cutOffAt = time.Time{}
+	}
+}
+
+// RecordHeard records that data arrived over an own connection.
+func (p *Paths) RecordHeard(to netip.AddrPort) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.path(now, to).heardAt = now
+}
+
+// RecordFailed records that an own connection to a target could not be opened.
+func (p *Paths) RecordFailed(to netip.AddrPort, err error) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.path(now, to)
+	l.failedAt = now
+	p.failedInRow[to] = true
+	p.update(now, to, l, "", err)
+}
+
+// RecordCarried records that another daemon opened a connection to a target for this one.
+func (p *Paths) RecordCarried(to netip.AddrPort, by proto.VM) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Carried++
+	p.open[by]++
+	l := p.path(now, to)
+	l.carriedAt = now
+	p.update(now, to, l, by, nil)
+}
+
+// RecordClosed records that a connection that another daemon carried was closed.
+func (p *Paths) RecordClosed(by proto.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[by]--; p.open[by] <= 0 {
+		delete(p.open, by)
+	}
+}
+
+// RecordNotCarried records that a daemon did not open a connection to a target.
+func (p *Paths) RecordNotCarried(by proto.VM, outcome CarryOutcome) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.NotCarried++
+	if outcome != CarryUnreachable {
+		p.pausedUntil[by] = now.Add(carrierPause)
+	}
+}
+
+// RecordUnreachable records that none of the daemons asked for a connection to a target reached it. It counts as unreachable for all if
+// these were enough, or all that there are.
+func (p *Paths) RecordUnreachable(to netip.AddrPort, askedAll bool, unreached int) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if unreached >= confirmations || askedAll && unreached > 0 {
+		p.path(now, to).unreachableAt = now
+	}
+}
+
+// Unreachable reports whether other daemons did not reach a target a moment ago either.
+func (p *Paths) Unreachable(to netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unreachable(to)
+}
+
+func (p *Paths) unreachable(to netip.AddrPort) bool {
+	l := p.paths[to]
+	return l != nil && !l.lost && l.unreachableAt.After(l.carriedAt) && p.clock.Now().Sub(l.unreachableAt) <= unreachableTime
+}
+
+// DoubtsLinks reports whether this daemon cannot tell whether a target that it does not reach is down: it failed to reach others too.
+func (p *Paths) DoubtsLinks() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.doubtsLinks(p.clock.Now())
+}
+
+func (p *Paths) doubtsLinks(now time.Time) bool {
+	return !p.cutOffAt.IsZero() || len(p.failedInRow) >= doubtfulFailures && now.Sub(p.connectedAt) > linkProofTime
+}
+
+// VerifyWith returns a target at which an own connection has not failed, to verify this daemon's links with it. It returns false if there
+// is none, or the links were verified a moment ago.
+func (p *Paths) VerifyWith() (netip.AddrPort, bool) {
+	addresses := p.addresses()
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.verifiedAt) < verifyInterval {
+		return netip.AddrPort{}, false
+	}
+	for address := range addresses {
+		if !p.failedInRow[address] {
+			p.verifiedAt = now
+			return address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// update records a link as lost once an own connection has failed and another daemon could open one since the link last worked.
+func (p *Paths) update(now time.Time, to netip.AddrPort, l *path, by proto.VM, err error) {
+	if l.lost || !l.failedAt.After(l.connectedAt) || !l.carriedAt.After(l.connectedAt) {
+		return
+	}
+	l.lost, l.probedAt = true, now
+	p.lost++
+	p.log.Warn("link to a target is lost, while another daemon reaches it", "address", to, "by", by, "error", err, "lostLinks", p.lost)
+	copy(p.lastFailures[1:], p.lastFailures[:])
+	p.lastFailures[0] = l.failedAt
+	if p.cutOffAt.IsZero() && p.lastFailures[cutOffTargets-1].After(p.connectedAt) {
+		p.cutOffAt = now
+		p.log.Warn("links to all targets are lost; other daemons carry connections to them", "lostLinks", p.lost)
+	}
+}
+
+// HeardSince reports whether a target was reached over an own connection after a given time.
+func (p *Paths) HeardSince(to netip.AddrPort, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.paths[to]
+	return l != nil && l.heardAt.After(since)
+}
+
+// Confirmed reports whether a target that this daemon does not reach counts as unreachable for all: another daemon did not reach it
+// either, or there is no other one.
+func (p *Paths) Confirmed(to netip.AddrPort) bool {
+	if p.carriers.Count() <= 1 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.unreachable(to) {
+		p.counts.Doubtful++
+		return false
+	}
+	return true
+}
+
+// CutOff reports whether this daemon has lost its links to all targets.
+func (p *Paths) CutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.cutOffAt.IsZero()
+}
+
+// Stats returns the current state and the totals.
+func (p *Paths) Stats() PathStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := p.counts
+	stats.Lost, stats.CutOff = p.lost, !p.cutOffAt.IsZero()
+	return stats
+}
+
+// Sweep removes the state of links that have not been used for long. It is called several times per second.
+func (p *Paths) Sweep() {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.probedAt) < pathTTL/2 && p.lost > 0 {
+		return
+	}
+	for to, l := range p.paths {
+		if now.Sub(l.usedAt) <= pathTTL {
+			continue
+		}
+		if l.lost {
+			p.lost--
+		}
+		delete(p.paths, to)
+	}
+	if p.lost == 0 {
+		p.cutOffAt = time.Time{}
+	}
+	for vm, until := range p.pausedUntil {
+		if now.After(until) {
+			delete(p.pausedUntil, vm)
+		}
+	}
+}
--- a/relay/place.go
+++ b/relay/place.go
@@ -101,6 +101,7 @@
 	counted bool
 	// permitted is set if the request is counted within the target's limit.
 	permitted bool
+	finished  atomic.Bool
 }
 
 // Choose returns the target for an attempt, or nil if there is none. The caller must call Finish on it.
@@ -256,6 +257,9 @@
 
 // ReportSlow records that the attempt takes longer than expected, so that other requests avoid the target.
 func (p *Placement) ReportSlow() {
+	if p.finished.Load() {
+		return
+	}
 	p.placer.fleet.ReportSlow(p.placer.clock.Now(), p.Target)
 	if p.owner != "" {
 		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Late: true})
@@ -264,8 +268,13 @@
 
 // Finish records how the attempt ended.
 func (p *Placement) Finish(v HealthVerdict, load Load) {
+	p.finished.Store(true)
 	p.arrived()
 	p.placer.fleet.FinishAttempt(p.placer.clock.Now(), p.Target, p.criteria, p.began, v, load)
+	if v == VerdictUnreached {
+		// Only this daemon's link may have failed.
+		v = VerdictNone
+	}
 	if p.owner != "" {
 		p.placer.peers.Send(p.owner, proto.PlaceNote{Pool: p.pool, Lease: p.lease, Verdict: uint8(v)})
 	}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"time"
@@ -145,6 +146,27 @@
 	return "not sent: " + e.Err.Error()
 }
 
+// LinkChecker tells failures of targets from those of this daemon's links to them.
+type LinkChecker interface {
+	// CheckTarget reports whether a failure or delay of a target since the given time is its own.
+	CheckTarget(ctx context.Context, to netip.AddrPort, since time.Time) bool
+}
+
+// LinkError wraps an error that may be due to the link between this daemon and a target, and not to the target.
+type LinkError struct{ Err error }
+
+// Error returns the cause.
+func (e *LinkError) Error() string { return "the link may have failed: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LinkError) Unwrap() error { return e.Err }
+
+// mayBeLink reports whether an error may be due to this daemon's link to the target alone.
+func mayBeLink(err error) bool {
+	var link *LinkError
+	return errors.As(err, &link)
+}
+
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
--- a/relay/race.go
+++ b/relay/race.go
@@ -319,7 +319,7 @@
 	for _, a := range r.running {
 		if !a.late {
 			a.late = true
-			a.placement.ReportSlow()
+			a.reportSlow()
 		}
 	}
 	waited := r.delay
--- a/relay/server.go
+++ b/relay/server.go
@@ -75,6 +75,7 @@
 	counts        RequestCounters
 	crashTracker  *CrashTracker
 	crashDetector *CrashDetector
+	linkChecker   LinkChecker
 
 	// firstEventTimes are the times to the first event of streams, by route and without the stages. responseTimes are those to
 	// complete responses and callTimes those of calls for pieces, by pool. requestTimes are those of whole requests, by route.
@@ -127,6 +128,8 @@
 	// CrashTracker blocks requests that crash targets, and Ends is told about failed attempts. Both may be nil.
 	CrashTracker  *CrashTracker
 	CrashDetector *CrashDetector
+	// LinkChecker may be nil if the links to targets never fail.
+	LinkChecker LinkChecker
 	// Started is closed once the daemon has the data to serve requests; nil if it has it already.
 	Started <-chan struct{}
 }
@@ -136,7 +139,7 @@
 	s := &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*RetryBudget{},
-		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector,
+		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker,
 	}
 	s.sender = newNoticeSender(c.Sender, c.Dialect, c.Fleet, c.Clock, c.Log)
 	s.answers.limit, s.bodies.limit = c.Limits.BufferedAnswerBytes, c.Limits.RequestBodyBytes
--- a/relay/targetsignals.go
+++ b/relay/targetsignals.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
+	"sync"
 	"time"
 
 	"emberlead/proto"
@@ -66,6 +69,40 @@
 	return proto.RelayTarget{}, false
 }
 
+// IsAddress reports whether a listed target has an address.
+func (f *Fleet) IsAddress(address netip.AddrPort) bool { return f.knownAddresses()[address] }
+
+// Addresses returns the addresses of all listed targets, in no particular order.
+func (f *Fleet) Addresses() iter.Seq[netip.AddrPort] { return maps.Keys(f.knownAddresses()) }
+
+// knownAddresses returns the addresses of all listed targets. Callers must not change the map.
+func (f *Fleet) knownAddresses() map[netip.AddrPort]bool {
+	version := f.Version()
+	f.addresses.mu.Lock()
+	defer f.addresses.mu.Unlock()
+	if f.addresses.known == nil || f.addresses.version != version {
+		f.addresses.known, f.addresses.version = f.listAddresses(), version
+	}
+	return f.addresses.known
+}
+
+// addressSet holds the addresses of all targets as of a version of the fleet.
+type addressSet struct {
+	mu      sync.Mutex
+	version proto.Revision
+	known   map[netip.AddrPort]bool
+}
+
+func (f *Fleet) listAddresses() map[netip.AddrPort]bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	known := make(map[netip.AddrPort]bool, len(f.byID))
+	for _, t := range f.byID {
+		known[f.Spec(t).Address] = true
+	}
+	return known
+}
+
 // signalsAt reports whether the target with an address has a limit, and returns the end of its backoff for this daemon.
 func (f *Fleet) signalsAt(address netip.AddrPort) (limited bool, backoffUntil time.Time) {
 	f.mu.RLock()
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -173,7 +173,7 @@
 	}
 	var sendErr *SendError
 	if errors.As(err, &sendErr) && !sendErr.Written {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !mayBeLink(err) {
 			p.crashDetector.RecordEnd(c.Target, err.Error())
 		}
 		return
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -37,6 +37,9 @@
 	// requestBodiesDivisor gives the part of a VM's memory that the bodies of requests in progress may take. With the
 	// buffered answers and the garbage of both it stays below memoryFraction.
 	requestBodiesDivisor = 5
+	// maxTunnelsDivisor gives the number of connections that are carried for other daemons, as a fraction of the requests
+	// that may be open: each takes about as much memory as a request, and two descriptors.
+	maxTunnelsDivisor = 4
 	// minUnreadyTime is how long a stopping daemon continues to accept requests: the balancer polls every second and
 	// removes a daemon after two failed checks.
 	minUnreadyTime = 3500 * time.Millisecond
@@ -76,6 +79,7 @@
 	tables    *relay.Tables
 	fleet     *relay.Fleet
 	transport *wire.TargetTransport
+	paths     *relay.Paths
 	pieces    *relay.PieceScheduler
 	placer    *relay.Placer
 	server    *relay.Server
@@ -175,13 +179,14 @@
 	d.documents.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
-		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolRows,
+		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolTunnels,
 	}
-	d.transport = wire.NewTargetTransport(clock, d.transportOptions...)
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
 		relay.WithColdConfig(relay.ColdConfig{Factor: settings.ColdFactor, Slack: settings.ColdSlack}), relay.WithNoticeHandler(d.forwardNotices))
 	d.shareTracker = coord.NewShareTracker(d.self.VM, shareTiming(settings))
 	d.initPeers()
+	d.paths = relay.NewPaths(d.self.Zone, clock, log.Named("paths"), d.peers, d.fleet.Addresses)
+	d.transport = wire.NewTargetTransport(clock, append(d.transportOptions, wire.WithPaths(d.paths, d.peers.links.OpenTunnel))...)
 	dialect := platform.Dialect{}
 	d.noticeGossip = newNoticeGossip(clock, func(m proto.TargetNotices) { d.peers.sendToLinks(m) })
 	d.endGossip = newEndGossip(clock, func(m proto.TargetEnds) { d.peers.sendToLinks(m) })
@@ -194,7 +199,7 @@
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.transport, Fleet: d.fleet, Tables: d.tables,
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget:       relay.RetryBudgetConfig{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
-		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, Started: d.started, Limits: relayLimits(settings),
+		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Started: d.started, Limits: relayLimits(settings),
 	})
 	return d
 }
@@ -216,7 +221,7 @@
 }
 
 func (d *Relay) initPeers() {
-	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, shareTracker: d.shareTracker, seeds: map[proto.VM]proto.Alive{}, newerSince: map[proto.VM]time.Time{}, invalidAskedAt: map[proto.VM]time.Time{}}
+	d.peers = &relayPeers{clock: d.clock, log: d.log.Named("peers"), self: d.self, shareTracker: d.shareTracker, seeds: map[proto.VM]proto.Alive{}, newerSince: map[proto.VM]time.Time{}, invalidAskedAt: map[proto.VM]time.Time{}, loads: map[proto.VM]peerLoad{}}
 	for _, seed := range d.settings.Seeds {
 		if seed != d.self.Peer {
 			d.peers.seeds[proto.VM("seed "+seed.String())] = proto.Alive{Peer: seed}
@@ -225,15 +230,23 @@
 	d.peers.fleetSize = d.peers.Count
 	d.peers.links = wire.NewLinks(wire.LinksConfig{
 		Self: d.self.VM, SharedKey: d.linkKey, Credentials: d.credentials, Log: d.log.Named("links"),
-		Resolve: d.peers.resolve, Handle: d.handle,
+		Resolve: d.peers.resolve, Handle: d.handle, Tunnels: wire.TunnelConfig{
+			Dial: d.dialTarget, IsTarget: d.fleet.IsAddress, TrustsLinks: func(ctx context.Context) bool { return d.transport.TrustsLinks(ctx) }, MaxOpen: relayLimits(d.settings).MaxOpen / maxTunnelsDivisor,
+		},
 	})
 	d.peers.members = coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), d.peers.links, d.heartbeat, coord.WithIncarnationBump())
 }
 
+// dialTarget opens an own connection to a target for another daemon.
+func (d *Relay) dialTarget(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	return d.transport.DialOwn(ctx, to)
+}
+
 func (d *Relay) heartbeat() proto.Heartbeat {
 	return proto.Heartbeat{
 		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), EndsDigest: d.crashTracker.Digest(), InvalidDigest: d.fleet.InvalidDigest(),
 		NoticesDigest: d.fleet.NoticeDigest(), Evacuations: d.fleet.EvacuationsVersion(),
+		Load: uint32(d.server.OpenRequests() + d.peers.links.TunnelCounts().Open), CutOff: d.paths.CutOff(),
 	}
 }
 
@@ -243,6 +256,7 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.HandleHeartbeat(now, from, msg)
+		d.peers.recordLoad(now, from, msg)
 		d.store.ObserveEra(msg.Targets.Era)
 		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version()) || msg.Evacuations.After(d.fleet.EvacuationsVersion())
 		if d.peers.shouldPull(from, newer, newer && d.isReader()) {
@@ -384,6 +398,8 @@
 			d.reapplyExpired(d.fleet.ExpireInvalid(d.restoreClock.Now()))
 			d.expireEvacuations(d.restoreClock.Now())
 			d.transport.CloseExpired()
+			d.paths.Sweep()
+			d.peers.pruneLoads()
 			d.placer.Sweep()
 			d.crashDetector.Sweep()
 			d.logFreshness()
@@ -478,7 +494,7 @@
 	d.server.Stop(startedAt, deadline)
 	d.peers.members.AnnounceStop()
 	for now := startedAt; now.Before(deadline); now = d.clock.Now() {
-		if now.Sub(startedAt) >= minUnreadyTime && d.server.OpenRequests() == 0 {
+		if now.Sub(startedAt) >= minUnreadyTime && d.server.OpenRequests() == 0 && d.peers.links.TunnelCounts().Open == 0 {
 			break
 		}
 		d.sleep(ctx, sweepInterval/4)
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -1,7 +1,10 @@
 package serve
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +13,7 @@
 
 	"emberlead/coord"
 	"emberlead/proto"
+	"emberlead/relay"
 	"emberlead/wire"
 )
 
@@ -67,6 +71,49 @@
 	pulledAt time.Time
 	// invalidAskedAt is when other daemons were last asked for the invalid entries that they know of.
 	invalidAskedAt map[proto.VM]time.Time
+	// loads holds what the heartbeats of other daemons last told of their load.
+	loads map[proto.VM]peerLoad
+}
+
+// peerLoad is the load of another daemon as of its last heartbeat.
+type peerLoad struct {
+	open   int
+	cutOff bool
+	at     time.Time
+}
+
+// recordLoad records the load that a heartbeat tells.
+func (p *relayPeers) recordLoad(now time.Time, from proto.VM, h proto.Heartbeat) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loads[from] = peerLoad{open: int(h.Load), cutOff: h.CutOff, at: now}
+}
+
+// Carriers returns the daemons that were heard a moment ago, reach targets and can carry connections to them.
+func (p *relayPeers) Carriers() []relay.Carrier {
+	now := p.clock.Now()
+	p.mu.Lock()
+	loads := maps.Clone(p.loads)
+	p.mu.Unlock()
+	var carriers []relay.Carrier
+	for vm, load := range loads {
+		if load.cutOff || now.Sub(load.at) > peerSilenceTimeout {
+			continue
+		}
+		if alive, known := p.members.Lookup(vm); known && !alive.Stopping && alive.Protocol >= proto.PeerProtocolTunnels {
+			carriers = append(carriers, relay.Carrier{VM: vm, Zone: alive.Zone, Load: load.open})
+		}
+	}
+	slices.SortFunc(carriers, func(a, b relay.Carrier) int { return cmp.Compare(a.VM, b.VM) })
+	return carriers
+}
+
+// pruneLoads removes what is no longer true of the load of other daemons.
+func (p *relayPeers) pruneLoads() {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.loads, func(_ proto.VM, load peerLoad) bool { return now.Sub(load.at) > peerSilenceTimeout })
 }
 
 func (p *relayPeers) resolve(vm proto.VM) (proto.Alive, bool) {
--- a/wire/accept.go
+++ b/wire/accept.go
@@ -17,6 +17,7 @@
 func (l *Links) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(pathPeer, l.accept)
+	mux.HandleFunc(pathTunnel, l.acceptTunnel)
 	return mux
 }
 
--- a/wire/links.go
+++ b/wire/links.go
@@ -64,7 +64,8 @@
 
 	sent, received, bytesOut, bytesIn, dropped atomic.Int64
 
-	kinds kindCounts
+	kinds   kindCounts
+	tunnels tunnelServer
 }
 
 // LinksConfig configures Links.
@@ -81,13 +82,15 @@
 	Handle      func(context.Context, proto.VM, proto.Message) proto.Message
 	// BeforeMessage runs before each received message is handled.
 	BeforeMessage func()
+	// Tunnels configures the connections to targets that this daemon carries for others; none if it is zero.
+	Tunnels TunnelConfig
 }
 
 // NewLinks returns links that connect when the first message is sent.
 func NewLinks(c LinksConfig) *Links {
 	l := &Links{
 		self: c.Self, sharedKey: c.SharedKey, tls: c.TLS, log: c.Log, resolve: c.Resolve, handle: c.Handle, beforeMessage: c.BeforeMessage,
-		links: map[proto.VM]*link{}, partitioned: map[proto.VM]bool{}, accepted: map[*websocket.Conn]bool{}, certRefused: map[proto.VM]bool{}, credentials: c.Credentials,
+		links: map[proto.VM]*link{}, partitioned: map[proto.VM]bool{}, accepted: map[*websocket.Conn]bool{}, certRefused: map[proto.VM]bool{}, credentials: c.Credentials, tunnels: tunnelServer{TunnelConfig: c.Tunnels},
 	}
 	if l.credentials != nil {
 		l.tls = l.credentials.clientTLS()
@@ -285,18 +288,10 @@
 	if !ok || !alive.Peer.IsValid() {
 		return nil, newError("dial", proto.KindNotFound, "%s has no known address", lk.to)
 	}
-	scheme := "ws"
-	if l.tls != nil {
-		scheme = "wss"
-	}
-	header := http.Header{headerVM: {string(l.self)}}
-	if l.sharedKey != "" {
-		header.Set("Authorization", "Bearer "+l.sharedKey)
-	}
 	ctx, cancel := context.WithTimeout(lk.ctx, dialTimeout)
 	defer cancel()
-	conn, resp, err := websocket.Dial(ctx, scheme+"://"+alive.Peer.String()+pathPeer, &websocket.DialOptions{
-		HTTPClient: l.client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled,
+	conn, resp, err := websocket.Dial(ctx, l.peerURL(alive, pathPeer), &websocket.DialOptions{
+		HTTPClient: l.client, HTTPHeader: l.peerHeader(), CompressionMode: websocket.CompressionDisabled,
 	})
 	if resp != nil && resp.StatusCode == http.StatusUnauthorized {
 		l.log.Warn("another daemon does not accept this one's key or certificate", "to", lk.to, "address", alive.Peer)
@@ -320,6 +315,23 @@
 	return conn, nil
 }
 
+// peerURL returns the URL of a path at another daemon.
+func (l *Links) peerURL(peer proto.Alive, path string) string {
+	if l.tls != nil {
+		return "wss://" + peer.Peer.String() + path
+	}
+	return "ws://" + peer.Peer.String() + path
+}
+
+// peerHeader returns the header with which this daemon authenticates to others.
+func (l *Links) peerHeader() http.Header {
+	header := http.Header{headerVM: {string(l.self)}}
+	if l.sharedKey != "" {
+		header.Set("Authorization", "Bearer "+l.sharedKey)
+	}
+	return header
+}
+
 func (lk *link) write(conn *websocket.Conn) {
 	idle := time.NewTimer(linkIdleTimeout)
 	defer idle.Stop()
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -49,6 +49,9 @@
 type TargetTransport struct {
 	clock clockwork.Clock
 	dial  dialFunc
+	// paths decides which connections other daemons carry, and openTunnel opens those. Without paths all are own ones.
+	paths      *relay.Paths
+	openTunnel tunnelFunc
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*targetConn
@@ -64,6 +67,14 @@
 	return func(t *TargetTransport) { t.dial = dial }
 }
 
+// tunnelFunc opens a connection to a target that another daemon carries.
+type tunnelFunc func(ctx context.Context, by proto.VM, to netip.AddrPort) (io.ReadWriteCloser, relay.CarryOutcome, error)
+
+// WithPaths makes other daemons carry the connections to targets that this daemon does not reach.
+func WithPaths(paths *relay.Paths, openTunnel tunnelFunc) TransportOption {
+	return func(t *TargetTransport) { t.paths, t.openTunnel = paths, openTunnel }
+}
+
 // NewTargetTransport returns a transport without open connections.
 func NewTargetTransport(clock clockwork.Clock, options ...TransportOption) *TargetTransport {
 	t := &TargetTransport{clock: clock, idle: map[netip.AddrPort][]*targetConn{}, dial: (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext}
@@ -86,19 +97,38 @@
 }
 
 type targetConn struct {
-	net.Conn
-	reader    *bufio.Reader
+	io.ReadWriteCloser
+	reader *bufio.Reader
+	// carrier is the daemon that carries the connection, or "" for an own one.
+	carrier proto.VM
+	// onClose is called when the connection is closed, if it is set.
+	onClose   func()
 	idleSince time.Time
 	idleUntil time.Time
 	reused    bool
 }
 
+// Close closes the connection.
+func (c *targetConn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.ReadWriteCloser.Close()
+}
+
 // usable reports whether an idle connection is open and no data has arrived on it.
 func (c *targetConn) usable() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if tunnel, ok := c.ReadWriteCloser.(*tunnelConn); ok {
+		return tunnel.usable()
+	}
+	own, ok := c.ReadWriteCloser.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := own.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -114,6 +144,7 @@
 
 func (t *TargetTransport) takeIdle(to netip.AddrPort, nonIdempotent bool) *targetConn {
 	now := t.clock.Now()
+	usesLink := t.usesLink(to)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for {
@@ -126,7 +157,7 @@
 			return nil
 		}
 		t.idle[to] = conns[:len(conns)-1]
-		if now.Before(c.idleUntil) && c.usable() {
+		if (c.carrier == "") == usesLink && now.Before(c.idleUntil) && c.usable() {
 			return c
 		}
 		_ = c.Close()
@@ -167,15 +198,17 @@
 	delete(t.idle, to)
 }
 
-// CloseExpired closes connections that have been idle for too long; it is called about once a second.
+// CloseExpired closes connections that have been idle for too long, or whose carrier stops or does not reach targets any more; it is
+// called several times per second.
 func (t *TargetTransport) CloseExpired() {
 	now := t.clock.Now()
+	carriers := t.carriers()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for to, conns := range t.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && (c.carrier == "" || carriers[c.carrier]) {
 				kept = append(kept, c)
 				continue
 			}
@@ -194,12 +227,11 @@
 		t.reused.Add(1)
 		return c, nil
 	}
-	t.dialed.Add(1)
-	conn, err := t.dial(ctx, "tcp4", to.String())
-	if err != nil {
-		return nil, err
-	}
-	return &targetConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	return t.open(ctx, to)
+}
+
+func newTargetConn(conn io.ReadWriteCloser, carrier proto.VM) *targetConn {
+	return &targetConn{ReadWriteCloser: conn, reader: bufio.NewReaderSize(conn, readBufferSize), carrier: carrier}
 }
 
 // Send writes a request and returns the status and header of its response; canceling the context closes the connection.
@@ -209,37 +241,30 @@
 		return nil, &relay.SendError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	body := &responseBody{transport: t, to: to, conn: c, stopCancel: stop, writeDone: make(chan error, 1)}
+	body := &responseBody{transport: t, to: to, conn: c, ctx: ctx, sentAt: t.clock.Now(), stopCancel: stop, writeDone: make(chan error, 1)}
 	sent, err := body.writeRequest(out)
 	if err != nil {
 		body.closeConn()
-		return nil, &relay.SendError{Written: sent, Err: err}
+		return nil, &relay.SendError{Written: sent, Err: body.checkLink(err)}
 	}
 	resp, err := body.readHead(out)
 	if err != nil {
 		body.closeConn()
-		return nil, &relay.SendError{Written: true, Err: err}
+		return nil, &relay.SendError{Written: true, Err: body.checkLink(err)}
 	}
+	t.recordHeard(to, c)
 	body.resp = resp
 	return &relay.TargetResponse{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
-// Refuses reports whether connections to an address are refused.
-func (t *TargetTransport) Refuses(ctx context.Context, to netip.AddrPort) bool {
-	conn, err := t.dial(ctx, "tcp4", to.String())
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// Nothing was sent over the connection.
-	_ = conn.Close()
-	return false
-}
-
 // responseBody is a response that is being read, with the connection that it arrives on.
 type responseBody struct {
-	transport       *TargetTransport
-	to              netip.AddrPort
-	conn            *targetConn
+	transport *TargetTransport
+	to        netip.AddrPort
+	conn      *targetConn
+	// ctx is that of the request, which was sent at sentAt.
+	ctx             context.Context
+	sentAt          time.Time
 	stopCancel      func() bool
 	writeDone       chan error
 	concurrentWrite bool // the body is written by another goroutine
@@ -303,8 +328,11 @@
 // Read reads the body; it returns io.EOF only at the proper end of the body.
 func (r *responseBody) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		r.complete = true
+	case err != nil:
+		err = r.checkLink(err)
 	}
 	return n, err
 }
--- a/wire/targettransport_test.go
+++ b/wire/targettransport_test.go
@@ -329,7 +329,7 @@
 	to, other := netip.MustParseAddrPort("10.0.0.1:80"), netip.MustParseAddrPort("10.0.0.2:80")
 	near, far := net.Pipe()
 	defer far.Close()
-	transport.idle[to] = []*targetConn{{Conn: near}}
+	transport.idle[to] = []*targetConn{{ReadWriteCloser: near}}
 	transport.idle[other] = []*targetConn{{}}
 	transport.CloseIdle(to)
 	if len(transport.idle[to]) != 0 || len(transport.idle[other]) != 1 {
