Attempts that wait for a silent target at the same time count as one failure

A target that is silent for a second is sound. Each attempt that waited longer than usual counted as a failure of its own, so that eight of them ejected it for 4 s, also after it had gone on: TestBrieflySilentTargetIsUsedAgain failed with 4s and 3.95s. Now it is ejected once, for 300 ms at first, and its next event ends that.

--- a/relay/choice.go
+++ b/relay/choice.go
@@ -121,11 +121,12 @@
 	return best != nil
 }
 
-// ReportSlow records that an attempt takes longer than expected; a complete response makes up for it.
+// ReportSlow records that an attempt takes longer than expected; the next response makes up for it. All attempts that wait for a silent
+// target at the same time count as one failure.
 func (f *Fleet) ReportSlow(now time.Time, t *Target) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
-	t.health.recordFailure(now)
+	t.health.recordSilence(now)
 }
 
 // ejection returns the consecutive failures of a target, and for how long it is ejected.
@@ -350,6 +351,7 @@
 func (f *Fleet) RecordResponseStart(now time.Time, t *Target, w TargetCriteria) {
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
+	t.health.recordResponse()
 	t.finishPrompt(now, w, true)
 }
 
--- a/relay/health.go
+++ b/relay/health.go
@@ -30,6 +30,8 @@
 	consecutiveFailures int
 	ejectedUntil        time.Time
 	failureRate         float64
+	// silent is set if the target was ejected for its silence.
+	silent bool
 	// restarts is the decaying count of ends of the target's runs.
 	restarts state.DecayingSum
 }
@@ -37,11 +39,13 @@
 func (h *health) recordSuccess() {
 	h.consecutiveFailures = 0
 	h.ejectedUntil = time.Time{}
+	h.silent = false
 	h.failureRate -= failureWeight * h.failureRate
 }
 
 func (h *health) recordFailure(now time.Time) {
 	h.consecutiveFailures++
+	h.silent = false
 	h.failureRate += failureWeight * (1 - h.failureRate)
 	ejection := maxEjection
 	if h.consecutiveFailures < 5 {
@@ -57,6 +61,22 @@
 	return next
 }
 
+// recordSilence records that a target has not responded for longer than expected. The silence may be over when it is ejected, so it
+// does not prolong an ejection.
+func (h *health) recordSilence(now time.Time) {
+	if !h.ejected(now) {
+		h.recordFailure(now)
+		h.silent = true
+	}
+}
+
+// recordResponse ends an ejection for silence.
+func (h *health) recordResponse() {
+	if h.silent {
+		h.consecutiveFailures, h.ejectedUntil, h.silent = 0, time.Time{}, false
+	}
+}
+
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
 // cost returns what failures and restarts add to the expected time of an attempt.
--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -175,7 +175,7 @@
 	results := make(chan carryResult, maxAskedBeside)
 	asked := map[proto.VM]bool{}
 	running, unreached, askedAll := 0, 0, false
-	var last error = newError("open tunnel", proto.KindUnavailable, "no other daemon can carry the connection")
+	last := newError("open tunnel", proto.KindUnavailable, "no other daemon can carry the connection")
 	for {
 		for !askedAll && running < side {
 			carrier, ok := t.paths.NextCarrier(asked)
