--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -118,6 +118,9 @@
 			f.logNoTarget(last.reason)
 			break
 		}
+		if wait, none := s.noneReached(); none && wait > 0 && last.notRun {
+			return f.notRunFailure(f.limitRetryAfter(wait), reasonNoneReached).as(refusedNoTarget), false
+		}
 	}
 	if f.forwardFallback() {
 		return nil, false
@@ -193,6 +196,7 @@
 	reasonAtCapacity        = "each target of the pool has as many requests as it may have at a time"
 	reasonCold              = "the targets of the pool are cold, and get no more for the moment"
 	reasonBackoff           = "the targets of the pool want rest from this daemon"
+	reasonNoneReached       = "no target is reached at present, neither from here nor through other daemons"
 	reasonRateLimited       = "what the targets of the pool take by the limits that they name is used up for the moment"
 )
 
--- a/relay/paths.go
+++ b/relay/paths.go
@@ -31,6 +31,8 @@
 	// was opened within linkProofTime.
 	doubtfulFailures = 2
 	linkProofTime    = 500 * time.Millisecond
+	// noneReachedTime is how long nothing was heard from any target, over any path, when this daemon counts as reaching none.
+	noneReachedTime = time.Second
 	// verifyInterval is the minimum time between two connections that a daemon opens only to verify its links.
 	verifyInterval = 100 * time.Millisecond
 	// otherZoneLoad is the factor on the load of daemons in other zones: what they carry crosses zones once more.
@@ -86,6 +88,8 @@
 	lost         int
 	lastFailures [cutOffTargets]time.Time
 	connectedAt  time.Time
+	// reachedAt is when any target was last reached over any path, and triedAt when a request last tried although none was.
+	reachedAt, triedAt time.Time
 	// cutOffAt is when this daemon lost its links to all targets; zero if it did not.
 	cutOffAt time.Time
 	// failedInRow holds the targets at which own connections failed since connectedAt.
@@ -209,7 +213,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.path(now, to)
-	l.connectedAt, l.heardAt, p.connectedAt = now, now, now
+	l.connectedAt, l.heardAt, p.connectedAt, p.reachedAt = now, now, now, now
 	clear(p.failedInRow)
 	if l.lost {
 		l.lost = false
@@ -227,7 +231,7 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.path(now, to).heardAt = now
+	p.path(now, to).heardAt, p.reachedAt = now, now
 }
 
 // RecordFailed records that an own connection to a target could not be opened.
@@ -249,7 +253,7 @@
 	p.counts.Carried++
 	p.open[by]++
 	l := p.path(now, to)
-	l.carriedAt = now
+	l.carriedAt, p.reachedAt = now, now
 	p.update(now, to, l, by, nil)
 }
 
@@ -307,6 +311,22 @@
 	return !p.cutOffAt.IsZero() || len(p.failedInRow) >= doubtfulFailures && now.Sub(p.connectedAt) > linkProofTime
 }
 
+// NoneReached reports whether this daemon reached no target for a while, neither by itself nor through others. Then a request may try again
+// once in a while, as this one if wait is 0.
+func (p *Paths) NoneReached() (wait time.Duration, none bool) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.failedInRow) < doubtfulFailures || now.Sub(p.reachedAt) <= noneReachedTime {
+		return 0, false
+	}
+	if wait = linkProbeInterval - now.Sub(p.triedAt); wait > 0 {
+		return wait, true
+	}
+	p.triedAt = now
+	return 0, true
+}
+
 // VerifyWith returns a target at which an own connection has not failed, to verify this daemon's links with it. It returns false if there
 // is none, or the links were verified a moment ago.
 func (p *Paths) VerifyWith() (netip.AddrPort, bool) {
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -150,6 +150,8 @@
 type LinkChecker interface {
 	// CheckTarget reports whether a failure or delay of a target since the given time is its own.
 	CheckTarget(ctx context.Context, to netip.AddrPort, since time.Time) bool
+	// NoneReached reports whether no target is reached at present, and when a request may try again.
+	NoneReached() (wait time.Duration, none bool)
 }
 
 // LinkError wraps an error that may be due to the link between this daemon and a target, and not to the target.
--- a/relay/server.go
+++ b/relay/server.go
@@ -314,6 +314,9 @@
 		kind, reason := f.noTargetCause()
 		return f.notRunFailure(unknownPoolRetryAfter, reason).as(kind)
 	}
+	if wait, none := f.server.noneReached(); none && wait > 0 {
+		return f.notRunFailure(f.limitRetryAfter(wait), reasonNoneReached).as(refusedNoTarget)
+	}
 	if pool, closed := f.closedStagePool(); closed {
 		return f.notRunFailure(unknownPoolRetryAfter, "stage "+pool+": "+reasonNoTarget).as(refusedNoTarget)
 	}
@@ -345,6 +348,14 @@
 	}
 }
 
+// noneReached reports whether no target is reached at present, and when a request may try again.
+func (s *Server) noneReached() (wait time.Duration, none bool) {
+	if s.linkChecker == nil {
+		return 0, false
+	}
+	return s.linkChecker.NoneReached()
+}
+
 // mayRebuild reports whether the stages may be run again. Results that expired in a queue are likely to expire again,
 // and to make other requests late, unless there is time enough with the queues as they are.
 func (f *flow) mayRebuild() bool {
--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -288,6 +288,14 @@
 	return c.carrier == ""
 }
 
+// NoneReached reports whether no target is reached at present, and when a request may try again.
+func (t *TargetTransport) NoneReached() (wait time.Duration, none bool) {
+	if t.paths == nil {
+		return 0, false
+	}
+	return t.paths.NoneReached()
+}
+
 // Probe reports whether a process listens at an address, as far as this daemon and others can tell.
 func (t *TargetTransport) Probe(ctx context.Context, to netip.AddrPort) relay.ProbeResult {
 	c, err := t.open(ctx, to)
