--- a/relay/paths.go
+++ b/relay/paths.go
@@ -31,8 +31,10 @@
 	// was opened within linkProofTime.
 	doubtfulFailures = 2
 	linkProofTime    = 500 * time.Millisecond
-	// noneReachedTime is how long nothing was heard from any target, over any path, when this daemon counts as reaching none.
+	// noneReachedTime is how long targets, at least doubtfulFailures of them, must not have been reached over any path for this daemon to
+	// count as reaching none, and noneReachedTTL how long that counts if no request tries again.
 	noneReachedTime = time.Second
+	noneReachedTTL  = 2 * time.Second
 	// verifyInterval is the minimum time between two connections that a daemon opens only to verify its links.
 	verifyInterval = 100 * time.Millisecond
 	// otherZoneLoad is the factor on the load of daemons in other zones: what they carry crosses zones once more.
@@ -88,8 +90,11 @@
 	lost         int
 	lastFailures [cutOffTargets]time.Time
 	connectedAt  time.Time
-	// reachedAt is when any target was last reached over any path, and triedAt when a request last tried although none was.
-	reachedAt, triedAt time.Time
+	// unreached holds the targets that were not reached over any path, from unreachedSince until unreachedAt, since the last one that was.
+	unreached                   map[netip.AddrPort]bool
+	unreachedSince, unreachedAt time.Time
+	// triedAt is when a request last tried although no target was reached.
+	triedAt time.Time
 	// cutOffAt is when this daemon lost its links to all targets; zero if it did not.
 	cutOffAt time.Time
 	// failedInRow holds the targets at which own connections failed since connectedAt.
@@ -130,7 +135,7 @@
 
 // NewPaths returns a tracker that considers all links as working. addresses returns the addresses of all targets.
 func NewPaths(zone proto.Zone, clock clockwork.Clock, log hclog.Logger, carriers Carriers, addresses func() iter.Seq[netip.AddrPort]) *Paths {
-	return &Paths{zone: zone, clock: clock, log: log, carriers: carriers, addresses: addresses, paths: map[netip.AddrPort]*path{}, failedInRow: map[netip.AddrPort]bool{}, pausedUntil: map[proto.VM]time.Time{}, open: map[proto.VM]int{}}
+	return &Paths{zone: zone, clock: clock, log: log, carriers: carriers, addresses: addresses, paths: map[netip.AddrPort]*path{}, failedInRow: map[netip.AddrPort]bool{}, unreached: map[netip.AddrPort]bool{}, pausedUntil: map[proto.VM]time.Time{}, open: map[proto.VM]int{}}
 }
 
 // path returns the state of a link, and adds it if necessary. The caller holds the lock.
@@ -213,8 +218,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.path(now, to)
-	l.connectedAt, l.heardAt, p.connectedAt, p.reachedAt = now, now, now, now
+	l.connectedAt, l.heardAt, p.connectedAt = now, now, now
 	clear(p.failedInRow)
+	clear(p.unreached)
 	if l.lost {
 		l.lost = false
 		p.lost--
@@ -226,12 +232,26 @@
 	}
 }
 
-// RecordHeard records that data arrived over an own connection.
-func (p *Paths) RecordHeard(to netip.AddrPort) {
+// RecordHeard records that data of a target arrived, over an own connection or a carried one.
+func (p *Paths) RecordHeard(to netip.AddrPort, own bool) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.path(now, to).heardAt, p.reachedAt = now, now
+	clear(p.unreached)
+	if own {
+		p.path(now, to).heardAt = now
+	}
+}
+
+// RecordUnreached records that a target was not reached over any path.
+func (p *Paths) RecordUnreached(to netip.AddrPort) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.unreached) == 0 {
+		p.unreachedSince = now
+	}
+	p.unreached[to], p.unreachedAt = true, now
 }
 
 // RecordFailed records that an own connection to a target could not be opened.
@@ -253,7 +273,8 @@
 	p.counts.Carried++
 	p.open[by]++
 	l := p.path(now, to)
-	l.carriedAt, p.reachedAt = now, now
+	l.carriedAt = now
+	clear(p.unreached)
 	p.update(now, to, l, by, nil)
 }
 
@@ -317,7 +338,7 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.failedInRow) < doubtfulFailures || now.Sub(p.reachedAt) <= noneReachedTime {
+	if len(p.unreached) < doubtfulFailures || now.Sub(p.unreachedSince) < noneReachedTime || now.Sub(p.unreachedAt) > noneReachedTTL {
 		return 0, false
 	}
 	if wait = linkProbeInterval - now.Sub(p.triedAt); wait > 0 {
--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -35,12 +35,21 @@
 	err  error
 }
 
-// open opens an own connection, or one that another daemon carries. If the own one takes long, both are tried beside each other, and
-// the first to open is used.
+// open opens an own connection, or one that another daemon carries.
 func (t *TargetTransport) open(ctx context.Context, to netip.AddrPort) (*targetConn, error) {
 	if t.paths == nil {
 		return t.openOwn(ctx, to)
 	}
+	c, err := t.openAnyPath(ctx, to)
+	if err != nil && ctx.Err() == nil {
+		t.paths.RecordUnreached(to)
+	}
+	return c, err
+}
+
+// openAnyPath opens a connection over the path to use. If an own connection takes long, another daemon is asked beside it, and the first
+// to open is used.
+func (t *TargetTransport) openAnyPath(ctx context.Context, to netip.AddrPort) (*targetConn, error) {
 	direct, probe := t.paths.Plan(to)
 	if probe {
 		go t.probe(to)
@@ -251,8 +260,8 @@
 
 // recordHeard records that a response began over a connection.
 func (t *TargetTransport) recordHeard(to netip.AddrPort, c *targetConn) {
-	if t.paths != nil && c.carrier == "" {
-		t.paths.RecordHeard(to)
+	if t.paths != nil {
+		t.paths.RecordHeard(to, c.carrier == "")
 	}
 }
 
