Model of daemons that reach different sets of targets; carriers are chosen by what they reached

TestCrashingRequestIsBlocked once showed, beside load, that a daemon whose last targets had all ended refused requests for sound ones: it now verifies at others before it refuses for all.

--- a/relay/paths.go
+++ b/relay/paths.go
@@ -18,12 +18,17 @@
 	// linkProbeInterval is the time between two own connections to a target whose link is lost, and between those to any
 	// target while this daemon is cut off.
 	linkProbeInterval = 500 * time.Millisecond
-	// cutOffTargets is how many links must be lost, without an own connection in between, for all to count as lost.
-	cutOffTargets = 2
-	// carrierPause is for how long a daemon is not asked again after it could not carry.
+	// cutOffTargets is at how many targets own connections must have failed in a row, at least two of which others reached, for all links
+	// to count as lost; fewer if there are fewer targets.
+	cutOffTargets = 4
+	// carrierPause is for how long a daemon is asked after the others since it could not carry.
 	carrierPause = 300 * time.Millisecond
-	// unreachableTime is for how long a target counts as unreachable for all after another daemon could not reach it.
+	// notByTime is for how long a daemon that did not reach a target is asked after the others.
+	notByTime = 2 * time.Second
+	// unreachableTime is for how long other daemons are not asked again for a target that they did not reach, and confirmedTime for how
+	// long own failures there count as the target's, which covers those of connections that were being opened then.
 	unreachableTime = 300 * time.Millisecond
+	confirmedTime   = 2 * unreachableTime
 	// maxCarriersAsked is how many daemons are asked for one connection, and confirmations how many of them must not reach a target that
 	// counts as unreachable for all: one may have lost its own link without knowing it yet.
 	maxCarriersAsked, confirmations = 4, 2
@@ -31,14 +36,17 @@
 	// was opened within linkProofTime.
 	doubtfulFailures = 2
 	linkProofTime    = 500 * time.Millisecond
-	// noneReachedTime is how long targets, at least doubtfulFailures of them, must not have been reached over any path for this daemon to
-	// count as reaching none, and noneReachedTTL how long that counts if no request tries again.
+	// noneReachedTime is how long targets, at least cutOffTargets of them, must not have been reached over any path for this daemon to count
+	// as reaching none, and noneReachedTTL how long that counts if no request tries again.
 	noneReachedTime = time.Second
 	noneReachedTTL  = 2 * time.Second
 	// verifyInterval is the minimum time between two connections that a daemon opens only to verify its links.
 	verifyInterval = 100 * time.Millisecond
 	// otherZoneLoad is the factor on the load of daemons in other zones: what they carry crosses zones once more.
 	otherZoneLoad = 1.5
+	// avoidedLoad is added to the load of daemons that did not reach the target or could not carry, and twice to that of daemons that have
+	// lost all of their links, so that all others are asked before.
+	avoidedLoad = 1e9
 	// pathTTL is how long the state of an unused path is kept.
 	pathTTL = time.Minute
 )
@@ -49,16 +57,24 @@
 	Zone proto.Zone
 	// Load is the number of requests and carried connections that it had open when it was last heard.
 	Load int
+	// CutOff is set if it has lost its links to all targets.
+	CutOff bool
 }
 
 // Carriers lists the other daemons.
 type Carriers interface {
-	// Carriers returns the daemons that are heard, reach targets themselves and can carry.
+	// Carriers returns the daemons that are heard and can carry.
 	Carriers() []Carrier
 	// Count returns the number of live daemons, this one included.
 	Count() int
 }
 
+// TargetAddresses lists the addresses of all targets.
+type TargetAddresses interface {
+	Addresses() iter.Seq[netip.AddrPort]
+	AddressCount() int
+}
+
 // CarryOutcome is why a daemon did not open a connection to a target for another one.
 type CarryOutcome uint8
 
@@ -80,16 +96,13 @@
 	clock    clockwork.Clock
 	log      hclog.Logger
 	carriers Carriers
-	// addresses returns those of all targets.
-	addresses func() iter.Seq[netip.AddrPort]
+	targets  TargetAddresses
 
 	mu    sync.Mutex
 	paths map[netip.AddrPort]*path
-	// lost is the number of lost links, and lastFailures when own connections over those lost last had failed. connectedAt is when
-	// an own connection to any target was last opened.
-	lost         int
-	lastFailures [cutOffTargets]time.Time
-	connectedAt  time.Time
+	// lost is the number of lost links. connectedAt is when an own connection to any target was last opened.
+	lost        int
+	connectedAt time.Time
 	// unreached holds the targets that were not reached over any path, from unreachedSince until unreachedAt, since the last one that was.
 	unreached                   map[netip.AddrPort]bool
 	unreachedSince, unreachedAt time.Time
@@ -101,7 +114,7 @@
 	failedInRow map[netip.AddrPort]bool
 	// probedAt is when an own connection was last tried over a lost link, and verifiedAt when one was only to verify links.
 	probedAt, verifiedAt time.Time
-	// pausedUntil holds until when daemons are not asked to carry, and open how many connections each one carries for this one.
+	// pausedUntil holds until when daemons are asked last, and open how many connections each one carries for this one.
 	pausedUntil map[proto.VM]time.Time
 	open        map[proto.VM]int
 	rotation    int
@@ -119,6 +132,14 @@
 	probedAt time.Time
 	usedAt   time.Time
 	lost     bool
+	// notBy holds when daemons last did not reach the target for this one.
+	notBy map[proto.VM]time.Time
+}
+
+// avoids reports whether a daemon did not reach the target a moment ago.
+func (l *path) avoids(now time.Time, by proto.VM) bool {
+	at, known := l.notBy[by]
+	return known && now.Sub(at) < notByTime
 }
 
 // PathStats counts what happened to links to targets since the start.
@@ -133,9 +154,9 @@
 	Doubtful int64 `json:"doubtful"`
 }
 
-// NewPaths returns a tracker that considers all links as working. addresses returns the addresses of all targets.
-func NewPaths(zone proto.Zone, clock clockwork.Clock, log hclog.Logger, carriers Carriers, addresses func() iter.Seq[netip.AddrPort]) *Paths {
-	return &Paths{zone: zone, clock: clock, log: log, carriers: carriers, addresses: addresses, paths: map[netip.AddrPort]*path{}, failedInRow: map[netip.AddrPort]bool{}, unreached: map[netip.AddrPort]bool{}, pausedUntil: map[proto.VM]time.Time{}, open: map[proto.VM]int{}}
+// NewPaths returns a tracker that considers all links as working.
+func NewPaths(zone proto.Zone, clock clockwork.Clock, log hclog.Logger, carriers Carriers, targets TargetAddresses) *Paths {
+	return &Paths{zone: zone, clock: clock, log: log, carriers: carriers, targets: targets, paths: map[netip.AddrPort]*path{}, failedInRow: map[netip.AddrPort]bool{}, unreached: map[netip.AddrPort]bool{}, pausedUntil: map[proto.VM]time.Time{}, open: map[proto.VM]int{}}
 }
 
 // path returns the state of a link, and adds it if necessary. The caller holds the lock.
@@ -174,7 +195,8 @@
 	if p.usesLink(l) {
 		return true, false
 	}
-	probe = now.Sub(l.probedAt) >= linkProbeInterval && (p.cutOffAt.IsZero() || now.Sub(p.probedAt) >= linkProbeInterval)
+	// While this daemon is cut off, one lost link at a time stands for all of them. Links that were not found lost are tried each.
+	probe = now.Sub(l.probedAt) >= linkProbeInterval && (!l.lost || p.cutOffAt.IsZero() || now.Sub(p.probedAt) >= linkProbeInterval)
 	if probe {
 		l.probedAt, p.probedAt = now, now
 	}
@@ -184,8 +206,8 @@
 // Carriers returns the daemons that can carry connections now.
 func (p *Paths) Carriers() []Carrier { return p.carriers.Carriers() }
 
-// NextCarrier returns the daemon to ask for a connection: the one with the least load that was not asked yet.
-func (p *Paths) NextCarrier(asked map[proto.VM]bool) (Carrier, bool) {
+// NextCarrier returns the daemon to ask for a connection to a target: the one with the least load that was not asked yet.
+func (p *Paths) NextCarrier(to netip.AddrPort, asked map[proto.VM]bool) (Carrier, bool) {
 	if len(asked) >= maxCarriersAsked {
 		return Carrier{}, false
 	}
@@ -193,18 +215,25 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	l := p.path(now, to)
 	var best Carrier
 	lowest, found := 0.0, false
 	p.rotation++
 	for i := range candidates {
 		c := candidates[(p.rotation+i)%len(candidates)]
-		if asked[c.VM] || now.Before(p.pausedUntil[c.VM]) {
+		if asked[c.VM] {
 			continue
 		}
 		load := float64(c.Load + p.open[c.VM] + 1)
 		if c.Zone != p.zone {
 			load *= otherZoneLoad
 		}
+		if l.avoids(now, c.VM) || now.Before(p.pausedUntil[c.VM]) {
+			load += avoidedLoad
+		}
+		if c.CutOff {
+			load += 2 * avoidedLoad
+		}
 		if !found || load < lowest {
 			best, lowest, found = c, load, true
 		}
@@ -256,18 +285,19 @@
 
 // RecordFailed records that an own connection to a target could not be opened.
 func (p *Paths) RecordFailed(to netip.AddrPort, err error) {
-	now := p.clock.Now()
+	now, targets := p.clock.Now(), p.targets.AddressCount()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.path(now, to)
 	l.failedAt = now
 	p.failedInRow[to] = true
 	p.update(now, to, l, "", err)
+	p.checkCutOff(now, targets)
 }
 
 // RecordCarried records that another daemon opened a connection to a target for this one.
 func (p *Paths) RecordCarried(to netip.AddrPort, by proto.VM) {
-	now := p.clock.Now()
+	now, targets := p.clock.Now(), p.targets.AddressCount()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Carried++
@@ -276,6 +306,7 @@
 	l.carriedAt = now
 	clear(p.unreached)
 	p.update(now, to, l, by, nil)
+	p.checkCutOff(now, targets)
 }
 
 // RecordClosed records that a connection that another daemon carried was closed.
@@ -288,14 +319,20 @@
 }
 
 // RecordNotCarried records that a daemon did not open a connection to a target.
-func (p *Paths) RecordNotCarried(by proto.VM, outcome CarryOutcome) {
+func (p *Paths) RecordNotCarried(to netip.AddrPort, by proto.VM, outcome CarryOutcome) {
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.NotCarried++
 	if outcome != CarryUnreachable {
 		p.pausedUntil[by] = now.Add(carrierPause)
+		return
 	}
+	l := p.path(now, to)
+	if l.notBy == nil {
+		l.notBy = map[proto.VM]time.Time{}
+	}
+	l.notBy[by] = now
 }
 
 // RecordUnreachable records that none of the daemons asked for a connection to a target reached it. It counts as unreachable for all if
@@ -313,12 +350,12 @@
 func (p *Paths) Unreachable(to netip.AddrPort) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.unreachable(to)
+	return p.unreachable(to, unreachableTime)
 }
 
-func (p *Paths) unreachable(to netip.AddrPort) bool {
+func (p *Paths) unreachable(to netip.AddrPort, within time.Duration) bool {
 	l := p.paths[to]
-	return l != nil && !l.lost && l.unreachableAt.After(l.carriedAt) && p.clock.Now().Sub(l.unreachableAt) <= unreachableTime
+	return l != nil && l.unreachableAt.After(l.carriedAt) && p.clock.Now().Sub(l.unreachableAt) <= within
 }
 
 // DoubtsLinks reports whether this daemon cannot tell whether a target that it does not reach is down: it failed to reach others too.
@@ -335,10 +372,10 @@
 // NoneReached reports whether this daemon reached no target for a while, neither by itself nor through others. Then a request may try again
 // once in a while, as this one if wait is 0.
 func (p *Paths) NoneReached() (wait time.Duration, none bool) {
-	now := p.clock.Now()
+	now, targets := p.clock.Now(), p.targets.AddressCount()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.unreached) < doubtfulFailures || now.Sub(p.unreachedSince) < noneReachedTime || now.Sub(p.unreachedAt) > noneReachedTTL {
+	if len(p.unreached) < min(cutOffTargets, targets) || now.Sub(p.unreachedSince) < noneReachedTime || now.Sub(p.unreachedAt) > noneReachedTTL {
 		return 0, false
 	}
 	if wait = linkProbeInterval - now.Sub(p.triedAt); wait > 0 {
@@ -351,15 +388,32 @@
 // VerifyWith returns a target at which an own connection has not failed, to verify this daemon's links with it. It returns false if there
 // is none, or the links were verified a moment ago.
 func (p *Paths) VerifyWith() (netip.AddrPort, bool) {
-	addresses := p.addresses()
-	now := p.clock.Now()
+	addresses := p.targets.Addresses()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.verifyWith(addresses, p.failedInRow)
+}
+
+// VerifyAnyPath returns a target to find out whether none is reached over any path, once some were not. It returns false if there is
+// none, or one was tried a moment ago.
+func (p *Paths) VerifyAnyPath() (netip.AddrPort, bool) {
+	addresses := p.targets.Addresses()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.unreached) < doubtfulFailures {
+		return netip.AddrPort{}, false
+	}
+	return p.verifyWith(addresses, p.unreached)
+}
+
+// verifyWith returns an address that is not among those that failed, unless one was returned a moment ago. The caller holds the lock.
+func (p *Paths) verifyWith(addresses iter.Seq[netip.AddrPort], failed map[netip.AddrPort]bool) (netip.AddrPort, bool) {
+	now := p.clock.Now()
 	if now.Sub(p.verifiedAt) < verifyInterval {
 		return netip.AddrPort{}, false
 	}
 	for address := range addresses {
-		if !p.failedInRow[address] {
+		if !failed[address] {
 			p.verifiedAt = now
 			return address, true
 		}
@@ -375,11 +429,13 @@
 	l.lost, l.probedAt = true, now
 	p.lost++
 	p.log.Warn("link to a target is lost, while another daemon reaches it", "address", to, "by", by, "error", err, "lostLinks", p.lost)
-	copy(p.lastFailures[1:], p.lastFailures[:])
-	p.lastFailures[0] = l.failedAt
-	if p.cutOffAt.IsZero() && p.lastFailures[cutOffTargets-1].After(p.connectedAt) {
+}
+
+// checkCutOff records that all links are lost, once enough own connections have failed in a row. The caller holds the lock.
+func (p *Paths) checkCutOff(now time.Time, targets int) {
+	if p.cutOffAt.IsZero() && p.lost >= min(2, targets) && len(p.failedInRow) >= min(cutOffTargets, targets) {
 		p.cutOffAt = now
-		p.log.Warn("links to all targets are lost; other daemons carry connections to them", "lostLinks", p.lost)
+		p.log.Warn("links to all targets are lost; other daemons carry connections to them", "lostLinks", p.lost, "failed", len(p.failedInRow), "targets", targets)
 	}
 }
 
@@ -399,7 +455,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.unreachable(to) {
+	if !p.unreachable(to, confirmedTime) {
 		p.counts.Doubtful++
 		return false
 	}
--- a/relay/targetsignals.go
+++ b/relay/targetsignals.go
@@ -75,6 +75,9 @@
 // Addresses returns the addresses of all listed targets, in no particular order.
 func (f *Fleet) Addresses() iter.Seq[netip.AddrPort] { return maps.Keys(f.knownAddresses()) }
 
+// AddressCount returns the number of addresses of listed targets.
+func (f *Fleet) AddressCount() int { return len(f.knownAddresses()) }
+
 // knownAddresses returns the addresses of all listed targets. Callers must not change the map.
 func (f *Fleet) knownAddresses() map[netip.AddrPort]bool {
 	version := f.Version()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -185,7 +185,7 @@
 		relay.WithColdConfig(relay.ColdConfig{Factor: settings.ColdFactor, Slack: settings.ColdSlack}), relay.WithNoticeHandler(d.forwardNotices))
 	d.shareTracker = coord.NewShareTracker(d.self.VM, shareTiming(settings))
 	d.initPeers()
-	d.paths = relay.NewPaths(d.self.Zone, clock, log.Named("paths"), d.peers, d.fleet.Addresses)
+	d.paths = relay.NewPaths(d.self.Zone, clock, log.Named("paths"), d.peers, d.fleet)
 	d.transport = wire.NewTargetTransport(clock, append(d.transportOptions, wire.WithPaths(d.paths, d.peers.links.OpenTunnel))...)
 	dialect := platform.Dialect{}
 	d.noticeGossip = newNoticeGossip(clock, func(m proto.TargetNotices) { d.peers.sendToLinks(m) })
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -89,7 +89,7 @@
 	p.loads[from] = peerLoad{open: int(h.Load), cutOff: h.CutOff, at: now}
 }
 
-// Carriers returns the daemons that were heard a moment ago, reach targets and can carry connections to them.
+// Carriers returns the daemons that were heard a moment ago and can carry connections to targets.
 func (p *relayPeers) Carriers() []relay.Carrier {
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -97,11 +97,11 @@
 	p.mu.Unlock()
 	var carriers []relay.Carrier
 	for vm, load := range loads {
-		if load.cutOff || now.Sub(load.at) > peerSilenceTimeout {
+		if now.Sub(load.at) > peerSilenceTimeout {
 			continue
 		}
 		if alive, known := p.members.Lookup(vm); known && !alive.Stopping && alive.Protocol >= proto.PeerProtocolTunnels {
-			carriers = append(carriers, relay.Carrier{VM: vm, Zone: alive.Zone, Load: load.open})
+			carriers = append(carriers, relay.Carrier{VM: vm, Zone: alive.Zone, Load: load.open, CutOff: load.cutOff})
 		}
 	}
 	slices.SortFunc(carriers, func(a, b relay.Carrier) int { return cmp.Compare(a.VM, b.VM) })
--- a/wire/links.go
+++ b/wire/links.go
@@ -127,8 +127,9 @@
 	return l.partitioned[vm]
 }
 
-// Close closes the links to all other daemons.
+// Close closes the links to all other daemons, and the connections that this one carries for them.
 func (l *Links) Close() {
+	l.tunnels.closeAll()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -18,12 +18,12 @@
 	return t.paths == nil || t.paths.UsesLink(to)
 }
 
-// carriers returns the daemons that can carry connections.
+// carriers returns the daemons that can carry connections and reach targets.
 func (t *TargetTransport) carriers() map[proto.VM]bool {
 	carriers := map[proto.VM]bool{}
 	if t.paths != nil && t.paths.Stats().Carried > 0 {
 		for _, c := range t.paths.Carriers() {
-			carriers[c.VM] = true
+			carriers[c.VM] = !c.CutOff
 		}
 	}
 	return carriers
@@ -43,10 +43,20 @@
 	c, err := t.openAnyPath(ctx, to)
 	if err != nil && ctx.Err() == nil {
 		t.paths.RecordUnreached(to)
+		if other, ok := t.paths.VerifyAnyPath(); ok {
+			go t.verify(other)
+		}
 	}
 	return c, err
 }
 
+// verify finds out whether a target is reached over any path, and keeps the connection for a request.
+func (t *TargetTransport) verify(to netip.AddrPort) {
+	if c, err := t.open(context.Background(), to); err == nil {
+		t.putIdle(to, c, nil)
+	}
+}
+
 // openAnyPath opens a connection over the path to use. If an own connection takes long, another daemon is asked beside it, and the first
 // to open is used.
 func (t *TargetTransport) openAnyPath(ctx context.Context, to netip.AddrPort) (*targetConn, error) {
@@ -187,7 +197,7 @@
 	last := newError("open tunnel", proto.KindUnavailable, "no other daemon can carry the connection")
 	for {
 		for !askedAll && running < side {
-			carrier, ok := t.paths.NextCarrier(asked)
+			carrier, ok := t.paths.NextCarrier(to, asked)
 			if !ok {
 				askedAll = true
 				break
@@ -231,7 +241,7 @@
 	conn, outcome, err := t.openTunnel(ctx, by, to)
 	if err != nil {
 		if ctx.Err() == nil {
-			t.paths.RecordNotCarried(by, outcome)
+			t.paths.RecordNotCarried(to, by, outcome)
 		}
 		return carryResult{outcome: outcome, err: err}
 	}
--- a/wire/tunnels.go
+++ b/wire/tunnels.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -49,6 +51,34 @@
 type tunnelServer struct {
 	TunnelConfig
 	open, carried, refused atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*websocket.Conn]bool
+}
+
+// track registers an open tunnel until the returned function is called.
+func (s *tunnelServer) track(conn *websocket.Conn) (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = map[*websocket.Conn]bool{}
+	}
+	s.conns[conn] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}
+}
+
+// closeAll ends all tunnels that this daemon carries.
+func (s *tunnelServer) closeAll() {
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.CloseNow() // It may have just been closed.
+	}
 }
 
 // TunnelCounts holds the number of open tunnels and the totals since the start.
@@ -105,6 +135,7 @@
 		return
 	}
 	defer conn.CloseNow()
+	defer s.track(conn)()
 	s.carried.Add(1)
 	l.log.Debug("carrying a connection", "from", from, "target", to, "open", s.open.Load())
 	carry(r.Context(), conn, target)
