Other daemons are asked for few connections at a time over links that are not known to be lost

Beside load the tests of cut links saturated the machine by themselves (1,300 requests a second), own connections took over 80 ms to open, and each of them had two other daemons open one too.

--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -190,6 +190,10 @@
 	side := 1
 	if t.paths.UsesLink(to) {
 		side = 2
+		defer t.asking.Add(-1)
+		if t.asking.Add(1) > maxAsking {
+			return nil, newError("open tunnel", proto.KindUnavailable, "too many connections are being asked for")
+		}
 	}
 	results := make(chan carryResult, maxAskedBeside)
 	asked := map[proto.VM]bool{}
@@ -227,8 +231,13 @@
 	return nil, last
 }
 
-// maxAskedBeside is how many daemons are asked for a connection at a time.
-const maxAskedBeside = 2
+const (
+	// maxAskedBeside is how many daemons are asked for a connection at a time.
+	maxAskedBeside = 2
+	// maxAsking is for how many connections others are asked at a time over links that are not known to be lost. Where many own connections
+	// are slow to open, this daemon is probably overloaded, and more work would not help.
+	maxAsking = 16
+)
 
 // carryResult is a carried connection, or why a daemon did not open it.
 type carryResult struct {
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -57,6 +57,8 @@
 	idle map[netip.AddrPort][]*targetConn
 
 	dialed, reused, stray atomic.Int64
+	// asking counts the connections that others are asked for although the link is not known to be lost.
+	asking atomic.Int64
 }
 
 // TransportOption configures a TargetTransport.
