Daemons divide the slots of brittle targets

Cause: nothing read the header, and each daemon sent what it liked. Now each daemon sends a brittle target at most its part of the slots, by the count of daemons that the platform's list gives, so that the parts of all add up to the slots at most, also in groups that do not hear each other; what has no place is refused at once.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -196,6 +196,7 @@
 	reasonAtCapacity        = "each target of the pool has as many requests as it may have at a time"
 	reasonCold              = "the targets of the pool are cold, and get no more for the moment"
 	reasonBackoff           = "the targets of the pool want rest from this daemon"
+	reasonBrittle           = "the targets of the pool are brittle and have as many requests of this daemon as they may"
 	reasonNoneReached       = "no target is reached at present, neither from here nor through other daemons"
 	reasonRateLimited       = "what the targets of the pool take by the limits that they name is used up for the moment"
 )
@@ -227,6 +228,9 @@
 	if wait, limited := f.server.placer.limitWait(f.pool); limited && wait > 0 {
 		return refusedLimits, reasonRateLimited
 	}
+	if f.server.placer.brittleExhausted(f.pool) {
+		return refusedLimits, reasonBrittle
+	}
 	if _, backingOff := f.server.fleet.backoffRemaining(f.server.clock.Now(), f.pool); backingOff {
 		return refusedLimits, reasonBackoff
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -74,6 +74,8 @@
 	// ForPeer is set if another daemon sends the request. Backoffs asked of this daemon then do not apply; targets that
 	// the peer must not use are in Tried.
 	ForPeer bool
+	// Quota limits the requests to brittle targets.
+	Quota BrittleQuota
 	// AllowedCold holds the cold targets and AllowedLimited the targets with a limit that may be picked.
 	AllowedCold, AllowedLimited map[string]bool
 }
@@ -145,7 +147,7 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.closed() || t.backsOff(now) || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) && !w.AllowedCold[id] {
+	if t == nil || t.closed() || t.backsOff(now) || p.atQuota(now, t, w.Quota) || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) && !w.AllowedCold[id] {
 		return nil
 	}
 	if w.Engine {
@@ -158,6 +160,9 @@
 
 func (t *Target) startAttempt(now time.Time, w TargetCriteria, maxCacheTokens int) {
 	t.active++
+	if !w.ForPeer {
+		t.sending++
+	}
 	if !w.Engine {
 		return
 	}
@@ -222,7 +227,7 @@
 	case p.isCold(now, t) && !w.AllowedCold[id] || t.notice.HasLimit && !w.AllowedLimited[id]:
 		return false
 	}
-	return w.ForPeer || !t.backsOff(now)
+	return w.ForPeer || !t.backsOff(now) && !p.atQuota(now, t, w.Quota)
 }
 
 // AtCapacity reports whether every healthy target of a pool has as many requests as it may have at a time.
@@ -360,6 +365,9 @@
 	t.pool.mu.Lock()
 	defer t.pool.mu.Unlock()
 	t.active--
+	if !w.ForPeer {
+		t.sending--
+	}
 	if w.Engine {
 		t.pauseWeight = max(0, t.pauseWeight-w.pauseWeight())
 	}
@@ -380,6 +388,9 @@
 	case VerdictOverloaded:
 		t.otherLoad = max(t.otherLoad, float64(t.Spec.Slots))
 		t.otherLoadAt = now
+		if p := t.pool; p.isBrittle(now, t) && !w.ForPeer {
+			t.backoffUntil = maxTime(t.backoffUntil, now.Add(brittlePause))
+		}
 	}
 }
 
@@ -405,8 +416,9 @@
 	return t != nil && f.AcceptsWork(t) && f.Spec(t).StartedAt.Equal(spec.StartedAt)
 }
 
-// ExcludedTargets returns the targets of a pool that this daemon does not use: they fail, may have left, or asked it to back off.
-func (f *Fleet) ExcludedTargets(now time.Time, pool string) []string {
+// ExcludedTargets returns the targets of a pool that this daemon does not use now: they fail, may have left, asked it to back off, or are
+// brittle and have as many of its requests as they may.
+func (f *Fleet) ExcludedTargets(now time.Time, pool string, quota BrittleQuota) []string {
 	p := f.pool(pool)
 	if p == nil {
 		return nil
@@ -415,7 +427,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for _, t := range p.list {
-		if t.suspected || t.health.ejected(now) || t.unreached(now) || t.backsOff(now) {
+		if t.suspected || t.health.ejected(now) || t.unreached(now) || t.backsOff(now) || p.atQuota(now, t, quota) {
 			ids = append(ids, t.Spec.ID)
 		}
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -54,6 +54,11 @@
 	notice proto.TargetNotice
 	// backoffUntil is the time before which the target accepts no requests from this daemon.
 	backoffUntil time.Time
+	// brittle is set if the latest response says so, which arrived at brittleAt.
+	brittle   bool
+	brittleAt time.Time
+	// sending is the number of active attempts that this daemon sends, without those that it placed for others.
+	sending int
 	// unreachedUntil is until when this daemon prefers other targets, since its link to this one may have failed.
 	unreachedUntil time.Time
 	// recentPicks holds when the target was picked within the last second, in pools whose targets may be cold.
@@ -105,6 +110,8 @@
 	coldLimit int
 	// mayHaveLimits is set if a target may have reported a limit.
 	mayHaveLimits bool
+	// brittleAt is when a target of the pool last said that it is brittle.
+	brittleAt time.Time
 	// lastColdUntil is when the last known cold target becomes warm.
 	lastColdUntil time.Time
 }
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -221,13 +221,13 @@
 	if f.Pick(start, "p", TargetCriteria{}) == nil {
 		t.Error("none was picked with all targets failing: an unhealthy one is better than none")
 	}
-	if out := f.ExcludedTargets(start.Add(maxEjection), "p"); len(out) != 0 {
+	if out := f.ExcludedTargets(start.Add(maxEjection), "p", BrittleQuota{}); len(out) != 0 {
 		t.Errorf("%v stay ejected", out)
 	}
 	for i := range 6 {
 		fail(start.Add(time.Duration(i)*time.Millisecond), "a")
 	}
-	if out := f.ExcludedTargets(start.Add(maxEjection-time.Second), "p"); fmt.Sprint(out) != "[a]" {
+	if out := f.ExcludedTargets(start.Add(maxEjection-time.Second), "p", BrittleQuota{}); fmt.Sprint(out) != "[a]" {
 		t.Errorf("ejected after consecutive failures: %v", out)
 	}
 }
--- a/relay/notices.go
+++ b/relay/notices.go
@@ -51,6 +51,9 @@
 		s.log.Warn("a target's notice cannot be read", "target", h.target.ID, "pool", h.target.Pool, "address", to, "status", in.Status, "values", h.Unreadable)
 		h.partial = true
 	}
+	if !h.partial && s.fleet.recordBrittle(s.clock.Now(), &h) {
+		s.log.Info("brittleness of a target changed", "target", h.target.ID, "run", h.target.RunName(), "pool", h.target.Pool, "address", to, "brittle", h.Brittle, "rejectionsPerSecond", h.MaxRejections)
+	}
 	for _, change := range s.fleet.recordSignal(s.clock.Now(), &h) {
 		s.log.Info(change.event, "target", h.target.ID, "run", h.target.RunName(), "pool", h.target.Pool, "address", to, "limit", change.limit, "before", change.before,
 			"rest", formatDuration(change.backoff), "status", in.Status, "uri", out.URI, "took", formatDuration(s.clock.Now().Sub(sent)))
--- a/relay/place.go
+++ b/relay/place.go
@@ -129,7 +129,7 @@
 // The caller must call Finish on it.
 func (p *Placer) ChooseByID(ctx context.Context, pool, id string, w TargetCriteria) *Placement {
 	now := p.clock.Now()
-	w.AllowedCold, w.AllowedLimited = p.sendableCold(now, pool, w.Rank), p.usableLimited(now, pool)
+	w.AllowedCold, w.AllowedLimited, w.Quota = p.sendableCold(now, pool, w.Rank), p.usableLimited(now, pool), p.brittleQuota(pool)
 	t := p.fleet.PickByID(now, pool, id, w)
 	if t == nil {
 		return nil
@@ -143,6 +143,7 @@
 }
 
 func (p *Placer) choose(ctx context.Context, pool string, w TargetCriteria) *Placement {
+	w.Quota = p.brittleQuota(pool)
 	if w.Engine {
 		group := p.groupFor(pool, &w)
 		w.Group = group.index
@@ -162,7 +163,7 @@
 
 // chooseRemotely asks the owner of the pool. It returns false if this daemon has to choose alone.
 func (p *Placer) chooseRemotely(ctx context.Context, owner proto.VM, pool string, w TargetCriteria) (placed *Placement, decided bool) {
-	excluded := p.fleet.ExcludedTargets(p.clock.Now(), pool)
+	excluded := p.fleet.ExcludedTargets(p.clock.Now(), pool, w.Quota)
 	for id := range w.Tried {
 		excluded = append(excluded, id)
 	}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -69,6 +69,9 @@
 	// Limit is the rate, in requests per second, that the target accepts from all daemons together; Limited is set if it states one.
 	Limit    float64
 	HasLimit bool
+	// Brittle is set if the target fails when it has to reject more than MaxRejections requests in a second for lack of capacity.
+	Brittle       bool
+	MaxRejections float64
 	// Backoff is how long a target that rejected a request wants none from this daemon; 0 if unstated.
 	Backoff time.Duration
 	// Unreadable holds the headers that could not be parsed, with their names. They are ignored, like missing ones.
