--- a/wire/pathsmodel_test.go
+++ b/wire/pathsmodel_test.go
@@ -175,12 +175,12 @@
 }
 
 // reached reports whether a daemon reaches a target itself, and whether any daemon does.
-func (m *pathsModel) reached(d *modelDaemon, to netip.AddrPort) (own, any bool) {
+func (m *pathsModel) reached(d *modelDaemon, to netip.AddrPort) (own, some bool) {
 	if m.down[to] != modelWorks {
 		return false, false
 	}
-	any = slices.ContainsFunc(m.daemons, func(o *modelDaemon) bool { return o.links[to] == modelWorks })
-	return d.links[to] == modelWorks, any
+	some = slices.ContainsFunc(m.daemons, func(o *modelDaemon) bool { return o.links[to] == modelWorks })
+	return d.links[to] == modelWorks, some
 }
 
 // phase returns when links and targets last changed.
@@ -203,17 +203,17 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own, any := m.reached(d, to)
+	own, some := m.reached(d, to)
 	var link *relay.LinkError
 	doubtful := errors.As(err, &link)
 	switch {
-	case any && err != nil:
+	case some && err != nil:
 		m.t.Errorf("seed %d: %s did not reach %s, which some daemon reaches: %v", m.seed, d.vm, to, err)
 	case own && d.unusedFor(to) > modelReturn:
 		m.t.Errorf("seed %d: %s does not use its working link to %s", m.seed, d.vm, to)
-	case !any && m.down[to] != modelWorks && err == nil:
+	case !some && m.down[to] != modelWorks && err == nil:
 		m.t.Errorf("seed %d: %s reached %s, which is down", m.seed, d.vm, to)
-	case !any && m.down[to] != modelWorks && doubtful && m.trusted(d) >= 2:
+	case !some && m.down[to] != modelWorks && doubtful && m.trusted(d) >= 2:
 		m.t.Errorf("seed %d: %s doubts that %s is down: %v", m.seed, d.vm, to, err)
 	}
 }
