A tunnel that breaks is not taken for an answer that has ended

Cause: the error of a connection that ends without a close frame wraps io.EOF, and responses that end with their connection are complete at io.EOF. TestTunnelEndsAsItsTargetDid checked the error with ReadAll, which compares it without unwrapping; it now checks as the product does, and failed in both cases before.

--- a/wire/tunnels.go
+++ b/wire/tunnels.go
@@ -243,8 +243,12 @@
 	defer close(c.messages)
 	for {
 		_, data, err := c.ws.Read(c.ctx)
-		if websocket.CloseStatus(err) == websocket.StatusNormalClosure {
+		switch {
+		case websocket.CloseStatus(err) == websocket.StatusNormalClosure:
 			err = io.EOF
+		case errors.Is(err, io.EOF):
+			// The connection to the other daemon ended without a close frame.
+			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			c.readErr = err
--- a/wire/tunnels_test.go
+++ b/wire/tunnels_test.go
@@ -151,7 +151,7 @@
 			to := rawTarget(t, unframedAnswer, func(conn net.Conn) { s.end(x)(conn) })
 			x = newTunnelTest(t, to, TunnelConfig{MaxOpen: 1})
 			body, err := sendOnce(t, x.transport, to, newTargetRequest("a", "q"))
-			if body != "body" || (err == nil) != s.whole {
+			if body != "body" || (err == nil) != s.whole || errors.Is(err, io.EOF) {
 				t.Errorf("%q, %v, want whole %v", body, err, s.whole)
 			}
 		})
