A brittle target that rejects a request is paused for all that the placing daemon places

Engines may be full by their memory before their slots are, so that the part of the slots that each daemon has does not keep them from rejecting; each daemon then learned it by a rejection of its own. The daemon that places for the pool hears of the first one and pauses the target for a second for all. TestBrittleTargetThatRejectsIsPausedForAll failed before by construction: only the own daemon paused.

--- a/relay/brittle.go
+++ b/relay/brittle.go
@@ -10,7 +10,8 @@
 const (
 	// brittleMemory is for how long a pool counts as brittle after one of its targets said so, for targets that were not heard yet.
 	brittleMemory = 10 * time.Second
-	// brittlePause is for how long a brittle target that rejected a request gets none from this daemon.
+	// brittlePause is for how long a brittle target that rejected a request gets no other one from the daemons that know of it: the one
+	// that sent it, and the one that placed it.
 	brittlePause = time.Second
 	// brittleTaskPrefix is the prefix of the task of sending requests to a brittle target with fewer slots than there are daemons.
 	brittleTaskPrefix = "brittle/"
@@ -96,7 +97,7 @@
 			continue
 		}
 		open++
-		if !p.atQuota(now, t, quota) && !t.backsOff(now) {
+		if !t.full(now) && !p.atQuota(now, t, quota) && !t.backsOff(now) {
 			return false
 		}
 	}
@@ -144,10 +145,3 @@
 	quota := p.brittleQuota(pool)
 	return quota.Daemons > 0 && p.fleet.allAtQuota(p.clock.Now(), pool, quota)
 }
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/relay/brittle_test.go
+++ b/relay/brittle_test.go
@@ -93,3 +93,37 @@
 		t.Errorf("%d targets are limited after they said otherwise", n)
 	}
 }
+
+// TestBrittleTargetThatRejectsIsPausedForAll guards against each daemon being rejected once: the daemon that places for the pool pauses the
+// target when another one is.
+func TestBrittleTargetThatRejectsIsPausedForAll(t *testing.T) {
+	fleets := []*Fleet{engineFleet(1), engineFleet(1), engineFleet(1)}
+	for _, f := range fleets {
+		f.recordBrittle(start, &signal{target: testTarget("e00", "p", "y"), Notice: Notice{Brittle: true, MaxRejections: 2}, sent: start})
+	}
+	clock := clockwork.NewFakeClockAt(start)
+	placers, _ := newPlacers(clock, fleets...)
+	w := promptCriteria("a", 100, 10)
+	placed := placers["vm-1"].Choose(t.Context(), "p", w)
+	if placed == nil {
+		t.Fatal("no target")
+	}
+	placed.Finish(VerdictOverloaded, Load{})
+	if other := placers["vm-2"].placeRemotely(t, "vm-0", w); other != "" {
+		t.Errorf("%s is placed for another daemon although it has just rejected a request", other)
+	}
+	clock.Advance(brittlePause)
+	if other := placers["vm-2"].placeRemotely(t, "vm-0", w); other != "e00" {
+		t.Errorf("placed %q after the pause", other)
+	}
+}
+
+// placeRemotely returns the target that the owner places for this daemon.
+func (p *Placer) placeRemotely(t *testing.T, owner proto.VM, w TargetCriteria) string {
+	t.Helper()
+	a, _, err := p.ask(t.Context(), owner, proto.PlaceAsk{Pool: "p", Route: w.Route, SharedParts: w.SharedParts, OwnTokens: w.OwnTokens, Zone: w.Zone})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a.Target
+}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -147,7 +147,7 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.closed() || t.backsOff(now) || p.atQuota(now, t, w.Quota) || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) && !w.AllowedCold[id] {
+	if t == nil || t.closed() || t.full(now) || t.backsOff(now) || p.atQuota(now, t, w.Quota) || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) && !w.AllowedCold[id] {
 		return nil
 	}
 	if w.Engine {
@@ -227,7 +227,7 @@
 	case p.isCold(now, t) && !w.AllowedCold[id] || t.notice.HasLimit && !w.AllowedLimited[id]:
 		return false
 	}
-	return w.ForPeer || !t.backsOff(now) && !p.atQuota(now, t, w.Quota)
+	return !t.full(now) && (w.ForPeer || !t.backsOff(now) && !p.atQuota(now, t, w.Quota))
 }
 
 // AtCapacity reports whether every healthy target of a pool has as many requests as it may have at a time.
@@ -388,8 +388,8 @@
 	case VerdictOverloaded:
 		t.otherLoad = max(t.otherLoad, float64(t.Spec.Slots))
 		t.otherLoadAt = now
-		if p := t.pool; p.isBrittle(now, t) && !w.ForPeer {
-			t.backoffUntil = maxTime(t.backoffUntil, now.Add(brittlePause))
+		if t.pool.isBrittle(now, t) {
+			t.fullUntil = now.Add(brittlePause)
 		}
 	}
 }
@@ -427,7 +427,7 @@
 	defer p.mu.Unlock()
 	var ids []string
 	for _, t := range p.list {
-		if t.suspected || t.health.ejected(now) || t.unreached(now) || t.backsOff(now) || p.atQuota(now, t, quota) {
+		if t.suspected || t.health.ejected(now) || t.unreached(now) || t.full(now) || t.backsOff(now) || p.atQuota(now, t, quota) {
 			ids = append(ids, t.Spec.ID)
 		}
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -57,6 +57,8 @@
 	// brittle is set if the latest response says so, which arrived at brittleAt.
 	brittle   bool
 	brittleAt time.Time
+	// fullUntil is until when a brittle target gets nothing, since it rejected a request of this daemon or one that this daemon placed.
+	fullUntil time.Time
 	// sending is the number of active attempts that this daemon sends, without those that it placed for others.
 	sending int
 	// unreachedUntil is until when this daemon prefers other targets, since its link to this one may have failed.
@@ -71,6 +73,9 @@
 // unreached reports whether this daemon could not reach the target a moment ago.
 func (t *Target) unreached(now time.Time) bool { return now.Before(t.unreachedUntil) }
 
+// full reports whether a brittle target rejected a request a moment ago.
+func (t *Target) full(now time.Time) bool { return now.Before(t.fullUntil) }
+
 // closed reports whether the target must not get new work, regardless of its health.
 func (t *Target) closed() bool { return t.leaves() || t.evacuated }
 
