--- a/wire/keepalive.go
+++ b/wire/keepalive.go
@@ -16,7 +16,8 @@
 	// probeInterval is the pause before the first probe and between probes on an idle connection, the shortest that
 	// operating systems support.
 	probeInterval = time.Second
-	// maxProbes is the number of unanswered probes that end a connection.
+	// maxProbes is the number of unanswered probes that end a connection on systems without the option for unacknowledged data; with
+	// it, the first unanswered probe after maxUnacknowledged does.
 	maxProbes = 2
 )
 
