--- a/relay/paths.go
+++ b/relay/paths.go
@@ -114,6 +114,7 @@
 	failedInRow map[netip.AddrPort]bool
 	// probedAt is when an own connection was last tried over a lost link, and verifiedAt when one was only to verify links.
 	probedAt, verifiedAt time.Time
+	sweptAt              time.Time
 	// pausedUntil holds until when daemons are asked last, and open how many connections each one carries for this one.
 	pausedUntil map[proto.VM]time.Time
 	open        map[proto.VM]int
@@ -483,9 +484,10 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.probedAt) < pathTTL/2 && p.lost > 0 {
+	if now.Sub(p.sweptAt) < pathTTL/4 {
 		return
 	}
+	p.sweptAt = now
 	for to, l := range p.paths {
 		if now.Sub(l.usedAt) <= pathTTL {
 			continue
