The log tells the software version of targets, and which stream a request goes on with

What callers saw: streams with events of two software versions. The log could not tell whether a caller's next request, the daemon's own continuation, or a late entry was the cause: no version, no Last-Event-Id and no named stream stood in it. Change: the entry's version is kept with the target, and the request's stream, its last event and each target at which a stream begins are logged. No decision changes.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -147,6 +147,8 @@
 	// Region is the region of the zone; empty if the settings do not contain the zone.
 	Region string
 	Slots  int
+	// Software is the version of the target's software, without an order. Streams of two versions do not fit together.
+	Software string
 	// Leaving targets get no new requests.
 	Leaving bool
 	// ColdRemaining is how long the target stays cold, counted from when the entry was written.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -575,6 +575,7 @@
 func (a *attempt) handleStreamStart() {
 	f := a.race.flow
 	a.streamStarted = true
+	f.logInfo("stream begins at a target", "target", a.placement.Spec.ID, "software", a.placement.Spec.Software, "lastEvent", f.lastEventID, "committed", f.committed, "resumes", f.req.Resumes)
 	a.placement.RecordResponseStart()
 	f.recordFirstEvent(f.server.clock.Now().Sub(a.startedAt))
 	// An engine fetches all inputs before it reads the prompt.
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -29,6 +29,8 @@
 	PromptTokens, MaxTokens int
 	// After is the id of the last stream event that the caller has received; 0 for a new stream.
 	After int
+	// Resumes is the id of the caller's request that brought the first event of the stream; empty for a new stream.
+	Resumes string
 	// PieceKey identifies the input of the stages. Pieces is the number of pieces of each stage of the route, 0 to skip it.
 	PieceKey string
 	Pieces   []int
--- a/relay/server.go
+++ b/relay/server.go
@@ -266,7 +266,7 @@
 		return
 	}
 	f.logInfo("request accepted", "route", f.route.Name, "workspace", f.workspace, "rank", f.rank, "pool", f.pool, "routing", f.routingVersion,
-		"pieces", f.req.Pieces, "homes", f.allowedRegions.Regions, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.promptID(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MaxTokens, "due", formatDuration(f.due.Sub(startedAt)), "left", formatDuration(f.timeLeft()))
+		"pieces", f.req.Pieces, "homes", f.allowedRegions.Regions, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.promptID(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MaxTokens, "due", formatDuration(f.due.Sub(startedAt)), "left", formatDuration(f.timeLeft()), "after", f.req.After, "resumes", f.req.Resumes)
 	ctx, span := otel.Tracer(tracerName).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
