--- a/serve/relay.go
+++ b/serve/relay.go
@@ -132,6 +132,9 @@
 // MemberCount returns the number of live daemons that this one knows, itself included.
 func (d *Relay) MemberCount() int { return d.peers.Count() }
 
+// TargetsVersion returns the revision of the newest change of the targets' entries that this daemon knows.
+func (d *Relay) TargetsVersion() proto.Revision { return d.fleet.Version() }
+
 // PieceCalls returns the number of calls for pieces that this daemon made.
 func (d *Relay) PieceCalls() int64 { return d.pieces.Stats().Calls }
 
