Streams go on only at the software version that began them

Cause: a stream that goes on was placed like a new one. The version stood in the target's entry and was dropped; the id of the request that began the stream (Resumes) was read nowhere. Change: the daemon that passes a first event on remembers pool and version by digest and request id, and tells three other daemons, chosen by rendezvous hashing over the digest; a daemon that does not know asks six. Daemons that start are told what they should keep. Unknown, contradicting or no longer served versions are refused at once as not run. Every choice of a target goes through the same criteria: hedge, race, retry, return to an earlier target, placement by another daemon. Attempts of other versions are cancelled at the first event, and a run that was replaced meanwhile does not begin a stream that goes on. An entry whose version changes is a new run.

--- /dev/null
+++ b/origin/book_test.go
@@ -0,0 +1,63 @@
+package origin_test
+
+import (
+	"testing"
+	"time"
+
+	"emberlead/origin"
+	"emberlead/proto"
+)
+
+func TestBookFinds(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	begun := func(stream proto.StreamKey, software string) proto.StreamStart {
+		return proto.StreamStart{Request: 1, Stream: stream, Origin: proto.StreamOrigin{Pool: "p", Software: software}, Lifetime: time.Minute}
+	}
+	scenarios := []struct {
+		name   string
+		starts []proto.StreamStart
+		stream proto.StreamKey
+		after  time.Duration
+		want   string
+	}{
+		{"unknown request", nil, 7, 0, ""},
+		{"unknown stream of a known request", []proto.StreamStart{begun(8, "v1")}, 7, 0, ""},
+		{"known stream", []proto.StreamStart{begun(7, "v1"), begun(8, "v2")}, 7, 0, "v1"},
+		{"told twice", []proto.StreamStart{begun(7, "v1"), begun(7, "v1")}, 7, 0, "v1"},
+		{"contradicting starts", []proto.StreamStart{begun(7, "v1"), begun(7, "v2")}, 7, 0, ""},
+		{"no key, one version", []proto.StreamStart{begun(7, "v1"), begun(8, "v1")}, 0, 0, "v1"},
+		{"no key, two versions", []proto.StreamStart{begun(7, "v1"), begun(8, "v2")}, 0, 0, ""},
+		{"no longer to be taken up", []proto.StreamStart{begun(7, "v1")}, 7, time.Minute, ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := origin.NewBook()
+			for _, start := range s.starts {
+				b.Add(now, start)
+			}
+			got, known := b.Find(now.Add(s.after), 1, s.stream)
+			if got.Software != s.want || known != (s.want != "") {
+				t.Errorf("found %+v, %t, want %q", got, known, s.want)
+			}
+		})
+	}
+}
+
+func TestBookIsBounded(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	b := origin.NewBook()
+	const many = 100_000
+	for i := range many {
+		b.Add(now, proto.StreamStart{Request: proto.RequestDigest(i), Stream: 1, Origin: proto.StreamOrigin{Pool: "p", Software: "v1"}, Lifetime: time.Minute})
+	}
+	if b.Size() >= many/2 {
+		t.Errorf("%d streams are remembered", b.Size())
+	}
+	if _, known := b.Find(now, many-1, 1); !known {
+		t.Error("the newest stream was dropped")
+	}
+	b.Sweep(now.Add(time.Minute))
+	if b.Size() != 0 {
+		t.Errorf("%d streams are left after their time", b.Size())
+	}
+}
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -134,4 +134,6 @@
 	MessageMembersAsk:       decodeAs[MembersAsk],
 	MessageDaemonRowsAsk:    decodeAs[DaemonRowsAsk],
 	MessageDaemonRowsAnswer: decodeAs[DaemonRowsAnswer],
+	MessageStreamStarts:     decodeAs[StreamStarts],
+	MessageStreamAsk:        decodeAs[StreamAsk],
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -59,6 +59,8 @@
 	MessageMembersAsk
 	MessageDaemonRowsAsk
 	MessageDaemonRowsAnswer
+	MessageStreamStarts
+	MessageStreamAsk
 )
 
 // Heartbeat tells a peer that the sender is alive and which versions of the shared state it has.
@@ -110,6 +112,8 @@
 	PeerProtocolRows PeerProtocol = 1
 	// PeerProtocolTunnels has connections to targets that daemons carry for each other.
 	PeerProtocolTunnels PeerProtocol = 2
+	// PeerProtocolStreams has StreamStarts and StreamAsk.
+	PeerProtocolStreams PeerProtocol = 3
 )
 
 // Alarm reports that a daemon has stopped hearing from a peer it is connected to, or hears from it again.
@@ -394,6 +398,8 @@
 func (MembersAsk) messageKind() MessageKind       { return MessageMembersAsk }
 func (DaemonRowsAsk) messageKind() MessageKind    { return MessageDaemonRowsAsk }
 func (DaemonRowsAnswer) messageKind() MessageKind { return MessageDaemonRowsAnswer }
+func (StreamStarts) messageKind() MessageKind     { return MessageStreamStarts }
+func (StreamAsk) messageKind() MessageKind        { return MessageStreamAsk }
 
 // Envelope frames one message. Call is nonzero for a call and for its answer.
 type Envelope struct {
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -354,6 +354,8 @@
 	AllowedRegions AllowedRegions `cbor:"10,keyasint,omitzero"`
 	// Group is the group of the pool's engines to choose from; 0 for all.
 	Group int `cbor:"11,keyasint,omitempty"`
+	// Software is the software version that the target must have; empty for any.
+	Software string `cbor:"12,keyasint,omitempty"`
 }
 
 // EngineTimes holds what was learned about the engines of a pool: the time that each request, each prompt token and
--- /dev/null
+++ b/proto/streams.go
@@ -0,0 +1,32 @@
+package proto
+
+import "time"
+
+// StreamKey identifies a stream by its caller and by the id of the request that began it.
+type StreamKey uint64
+
+// StreamOrigin is where a stream began. It may only go on at targets of the same pool and software version.
+type StreamOrigin struct {
+	Pool     string `cbor:"1,keyasint"`
+	Software string `cbor:"2,keyasint"`
+}
+
+// StreamStart tells where a stream began.
+type StreamStart struct {
+	// Request is the digest of the stream's request, which is the same when its caller takes the stream up again.
+	Request RequestDigest `cbor:"1,keyasint"`
+	Stream  StreamKey     `cbor:"2,keyasint"`
+	Origin  StreamOrigin  `cbor:"3,keyasint"`
+	// Lifetime is the time from now in which its caller may take the stream up again.
+	Lifetime time.Duration `cbor:"4,keyasint"`
+}
+
+// StreamStarts tells where streams began.
+type StreamStarts struct {
+	Starts []StreamStart `cbor:"1,keyasint,omitempty"`
+}
+
+// StreamAsk requests the StreamStarts of a request.
+type StreamAsk struct {
+	Request RequestDigest `cbor:"1,keyasint"`
+}
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -37,7 +37,10 @@
 	f.digest = requestDigest(req, f.workspace)
 	f.choosePool(table)
 	f.setDeadlines()
-	return f, f.refuseCrashing()
+	if fail := f.refuseCrashing(); fail != nil {
+		return f, fail
+	}
+	return f, f.findOrigin(r.Context(), table)
 }
 
 func (f *flow) authorize(table *Table) *failure {
@@ -106,6 +109,12 @@
 			break
 		}
 	}
+	f.usePool(table, f.pool)
+}
+
+// usePool takes over what the configuration says of the request at a pool.
+func (f *flow) usePool(table *Table, pool string) {
+	f.pool = pool
 	f.poolSpec = table.Routing().Pools[f.pool]
 	f.rank = table.Rank(f.pool, f.workspaceSpec, f.route)
 	f.allowedRegions = f.route.AllowedRegions
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -193,6 +193,7 @@
 const (
 	reasonNoTarget          = "the pool has no target that may get work"
 	reasonNoTargetInRegions = "the pool has no target in the regions that the request is bound to"
+	reasonVersionGone       = "the pool has no target of the software version at which the stream began"
 	reasonAtCapacity        = "each target of the pool has as many requests as it may have at a time"
 	reasonCold              = "the targets of the pool are cold, and get no more for the moment"
 	reasonBackoff           = "the targets of the pool want rest from this daemon"
@@ -216,6 +217,9 @@
 
 // noTargetCause returns why no target can be chosen, and the kind of that reason.
 func (f *flow) noTargetCause() (kind refusalKind, reason string) {
+	if f.versionGone() {
+		return refusedVersionGone, reasonVersionGone
+	}
 	if f.allowedRegions.Restricted && f.server.fleet.OpenCount(f.pool, f.allowedRegions) == 0 {
 		return refusedNoTarget, reasonNoTargetInRegions
 	}
@@ -262,7 +266,7 @@
 }
 
 func (f *flow) criteria() TargetCriteria {
-	criteria := TargetCriteria{Zone: f.server.zone, Tried: f.triedTargets, Engine: f.poolSpec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, MaxPause: f.route.MaxPause, Rank: f.rank, AllowedRegions: f.allowedRegions}
+	criteria := TargetCriteria{Zone: f.server.zone, Tried: f.triedTargets, Engine: f.poolSpec.Engine != nil, OwnTokens: f.req.PromptTokens, Route: f.route.Name, MaxPause: f.route.MaxPause, Rank: f.rank, AllowedRegions: f.allowedRegions, Software: f.origin.Software}
 	if f.inputZone != "" {
 		criteria.Zone, criteria.InputBytes = f.inputZone, f.inputBytes
 	}
--- a/relay/choice.go
+++ b/relay/choice.go
@@ -71,6 +71,8 @@
 	Rank int
 	// AllowedRegions are the regions that the target must be in.
 	AllowedRegions proto.AllowedRegions
+	// Software is the software version that the target must have, since the stream began at it; empty for any.
+	Software string
 	// ForPeer is set if another daemon sends the request. Backoffs asked of this daemon then do not apply; targets that
 	// the peer must not use are in Tried.
 	ForPeer bool
@@ -147,7 +149,7 @@
 	p.lock()
 	defer p.mu.Unlock()
 	t := p.targets[id]
-	if t == nil || t.closed() || t.full(now) || t.backsOff(now) || p.atQuota(now, t, w.Quota) || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) && !w.AllowedCold[id] {
+	if t == nil || t.closed() || t.full(now) || t.backsOff(now) || p.atQuota(now, t, w.Quota) || !w.allowsTarget(t) || p.isCold(now, t) && !w.AllowedCold[id] {
 		return nil
 	}
 	if w.Engine {
@@ -222,7 +224,7 @@
 func (p *targetPool) isEligible(now time.Time, t *Target, w *TargetCriteria) bool {
 	id := t.Spec.ID
 	switch {
-	case t.closed() || w.Tried[id] || !w.AllowedRegions.Allows(t.Spec.Region):
+	case t.closed() || w.Tried[id] || !w.allowsTarget(t):
 		return false
 	case p.isCold(now, t) && !w.AllowedCold[id] || t.notice.HasLimit && !w.AllowedLimited[id]:
 		return false
@@ -261,7 +263,7 @@
 	var preferred *Target
 	var rank uint64
 	for _, t := range p.candidates(w.Group) {
-		if t.closed() || !w.AllowedRegions.Allows(t.Spec.Region) || p.isCold(now, t) || t.notice.HasLimit || t.suspected || t.health.ejected(now) || t.longPrompts != longPrompts {
+		if t.closed() || !w.allowsTarget(t) || p.isCold(now, t) || t.notice.HasLimit || t.suspected || t.health.ejected(now) || t.longPrompts != longPrompts {
 			continue
 		}
 		h := state.RendezvousScore(part, t.idHash)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -351,7 +351,7 @@
 	case c.Target.StartedAt.Before(old.StartedAt):
 		t.version = c.Version
 		return []FleetEvent{{Target: c.Target, Outcome: outcomeStale, Version: c.Version}}
-	case c.Target.StartedAt.After(old.StartedAt) || c.Target.Pool != old.Pool:
+	case c.Target.StartedAt.After(old.StartedAt) || c.Target.Pool != old.Pool || c.Target.Software != old.Software:
 		return f.restart(now, t, c)
 	case old.Leaving && !c.Target.Leaving && c.Version.Era > t.version.Era:
 		// The store was restored from a copy from before the target announced that it leaves.
--- a/relay/place.go
+++ b/relay/place.go
@@ -169,7 +169,7 @@
 	}
 	a, ok, err := p.ask(ctx, owner, proto.PlaceAsk{
 		Pool: pool, Route: w.Route, SharedParts: w.SharedParts, OwnTokens: w.OwnTokens, Zone: w.Zone, InputBytes: w.InputBytes, Excluded: excluded, MaxPause: w.MaxPause,
-		Cold: slices.Collect(maps.Keys(w.AllowedCold)), AllowedRegions: w.AllowedRegions, Group: w.Group,
+		Cold: slices.Collect(maps.Keys(w.AllowedCold)), AllowedRegions: w.AllowedRegions, Group: w.Group, Software: w.Software,
 	})
 	p.recordBusy(engineGroup{pool, w.Group}.key(), a.AdmissionRequired)
 	if err == nil && ok && a.AtCapacity {
@@ -284,7 +284,7 @@
 // HandlePlaceAsk chooses a target for another daemon.
 func (p *Placer) HandlePlaceAsk(ask proto.PlaceAsk) proto.PlaceAnswer {
 	now := p.clock.Now()
-	w := TargetCriteria{Route: ask.Route, SharedParts: ask.SharedParts, OwnTokens: ask.OwnTokens, Zone: ask.Zone, InputBytes: ask.InputBytes, MaxPause: ask.MaxPause, AllowedRegions: ask.AllowedRegions, Engine: true, Group: ask.Group, ForPeer: true, Tried: map[string]bool{}, AllowedCold: map[string]bool{}}
+	w := TargetCriteria{Route: ask.Route, SharedParts: ask.SharedParts, OwnTokens: ask.OwnTokens, Zone: ask.Zone, InputBytes: ask.InputBytes, MaxPause: ask.MaxPause, AllowedRegions: ask.AllowedRegions, Software: ask.Software, Engine: true, Group: ask.Group, ForPeer: true, Tried: map[string]bool{}, AllowedCold: map[string]bool{}}
 	for _, id := range ask.Excluded {
 		w.Tried[id] = true
 	}
--- a/relay/race.go
+++ b/relay/race.go
@@ -205,9 +205,15 @@
 	f := r.flow
 	a.load = update.info.Load
 	a.markRun()
+	if !a.mayContinue() {
+		a.markFailed()
+		r.finishAttempt(a, attemptResult{sent: true, reason: reasonOtherVersion})
+		return false
+	}
 	a.late = false
 	if !a.streamStarted {
 		a.handleStreamStart()
+		r.recordOrigin(a)
 	}
 	if r.leader != a && f.committed && !f.hasNewEvents(update.events) {
 		return false
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -36,12 +36,16 @@
 	refusedNoConfiguration
 	// refusedTooManyOpen means that the daemon is at its own limits: of open requests, or of buffered answers.
 	refusedTooManyOpen
+	// refusedStreamUnknown means that it is unknown at which software version the stream began.
+	refusedStreamUnknown
+	// refusedVersionGone means that no target of the version serves at which the stream began.
+	refusedVersionGone
 	refusalKindCount
 )
 
 // refusalKindNames are the names of the kinds in the log and in the metrics.
 var refusalKindNames = [refusalKindCount]string{
-	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen",
+	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone",
 }
 
 func (k refusalKind) String() string { return refusalKindNames[k] }
--- a/relay/server.go
+++ b/relay/server.go
@@ -76,6 +76,7 @@
 	crashTracker  *CrashTracker
 	crashDetector *CrashDetector
 	linkChecker   LinkChecker
+	origins       *Origins
 
 	// firstEventTimes are the times to the first event of streams, by route and without the stages. responseTimes are those to
 	// complete responses and callTimes those of calls for pieces, by pool. requestTimes are those of whole requests, by route.
@@ -130,6 +131,8 @@
 	CrashDetector *CrashDetector
 	// LinkChecker may be nil if the links to targets never fail.
 	LinkChecker LinkChecker
+	// Origins knows where streams began; nil if no other daemon needs to know.
+	Origins *Origins
 	// Started is closed once the daemon has the data to serve requests; nil if it has it already.
 	Started <-chan struct{}
 }
@@ -139,7 +142,10 @@
 	s := &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*RetryBudget{},
-		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker,
+		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins,
+	}
+	if s.origins == nil {
+		s.origins = NewOrigins(c.Clock, c.Log, nil)
 	}
 	s.sender = newNoticeSender(c.Sender, c.Dialect, c.Fleet, c.Clock, c.Log)
 	s.answers.limit, s.bodies.limit = c.Limits.BufferedAnswerBytes, c.Limits.RequestBodyBytes
@@ -186,6 +192,8 @@
 	workspaceSpec *proto.RelayWorkspace
 	// digest identifies the request when its caller retries it, even under another id.
 	digest proto.RequestDigest
+	// origin is where the stream began, once it has: only targets of the same version may continue it.
+	origin proto.StreamOrigin
 	// allowedRegions may process the request and its pieces. The body is sent to no other daemon.
 	allowedRegions proto.AllowedRegions
 	// rank is the priority of the request among those for its pool; 0 is the highest.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -90,6 +90,8 @@
 	crashTracker  *relay.CrashTracker
 	crashDetector *relay.CrashDetector
 	endGossip     *endGossip
+	// origins knows at which software version streams began.
+	origins *relay.Origins
 	// noticeGossip forwards what targets say about themselves.
 	noticeGossip *noticeGossip
 	// endRowSync sends ends of targets through the store to daemons that this one cannot reach.
@@ -182,7 +184,7 @@
 	d.documents.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
-		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolTunnels,
+		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolStreams,
 	}
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
 		relay.WithColdConfig(relay.ColdConfig{Factor: settings.ColdFactor, Slack: settings.ColdSlack}), relay.WithNoticeHandler(d.forwardNotices))
@@ -198,11 +200,12 @@
 	d.crashDetector = relay.NewCrashDetector(clock, log.Named("crashes"), d.transport, d.crashTracker)
 	d.pieces = relay.NewPieceScheduler(d.self.VM, clock, log.Named("pieces"), dialect, d.transport, d.peers, d.fleet, d.tables, relay.WithCrashDetection(d.crashTracker, d.crashDetector), relay.WithOwnZone(settings.Zone))
 	d.placer = relay.NewPlacer(d.self.VM, clock, log.Named("place"), d.fleet, d.peers, placerOptions(settings)...)
+	d.origins = relay.NewOrigins(clock, log.Named("origins"), d.peers)
 	d.server = relay.NewServer(relay.ServerConfig{
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.transport, Fleet: d.fleet, Tables: d.tables,
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget:       relay.RetryBudgetConfig{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
-		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Started: d.started, Limits: relayLimits(settings),
+		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Origins: d.origins, Started: d.started, Limits: relayLimits(settings),
 	})
 	return d
 }
@@ -304,6 +307,10 @@
 		return d.placer.DecideAdmission(msg)
 	case proto.Confirmed:
 		d.applyPeerConfirmation(now, msg)
+	case proto.StreamStarts:
+		d.origins.Merge(msg)
+	case proto.StreamAsk:
+		return d.origins.Answer(msg)
 	case proto.TargetEnds:
 		d.crashTracker.Merge(msg, from)
 	}
@@ -408,6 +415,7 @@
 			d.logFreshness()
 		}),
 		d.periodic(forgetInterval, d.crashTracker.Sweep),
+		d.periodic(forgetInterval, func() { d.origins.Sweep(d.peers.members.Live()) }),
 		d.periodic(endRowInterval, d.endRowSync.writeIfDue),
 		d.periodic(heapTuneInterval, func() { d.heapTuner.adjust(uint64(d.settings.MemoryBytes)) }),
 		d.periodic(statusInterval, d.logStatus),
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"emberlead/coord"
+	"emberlead/origin"
 	"emberlead/proto"
 	"emberlead/relay"
 	"emberlead/wire"
@@ -108,6 +109,19 @@
 	return carriers
 }
 
+// StreamHolders returns the other daemons that keep the streams of a request.
+func (p *relayPeers) StreamHolders(request proto.RequestDigest, n int) []proto.VM {
+	stopping := map[proto.VM]bool{}
+	var daemons []proto.VM
+	for _, alive := range p.members.Live() {
+		if alive.VM != p.self.VM && alive.Protocol >= proto.PeerProtocolStreams {
+			daemons = append(daemons, alive.VM)
+			stopping[alive.VM] = alive.Stopping
+		}
+	}
+	return origin.Holders(request, daemons, n, func(vm proto.VM) bool { return stopping[vm] })
+}
+
 // pruneLoads removes what is no longer true of the load of other daemons.
 func (p *relayPeers) pruneLoads() {
 	now := p.clock.Now()
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -108,6 +108,8 @@
 	LinkAuth linkAuth `json:"linkAuth"`
 	// Crashes counts the remembered ends of targets under requests, and the requests affected.
 	Crashes relay.CrashStats `json:"crashes"`
+	// Origins counts the streams that callers took up again.
+	Origins relay.OriginStats `json:"origins"`
 	// Cold counts what this daemon sent to cold targets, and how often others had taken the rest of a target's capacity.
 	Cold relay.ColdStats `json:"cold"`
 	// Paths tells which links to targets are lost, and what other daemons carry for this one; Tunnels counts what it carries for them.
@@ -135,7 +137,7 @@
 		RoutingAge: ageMillis(&d.routingFreshness, now), TargetsAge: ageMillis(&d.targetsFreshness, now),
 		Requests: d.server.Counts().Stats(), Pieces: d.pieces.Stats(), TargetConnections: d.transport.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
-		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
+		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
 	}
 }
 
@@ -150,5 +152,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
 }
