A daemon that has just started asks all others where a stream began

Cause: a daemon that starts learns of the others from their rows, which did not tell which messages they understand, so that it asked only those it had heard. Change: the row tells it, and in its first two seconds a daemon also asks those that it learns of while it waits for answers.

--- a/relay/origins.go
+++ b/relay/origins.go
@@ -19,6 +19,10 @@
 	originsBatchDelay = 10 * time.Millisecond
 	// originsTimeout is how long the other daemons may take to tell where a stream began.
 	originsTimeout = 150 * time.Millisecond
+	// originsStartTime is how long after its start a daemon may still learn of other daemons that it can ask, and
+	// originsAskInterval how often it looks for them meanwhile.
+	originsStartTime   = 2 * time.Second
+	originsAskInterval = 25 * time.Millisecond
 )
 
 // OriginPeers are the other daemons that keep where streams began.
@@ -35,7 +39,8 @@
 	clock clockwork.Clock
 	log   hclog.Logger
 	// peers is nil if there are no other daemons.
-	peers OriginPeers
+	peers     OriginPeers
+	startedAt time.Time
 
 	mu   sync.Mutex
 	book *origin.Book
@@ -59,7 +64,7 @@
 
 // NewOrigins returns the knowledge of a daemon that knows no stream. peers may be nil.
 func NewOrigins(clock clockwork.Clock, log hclog.Logger, peers OriginPeers) *Origins {
-	return &Origins{clock: clock, log: log, peers: peers, book: origin.NewBook(), pending: map[proto.VM][]proto.StreamStart{}, runs: map[proto.DaemonRun]bool{}}
+	return &Origins{clock: clock, log: log, peers: peers, startedAt: clock.Now(), book: origin.NewBook(), pending: map[proto.VM][]proto.StreamStart{}, runs: map[proto.DaemonRun]bool{}}
 }
 
 // Stats returns the counters since the start.
@@ -144,32 +149,51 @@
 func (o *Origins) ask(ctx context.Context, request proto.RequestDigest, stream proto.StreamKey) (proto.StreamOrigin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originsTimeout)
 	defer cancel()
-	holders := o.peers.StreamHolders(request, origin.Asked)
-	answers := make(chan proto.StreamStarts, len(holders))
-	for _, vm := range holders {
-		go func() {
-			m, err := o.peers.Call(ctx, vm, proto.StreamAsk{Request: request})
-			if err != nil {
-				o.log.Debug("a daemon does not tell where a stream began", "from", vm, "error", err)
-			}
-			starts, _ := m.(proto.StreamStarts)
-			answers <- starts
-		}()
-	}
-	for range holders {
+	startedAt := o.clock.Now()
+	answers := make(chan proto.StreamStarts)
+	asked, answered := o.askHolders(ctx, request, nil, answers), 0
+	for ctx.Err() == nil && (answered < len(asked) || o.mayKnowMore()) {
 		select {
 		case starts := <-answers:
+			answered++
 			o.Merge(starts)
 			if found, known := o.lookup(request, stream); known {
 				return found, true
 			}
+		case <-o.clock.After(originsAskInterval):
+			asked = o.askHolders(ctx, request, asked, answers)
 		case <-ctx.Done():
-			return proto.StreamOrigin{}, false
 		}
 	}
+	o.log.Info("no daemon tells where a stream began", "digest", request.String(), "asked", asked, "answered", answered, "took", formatDuration(o.clock.Now().Sub(startedAt)))
 	return proto.StreamOrigin{}, false
 }
 
+// mayKnowMore reports whether this daemon started so lately that it may not know all daemons yet.
+func (o *Origins) mayKnowMore() bool { return o.clock.Now().Sub(o.startedAt) < originsStartTime }
+
+// askHolders asks the daemons that keep a stream, except those asked before, and returns all of them.
+func (o *Origins) askHolders(ctx context.Context, request proto.RequestDigest, asked []proto.VM, answers chan<- proto.StreamStarts) []proto.VM {
+	for _, vm := range o.peers.StreamHolders(request, origin.Asked) {
+		if slices.Contains(asked, vm) {
+			continue
+		}
+		asked = append(asked, vm)
+		go func() {
+			m, err := o.peers.Call(ctx, vm, proto.StreamAsk{Request: request})
+			if err != nil {
+				o.log.Debug("a daemon does not tell where a stream began", "from", vm, "error", err)
+			}
+			starts, _ := m.(proto.StreamStarts)
+			select {
+			case answers <- starts:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	return asked
+}
+
 // Sweep forgets streams that can no longer be taken up, and tells daemons that have started what they should keep. live
 // are the daemons that are not considered dead. It is called about once per second.
 func (o *Origins) Sweep(live []proto.Alive) {
--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -61,6 +61,8 @@
 	Era uint64 `json:"era,omitempty"`
 	// Counted is set if all other daemons count this VM when they divide the limits that all daemons share.
 	Counted bool `json:"counted,omitempty"`
+	// Protocol is the version of the messages that the daemon understands.
+	Protocol proto.PeerProtocol `json:"protocol,omitempty"`
 }
 
 // maintainRow renews this daemon's row in the table of the daemons, and reads the rows of others.
@@ -195,7 +197,7 @@
 	defer cancel()
 	sentAt := d.clock.Now()
 	row := daemonRow{
-		Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation,
+		Zone: d.self.Zone, Peer: d.self.Peer, Incarnation: d.peers.announcement().Incarnation, Protocol: d.self.Protocol,
 		Written: state.WallTime(d.clock).UTC().Round(0), Counted: l.isCounted(sentAt), Era: l.era,
 	}
 	body, err := json.Marshal(row)
@@ -255,7 +257,7 @@
 		d.log.Warn("cannot decode a daemon's row", "vm", entry.Key, "error", err)
 		return row, false
 	}
-	d.peers.members.HandleAlive(now, proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation}, "")
+	d.peers.members.HandleAlive(now, proto.Alive{VM: proto.VM(entry.Key), Zone: row.Zone, Peer: row.Peer, Incarnation: row.Incarnation, Protocol: row.Protocol}, "")
 	return row, true
 }
 
