The log tells the shared parts of a request's prompt

What callers saw: targets that ended one after the other under requests that were all different. No decision changes.

--- a/relay/server.go
+++ b/relay/server.go
@@ -274,7 +274,7 @@
 		return
 	}
 	f.logInfo("request accepted", "route", f.route.Name, "workspace", f.workspace, "rank", f.rank, "pool", f.pool, "routing", f.routingVersion,
-		"pieces", f.req.Pieces, "homes", f.allowedRegions.Regions, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.promptID(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MaxTokens, "due", formatDuration(f.due.Sub(startedAt)), "left", formatDuration(f.timeLeft()), "after", f.req.After, "resumes", f.req.Resumes)
+		"pieces", f.req.Pieces, "homes", f.allowedRegions.Regions, "digest", f.digest.String(), "body", len(f.req.Body), "prompt", f.promptID(), "sharedParts", f.sharedPartIDs(), "promptTokens", f.req.PromptTokens, "mostTokens", f.req.MaxTokens, "due", formatDuration(f.due.Sub(startedAt)), "left", formatDuration(f.timeLeft()), "after", f.req.After, "resumes", f.req.Resumes)
 	ctx, span := otel.Tracer(tracerName).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
@@ -411,6 +411,15 @@
 	return ""
 }
 
+// sharedPartIDs returns the ids of the parts of the prompt that others may share.
+func (f *flow) sharedPartIDs() []string {
+	var ids []string
+	for _, part := range f.req.PromptParts[:max(0, len(f.req.PromptParts)-1)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // notRunFailure returns the refusal of a request that no target will run. If one may have run it already, the status says so.
 func (f *flow) notRunFailure(wait time.Duration, reason string) *failure {
 	if f.runs > 0 {
