Requests with a part of prompts under which targets end are refused

Cause: daemons knew whole requests only, by caller, path and body. No two requests with the bad part are alike, so none came to its limit of three ends; instead innocent ones did that were beside it several times. Class: a cause that is looked for at one level only, the request. Change: the end of a target accuses each shared part of the prompts that had not begun to be answered, or only just, beside the request; what lives on for a second after it began clears its parts, at all daemons. Three ends block a part for good, apart from a few probes that all daemons count together: two at most below five ends, and one after a minute, ten and an hour. Ends that another suspect explains better, one that is blocked and has more of them, do not count. Attempts with a part that is blocked meanwhile are cancelled before they begin. A part that was sound within the last minute is blocked after three waves of ends, not three ends. All goes by the messages, rows and digests that carry ends already.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -34,7 +34,7 @@
 	if fail := f.readBody(r, table.Routing().Limits.MaxBodyBytes); fail != nil {
 		return f, fail
 	}
-	f.digest = requestDigest(req, f.workspace)
+	f.digest, f.parts = requestDigest(req, f.workspace), partDigests(req.PromptParts)
 	f.choosePool(table)
 	f.setDeadlines()
 	if fail := f.refuseCrashing(); fail != nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -107,7 +107,9 @@
 		if n > 0 && f.inputsFreed() {
 			return f.notRunFailure(busyRetryAfter, last.reason).as(refusedInputsExpired), true
 		}
+		f.startProbe()
 		last = r.run()
+		f.finishProbe()
 		if last.done {
 			return nil, false
 		}
@@ -301,6 +303,9 @@
 	// counted is set if the attempt is counted in the runs of the request, streamStarted once its first event has
 	// arrived, and answered once the complete response has arrived and is no failure.
 	counted, streamStarted, answered bool
+	// beganAt is when the target began to answer, and sound is set once it has lived on for long enough after that.
+	beganAt time.Time
+	sound   bool
 }
 
 // hedgeDelay is how long an attempt may be silent before a hedging attempt, and the basis of that time.
@@ -535,7 +540,7 @@
 // looks complete.
 func (a *attempt) handleResponse(response *bufferedResponse) attemptResult {
 	f := a.race.flow
-	a.verdict = VerdictSuccess
+	a.verdict, a.beganAt = VerdictSuccess, f.server.clock.Now()
 	a.answered = response.status/100 == http.StatusOK/100
 	f.server.responseTimes.observe(f.pool, initialResponseTime, f.server.clock.Now().Sub(a.startedAt))
 	if response.status >= http.StatusInternalServerError && f.route.Repeatable() {
@@ -549,7 +554,7 @@
 // handlePassingStart sends the head of an answer that is passed on as it arrives.
 func (a *attempt) handlePassingStart(update *attemptUpdate) {
 	f := a.race.flow
-	f.passing = true
+	f.passing, a.beganAt = true, f.server.clock.Now()
 	f.target = a.placement.Spec.ID
 	f.server.counts.passedOn.Add(1)
 	f.recordFetch(a.startedAt, true)
@@ -578,7 +583,7 @@
 // handleStreamStart handles the first events of a stream.
 func (a *attempt) handleStreamStart() {
 	f := a.race.flow
-	a.streamStarted = true
+	a.streamStarted, a.beganAt = true, f.server.clock.Now()
 	f.logInfo("stream begins at a target", "target", a.placement.Spec.ID, "software", a.placement.Spec.Software, "lastEvent", f.lastEventID, "committed", f.committed, "resumes", f.req.Resumes)
 	a.placement.RecordResponseStart()
 	f.recordFirstEvent(f.server.clock.Now().Sub(a.startedAt))
--- a/relay/crashdetector.go
+++ b/relay/crashdetector.go
@@ -149,6 +149,17 @@
 	}
 }
 
+// Doubts reports whether a run may have ended lately.
+func (d *CrashDetector) Doubts(target proto.RelayTarget) bool {
+	if d == nil || d.runCount.Load() == 0 {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.runs[target.RunName()]
+	return r != nil && (r.ended || r.probing || len(r.openAttempts) > 0)
+}
+
 // takeOpenRequests removes and returns the requests that the run was working on, without duplicates.
 func (r *watchedRun) takeOpenRequests(now time.Time) []proto.RequestDigest {
 	var requests []proto.RequestDigest
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -57,8 +57,12 @@
 
 	mu       sync.Mutex
 	requests map[proto.RequestDigest]crashRecord
+	// suspects holds the digests with an end of each run.
+	suspects map[proto.RunName][]proto.RequestDigest
 	size     int
 	digest   uint64
+	// partBlocked is closed and replaced when requests with another part are refused.
+	partBlocked chan struct{}
 	// blocked is the number of blocked requests, and suspected that of requests with ends that count. They save lookups
 	// under the lock while there is nothing to find.
 	blocked, suspected atomic.Int64
@@ -79,14 +83,14 @@
 
 // NewCrashTracker returns an empty tracker. listener is called with each end that is added.
 func NewCrashTracker(self proto.VM, clock clockwork.Clock, log hclog.Logger, listener EndListener) *CrashTracker {
-	return &CrashTracker{self: self, clock: clock, log: log, listener: listener, requests: map[proto.RequestDigest]crashRecord{}}
+	return &CrashTracker{self: self, clock: clock, log: log, listener: listener, requests: map[proto.RequestDigest]crashRecord{}, suspects: map[proto.RunName][]proto.RequestDigest{}, partBlocked: make(chan struct{})}
 }
 
 // countingEnds returns how many ends count against the request.
 func (r crashRecord) countingEnds() int {
 	n := 0
-	for _, c := range r {
-		if !c.answered {
+	for run, c := range r {
+		if !c.answered && !run.IsProbe() {
 			n++
 		}
 	}
@@ -100,11 +104,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	record := c.requests[request]
-	if record.countingEnds() < crashLimit {
+	if c.unexplainedEnds(request) < crashLimit {
 		return Evidence{}, false
 	}
-	return record.evidence(c.clock.Now()), true
+	return c.requests[request].evidence(request, c.clock.Now()), true
 }
 
 // Suspects reports whether any end of a target counts against a request.
@@ -180,6 +183,7 @@
 		c.listener(newEnds, from)
 	}
 	c.clearRecentlyAnswered(now, blocked)
+	c.signalPartsBlocked(blocked)
 }
 
 // clearRecentlyAnswered clears requests that would be refused but were answered here shortly before, unless too many
@@ -187,32 +191,36 @@
 func (c *CrashTracker) clearRecentlyAnswered(now time.Time, requests []proto.RequestDigest) {
 	for _, request := range requests {
 		answered, known := c.answers.last(request)
-		if known && now.Sub(answered) <= answerValidity && c.endsSince(request, answered) < popularCrashLimit {
+		if known && now.Sub(answered) <= answerValidity && !c.tooManySince(request, answered) {
 			c.log.Info("a request is not refused, since a target has answered it lately", "digest", request.String(), "age", formatDuration(now.Sub(answered)))
 			c.clear(now, request)
 		}
 	}
 }
 
-// endsSince returns how many targets ended while running a request after a moment, including those that no longer count.
-func (c *CrashTracker) endsSince(request proto.RequestDigest, at time.Time) int {
+// tooManySince reports whether so many targets ended after a moment while they ran a request, ends that no longer count
+// included, that it is refused although it was answered then.
+func (c *CrashTracker) tooManySince(request proto.RequestDigest, at time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := 0
-	for _, e := range c.requests[request] {
-		if e.at.After(at) {
-			n++
+	var ends []time.Time
+	for run, e := range c.requests[request] {
+		if e.at.After(at) && !run.IsProbe() {
+			ends = append(ends, e.at)
 		}
 	}
-	return n
+	if request.IsPart() {
+		return waves(ends) >= partWaveLimit
+	}
+	return len(ends) >= popularCrashLimit
 }
 
 // mergeEnd adds an end. It returns the requests for which it is new, and those that are refused from now on. The lock must be held.
 func (c *CrashTracker) mergeEnd(now time.Time, end proto.TargetEnd) (added, blocked []proto.RequestDigest) {
-	if end.Age > crashTTL {
-		return nil, nil
-	}
 	for _, request := range end.Requests {
+		if end.Age > ttlOf(request) {
+			continue
+		}
 		before := c.requests[request].countingEnds()
 		if !c.addEnd(request, end.Run, crash{at: now.Add(-end.Age), reporter: end.Reporter, answered: end.Answered}) {
 			continue
@@ -243,6 +251,7 @@
 		e.at, e.reporter = old.at, old.reporter
 	default:
 		c.size++
+		c.suspects[run] = append(c.suspects[run], request)
 	}
 	record[run] = e
 	c.digest ^= e.digest(request, run)
@@ -256,6 +265,10 @@
 	c.digest ^= record[run].digest(request, run)
 	c.size--
 	delete(record, run)
+	c.suspects[run] = slices.DeleteFunc(c.suspects[run], func(other proto.RequestDigest) bool { return other == request })
+	if len(c.suspects[run]) == 0 {
+		delete(c.suspects, run)
+	}
 	c.updateTotals(before, record.countingEnds())
 	if len(record) == 0 {
 		delete(c.requests, request)
@@ -320,7 +333,7 @@
 	defer c.mu.Unlock()
 	for request, record := range c.requests {
 		for run, e := range record {
-			if now.Sub(e.at) > crashTTL {
+			if now.Sub(e.at) > ttlOf(request) {
 				c.removeEnd(request, run)
 			}
 		}
--- a/relay/crashreport.go
+++ b/relay/crashreport.go
@@ -26,11 +26,11 @@
 	Age      string        `json:"age"`
 }
 
-func (r crashRecord) evidence(now time.Time) Evidence {
+func (r crashRecord) evidence(request proto.RequestDigest, now time.Time) Evidence {
 	var e Evidence
 	var times []time.Time
 	for run, c := range r {
-		if c.answered {
+		if c.answered || run.IsProbe() {
 			continue
 		}
 		times = append(times, c.at)
@@ -42,7 +42,10 @@
 	})
 	// The request is run again once the number of ends drops below the limit.
 	last := times[len(times)-crashLimit]
-	e.RetryAfter = max(minRetryWait, last.Add(crashTTL).Sub(now))
+	e.RetryAfter = max(minRetryWait, last.Add(ttlOf(request)).Sub(now))
+	if next, left := r.nextProbe(); left && request.IsPart() {
+		e.RetryAfter = max(minRetryWait, next.Sub(now))
+	}
 	return e
 }
 
@@ -62,7 +65,11 @@
 	}
 	c.log.Info("requests were at work when targets ended", "from", from, "count", len(newEnds.Ends), "ends", entries)
 	for _, request := range blocked {
-		evidence, _ := c.Blocks(request)
+		evidence, stillBlocked := c.Blocks(request)
+		if request.IsPart() {
+			c.log.Warn("requests with a part of prompts are refused from now on, since targets end that begin to answer on it", "part", request.String(), "refused", stillBlocked, "ends", evidence.Ends, "from", from)
+			continue
+		}
 		c.log.Warn("a request is refused from now on, since targets end that run it", "digest", request.String(), "ends", evidence.Ends, "for", formatDuration(evidence.RetryAfter), "from", from)
 	}
 }
--- a/relay/digest.go
+++ b/relay/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"emberlead/proto"
 )
@@ -20,5 +21,19 @@
 		_, _ = io.WriteString(h, part)
 	}
 	_, _ = h.Write(r.Body)
-	return proto.RequestDigest(binary.BigEndian.Uint64(h.Sum(nil)))
+	return proto.NewRequestDigest(binary.BigEndian.Uint64(h.Sum(nil)))
+}
+
+// partDigests returns the digests of the parts of a prompt that other prompts may share.
+func partDigests(parts []proto.PromptPart) []proto.RequestDigest {
+	if len(parts) < 2 {
+		return nil
+	}
+	digests := make([]proto.RequestDigest, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		sum := sha256.Sum256([]byte(part.ID))
+		digests = append(digests, proto.NewPartDigest(binary.BigEndian.Uint64(sum[:])))
+	}
+	slices.Sort(digests)
+	return slices.Compact(digests)
 }
--- a/relay/race.go
+++ b/relay/race.go
@@ -92,8 +92,12 @@
 		return attemptResult{notRun: true, noTarget: true, kind: kind, reason: reason}
 	}
 	r.startAttempt(first)
+	blocked := r.flow.server.crashTracker.partsBlocked()
 	for len(r.running) > 0 {
 		select {
+		case <-blocked:
+			blocked = r.flow.server.crashTracker.partsBlocked()
+			r.cancelBlocked()
 		case update := <-r.updates:
 			if r.handle(update) {
 				return r.lastResult
@@ -214,6 +218,8 @@
 	if !a.streamStarted {
 		a.handleStreamStart()
 		r.recordOrigin(a)
+	} else if !a.sound && f.server.clock.Now().Sub(a.beganAt) >= soundTime {
+		a.proveSound()
 	}
 	if r.leader != a && f.committed && !f.hasNewEvents(update.events) {
 		return false
@@ -391,7 +397,7 @@
 	f := r.flow
 	s := f.server
 	now := s.clock.Now()
-	switch _, crashing := s.crashTracker.Blocks(f.digest); {
+	switch _, _, crashing := f.crashing(); {
 	case f.firstEventTimeLeft() < minAttemptTime:
 		return reasonTimeUp
 	case len(r.running) >= maxConcurrentAttempts:
@@ -400,7 +406,7 @@
 		return reasonMaxRuns
 	case r.started >= maxAttempts:
 		return reasonMaxAttempts
-	case crashing:
+	case crashing || f.probe != "":
 		return reasonCrashing
 	case len(f.superseded) == 0 && !s.placer.HasAlternative(f.pool, f.criteria()):
 		return f.noTargetReason()
--- a/relay/server.go
+++ b/relay/server.go
@@ -192,6 +192,11 @@
 	workspaceSpec *proto.RelayWorkspace
 	// digest identifies the request when its caller retries it, even under another id.
 	digest proto.RequestDigest
+	// parts are the digests of the parts of its prompt that others may share.
+	parts []proto.RequestDigest
+	// probe is the name of the probe that the request counts as, and probedPart the part of its prompt that may be sound.
+	probe      proto.RunName
+	probedPart proto.RequestDigest
 	// origin is where the stream began, once it has: only targets of the same version may continue it.
 	origin proto.StreamOrigin
 	// allowedRegions may process the request and its pieces. The body is sent to no other daemon.
