A daemon that gets most new connections closes those that it cannot serve before it reads them

What callers would see: while the platform hands most new connections of a zone to one daemon, it reads requests beyond what it may have open, or beyond its part of brittle targets' slots, and refuses them, with the others idle. Change: a daemon that has over twice as many requests open as the others on average, and is saturated (three quarters of what it may have open, late timers, or refusals for limits of its own), closes a share of new connections unread, which grows while that lasts. It takes at least one connection each half second, and closes none while the others are as busy. Compared: nothing; closing unread. A refusal with 503 is what nothing does; readiness was not tried, since it moves all of the stream to the next daemon.

--- a/relay/counts.go
+++ b/relay/counts.go
@@ -21,6 +21,7 @@
 	received, completed, late, unavailable, failed, rejected, callerLeft, streamsBroken, streamsResumed, retried, crashing, notAdmitted, leaving, nextStageSlow, expiredRebuilds, passedOn atomic.Int64
 
 	refusals                                           refusalStats
+	ownLimits                                          atomic.Int64
 	admitted, notAdmittedByStage, notAdmittedByEngines atomic.Int64
 
 	mu      sync.Mutex
@@ -66,6 +67,10 @@
 	LatencyMillis map[string]float64 `json:"latencyMillis"`
 }
 
+// OwnLimitRefusals returns the number of requests refused since the start for limits of this daemon alone: of its open
+// requests, and its part of the slots of brittle targets.
+func (c *RequestCounters) OwnLimitRefusals() int64 { return c.ownLimits.Load() }
+
 func (c *RequestCounters) recordDelivered(took time.Duration, inTime bool) {
 	c.completed.Add(1)
 	if !inTime {
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -215,5 +215,8 @@
 			goal = f.route.LatencyGoal
 		}
 	}
+	if fail.kind == refusedTooManyOpen || fail.reason == reasonBrittle {
+		s.counts.ownLimits.Add(1)
+	}
 	s.counts.refusals.record(fail.kind, took, goal, worked)
 }
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -51,6 +51,8 @@
 	sweepInterval = 200 * time.Millisecond
 	// statusInterval is how often the counters are logged, so that the log alone shows how much work was done.
 	statusInterval = 10 * time.Second
+	// rushInterval is how often the load is compared with that of the other daemons.
+	rushInterval = 100 * time.Millisecond
 	// settingsInterval is how often the settings file is checked, since it may change without a signal.
 	settingsInterval = 2 * time.Second
 	// rowsTimeout is how long a daemon that already has the tables holds requests until the list of daemons is read,
@@ -92,6 +94,9 @@
 	endGossip     *endGossip
 	// origins knows at which software version streams began.
 	origins *relay.Origins
+	// rush closes new connections while this daemon gets too many of them, and limits are those of the requests in progress.
+	rush   connectionRush
+	limits relay.Limits
 	// noticeGossip forwards what targets say about themselves.
 	noticeGossip *noticeGossip
 	// endRowSync sends ends of targets through the store to daemons that this one cannot reach.
@@ -166,6 +171,9 @@
 	return func(d *Relay) { d.restoreClock = clock }
 }
 
+// WithMaxOpenRequests sets the number of requests that may be in progress, instead of one that follows from the memory.
+func WithMaxOpenRequests(n int64) RelayOption { return func(d *Relay) { d.limits.MaxOpen = n } }
+
 // WithTargetDialer sets the function that opens connections to targets. Tests use it to cut single daemons off from targets.
 func WithTargetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) RelayOption {
 	return func(d *Relay) { d.transportOptions = append(d.transportOptions, wire.WithDialer(dial)) }
@@ -175,6 +183,7 @@
 func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink, options ...RelayOption) *Relay {
 	// The platform provides no secret; the store's address keeps the daemons of two deployments apart.
 	d := &Relay{settings: settings, clock: clock, restoreClock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.StoreAddr), linkKey: settings.StoreAddr.String(), zoneCosts: relay.DefaultZoneCosts()}
+	d.limits = relayLimits(settings)
 	for _, option := range options {
 		option(d)
 	}
@@ -205,7 +214,7 @@
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.transport, Fleet: d.fleet, Tables: d.tables,
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget:       relay.RetryBudgetConfig{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
-		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Origins: d.origins, Started: d.started, Limits: relayLimits(settings),
+		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Origins: d.origins, Started: d.started, Limits: d.limits,
 	})
 	return d
 }
@@ -367,7 +376,7 @@
 	d.heapTuner.adjust(uint64(d.settings.MemoryBytes))
 	d.log.Info("starting", "version", Version, "incarnation", d.self.Incarnation, "zone", d.self.Zone, "callers", d.settings.CallerAddr,
 		"health", d.settings.HealthAddr, "peers", d.settings.PeerAddr, "metrics", d.settings.MetricsAddr, "store", d.settings.StoreAddr,
-		"seeds", len(d.settings.Seeds), "memory", d.settings.MemoryBytes, "openMost", limits.MaxOpen, "bufferedAnswersMost", limits.BufferedAnswerBytes, "requestBodiesMost", limits.RequestBodyBytes)
+		"seeds", len(d.settings.Seeds), "memory", d.settings.MemoryBytes, "openMost", d.limits.MaxOpen, "bufferedAnswersMost", limits.BufferedAnswerBytes, "requestBodiesMost", limits.RequestBodyBytes)
 	d.logLinkAuth()
 	var g run.Group
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -414,6 +423,7 @@
 			d.crashDetector.Sweep()
 			d.logFreshness()
 		}),
+		d.periodic(rushInterval, d.observeRush),
 		d.periodic(forgetInterval, d.crashTracker.Sweep),
 		d.periodic(forgetInterval, func() { d.origins.Sweep(d.peers.members.Live()) }),
 		d.periodic(endRowInterval, d.endRowSync.writeIfDue),
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -38,25 +38,29 @@
 		address netip.AddrPort
 		handler http.Handler
 		tls     *tls.Config
+		closes  func() bool
 	}{
 		// The methods and paths of callers are forwarded unchanged, so there is no router in front of the relay.
-		{d.settings.CallerAddr, d.server, nil},
-		{d.settings.HealthAddr, health, nil},
-		{d.settings.PeerAddr, d.peers.links.Handler(), d.peers.links.ServerTLS()},
-		{d.settings.MetricsAddr, metrics, nil},
+		{d.settings.CallerAddr, d.server, nil, func() bool { return d.rush.closes(d.clock.Now(), d.server.OpenRequests()) }},
+		{d.settings.HealthAddr, health, nil, nil},
+		{d.settings.PeerAddr, d.peers.links.Handler(), d.peers.links.ServerTLS(), nil},
+		{d.settings.MetricsAddr, metrics, nil, nil},
 	} {
-		if err := d.addRelayServer(g, s.address, s.handler, s.tls); err != nil {
+		if err := d.addRelayServer(g, s.address, s.handler, s.tls, s.closes); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *Relay) addRelayServer(g *run.Group, address netip.AddrPort, handler http.Handler, config *tls.Config) error {
+func (d *Relay) addRelayServer(g *run.Group, address netip.AddrPort, handler http.Handler, config *tls.Config, closes func() bool) error {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
 	}
+	if closes != nil {
+		listener = &wire.SheddingListener{Listener: listener, Closes: closes}
+	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
@@ -110,6 +114,8 @@
 	Crashes relay.CrashStats `json:"crashes"`
 	// Origins counts the streams that callers took up again.
 	Origins relay.OriginStats `json:"origins"`
+	// Rush tells how many new connections were closed unread, since most came to this daemon.
+	Rush rushStats `json:"rush"`
 	// Cold counts what this daemon sent to cold targets, and how often others had taken the rest of a target's capacity.
 	Cold relay.ColdStats `json:"cold"`
 	// Paths tells which links to targets are lost, and what other daemons carry for this one; Tunnels counts what it carries for them.
@@ -137,7 +143,7 @@
 		RoutingAge: ageMillis(&d.routingFreshness, now), TargetsAge: ageMillis(&d.targetsFreshness, now),
 		Requests: d.server.Counts().Stats(), Pieces: d.pieces.Stats(), TargetConnections: d.transport.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
-		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
+		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Rush: d.rush.stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
 	}
 }
 
@@ -152,5 +158,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
+		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "rush", v.Rush, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
 }
