Holders of streams are ranked without sorting all daemons for each stream

Each stream had all live daemons copied, sorted by name, hashed and sorted by score, and a daemon that starts had that done for each remembered stream at all others: some thousand times a list of 985. Found by reading. Change: the list and its hashes are kept for 20 ms, and the first few are selected in one pass.

--- a/origin/holders.go
+++ b/origin/holders.go
@@ -17,31 +17,63 @@
 	Asked = 2 * Copies
 )
 
-// Holders returns the n daemons that keep the streams of a request, the first ones of a ranking on which all daemons with
-// the same list agree. Those for which last returns true come after the others.
-func Holders(request proto.RequestDigest, daemons []proto.VM, n int, last func(proto.VM) bool) []proto.VM {
-	type ranked struct {
-		vm    proto.VM
-		last  bool
-		score uint64
+// Daemon is a daemon that may keep streams.
+type Daemon struct {
+	VM proto.VM
+	// Stopping daemons come after all others.
+	Stopping bool
+}
+
+// Ranking ranks daemons for each request, so that all daemons with the same list agree on who keeps its streams.
+type Ranking struct {
+	daemons []Daemon
+	hashes  []uint64
+}
+
+// NewRanking returns a ranking of daemons.
+func NewRanking(daemons []Daemon) *Ranking {
+	r := &Ranking{daemons: daemons}
+	for _, d := range daemons {
+		r.hashes = append(r.hashes, state.Hash(string(d.VM)))
 	}
-	list := make([]ranked, 0, len(daemons))
-	for _, vm := range daemons {
-		list = append(list, ranked{vm, last(vm), state.RendezvousScore(uint64(request), state.Hash(string(vm)))})
+	return r
+}
+
+// ranked is a daemon with its score for a request.
+type ranked struct {
+	Daemon
+	score uint64
+}
+
+// before compares the ranks of two daemons.
+func (a ranked) before(b ranked) int {
+	if a.Stopping != b.Stopping {
+		if a.Stopping {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.VM, b.VM))
+}
+
+// Holders returns the first n daemons for a request.
+func (r *Ranking) Holders(request proto.RequestDigest, n int) []proto.VM {
+	if n <= 0 {
+		return nil
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.last != b.last {
-			if a.last {
-				return 1
-			}
-			return -1
+	var first []ranked
+	for i, d := range r.daemons {
+		candidate := ranked{d, state.RendezvousScore(uint64(request), r.hashes[i])}
+		if len(first) == n && first[n-1].before(candidate) < 0 {
+			continue
 		}
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm, b.vm))
-	})
-	list = list[:min(n, len(list))]
-	holders := make([]proto.VM, 0, len(list))
-	for _, r := range list {
-		holders = append(holders, r.vm)
+		at, _ := slices.BinarySearchFunc(first, candidate, ranked.before)
+		first = slices.Insert(first, at, candidate)
+		first = first[:min(n, len(first))]
+	}
+	holders := make([]proto.VM, 0, len(first))
+	for _, d := range first {
+		holders = append(holders, d.VM)
 	}
 	return holders
 }
--- a/origin/model_test.go
+++ b/origin/model_test.go
@@ -65,15 +65,15 @@
 		return slices.DeleteFunc(slices.Clone(fleet), func(d *modelDaemon) bool { return !d.alive(now) })
 	}
 	holders := func(now time.Time, self *modelDaemon, request proto.RequestDigest, n int) []*modelDaemon {
-		var names []proto.VM
+		var others []origin.Daemon
 		byName := map[proto.VM]*modelDaemon{}
 		for _, d := range fleet {
 			if d != self && d.listed(now) {
-				names, byName[d.name] = append(names, d.name), d
+				others, byName[d.name] = append(others, origin.Daemon{VM: d.name}), d
 			}
 		}
 		var list []*modelDaemon
-		for _, name := range origin.Holders(request, names, n, func(proto.VM) bool { return false }) {
+		for _, name := range origin.NewRanking(others).Holders(request, n) {
 			list = append(list, byName[name])
 		}
 		return list
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -40,6 +40,8 @@
 	// changes, and the time is shorter by their size.
 	pullSpacing      = peerHeartbeatInterval / 2
 	pullSpacingFleet = 1000
+	// rankingInterval is how often the daemons that keep streams are ranked anew: a stream costs less than a look at all daemons.
+	rankingInterval = 20 * time.Millisecond
 	// invalidAskInterval is how often a daemon is asked whose invalid entries differ from those known here. Entries
 	// that are on their way arrive within a few heartbeats.
 	invalidAskInterval = time.Second
@@ -74,6 +76,9 @@
 	invalidAskedAt map[proto.VM]time.Time
 	// loads holds what the heartbeats of other daemons last told of their load.
 	loads map[proto.VM]peerLoad
+	// ranking ranks the other daemons for streams, as of rankedAt.
+	ranking  *origin.Ranking
+	rankedAt time.Time
 }
 
 // peerLoad is the load of another daemon as of its last heartbeat.
@@ -111,15 +116,29 @@
 
 // StreamHolders returns the other daemons that keep the streams of a request.
 func (p *relayPeers) StreamHolders(request proto.RequestDigest, n int) []proto.VM {
-	stopping := map[proto.VM]bool{}
-	var daemons []proto.VM
+	return p.currentRanking().Holders(request, n)
+}
+
+// currentRanking returns the ranking of the other daemons that keep streams, as of a moment ago.
+func (p *relayPeers) currentRanking() *origin.Ranking {
+	now := p.clock.Now()
+	p.mu.Lock()
+	ranking, rankedAt := p.ranking, p.rankedAt
+	p.mu.Unlock()
+	if ranking != nil && now.Sub(rankedAt) < rankingInterval {
+		return ranking
+	}
+	var daemons []origin.Daemon
 	for _, alive := range p.members.Live() {
 		if alive.VM != p.self.VM && alive.Protocol >= proto.PeerProtocolStreams {
-			daemons = append(daemons, alive.VM)
-			stopping[alive.VM] = alive.Stopping
+			daemons = append(daemons, origin.Daemon{VM: alive.VM, Stopping: alive.Stopping})
 		}
 	}
-	return origin.Holders(request, daemons, n, func(vm proto.VM) bool { return stopping[vm] })
+	ranking = origin.NewRanking(daemons)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ranking, p.rankedAt = ranking, now
+	return ranking
 }
 
 // pruneLoads removes what is no longer true of the load of other daemons.
