A starting daemon asks others for their state with a context of its own

Cause: bootstrap replaced the variable of its context by one with that timeout, while the goroutine that it had started still read it. Change: the second context has a name of its own. No test of its own: which one is read depends on when the goroutine is scheduled.

--- a/serve/relaybootstrap.go
+++ b/serve/relaybootstrap.go
@@ -40,9 +40,10 @@
 	case <-d.clock.After(bootstrapWait):
 	case <-ctx.Done():
 	}
-	ctx, cancel := context.WithTimeout(ctx, rowsWait)
+	// The goroutine above goes on with ctx.
+	rowsCtx, cancel := context.WithTimeout(ctx, rowsWait)
 	defer cancel()
-	d.waitForRows(ctx)
+	d.waitForRows(rowsCtx)
 }
 
 // adoptState applies the contents of the store that another daemon sent.
