Test of lost SYNs plays in virtual time

Cause: the test gives each attempt a real millisecond; on a busy machine a refusal came after that, which withRetry takes for a lost SYN and tries again, as it should. The verdict hung on the machine's speed. The scenarios, counts and errors are the same, in a bubble of virtual time.

--- a/wire/dial_test.go
+++ b/wire/dial_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -24,19 +25,22 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			attempts := 0
-			dial := dialFunc(func(ctx context.Context, _, _ string) (net.Conn, error) {
-				attempts++
-				if attempts <= s.lost {
-					<-ctx.Done()
-					return nil, ctx.Err()
+			// The clock stands still while an attempt is at work, so that no delay of the machine counts as a lost SYN.
+			synctest.Test(t, func(t *testing.T) {
+				attempts := 0
+				dial := dialFunc(func(ctx context.Context, _, _ string) (net.Conn, error) {
+					attempts++
+					if attempts <= s.lost {
+						<-ctx.Done()
+						return nil, ctx.Err()
+					}
+					return nil, s.err
+				})
+				_, err := dial.withRetry(time.Millisecond)(t.Context(), "tcp4", "192.0.2.1:1")
+				if !errors.Is(err, s.err) || attempts != s.attempts {
+					t.Errorf("%d attempts and error %v, want %d and %v", attempts, err, s.attempts, s.err)
 				}
-				return nil, s.err
 			})
-			_, err := dial.withRetry(time.Millisecond)(t.Context(), "tcp4", "192.0.2.1:1")
-			if !errors.Is(err, s.err) || attempts != s.attempts {
-				t.Errorf("%d attempts and error %v, want %d and %v", attempts, err, s.attempts, s.err)
-			}
 		})
 	}
 }
