Logs, metrics and a command tell which daemon's configuration is behind, and why

A daemon that is behind could not be explained: the log said when a version came into force and from whom, not how long a newer one was known, how often it was asked for and what became of the requests. "configuration in force" tells bytes, requests, failures, how long a newer version was known and how old it is since a daemon first had it from the store; "configuration behind" tells each second why a daemon has no newer one; both are in /debug/vars and status. emberlead lag adds up the logs of all daemons. No decision changes.

--- a/entry/app.go
+++ b/entry/app.go
@@ -94,7 +94,7 @@
 			return cli.ShowAppHelp(c)
 		},
 		Commands: []*cli.Command{
-			serveCommand(), relayCommand(), linkKeysCommand(), traceCommand(), lossesCommand(), checkCommand(), applyCommand(), configCommand(), stopCommand(), statusCommand(),
+			serveCommand(), relayCommand(), linkKeysCommand(), traceCommand(), lagCommand(), lossesCommand(), checkCommand(), applyCommand(), configCommand(), stopCommand(), statusCommand(),
 			callCommand(), demoCommand(), fakeCommand(), trialCommand(), docsCommand(),
 		},
 	}
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -215,6 +215,8 @@
 	Notices []TargetNotice `cbor:"9,keyasint,omitempty"`
 	// CompleteSince is the revision after which a full list has all removed entries too; zero if it has none.
 	CompleteSince Revision `cbor:"10,keyasint,omitzero"`
+	// RoutingAge is how long ago a daemon first got the sender's configuration from the store.
+	RoutingAge time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // PiecesAsk requests all pieces of one stage of a request from the daemon that batches the calls to a pool.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -103,6 +103,8 @@
 	endRowSync *endRowSync
 	// routingFreshness and targetsFreshness tell how old the local copies of the store's tables are.
 	routingFreshness, targetsFreshness tableFreshness
+	// versionLag tells how far the configuration is behind those of other daemons.
+	versionLag versionLag
 
 	linkKey          string
 	transportOptions []wire.TransportOption
@@ -273,6 +275,7 @@
 		d.peers.members.HandleHeartbeat(now, from, msg)
 		d.peers.recordLoad(now, from, msg)
 		d.store.ObserveEra(msg.Targets.Era)
+		d.versionLag.heard(now, from, msg.Routing, d.tables.Version())
 		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version()) || msg.Evacuations.After(d.fleet.EvacuationsVersion())
 		if d.peers.shouldPull(from, newer, newer && d.isReader()) {
 			go d.pullFrom(from)
--- a/serve/relaybootstrap.go
+++ b/serve/relaybootstrap.go
@@ -51,7 +51,7 @@
 	d.log.Info("loaded the store's tables from another daemon", "targets", len(answer.TargetEntries), "version", answer.Targets)
 	d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
 	d.applyEvacuations(answer.Evacuations, "another daemon")
-	d.applyRouting(answer.RoutingBody, "another daemon")
+	d.applyRouting(answer.RoutingBody, "another daemon", answer.RoutingAge)
 	d.adoptTargets(answer, "another daemon")
 }
 
--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -51,7 +51,7 @@
 func (d *Relay) applyRoutingFrom(rows platform.RowSet) {
 	for i := range rows.Rows {
 		if rows.Rows[i].IsRouting() && !rows.Rows[i].Removed {
-			d.applyRouting(rows.Rows[i].Body, "store")
+			d.applyRouting(rows.Rows[i].Body, fromStore, 0)
 		}
 	}
 }
@@ -63,7 +63,8 @@
 	return true
 }
 
-func (d *Relay) applyRouting(body []byte, from string) {
+// applyRouting puts a configuration in force if it is newer; age is how long ago a daemon first got it from the store.
+func (d *Relay) applyRouting(body []byte, from string, age time.Duration) {
 	r, err := platform.ParseRouting(body)
 	if err != nil {
 		d.log.Error("cannot parse a configuration", "from", from, "error", err)
@@ -79,7 +80,9 @@
 		d.documents.routing = body
 	}
 	d.documents.mu.Unlock()
-	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", oldVersion, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces))
+	how := d.versionLag.adopted(d.clock.Now(), r.Version, from, len(body), age)
+	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", oldVersion, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces),
+		"bytes", how.Bytes, "asked", how.Asked, "failed", how.Failed, "behindMs", how.Behind, "storeAgeMs", how.StoreAge)
 	for name, pool := range r.Pools {
 		if pool.Engine != nil {
 			d.fleet.SetCacheTokens(name, pool.Engine.CacheTokens)
@@ -289,6 +292,7 @@
 	d.documents.mu.Lock()
 	defer d.documents.mu.Unlock()
 	answer := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version(), InvalidEntries: d.fleet.InvalidEntries(), Notices: d.fleet.Notices()}
+	answer.RoutingAge = d.versionLag.storeAge(d.clock.Now())
 	if d.fleet.EvacuationsVersion().After(ask.Evacuations) {
 		answer.Evacuations = d.fleet.Evacuations()
 	}
@@ -319,17 +323,22 @@
 	defer d.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
+	askedAt := d.clock.Now()
+	d.versionLag.askStarted(askedAt, from)
 	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version(), Evacuations: d.fleet.EvacuationsVersion()})
+	d.versionLag.askEnded(from, err)
+	took := d.clock.Now().Sub(askedAt)
 	answer, ok := m.(proto.RoutingAnswer)
 	if err != nil || !ok {
-		d.log.Info("another daemon did not answer a request for its newer state", "from", from, "error", err)
+		d.log.Info("another daemon did not answer a request for its newer state", "from", from, "took", took.String(), "error", err)
 		return
 	}
 	d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), string(from))
 	d.applyEvacuations(answer.Evacuations, string(from))
 	d.mergeNotices(d.clock.Now(), answer.Notices, from)
 	if len(answer.RoutingBody) > 0 {
-		d.applyRouting(answer.RoutingBody, string(from))
+		// The sender measured the age when it answered, at most as long ago as the request took.
+		d.applyRouting(answer.RoutingBody, string(from), answer.RoutingAge+took)
 	}
 	if !answer.HasTargets {
 		return
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -125,12 +125,14 @@
 	return max(routing, targets), routingKnown && targetsKnown
 }
 
-// logFreshness logs when a daemon that reads the store does not know the store's present state.
+// logFreshness logs when the configuration is behind that of other daemons, and when a daemon that reads the store does not know the
+// store's present state.
 func (d *Relay) logFreshness() {
-	if !d.isReader() {
+	now, isReader := d.clock.Now(), d.isReader()
+	d.versionLag.log(now, d.log, d.tables.Version(), isReader)
+	if !isReader {
 		return
 	}
-	now := d.clock.Now()
 	d.routingFreshness.log(now, d.log, "routing", proto.Revision{Version: d.tables.Version()})
 	d.targetsFreshness.log(now, d.log, "targets", d.fleet.Version())
 }
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -98,6 +98,8 @@
 	// Share is this daemon's share of the limits that all daemons share.
 	Share   relay.Share `json:"share"`
 	Routing uint64      `json:"routing"`
+	// Lag tells whether the configuration is behind that of other daemons, and why.
+	Lag LagStats `json:"lag"`
 	// Fleet is the revision of the list of targets, formatted as in the log.
 	Fleet string `json:"fleet"`
 	// Era counts how often the store was restored; 0 if the store does not report it.
@@ -142,7 +144,7 @@
 	return RelayVars{
 		RoutingAge: ageMillis(&d.routingFreshness, now), TargetsAge: ageMillis(&d.targetsFreshness, now),
 		Requests: d.server.Counts().Stats(), Pieces: d.pieces.Stats(), TargetConnections: d.transport.Counts(), Links: d.peers.links.Counts(),
-		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
+		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Lag: d.versionLag.stats(now), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
 		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Rush: d.rush.stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
 	}
 }
@@ -158,5 +160,5 @@
 func (d *Relay) logStatus() {
 	v := d.vars()
 	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "rush", v.Rush, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
+		"routing", v.Routing, "lag", v.Lag, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "rush", v.Rush, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
 }
