--- a/serve/relay.go
+++ b/serve/relay.go
@@ -108,6 +108,8 @@
 
 	linkKey          string
 	transportOptions []wire.TransportOption
+	// dialLink opens connections to other daemons; nil for the default.
+	dialLink func(ctx context.Context, network, address string) (net.Conn, error)
 	// credentials holds the certificates used between daemons; nil if they authenticate with a key.
 	credentials *wire.Credentials
 	zoneCosts   relay.ZoneCosts
@@ -181,6 +183,11 @@
 	return func(d *Relay) { d.transportOptions = append(d.transportOptions, wire.WithDialer(dial)) }
 }
 
+// WithLinkDialer sets the function that opens connections to other daemons. Tests use it to limit or cut the links of single daemons.
+func WithLinkDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) RelayOption {
+	return func(d *Relay) { d.dialLink = dial }
+}
+
 // NewRelay returns a daemon that has not been started.
 func NewRelay(settings platform.Settings, clock clockwork.Clock, log hclog.Logger, sink *LogSink, options ...RelayOption) *Relay {
 	// The platform provides no secret; the store's address keeps the daemons of two deployments apart.
@@ -247,7 +254,7 @@
 	d.peers.fleetSize = d.peers.Count
 	d.peers.links = wire.NewLinks(wire.LinksConfig{
 		Self: d.self.VM, SharedKey: d.linkKey, Credentials: d.credentials, Log: d.log.Named("links"),
-		Resolve: d.peers.resolve, Handle: d.handle, Tunnels: wire.TunnelConfig{
+		Resolve: d.peers.resolve, Handle: d.handle, Dial: d.dialLink, Tunnels: wire.TunnelConfig{
 			Dial: d.dialTarget, IsTarget: d.fleet.IsAddress, TrustsLinks: func(ctx context.Context) bool { return d.transport.TrustsLinks(ctx) }, MaxOpen: relayLimits(d.settings).MaxOpen / maxTunnelsDivisor,
 		},
 	})
--- a/wire/links.go
+++ b/wire/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,8 @@
 	Log         hclog.Logger
 	Resolve     func(proto.VM) (proto.Alive, bool)
 	Handle      func(context.Context, proto.VM, proto.Message) proto.Message
+	// Dial opens connections to other daemons; the default is a dialer whose connections fail when the other end stops responding.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// BeforeMessage runs before each received message is handled.
 	BeforeMessage func()
 	// Tunnels configures the connections to targets that this daemon carries for others; none if it is zero.
@@ -98,7 +101,11 @@
 	if l.beforeMessage == nil {
 		l.beforeMessage = func() {}
 	}
-	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: l.tls, DialContext: dialFunc(NewDialer(dialTimeout).DialContext).withRetry(linkDialAttemptTimeout)}}
+	dial := dialFunc(c.Dial)
+	if dial == nil {
+		dial = NewDialer(dialTimeout).DialContext
+	}
+	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: l.tls, DialContext: dial.withRetry(linkDialAttemptTimeout)}}
 	return l
 }
 
