Reads of the store go on while their answer arrives

Callers of all daemons whose readers have links of 10 Mbit/s got 404 for the routes of a big configuration, or had their requests handled by an older one, until a reader with a faster link told them. A check beside a watch, and each call after one that failed, had to have its whole answer within a second; an answer of 1.1 MB takes 0.9 s there when nothing else is sent. What had arrived was thrown away, the check ended the watch that was bringing the same rows, and all calls after it began anew.

No check is sent while the answer of the watch arrives. Whole tables may be read for as long as the store keeps their changes.

Weighed and left: a larger fixed limit, which fails again at its size and makes an outage seen later.

--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -221,7 +221,7 @@
 // read reads the table of the daemons as it was at most the given time ago.
 func (l *rowMaintainer) read(ctx context.Context, maxAge time.Duration) bool {
 	d := l.daemon
-	ctx, cancel := context.WithTimeout(ctx, tableReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.tableReadTimeout())
 	defer cancel()
 	rows, sentAt, err := d.daemonRows(ctx, maxAge)
 	if err != nil {
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -11,6 +11,7 @@
 
 	"emberlead/platform"
 	"emberlead/proto"
+	"emberlead/wire"
 )
 
 const (
@@ -21,9 +22,9 @@
 	watchGrace = 1500 * time.Millisecond
 	// writeTimeout limits a write.
 	writeTimeout = 1500 * time.Millisecond
-	// tableReadTimeout limits the read of a whole table, in addition to the limit of each page. A read that takes
-	// longer is better restarted, since the pages that it has are old.
-	tableReadTimeout = 10 * time.Second
+	// minTableReadTimeout limits the read of a whole table, in addition to the limit of each page, where the store keeps changes for a
+	// shorter time.
+	minTableReadTimeout = 10 * time.Second
 	// probeHold is how long the store holds a watch that should be answered soon: a check during a long watch, and each
 	// watch after a call without an answer. A store that is down may accept a watch and never answer it, and a change
 	// must not be delayed for as long as a long watch may hang.
@@ -194,6 +195,12 @@
 	return float64(daemons)*calls <= readRate*restartReadTime.Seconds()
 }
 
+// watchCall is a watch of the table, or a check, that has been sent.
+type watchCall struct {
+	result   chan watchResult
+	progress *wire.Progress
+}
+
 // watchResult is the result of one watch of the table.
 type watchResult struct {
 	sentAt  time.Time
@@ -209,13 +216,18 @@
 	}
 	w.daemon.sleep(ctx, w.minInterval)
 	if !w.storeUp {
-		return w.handleResult(<-w.startWatch(ctx, version, probeHold, probeTimeout), version)
+		return w.handleResult(<-w.startWatch(ctx, version, probeHold, probeTimeout).result, version)
 	}
 	return w.watch(ctx, version)
 }
 
+// tableReadTimeout returns how long a whole table may be read. The changes since a read that takes longer are no longer kept.
+func (d *Relay) tableReadTimeout() time.Duration {
+	return max(minTableReadTimeout, d.settings.HistoryRetention)
+}
+
 func (w *watcher) readTable(ctx context.Context) (proto.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, tableReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.daemon.tableReadTimeout())
 	defer cancel()
 	w.lastSent = w.daemon.clock.Now()
 	rows, err := w.table.Read(ctx)
@@ -234,7 +246,7 @@
 func (w *watcher) watch(ctx context.Context, version proto.Revision) (proto.Revision, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	result := w.startWatch(ctx, version, watchHold, watchHold+watchGrace)
+	call := w.startWatch(ctx, version, watchHold, watchHold+watchGrace)
 	var checkResult <-chan watchResult
 	lastCheck := w.daemon.clock.Now()
 	for {
@@ -244,7 +256,7 @@
 			checkTimer = w.daemon.clock.After(next.Sub(w.daemon.clock.Now()))
 		}
 		select {
-		case r := <-result:
+		case r := <-call.result:
 			return w.finishWatch(r, version)
 		case r := <-checkResult:
 			if r.err != nil || len(r.rows.Rows) > 0 {
@@ -257,8 +269,9 @@
 			w.onConfirmed()
 		case <-checkTimer:
 			lastCheck = w.daemon.clock.Now()
-			if w.checkDue(lastCheck) {
-				checkResult = w.startWatch(ctx, version, probeHold, probeTimeout)
+			// An answer that is arriving needs no check, which would bring the same changes again over the same link.
+			if !call.progress.Began() && w.checkDue(lastCheck) {
+				checkResult = w.startWatch(ctx, version, probeHold, probeTimeout).result
 			}
 		}
 	}
@@ -285,17 +298,17 @@
 	return errors.Is(r.err, context.DeadlineExceeded) && w.freshness.confirmedSince(r.sentAt)
 }
 
-// startWatch starts a call that the store holds for a time, and cancels it after a limit.
-func (w *watcher) startWatch(ctx context.Context, version proto.Revision, hold, timeout time.Duration) <-chan watchResult {
+// startWatch starts a call that the store holds for a time, and cancels it if its answer does not begin within a limit.
+func (w *watcher) startWatch(ctx context.Context, version proto.Revision, hold, limit time.Duration) watchCall {
 	sentAt := w.daemon.clock.Now()
-	result := make(chan watchResult, 1)
+	ctx, progress, cancel := wire.WithProgress(ctx, limit)
+	call := watchCall{result: make(chan watchResult, 1), progress: progress}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		rows, err := w.table.Watch(ctx, version, hold)
-		result <- watchResult{sentAt: sentAt, endedAt: w.daemon.clock.Now(), rows: rows, err: err}
+		call.result <- watchResult{sentAt: sentAt, endedAt: w.daemon.clock.Now(), rows: rows, err: err}
 	}()
-	return result
+	return call
 }
 
 // handleResult applies the rows of an answer and returns the version to continue from.
--- a/serve/rowtable.go
+++ b/serve/rowtable.go
@@ -78,7 +78,7 @@
 
 // answerDaemonRowsAsk sends the table of the daemons to another daemon.
 func (d *Relay) answerDaemonRowsAsk(ctx context.Context, ask proto.DaemonRowsAsk) proto.DaemonRowsAnswer {
-	ctx, cancel := context.WithTimeout(ctx, tableReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.tableReadTimeout())
 	defer cancel()
 	rows, sentAt, err := d.readRows(ctx, min(ask.MaxAge, maxRelayedRowsAge))
 	if err != nil {
