--- a/serve/relay.go
+++ b/serve/relay.go
@@ -87,6 +87,8 @@
 	server    *relay.Server
 	peers     *relayPeers
 	documents documentCache
+	// routingParser parses the operator's configuration.
+	routingParser platform.RoutingParser
 	// crashTracker remembers which requests ran at targets that crashed, crashDetector detects crashes, and endGossip
 	// forwards them to other daemons.
 	crashTracker  *relay.CrashTracker
--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -65,7 +65,7 @@
 
 // applyRouting puts a configuration in force if it is newer; age is how long ago a daemon first got it from the store.
 func (d *Relay) applyRouting(body []byte, from string, age time.Duration) {
-	r, err := platform.ParseRouting(body)
+	r, err := d.routingParser.Parse(body)
 	if err != nil {
 		d.log.Error("cannot parse a configuration", "from", from, "error", err)
 		return
@@ -336,7 +336,7 @@
 	d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), string(from))
 	d.applyEvacuations(answer.Evacuations, string(from))
 	d.mergeNotices(d.clock.Now(), answer.Notices, from)
-	if len(answer.RoutingBody) > 0 {
+	if len(answer.RoutingBody) > 0 && answer.Routing > d.tables.Version() {
 		// The sender measured the age when it answered, at most as long ago as the request took.
 		d.applyRouting(answer.RoutingBody, string(from), answer.RoutingAge+took)
 	}
