Daemons send each other differences, once packed, and late answers count

A request that hung held up all others.

Daemons say which version they have, by digest, and get the blocks that differ; the result is checked by the sender's digest, and a whole one is requested if it does not fit. Each form is packed once. Requests for the list of daemons, and core's for changes, the roster and claims, end by progress as well (the same class). Older daemons get whole configurations.

--- a/coord/pull.go
+++ b/coord/pull.go
@@ -7,6 +7,8 @@
 	"emberlead/proto"
 )
 
+// pullTimeout limits how long another daemon may take to begin its answer. Answers grow with the configuration, the roster and the claims,
+// and may take as long as they keep arriving.
 const pullTimeout = 2 * time.Second
 
 // pullChanges fetches changes from a daemon with a higher generation until that daemon has nothing newer. Each change
@@ -14,7 +16,7 @@
 func (n *Node) pullChanges(from proto.VM) {
 	defer n.pullingChanges.Store(false)
 	for {
-		ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+		ctx, _, cancel := proto.WithProgress(context.Background(), pullTimeout)
 		m, err := n.deps.Peers.Call(ctx, from, proto.ChangesAsk{After: n.Config.Generation()})
 		cancel()
 		answer, ok := m.(proto.ChangesAnswer)
@@ -37,7 +39,7 @@
 }
 
 func (n *Node) pullRoster(ctx context.Context, from proto.VM) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, _, cancel := proto.WithProgress(ctx, pullTimeout)
 	defer cancel()
 	m, err := n.deps.Peers.Call(ctx, from, proto.RosterAsk{})
 	if answer, ok := m.(proto.RosterAnswer); ok && err == nil {
@@ -81,7 +83,7 @@
 	}
 	ask := pending.Ask
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
+		callCtx, _, cancel := proto.WithProgress(ctx, pullTimeout)
 		m, err := n.deps.Peers.Call(callCtx, member.VM, ask)
 		cancel()
 		answer, ok := m.(proto.TransferAnswer)
--- a/wire/progress.go
+++ b/proto/progress.go
@@ -1,4 +1,4 @@
-package wire
+package proto
 
 import (
 	"context"
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -175,6 +175,9 @@
 	Routing     uint64   `cbor:"1,keyasint"`
 	Targets     Revision `cbor:"2,keyasint"`
 	Evacuations Revision `cbor:"3,keyasint,omitzero"`
+	// Packed is set if the requester understands a packed configuration, and RoutingDigest is the digest of the one that it has.
+	Packed        bool   `cbor:"4,keyasint,omitempty"`
+	RoutingDigest uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // TargetDocument is the entry of a target in the platform's own format.
@@ -217,6 +220,13 @@
 	CompleteSince Revision `cbor:"10,keyasint,omitzero"`
 	// RoutingAge is how long ago a daemon first got the sender's configuration from the store.
 	RoutingAge time.Duration `cbor:"11,keyasint,omitempty"`
+	// RoutingPacked is sent instead of RoutingBody to daemons that understand it.
+	RoutingPacked PackedDocument `cbor:"12,keyasint,omitzero"`
+}
+
+// HasRouting reports whether the answer has a configuration.
+func (a *RoutingAnswer) HasRouting() bool {
+	return len(a.RoutingBody) > 0 || len(a.RoutingPacked.Parts) > 0
 }
 
 // PiecesAsk requests all pieces of one stage of a request from the daemon that batches the calls to a pool.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -87,6 +87,8 @@
 	server    *relay.Server
 	peers     *relayPeers
 	documents documentCache
+	// routingDocument holds the configuration as it is sent to other daemons.
+	routingDocument routingDocument
 	// routingParser parses the operator's configuration.
 	routingParser platform.RoutingParser
 	// crashTracker remembers which requests ran at targets that crashed, crashDetector detects crashes, and endGossip
@@ -135,7 +137,7 @@
 	startOnce    sync.Once
 	// rowsTimeoutOnce starts the timeout for the list of daemons.
 	rowsTimeoutOnce sync.Once
-	pulling         atomic.Bool
+	pulls           pulls
 	stopping        atomic.Bool
 	heapTuner       heapTuner
 	// eventLimiter limits the log lines about single targets.
--- a/serve/relaybootstrap.go
+++ b/serve/relaybootstrap.go
@@ -11,7 +11,7 @@
 	// bootstrapWait limits how long a starting daemon waits for the daemons of its settings to send it the contents of the store, before it
 	// looks elsewhere too. They answer within some milliseconds, and a daemon without a configuration serves nobody.
 	bootstrapWait = 100 * time.Millisecond
-	// bootstrapTimeout limits how long their answers are still of use: a list of thousands of targets takes some hundred milliseconds.
+	// bootstrapTimeout limits how long they may take to begin their answers.
 	bootstrapTimeout = time.Second
 	// bootstrapDelay is how long one of them is waited for before the next one is asked too.
 	bootstrapDelay = 100 * time.Millisecond
@@ -51,14 +51,14 @@
 	d.log.Info("loaded the store's tables from another daemon", "targets", len(answer.TargetEntries), "version", answer.Targets)
 	d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), "another daemon")
 	d.applyEvacuations(answer.Evacuations, "another daemon")
-	d.applyRouting(answer.RoutingBody, "another daemon", answer.RoutingAge)
+	d.applyReceivedRouting(answer, "another daemon", 0)
 	d.adoptTargets(answer, "another daemon")
 }
 
 // askSeeds asks one daemon after another, the next one as soon as an earlier one fails or takes long, and returns the first complete
 // answer. A whole list is expensive for its sender, and one is enough.
 func (d *Relay) askSeeds(ctx context.Context, seeds []proto.VM) (proto.RoutingAnswer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan proto.Message, len(seeds))
 	asked, pending := 0, 0
@@ -68,7 +68,9 @@
 			asked++
 			pending++
 			go func() {
-				m, err := d.peers.Call(ctx, seed, proto.RoutingAsk{})
+				ctx, _, cancel := proto.WithProgress(ctx, bootstrapTimeout)
+				defer cancel()
+				m, err := d.peers.Call(ctx, seed, proto.RoutingAsk{Packed: true})
 				if err != nil {
 					d.log.Debug("a daemon in the settings did not send its state", "from", seed, "error", err)
 				}
@@ -82,7 +84,7 @@
 		select {
 		case m := <-answers:
 			pending--
-			if answer, ok := m.(proto.RoutingAnswer); ok && len(answer.RoutingBody) > 0 && answer.Full {
+			if answer, ok := m.(proto.RoutingAnswer); ok && answer.HasRouting() && answer.Full {
 				return answer, true
 			}
 		case <-next:
--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -14,10 +14,9 @@
 	"emberlead/relay"
 )
 
-// documentCache keeps the configuration and targets in force in the platform's format, for daemons that the store does not answer.
+// documentCache keeps the targets in force in the platform's format, for daemons that the store does not answer.
 type documentCache struct {
-	mu      sync.Mutex
-	routing []byte
+	mu sync.Mutex
 	// targets also holds entries that were removed after completeSince.
 	targets map[string]proto.TargetDocument
 	// targetLog orders targets by version.
@@ -34,6 +33,8 @@
 
 // allowFullSend reports whether a daemon without any state may be sent everything now.
 func (s *documentCache) allowFullSend(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if now.Sub(s.lastFullSend) < fullListInterval {
 		return false
 	}
@@ -75,11 +76,7 @@
 		d.log.Debug("ignoring a configuration that is not newer", "from", from, "version", r.Version, "inForce", oldVersion)
 		return
 	}
-	d.documents.mu.Lock()
-	if r.Version == d.tables.Version() {
-		d.documents.routing = body
-	}
-	d.documents.mu.Unlock()
+	d.routingDocument.set(body, func() bool { return r.Version == d.tables.Version() })
 	how := d.versionLag.adopted(d.clock.Now(), r.Version, from, len(body), age)
 	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", oldVersion, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces),
 		"bytes", how.Bytes, "asked", how.Asked, "failed", how.Failed, "behindMs", how.Behind, "storeAgeMs", how.StoreAge)
@@ -272,7 +269,7 @@
 }
 
 func (d *Relay) askPeerAboutLapsed(vm proto.VM, ids []string, beforeVersion proto.Revision) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	ctx, _, cancel := proto.WithProgress(context.Background(), pullTimeout)
 	defer cancel()
 	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: beforeVersion, Evacuations: d.fleet.EvacuationsVersion()})
 	answer, ok := m.(proto.RoutingAnswer)
@@ -289,10 +286,10 @@
 
 // answerRoutingAsk returns to another daemon what it lacks: the changes since its version, or the whole list if they are not known.
 func (d *Relay) answerRoutingAsk(ask proto.RoutingAsk) proto.RoutingAnswer {
-	d.documents.mu.Lock()
-	defer d.documents.mu.Unlock()
-	answer := proto.RoutingAnswer{Routing: d.tables.Version(), Targets: d.fleet.Version(), InvalidEntries: d.fleet.InvalidEntries(), Notices: d.fleet.Notices()}
-	answer.RoutingAge = d.versionLag.storeAge(d.clock.Now())
+	answer := proto.RoutingAnswer{
+		Routing: d.tables.Version(), Targets: d.fleet.Version(), InvalidEntries: d.fleet.InvalidEntries(), Notices: d.fleet.Notices(),
+		RoutingAge: d.versionLag.storeAge(d.clock.Now()),
+	}
 	if d.fleet.EvacuationsVersion().After(ask.Evacuations) {
 		answer.Evacuations = d.fleet.Evacuations()
 	}
@@ -300,53 +297,23 @@
 		return answer
 	}
 	if answer.Routing > ask.Routing {
-		answer.RoutingBody = d.documents.routing
+		d.addRouting(&answer, ask)
 	}
-	if !answer.Targets.After(ask.Targets) {
-		return answer
+	if answer.Targets.After(ask.Targets) {
+		d.documents.addTargets(&answer, ask.Targets)
 	}
-	answer.HasTargets, answer.Full = true, d.documents.completeSince.After(ask.Targets)
-	if !answer.Full {
-		answer.TargetEntries = d.documents.targetLog.after(ask.Targets, d.documents.targets)
-		return answer
-	}
-	answer.CompleteSince = d.documents.completeSince
-	answer.TargetEntries = slices.Collect(maps.Values(d.documents.targets))
 	return answer
 }
 
-// pullFrom asks another daemon for its newer state, one daemon at a time, since a list may be large and the bandwidth of a link small.
-func (d *Relay) pullFrom(from proto.VM) {
-	if !d.pulling.CompareAndSwap(false, true) {
-		return
-	}
-	defer d.pulling.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	askedAt := d.clock.Now()
-	d.versionLag.askStarted(askedAt, from)
-	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{Routing: d.tables.Version(), Targets: d.fleet.Version(), Evacuations: d.fleet.EvacuationsVersion()})
-	d.versionLag.askEnded(from, err)
-	took := d.clock.Now().Sub(askedAt)
-	answer, ok := m.(proto.RoutingAnswer)
-	if err != nil || !ok {
-		d.log.Info("another daemon did not answer a request for its newer state", "from", from, "took", took.String(), "error", err)
-		return
-	}
-	d.handleFleetEvents(d.fleet.MergeInvalid(d.clock.Now(), answer.InvalidEntries), string(from))
-	d.applyEvacuations(answer.Evacuations, string(from))
-	d.mergeNotices(d.clock.Now(), answer.Notices, from)
-	if len(answer.RoutingBody) > 0 && answer.Routing > d.tables.Version() {
-		// The sender measured the age when it answered, at most as long ago as the request took.
-		d.applyRouting(answer.RoutingBody, string(from), answer.RoutingAge+took)
-	}
-	if !answer.HasTargets {
-		return
-	}
-	d.log.Info("targets taken from another daemon", "from", from, "version", answer.Targets, "entries", len(answer.TargetEntries), "whole", answer.Full)
-	if answer.Full {
-		d.adoptTargets(&answer, string(from))
+// addTargets adds the entries that changed after a version to an answer, or all of them if the changes are not known.
+func (s *documentCache) addTargets(answer *proto.RoutingAnswer, after proto.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer.HasTargets, answer.Full = true, s.completeSince.After(after)
+	if !answer.Full {
+		answer.TargetEntries = s.targetLog.after(after, s.targets)
 		return
 	}
-	d.applyTargetChanges(answer.TargetEntries, string(from), true)
+	answer.CompleteSince = s.completeSince
+	answer.TargetEntries = slices.Collect(maps.Values(s.targets))
 }
--- a/serve/relayendrowsync.go
+++ b/serve/relayendrowsync.go
@@ -8,7 +8,6 @@
 	"emberlead/platform"
 	"emberlead/proto"
 	"emberlead/state"
-	"emberlead/wire"
 )
 
 const (
@@ -160,7 +159,7 @@
 	if version.IsZero() {
 		hold = 0
 	}
-	ctx, _, cancel := wire.WithProgress(ctx, hold+watchGrace)
+	ctx, _, cancel := proto.WithProgress(ctx, hold+watchGrace)
 	defer cancel()
 	rows, err := r.fetch(ctx, version, hold)
 	if err != nil {
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -33,8 +33,6 @@
 	// pullDelay is how long another daemon may have newer state before it is asked for it: this daemon's own watch of
 	// the store delivers the same within some milliseconds, unless the store does not answer this daemon.
 	pullDelay = 250 * time.Millisecond
-	// pullTimeout limits a request for newer state.
-	pullTimeout = time.Second
 	// pullSpacing is the minimum time between two requests for newer state in a fleet of pullSpacingFleet daemons or more: while much
 	// changes, each linked daemon has some other part of it first, and heartbeats show what is still missing. In smaller fleets less
 	// changes, and the time is shorter by their size.
--- a/serve/relayrows.go
+++ b/serve/relayrows.go
@@ -35,7 +35,7 @@
 	// maxRelayedRowsAge is how old the table may be that a daemon takes from another, and maxFreshRowsAge the same where all rows that
 	// were just written must be in it. The readers of the store read the table for the others at most once in that time.
 	maxRelayedRowsAge, maxFreshRowsAge = 10 * time.Second, time.Second
-	// rowsAskTimeout limits a request for the table to another daemon.
+	// rowsAskTimeout limits how long another daemon may take to begin its answer with the table.
 	rowsAskTimeout = 2 * time.Second
 	// firstWriteSpread is the fraction of the retry budget's window over which daemons that all start for the first time write their rows,
 	// since a part of a table takes some hundred writes a second, and firstReadAt the one after which they read the table. None uses a
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -11,7 +11,6 @@
 
 	"emberlead/platform"
 	"emberlead/proto"
-	"emberlead/wire"
 )
 
 const (
@@ -198,7 +197,7 @@
 // watchCall is a watch of the table, or a check, that has been sent.
 type watchCall struct {
 	result   chan watchResult
-	progress *wire.Progress
+	progress *proto.Progress
 }
 
 // watchResult is the result of one watch of the table.
@@ -301,7 +300,7 @@
 // startWatch starts a call that the store holds for a time, and cancels it if its answer does not begin within a limit.
 func (w *watcher) startWatch(ctx context.Context, version proto.Revision, hold, limit time.Duration) watchCall {
 	sentAt := w.daemon.clock.Now()
-	ctx, progress, cancel := wire.WithProgress(ctx, limit)
+	ctx, progress, cancel := proto.WithProgress(ctx, limit)
 	call := watchCall{result: make(chan watchResult, 1), progress: progress}
 	go func() {
 		defer cancel()
--- a/serve/rowtable.go
+++ b/serve/rowtable.go
@@ -45,8 +45,6 @@
 
 // relayedRows asks a reader of this daemon's zone for the table. It returns false if this daemon has to read it itself.
 func (d *Relay) relayedRows(ctx context.Context, maxAge time.Duration) (platform.RowSet, time.Time, bool) {
-	ctx, cancel := context.WithTimeout(ctx, rowsAskTimeout)
-	defer cancel()
 	for _, vm := range d.peers.members.FirstInZone(taskReadStore, readersPerZone) {
 		if vm == d.self.VM {
 			return platform.RowSet{}, time.Time{}, false
@@ -55,7 +53,7 @@
 			continue
 		}
 		sentAt := d.clock.Now()
-		m, err := d.peers.Call(ctx, vm, proto.DaemonRowsAsk{MaxAge: maxAge})
+		m, err := d.askDaemonRows(ctx, vm, maxAge)
 		answer, ok := m.(proto.DaemonRowsAnswer)
 		if err != nil || !ok || !answer.Known || answer.Version.Era < d.store.Era() {
 			d.log.Info("another daemon did not send the list of daemons", "from", vm, "error", err)
@@ -68,6 +66,12 @@
 	return platform.RowSet{}, time.Time{}, false
 }
 
+func (d *Relay) askDaemonRows(ctx context.Context, vm proto.VM, maxAge time.Duration) (proto.Message, error) {
+	ctx, _, cancel := proto.WithProgress(ctx, rowsAskTimeout)
+	defer cancel()
+	return d.peers.Call(ctx, vm, proto.DaemonRowsAsk{MaxAge: maxAge})
+}
+
 func rowSet(answer proto.DaemonRowsAnswer) platform.RowSet {
 	rows := platform.RowSet{Version: answer.Version}
 	for _, row := range answer.Rows {
--- a/wire/links.go
+++ b/wire/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -154,7 +155,14 @@
 	// unreachable means that the other daemon could not be reached a moment ago, so that calls fail at once.
 	unreachable atomic.Bool
 	mu          sync.Mutex
-	calls       map[uint64]chan proto.Message
+	calls       map[uint64]pendingCall
+}
+
+// pendingCall is a call without an answer so far.
+type pendingCall struct {
+	reply chan proto.Message
+	// progress is told of the bytes that arrive over the link; nil if the call is not bounded by its progress.
+	progress *proto.Progress
 }
 
 func (l *Links) link(to proto.VM) *link {
@@ -167,7 +175,7 @@
 	if lk != nil {
 		return lk
 	}
-	lk = &link{owner: l, to: to, outbox: make(chan []byte, outboxSize), calls: map[uint64]chan proto.Message{}}
+	lk = &link{owner: l, to: to, outbox: make(chan []byte, outboxSize), calls: map[uint64]pendingCall{}}
 	lk.ctx, lk.cancel = context.WithCancel(context.Background())
 	l.links[to] = lk
 	go lk.run()
@@ -188,8 +196,8 @@
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	lk.unreachable.Store(true)
-	for id, reply := range lk.calls {
-		close(reply)
+	for id, call := range lk.calls {
+		close(call.reply)
 		delete(lk.calls, id)
 	}
 }
@@ -237,7 +245,7 @@
 		return nil, newError("call", proto.KindUnavailable, "no link to %s", to)
 	}
 	reply := make(chan proto.Message, 1)
-	if !lk.addCall(id, reply) {
+	if !lk.addCall(id, pendingCall{reply, proto.ProgressOf(ctx)}) {
 		return nil, newError("call", proto.KindUnavailable, "%s could not be reached a moment ago", to)
 	}
 	defer func() {
@@ -256,18 +264,18 @@
 		}
 		return answer, nil
 	case <-ctx.Done():
-		return nil, &Error{Op: "call", Kind: proto.KindUnavailable, Err: ctx.Err()}
+		return nil, &Error{Op: "call", Kind: proto.KindUnavailable, Err: context.Cause(ctx)}
 	}
 }
 
 // addCall registers a call, unless the other daemon is unreachable.
-func (lk *link) addCall(id uint64, reply chan proto.Message) bool {
+func (lk *link) addCall(id uint64, call pendingCall) bool {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	if lk.unreachable.Load() {
 		return false
 	}
-	lk.calls[id] = reply
+	lk.calls[id] = call
 	return true
 }
 
@@ -369,7 +377,7 @@
 func (lk *link) read(conn *websocket.Conn) {
 	defer lk.cancel()
 	for {
-		_, data, err := conn.Read(lk.ctx)
+		data, err := lk.readMessage(conn)
 		if err != nil {
 			return
 		}
@@ -381,11 +389,45 @@
 		}
 		lk.owner.beforeMessage()
 		lk.mu.Lock()
-		reply := lk.calls[env.Call]
+		call, waits := lk.calls[env.Call]
 		delete(lk.calls, env.Call)
 		lk.mu.Unlock()
-		if reply != nil {
-			reply <- m
+		if waits {
+			call.reply <- m
+		}
+	}
+}
+
+// readMessage reads a message, and tells the calls that wait for an answer over this link of its progress.
+func (lk *link) readMessage(conn *websocket.Conn) ([]byte, error) {
+	_, r, err := conn.Reader(lk.ctx)
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(&linkReader{r, lk})
+}
+
+// linkReader reads a message from a link.
+type linkReader struct {
+	io.Reader
+	link *link
+}
+
+// Read reads bytes of the message.
+func (r *linkReader) Read(buffer []byte) (int, error) {
+	n, err := r.Reader.Read(buffer)
+	if n > 0 {
+		r.link.reportProgress(n)
+	}
+	return n, err
+}
+
+func (lk *link) reportProgress(bytes int) {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	for _, call := range lk.calls {
+		if call.progress != nil {
+			call.progress.Receive(bytes)
 		}
 	}
 }
