Unknown routes are refused with 503 while a newer configuration is on its way

A daemon that knew of a newer configuration, and had not got it yet, answered 404 or 401 for the routes and keys that were added: final answers, which callers do not repeat. Such a request is now refused as not run, to come back after 0.3 s; another daemon mostly has the version by then. Without a newer version 404 and 401 stay. Weighed and left: to hold the request until the version comes (it may not come in time), and to hand it over to a daemon that has it (each unknown path would cost two daemons).

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -23,7 +23,7 @@
 	f.routingVersion = table.Routing().Version
 	f.route = table.Match(req.Host, req.Path)
 	if f.route == nil {
-		return f, &failure{status: http.StatusNotFound, reason: "no route has the host and path"}
+		return f, s.unknownFailure(http.StatusNotFound, "no route has the host and path")
 	}
 	if fail := f.authorize(table); fail != nil {
 		return f, fail
@@ -52,7 +52,16 @@
 	if f.route.Public || !table.Keyed() {
 		return nil
 	}
-	return &failure{status: http.StatusUnauthorized, reason: "no workspace holds the key"}
+	return f.server.unknownFailure(http.StatusUnauthorized, "no workspace holds the key")
+}
+
+// unknownFailure returns the failure of a request whose route or key is not in the configuration. If a newer one is on its way it may be
+// in that, and a caller who comes back in a moment is served.
+func (s *Server) unknownFailure(status int, reason string) *failure {
+	if !s.tables.Outdated() {
+		return &failure{status: status, reason: reason}
+	}
+	return &failure{status: http.StatusServiceUnavailable, retryAfter: outdatedRetryAfter, reason: reason + ", but a newer configuration is on its way", kind: refusedOutdated}
 }
 
 // refuseStopping refuses a request that might still be running when this daemon stops.
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -40,12 +40,14 @@
 	refusedStreamUnknown
 	// refusedVersionGone means that no target of the version serves at which the stream began.
 	refusedVersionGone
+	// refusedOutdated means that the route or the key is unknown, while a newer configuration is on its way.
+	refusedOutdated
 	refusalKindCount
 )
 
 // refusalKindNames are the names of the kinds in the log and in the metrics.
 var refusalKindNames = [refusalKindCount]string{
-	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone",
+	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone", "outdated",
 }
 
 func (k refusalKind) String() string { return refusalKindNames[k] }
--- a/relay/server.go
+++ b/relay/server.go
@@ -23,6 +23,8 @@
 	bodyReadTimeout = 5 * time.Second
 	// unknownPoolRetryAfter is the Retry-After for a pool that the current configuration lacks.
 	unknownPoolRetryAfter = 400 * time.Millisecond
+	// outdatedRetryAfter is the Retry-After for a route or key that a configuration on its way may have.
+	outdatedRetryAfter = 300 * time.Millisecond
 	// startupWait is how long a request waits for a daemon that is starting: a fraction of the shortest latency goals.
 	startupWait = 100 * time.Millisecond
 	// fullRetryAfter is the Retry-After of a daemon at its limit of open requests.
--- a/relay/table.go
+++ b/relay/table.go
@@ -84,6 +84,8 @@
 // Tables holds the current table. Its version never decreases during the life of the process.
 type Tables struct {
 	current atomic.Pointer[Table]
+	// newestKnown is the newest version that another daemon is known to have.
+	newestKnown atomic.Uint64
 }
 
 // Current returns the current table, or nil before the first configuration is known.
@@ -103,6 +105,19 @@
 	}
 }
 
+// ObserveVersion records that another daemon has a version.
+func (t *Tables) ObserveVersion(version uint64) {
+	for {
+		known := t.newestKnown.Load()
+		if version <= known || t.newestKnown.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
+// Outdated reports whether a newer configuration than the current one is known to exist.
+func (t *Tables) Outdated() bool { return t.newestKnown.Load() > t.Version() }
+
 // Version returns the version of the current table, or 0 if there is none.
 func (t *Tables) Version() uint64 {
 	if c := t.current.Load(); c != nil {
