A large configuration is sent to two daemons at a time

When all neighbors of the first daemon with a new version asked it at once, each got a small part of its link, and none could pass the version on until the last byte of its own copy: callers of the last daemons got 404 or were handled by an older version for as long. A daemon now sends a large configuration to two others at a time, by the rate of its link in the settings, and tells the rest that it is busy; they ask whoever has it by then.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -222,6 +222,8 @@
 	RoutingAge time.Duration `cbor:"11,keyasint,omitempty"`
 	// RoutingPacked is sent instead of RoutingBody to daemons that understand it.
 	RoutingPacked PackedDocument `cbor:"12,keyasint,omitzero"`
+	// RoutingBusy means that the sender has a newer configuration, but is sending it to others.
+	RoutingBusy bool `cbor:"13,keyasint,omitempty"`
 }
 
 // HasRouting reports whether the answer has a configuration.
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -203,6 +203,7 @@
 	d.eventLimiter = newEventLimiter()
 	d.started, d.bootstrapped, d.eraChanged = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	d.store.OnRestored(d.handleStoreRestored)
+	d.routingDocument.sender.BytesPerSecond = settings.LinkRate
 	d.documents.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
--- a/serve/relaypull.go
+++ b/serve/relaypull.go
@@ -17,6 +17,7 @@
 type routingDocument struct {
 	mu     sync.Mutex
 	packer spread.Packer
+	sender spread.Sender
 	// wholeNext is set if differences that were received did not fit.
 	wholeNext bool
 }
@@ -41,10 +42,17 @@
 	return digest
 }
 
-func (r *routingDocument) pack(base uint64) (proto.PackedDocument, error) {
+// packFor returns the document for a daemon that has the one with a digest, or none if it is being sent to others.
+func (r *routingDocument) packFor(now time.Time, base uint64, urgent bool) (packed proto.PackedDocument, busy bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.packer.Pack(base)
+	if packed, err = r.packer.Pack(base); err != nil {
+		return packed, false, err
+	}
+	if admitted := r.sender.Admit(now, len(packed.Parts)); !admitted && !urgent {
+		return proto.PackedDocument{}, true, nil
+	}
+	return packed, false, nil
 }
 
 func (r *routingDocument) body() []byte {
@@ -72,12 +80,12 @@
 		answer.RoutingBody = d.routingDocument.body()
 		return
 	}
-	packed, err := d.routingDocument.pack(ask.RoutingDigest)
+	// A daemon without any configuration serves nobody.
+	packed, busy, err := d.routingDocument.packFor(d.clock.Now(), ask.RoutingDigest, ask.Routing == 0)
 	if err != nil {
 		d.log.Error("cannot pack the configuration for another daemon", "version", answer.Routing, "error", err)
-		return
 	}
-	answer.RoutingPacked = packed
+	answer.RoutingPacked, answer.RoutingBusy = packed, busy
 }
 
 // applyReceivedRouting puts the configuration in an answer of another daemon in force, if there is a newer one.
@@ -109,9 +117,9 @@
 	m, err := d.peers.Call(ctx, from, proto.RoutingAsk{
 		Routing: d.tables.Version(), Targets: d.fleet.Version(), Evacuations: d.fleet.EvacuationsVersion(), Packed: true, RoutingDigest: d.routingDocument.digest(),
 	})
-	d.versionLag.askEnded(from, err)
 	took := d.clock.Now().Sub(askedAt)
 	answer, ok := m.(proto.RoutingAnswer)
+	d.versionLag.askEnded(from, answer.RoutingBusy, err)
 	if err != nil || !ok {
 		d.log.Info("another daemon did not answer a request for its newer state", "from", from, "took", took.String(), "error", err)
 		return
--- a/serve/versionlag.go
+++ b/serve/versionlag.go
@@ -91,12 +91,17 @@
 	l.asked++
 }
 
-// askEnded records that a request ended; err is nil if it was answered.
-func (l *versionLag) askEnded(from proto.VM, err error) {
+// askEnded records that a request ended; busy means that the other daemon was sending its configuration to others, and err is nil if it
+// answered.
+func (l *versionLag) askEnded(from proto.VM, busy bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.pending, from)
-	if err != nil {
+	switch {
+	case busy:
+		l.failed++
+		l.lastFailure = string(from) + " is sending to others"
+	case err != nil:
 		l.failed++
 		l.lastFailure = string(from) + ": " + err.Error()
 	}
