A daemon that was idle does not count as reaching no target

A caller got 503 "no target is reached at present, neither from here nor through other daemons" although 13 of 16 targets were up: its daemon had not reached a target that ended, had no request for six seconds, and then failed at three others that had ended, within 4 ms. All that time counted as one in which nothing was reached, since the first unreached target was only forgotten by a success. Failures that are older than they count begin anew now.

--- a/relay/paths.go
+++ b/relay/paths.go
@@ -286,7 +286,9 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.unreached) == 0 {
+	// A time without any attempt is no time in which nothing was reached.
+	if len(p.unreached) == 0 || now.Sub(p.unreachedAt) > noneReachedTTL {
+		clear(p.unreached)
 		p.unreachedSince = now
 	}
 	p.unreached[to], p.unreachedAt = true, now
