A newer configuration counts as on its way while daemons tell of it

After a store was restored, a version that only daemons had that are gone would have kept 404 and 401 from callers until the operator's next change.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -58,7 +58,7 @@
 // unknownFailure returns the failure of a request whose route or key is not in the configuration. If a newer one is on its way it may be
 // in that, and a caller who comes back in a moment is served.
 func (s *Server) unknownFailure(status int, reason string) *failure {
-	if !s.tables.Outdated() {
+	if !s.tables.Outdated(s.clock.Now()) {
 		return &failure{status: status, reason: reason}
 	}
 	return &failure{status: http.StatusServiceUnavailable, retryAfter: outdatedRetryAfter, reason: reason + ", but a newer configuration is on its way", kind: refusedOutdated}
--- a/relay/table.go
+++ b/relay/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"emberlead/proto"
 )
@@ -84,10 +85,20 @@
 // Tables holds the current table. Its version never decreases during the life of the process.
 type Tables struct {
 	current atomic.Pointer[Table]
-	// newestKnown is the newest version that another daemon is known to have.
-	newestKnown atomic.Uint64
+	// observed is the newest version that another daemon told of.
+	observed atomic.Pointer[observedVersion]
 }
 
+// observedVersion is a version that another daemon has, and when a daemon last told of it.
+type observedVersion struct {
+	version uint64
+	at      time.Time
+}
+
+// observedVersionTTL is how long a newer version counts as on its way after a daemon last told of it. It may be gone together with the
+// daemons that had it, if the store was restored.
+const observedVersionTTL = 10 * time.Second
+
 // Current returns the current table, or nil before the first configuration is known.
 func (t *Tables) Current() *Table { return t.current.Load() }
 
@@ -106,17 +117,21 @@
 }
 
 // ObserveVersion records that another daemon has a version.
-func (t *Tables) ObserveVersion(version uint64) {
+func (t *Tables) ObserveVersion(now time.Time, version uint64) {
+	next := &observedVersion{version, now}
 	for {
-		known := t.newestKnown.Load()
-		if version <= known || t.newestKnown.CompareAndSwap(known, version) {
+		known := t.observed.Load()
+		if known != nil && known.version > version && now.Sub(known.at) <= observedVersionTTL || t.observed.CompareAndSwap(known, next) {
 			return
 		}
 	}
 }
 
-// Outdated reports whether a newer configuration than the current one is known to exist.
-func (t *Tables) Outdated() bool { return t.newestKnown.Load() > t.Version() }
+// Outdated reports whether a newer configuration than the current one is on its way.
+func (t *Tables) Outdated(now time.Time) bool {
+	known := t.observed.Load()
+	return known != nil && known.version > t.Version() && now.Sub(known.at) <= observedVersionTTL
+}
 
 // Version returns the version of the current table, or 0 if there is none.
 func (t *Tables) Version() uint64 {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -287,7 +287,7 @@
 		d.peers.members.HandleHeartbeat(now, from, msg)
 		d.peers.recordLoad(now, from, msg)
 		d.store.ObserveEra(msg.Targets.Era)
-		d.tables.ObserveVersion(msg.Routing)
+		d.tables.ObserveVersion(now, msg.Routing)
 		d.versionLag.heard(now, from, msg.Routing, d.tables.Version())
 		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version()) || msg.Evacuations.After(d.fleet.EvacuationsVersion())
 		if d.peers.shouldPull(from, newer, newer && d.isReader()) {
--- a/serve/versionlag.go
+++ b/serve/versionlag.go
@@ -12,6 +12,8 @@
 const (
 	// maxVersionLag is how long a daemon may know of a newer configuration without having it before this is logged.
 	maxVersionLag = time.Second
+	// newestTTL is how long the newest version counts after a daemon last told of it. It may be gone if the store was restored.
+	newestTTL = 10 * time.Second
 	// lagLogInterval is how often it is logged again while the daemon stays behind.
 	lagLogInterval = time.Second
 	// fromStore names the store as the source of a version.
@@ -25,6 +27,8 @@
 	// newest is the newest version heard of, and newestFrom the daemon that told it first.
 	newest     uint64
 	newestFrom proto.VM
+	// newestAt is when a daemon last told of it.
+	newestAt time.Time
 	// behindSince is when the daemon first heard of a version newer than its own; zero while it has the newest one.
 	behindSince time.Time
 	loggedAt    time.Time
@@ -72,9 +76,15 @@
 func (l *versionLag) heard(now time.Time, from proto.VM, version, own uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if version > l.newest {
+	if version > l.newest || now.Sub(l.newestAt) > newestTTL {
 		l.newest, l.newestFrom = version, from
 	}
+	if version == l.newest {
+		l.newestAt = now
+	}
+	if l.newest <= own {
+		l.behindSince = time.Time{}
+	}
 	if version > own && l.behindSince.IsZero() {
 		l.behindSince = now
 	}
