--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -271,7 +272,8 @@
 func (d *Relay) askPeerAboutLapsed(vm proto.VM, ids []string, beforeVersion proto.Revision) {
 	ctx, _, cancel := proto.WithProgress(context.Background(), pullTimeout)
 	defer cancel()
-	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: d.tables.Version(), Targets: beforeVersion, Evacuations: d.fleet.EvacuationsVersion()})
+	// Only targets are asked for, and no configuration is newer than the one that is named.
+	m, err := d.peers.Call(ctx, vm, proto.RoutingAsk{Routing: math.MaxUint64, Targets: beforeVersion, Evacuations: d.fleet.EvacuationsVersion()})
 	answer, ok := m.(proto.RoutingAnswer)
 	if err != nil || !ok {
 		d.log.Info("a linked daemon did not answer how lapsed targets were removed", "from", vm, "error", err)
