--- a/spread/model_test.go
+++ b/spread/model_test.go
@@ -149,6 +149,9 @@
 				if most = max(most, took); took > limit {
 					t.Errorf("seed %d: %s until all have the last version, want at most %s", seed, took, limit)
 				}
+				if seed >= 20 {
+					continue // The other rules are only played to compare.
+				}
 				unhedged = max(unhedged, modelPlay(t, seed, count, modelRules{paced: true}))
 				unpaced = max(unpaced, modelPlay(t, seed, count, modelRules{hedged: true}))
 			}
