An answer of the store confirms what it says as of its beginning

An answer that takes seconds to arrive counted as if the store had said it at its end, here and at the readers that were told. What changed meanwhile could stay unknown for as long, unnoticed, if the next watch hung. TestSlowAnswerConfirmsAsOfItsBeginning failed before (confirmed as of 1 us ago, of an answer that took 300 ms).

--- a/proto/progress.go
+++ b/proto/progress.go
@@ -22,7 +22,8 @@
 
 	mu       sync.Mutex
 	deadline time.Time
-	began    bool
+	// beganAt is when the answer began to arrive; zero if it has not.
+	beganAt time.Time
 	// received counts the bytes since the deadline was last extended.
 	received int
 }
@@ -75,7 +76,17 @@
 func (p *Progress) Began() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.began
+	return !p.beganAt.IsZero()
+}
+
+// SinceBegan returns how long ago the answer began to arrive, and 0 if it has not. What it says may be as old.
+func (p *Progress) SinceBegan() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.beganAt.IsZero() {
+		return 0
+	}
+	return time.Since(p.beganAt)
 }
 
 // Receive records that bytes of the answer have arrived.
@@ -83,10 +94,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.received += bytes
-	if p.began && p.received < minProgress {
+	switch {
+	case p.beganAt.IsZero():
+		p.beganAt = time.Now()
+	case p.received < minProgress:
 		return
 	}
-	p.began, p.received = true, 0
+	p.received = 0
 	// A timer that has fired has ended the call.
 	if p.timer.Stop() {
 		p.deadline = time.Now().Add(stallTimeout)
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -202,10 +202,11 @@
 
 // watchResult is the result of one watch of the table.
 type watchResult struct {
-	sentAt  time.Time
-	endedAt time.Time
-	rows    platform.RowSet
-	err     error
+	sentAt time.Time
+	// asOf is when the store began to answer; changes after it may be missing.
+	asOf time.Time
+	rows platform.RowSet
+	err  error
 }
 
 // step makes one call, or a watch with checks during it, and returns the version to continue from.
@@ -305,7 +306,7 @@
 	go func() {
 		defer cancel()
 		rows, err := w.table.Watch(ctx, version, hold)
-		call.result <- watchResult{sentAt: sentAt, endedAt: w.daemon.clock.Now(), rows: rows, err: err}
+		call.result <- watchResult{sentAt: sentAt, asOf: w.daemon.clock.Now().Add(-progress.SinceBegan()), rows: rows, err: err}
 	}()
 	return call
 }
@@ -319,7 +320,7 @@
 	if len(r.rows.Rows) > 0 {
 		w.apply(r.rows)
 	}
-	w.freshness.confirm(r.endedAt)
+	w.freshness.confirm(r.asOf)
 	return r.rows.Version, nil
 }
 
--- a/serve/relaywatcher_test.go
+++ b/serve/relaywatcher_test.go
@@ -157,3 +157,28 @@
 		}
 	}
 }
+
+// TestSlowAnswerConfirmsAsOfItsBeginning guards against a daemon that takes its state for current although the answer that says so was on
+// its way for long: what changed meanwhile is not in it.
+func TestSlowAnswerConfirmsAsOfItsBeginning(t *testing.T) {
+	const transfer = 300 * time.Millisecond
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"ver":`)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(transfer)
+		fmt.Fprint(w, `8}`)
+	}))
+	defer store.Close()
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://")))
+	clock := clockwork.NewRealClock()
+	w := &watcher{
+		daemon: &Relay{clock: clock, log: hclog.NewNullLogger()}, name: "routing", table: client.Routing(), freshness: &tableFreshness{},
+		apply: func(platform.RowSet) {},
+	}
+	if _, err := w.step(context.Background(), proto.Revision{Version: 7}); err != nil {
+		t.Fatal(err)
+	}
+	if age, known := w.freshness.age(clock.Now()); !known || age < transfer/2 {
+		t.Errorf("the state is confirmed as of %s ago (%t), want about %s", age, known, transfer)
+	}
+}
