Daemons tell how much of processor and link they use, and how long requests spend in them

The log of a rushed daemon could not tell whether its processor or its link is the limit, or what it did in that time. status and /debug/vars have usage: processor time against the limit, bytes against the link's rate, and quantiles of the time for which goroutines that can run wait, which a late timer does not show. Requests have own, the time until something was first sent for them, and callers who left unsent are counted.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -410,6 +410,7 @@
 	f := a.race.flow
 	s := f.server
 	spec := a.placement.Spec
+	f.recordFirstSend()
 	f.triedTargets[spec.ID] = true
 	f.target = spec.ID
 	ctx, span := otel.Tracer(tracerName).Start(a.race.ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -18,9 +18,10 @@
 
 // RequestCounters holds totals of requests since the start.
 type RequestCounters struct {
-	received, completed, late, unavailable, failed, rejected, callerLeft, streamsBroken, streamsResumed, retried, crashing, notAdmitted, leaving, nextStageSlow, expiredRebuilds, passedOn atomic.Int64
+	received, completed, late, unavailable, failed, rejected, callerLeft, callerLeftUnsent, streamsBroken, streamsResumed, retried, crashing, notAdmitted, leaving, nextStageSlow, expiredRebuilds, passedOn atomic.Int64
 
 	refusals                                           refusalStats
+	ownTimes                                           ownTimes
 	ownLimits                                          atomic.Int64
 	admitted, notAdmittedByStage, notAdmittedByEngines atomic.Int64
 
@@ -39,11 +40,13 @@
 	// Failed counts failed requests that may have run.
 	Failed int64 `json:"failed"`
 	// Rejected counts invalid requests.
-	Rejected       int64 `json:"rejected"`
-	CallerLeft     int64 `json:"callerLeft"`
-	StreamsBroken  int64 `json:"streamsBroken"`
-	StreamsResumed int64 `json:"streamsResumed"`
-	Retried        int64 `json:"retried"`
+	Rejected   int64 `json:"rejected"`
+	CallerLeft int64 `json:"callerLeft"`
+	// CallerLeftUnsent counts those of them that had been sent to no target.
+	CallerLeftUnsent int64 `json:"callerLeftUnsent"`
+	StreamsBroken    int64 `json:"streamsBroken"`
+	StreamsResumed   int64 `json:"streamsResumed"`
+	Retried          int64 `json:"retried"`
 	// Crashing counts requests not run because targets that ran them had ended.
 	Crashing int64 `json:"crashing"`
 	// NotAdmitted counts requests refused before they started because the engines, or the stages, were overloaded.
@@ -63,6 +66,8 @@
 	Admitted             int64 `json:"admitted"`
 	NotAdmittedByStage   int64 `json:"notAdmittedByStage"`
 	NotAdmittedByEngines int64 `json:"notAdmittedByEngines"`
+	// OwnMillis holds quantiles of the time from the arrival until something was first sent for a request.
+	OwnMillis map[string]float64 `json:"ownMillis"`
 	// LatencyMillis holds quantiles of the time to the complete answer.
 	LatencyMillis map[string]float64 `json:"latencyMillis"`
 }
@@ -100,17 +105,12 @@
 func (c *RequestCounters) Stats() RequestStats {
 	r := RequestStats{
 		Received: c.received.Load(), Delivered: c.completed.Load(), Late: c.late.Load(), NotRun: c.unavailable.Load(), Failed: c.failed.Load(),
-		Rejected: c.rejected.Load(), CallerLeft: c.callerLeft.Load(), StreamsBroken: c.streamsBroken.Load(), StreamsResumed: c.streamsResumed.Load(), Retried: c.retried.Load(), Crashing: c.crashing.Load(), NotAdmitted: c.notAdmitted.Load(), CallerLeaving: c.leaving.Load(), NextStageSlow: c.nextStageSlow.Load(), ExpiredRebuilds: c.expiredRebuilds.Load(),
-		PassedOn: c.passedOn.Load(), Refusals: c.refusals.stats(), LatencyMillis: map[string]float64{},
+		Rejected: c.rejected.Load(), CallerLeft: c.callerLeft.Load(), CallerLeftUnsent: c.callerLeftUnsent.Load(), StreamsBroken: c.streamsBroken.Load(), StreamsResumed: c.streamsResumed.Load(), Retried: c.retried.Load(), Crashing: c.crashing.Load(), NotAdmitted: c.notAdmitted.Load(), CallerLeaving: c.leaving.Load(), NextStageSlow: c.nextStageSlow.Load(), ExpiredRebuilds: c.expiredRebuilds.Load(),
+		PassedOn: c.passedOn.Load(), Refusals: c.refusals.stats(), OwnMillis: c.ownTimes.quantiles(),
 		Admitted: c.admitted.Load(), NotAdmittedByStage: c.notAdmittedByStage.Load(), NotAdmittedByEngines: c.notAdmittedByEngines.Load(),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.latency == nil {
-		return r
-	}
-	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99} {
-		r.LatencyMillis[name] = float64(c.latency.ValueAtQuantile(q)) / 1000
-	}
+	r.LatencyMillis = quantilesMillis(c.latency)
 	return r
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -243,6 +243,8 @@
 	fallback *bufferedResponse
 	// stageLog describes the stages that have ended, including repeated ones.
 	stageLog []stageLogEntry
+	// firstSentAt is when something was first sent for the request.
+	firstSentAt time.Time
 	// stagesDoneAt is when the stages were done, and firstEventAt when the first event was forwarded.
 	stagesDoneAt, firstEventAt time.Time
 	// lastEventAt is when the last event was forwarded, and longestPause the longest time between two.
@@ -456,6 +458,9 @@
 	}
 	if ctx.Err() != nil {
 		s.counts.callerLeft.Add(1)
+		if f.sent == 0 {
+			s.counts.callerLeftUnsent.Add(1)
+		}
 		s.log.Info("caller left", append(f.logFields(now), "reason", fail.reason)...)
 		panic(http.ErrAbortHandler)
 	}
@@ -470,7 +475,7 @@
 func (f *flow) logFields(now time.Time) []any {
 	return []any{
 		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.routingVersion, "targets", f.server.fleet.Version(),
-		"rank", f.rank, "took", formatDuration(now.Sub(f.startedAt)), "staged", formatDuration(elapsed(f.startedAt, f.stagesDoneAt)), "first", formatDuration(elapsed(f.startedAt, f.firstEventAt)), "goal", formatDuration(f.route.LatencyGoal), "pause", formatDuration(f.longestPause),
+		"rank", f.rank, "took", formatDuration(now.Sub(f.startedAt)), "own", formatDuration(elapsed(f.startedAt, f.firstSentAt)), "staged", formatDuration(elapsed(f.startedAt, f.stagesDoneAt)), "first", formatDuration(elapsed(f.startedAt, f.firstEventAt)), "goal", formatDuration(f.route.LatencyGoal), "pause", formatDuration(f.longestPause),
 		"sent", f.sent, "runs", f.runs, "target", f.target, "stages", f.stageLog,
 	}
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -168,6 +168,7 @@
 		}
 		f.stageResults[i].requested = true
 		started++
+		f.recordFirstSend()
 		ask := f.newPiecesAsk(i, noWorkDone, homeZone)
 		due, deadline := f.stageTimes(i, noWorkDone)
 		go func() { outcomes <- f.runStage(ctx, ask, due, deadline) }()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -101,6 +101,10 @@
 	// rush closes new connections while this daemon gets too many of them, and limits are those of the requests in progress.
 	rush   connectionRush
 	limits relay.Limits
+	// traffic counts the bytes of callers, targets and other daemons. loadMeter measures how much of the VM was used since the
+	// last comparison with other daemons, and statusMeter since the last status.
+	traffic                *wire.Traffic
+	loadMeter, statusMeter *loadMeter
 	// noticeGossip forwards what targets say about themselves.
 	noticeGossip *noticeGossip
 	// endRowSync sends ends of targets through the store to daemons that this one cannot reach.
@@ -197,6 +201,9 @@
 	// The platform provides no secret; the store's address keeps the daemons of two deployments apart.
 	d := &Relay{settings: settings, clock: clock, restoreClock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.StoreAddr), linkKey: settings.StoreAddr.String(), zoneCosts: relay.DefaultZoneCosts()}
 	d.limits = relayLimits(settings)
+	d.traffic = &wire.Traffic{}
+	d.loadMeter = newLoadMeter(settings.CPULimit, settings.LinkRate, d.traffic)
+	d.statusMeter = newLoadMeter(settings.CPULimit, settings.LinkRate, d.traffic)
 	for _, option := range options {
 		option(d)
 	}
@@ -214,7 +221,7 @@
 	d.shareTracker = coord.NewShareTracker(d.self.VM, shareTiming(settings))
 	d.initPeers()
 	d.paths = relay.NewPaths(d.self.Zone, clock, log.Named("paths"), d.peers, d.fleet)
-	d.transport = wire.NewTargetTransport(clock, append(d.transportOptions, wire.WithPaths(d.paths, d.peers.links.OpenTunnel))...)
+	d.transport = wire.NewTargetTransport(clock, append(d.transportOptions, wire.WithTraffic(d.traffic), wire.WithPaths(d.paths, d.peers.links.OpenTunnel))...)
 	dialect := platform.Dialect{}
 	d.noticeGossip = newNoticeGossip(clock, func(m proto.TargetNotices) { d.peers.sendToLinks(m) })
 	d.endGossip = newEndGossip(clock, func(m proto.TargetEnds) { d.peers.sendToLinks(m) })
@@ -259,7 +266,7 @@
 	d.peers.fleetSize = d.peers.Count
 	d.peers.links = wire.NewLinks(wire.LinksConfig{
 		Self: d.self.VM, SharedKey: d.linkKey, Credentials: d.credentials, Log: d.log.Named("links"),
-		Resolve: d.peers.resolve, Handle: d.handle, Dial: d.dialLink, Tunnels: wire.TunnelConfig{
+		Resolve: d.peers.resolve, Handle: d.handle, Dial: d.dialLink, Traffic: d.traffic, Tunnels: wire.TunnelConfig{
 			Dial: d.dialTarget, IsTarget: d.fleet.IsAddress, TrustsLinks: func(ctx context.Context) bool { return d.transport.TrustsLinks(ctx) }, MaxOpen: relayLimits(d.settings).MaxOpen / maxTunnelsDivisor,
 		},
 	})
--- a/serve/relayrush.go
+++ b/serve/relayrush.go
@@ -60,10 +60,11 @@
 
 // observeRush records the load of this daemon and of those that it hears.
 func (d *Relay) observeRush() {
+	usage := d.loadMeter.read(d.clock.Now())
 	load := sched.RushLoad{Open: d.server.OpenRequests(), MaxOpen: d.limits.MaxOpen, OthersOpen: d.peers.meanLoad()}
 	changed, closing := d.rush.observe(d.clock.Now(), rushInterval, load, d.server.Counts().OwnLimitRefusals())
 	if changed {
-		d.log.Info("new connections are closed unread, or no longer", "closing", closing, "open", load.Open, "openMost", load.MaxOpen, "othersOpen", load.OthersOpen)
+		d.log.Info("new connections are closed unread, or no longer", "closing", closing, "open", load.Open, "openMost", load.MaxOpen, "othersOpen", load.OthersOpen, "usage", usage)
 	}
 }
 
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
 	}
+	listener = d.traffic.Listener(listener)
 	if closes != nil {
 		listener = &wire.SheddingListener{Listener: listener, Closes: closes}
 	}
@@ -130,6 +131,8 @@
 	// Permits counts the permits that this daemon granted for targets that name a limit.
 	Permits      relay.PermitStats `json:"permits"`
 	OpenRequests int64             `json:"openRequests"`
+	// Usage tells how much of the VM the daemon used a moment ago, and in the log since the previous status.
+	Usage usage `json:"usage"`
 	// Store counts the calls to the store by table and kind.
 	Store           platform.CallCounts `json:"store"`
 	LogLinesDropped int64               `json:"logLinesDropped"`
@@ -146,6 +149,7 @@
 		Requests: d.server.Counts().Stats(), Pieces: d.pieces.Stats(), TargetConnections: d.transport.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Lag: d.versionLag.stats(now), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
 		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Rush: d.rush.stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
+		Usage: d.loadMeter.latest(),
 	}
 }
 
@@ -159,6 +163,6 @@
 
 func (d *Relay) logStatus() {
 	v := d.vars()
-	d.log.Info("status", "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
+	d.log.Info("status", "usage", d.statusMeter.read(d.clock.Now()), "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
 		"routing", v.Routing, "lag", v.Lag, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "rush", v.Rush, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
 }
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -69,6 +69,11 @@
 	return func(t *TargetTransport) { t.dial = dial }
 }
 
+// WithTraffic counts the bytes of own connections.
+func WithTraffic(traffic *Traffic) TransportOption {
+	return func(t *TargetTransport) { t.dial = traffic.Dialer(t.dial) }
+}
+
 // tunnelFunc opens a connection to a target that another daemon carries.
 type tunnelFunc func(ctx context.Context, by proto.VM, to netip.AddrPort) (io.ReadWriteCloser, relay.CarryOutcome, error)
 
