A daemon takes what its processor and link can carry

Cause: nothing a daemon decides by is about its own capacity. Saturation was three quarters of the open requests that memory allows, or a late timer; timers run ahead of waiting goroutines, so they are late only by chance, and one in time took back what a late one had added.

Now a daemon learns what a request costs of processor and link, from their use while it keeps up, and limits what it takes to 0.85 of both from a pressure of 0.8 on. The 90th percentile of the time for which goroutines wait and the delay of heartbeats, against the fastest of each sender, correct the rate. What is beyond it is closed unread while half of the others have room, and otherwise refused at once. Heartbeats tell the pressure, a share of the own capacity, so that small and big daemons compare. Answers close their connections while others have room.

--- a/proto/peer.go
+++ b/proto/peer.go
@@ -88,6 +88,10 @@
 	Load uint32 `cbor:"13,keyasint,omitempty"`
 	// CutOff is set if the sender has lost its links to all targets.
 	CutOff bool `cbor:"14,keyasint,omitempty"`
+	// Pressure is how much of the scarcest part of its VM the sender uses, in hundredths.
+	Pressure uint8 `cbor:"15,keyasint,omitempty"`
+	// SentAt is when the heartbeat was sent, by a clock of the sender that changes of the time of day do not affect; 0 if it does not say.
+	SentAt time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it with a higher sequence number.
--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -42,12 +42,14 @@
 	refusedVersionGone
 	// refusedOutdated means that the route or the key is unknown, while a newer configuration is on its way.
 	refusedOutdated
+	// refusedOverload means that the processor or the link of the daemon has no room for the request.
+	refusedOverload
 	refusalKindCount
 )
 
 // refusalKindNames are the names of the kinds in the log and in the metrics.
 var refusalKindNames = [refusalKindCount]string{
-	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone", "outdated",
+	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone", "outdated", "overload",
 }
 
 func (k refusalKind) String() string { return refusalKindNames[k] }
--- a/relay/server.go
+++ b/relay/server.go
@@ -79,6 +79,7 @@
 	crashDetector *CrashDetector
 	linkChecker   LinkChecker
 	origins       *Origins
+	intake        Intake
 
 	// firstEventTimes are the times to the first event of streams, by route and without the stages. responseTimes are those to
 	// complete responses and callTimes those of calls for pieces, by pool. requestTimes are those of whole requests, by route.
@@ -135,6 +136,8 @@
 	LinkChecker LinkChecker
 	// Origins knows where streams began; nil if no other daemon needs to know.
 	Origins *Origins
+	// Intake decides which requests are served; nil for all.
+	Intake Intake
 	// Started is closed once the daemon has the data to serve requests; nil if it has it already.
 	Started <-chan struct{}
 }
@@ -144,7 +147,7 @@
 	s := &Server{
 		clock: c.Clock, log: c.Log, dialect: c.Dialect, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*RetryBudget{},
-		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins,
+		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins, intake: c.Intake,
 	}
 	if s.origins == nil {
 		s.origins = NewOrigins(c.Clock, c.Log, nil)
@@ -273,6 +276,10 @@
 		return
 	}
 	defer s.open.Add(-1)
+	if fail := s.refuseOverload(w, r); fail != nil {
+		s.refuse(w, fail, nil, startedAt)
+		return
+	}
 	s.waitForStartup(r.Context())
 	f, fail := s.accept(w, r, startedAt)
 	if f != nil {
--- /dev/null
+++ b/sched/linkdelay.go
@@ -0,0 +1,66 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// delayBaseline is for how long the fastest message of a sender counts; clocks drift apart by milliseconds in that time.
+	delayBaseline = time.Minute
+	// delayMaxAge is how old a message may be, and delayMinSenders from how many senders messages must be, for the delay to be known.
+	delayMaxAge     = 900 * time.Millisecond
+	delayMinSenders = 2
+)
+
+// LinkDelay measures how long messages wait at this end of their way, from times that their senders state. Their clocks need not agree:
+// what counts is how much longer a message took than the fastest one of its sender. As most senders must agree, the way from a
+// single one does not matter.
+type LinkDelay[K comparable] struct {
+	senders map[K]*senderDelay
+	delays  []time.Duration
+}
+
+type senderDelay struct {
+	// fastest is the least difference of the clocks since baselineAt, and before that one of the period before.
+	fastest, before time.Duration
+	baselineAt      time.Time
+	delay           time.Duration
+	at              time.Time
+}
+
+// Record records that a message arrived. sentAt is its time by a clock of the sender that continues evenly.
+func (l *LinkDelay[K]) Record(now time.Time, sender K, sentAt time.Duration) {
+	if l.senders == nil {
+		l.senders = map[K]*senderDelay{}
+	}
+	took := time.Duration(now.UnixNano()) - sentAt
+	s := l.senders[sender]
+	if s == nil {
+		s = &senderDelay{fastest: took, before: took, baselineAt: now}
+		l.senders[sender] = s
+	}
+	if now.Sub(s.baselineAt) > delayBaseline {
+		s.before, s.fastest, s.baselineAt = s.fastest, took, now
+	}
+	s.fastest = min(s.fastest, took)
+	s.delay, s.at = took-min(s.fastest, s.before), now
+}
+
+// Delay returns how long most messages waited lately; 0 if that is unknown.
+func (l *LinkDelay[K]) Delay(now time.Time) time.Duration {
+	l.delays = l.delays[:0]
+	for sender, s := range l.senders {
+		switch age := now.Sub(s.at); {
+		case age > 2*delayBaseline:
+			delete(l.senders, sender)
+		case age <= delayMaxAge:
+			l.delays = append(l.delays, s.delay)
+		}
+	}
+	if len(l.delays) < delayMinSenders {
+		return 0
+	}
+	slices.Sort(l.delays)
+	return l.delays[(len(l.delays)-1)/2]
+}
--- a/sched/rush.go
+++ b/sched/rush.go
@@ -8,8 +8,6 @@
 	rushFactor, rushMinOpen = 2, 8
 	// rushOpenFraction is the fraction of the requests that a daemon may have open from which it is saturated.
 	rushOpenFraction = 0.75
-	// rushLag is how late its own timers are on a saturated daemon.
-	rushLag = 30 * time.Millisecond
 	// The closed share of new connections grows by rushStep and rushGrowth with each observation of a saturated daemon, and
 	// shrinks by rushDecay with each other one.
 	rushStep, rushGrowth, rushDecay = 0.1, 1.3, 0.05
@@ -25,8 +23,6 @@
 	Open, MaxOpen int64
 	// OthersOpen is the mean number of the other daemons; negative if none was heard.
 	OthersOpen float64
-	// Lag is how late the daemon's own timers are.
-	Lag time.Duration
 	// Refused is the number of requests that were refused since the previous observation for limits of this daemon alone.
 	Refused int64
 }
@@ -44,7 +40,7 @@
 func (r *Rush) Observe(l RushLoad) {
 	r.maxOpen = l.MaxOpen
 	r.uneven = l.OthersOpen >= 0 && l.Open >= rushMinOpen && float64(l.Open) > rushFactor*l.OthersOpen
-	if r.uneven && (l.Lag > rushLag || l.Refused > 0 || r.full(l.Open)) {
+	if r.uneven && (l.Refused > 0 || r.full(l.Open)) {
 		r.share = min(rushMaxShare, r.share*rushGrowth+rushStep)
 		return
 	}
--- a/serve/loadmeter.go
+++ b/serve/loadmeter.go
@@ -22,6 +22,8 @@
 	// RunDelay and RunDelayP90 are quantiles of the time for which goroutines that could run waited for the processor.
 	RunDelay    float64 `json:"runDelayMillis"`
 	RunDelayP90 float64 `json:"runDelayP90Millis"`
+	// LinkDelay is how long heartbeats of other daemons waited on the link.
+	LinkDelay float64 `json:"linkDelayMillis"`
 	// Runs is the number of goroutine starts from which they were taken.
 	Runs uint64 `json:"runs"`
 }
@@ -30,6 +32,8 @@
 type loadMeter struct {
 	cpuLimit, linkRate float64
 	traffic            *wire.Traffic
+	// shared is set if other daemons run in the process, so that its use of the processor is not that of this one.
+	shared bool
 
 	mu       sync.Mutex
 	samples  []metrics.Sample
@@ -46,15 +50,16 @@
 }
 
 // read returns the usage since the previous reading.
-func (m *loadMeter) read(now time.Time) usage {
+func (m *loadMeter) read(now time.Time, linkDelay time.Duration) usage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	elapsed := now.Sub(m.at).Seconds()
-	u := m.readRunDelays()
-	cpuTime, received, sent := processorTime(), int64(0), int64(0)
-	if m.traffic != nil {
-		received, sent = m.traffic.Totals()
+	u, cpuTime := usage{}, time.Duration(0)
+	if !m.shared {
+		u, cpuTime = m.readRunDelays(), processorTime()
 	}
+	u.LinkDelay = float64(linkDelay) / float64(time.Millisecond)
+	received, sent := m.traffic.Totals()
 	if !m.at.IsZero() && elapsed > 0 {
 		u.Processor = fraction((cpuTime - m.cpuTime).Seconds(), elapsed*m.cpuLimit)
 		u.Received, u.Sent = fraction(float64(received-m.received), elapsed*m.linkRate), fraction(float64(sent-m.sent), elapsed*m.linkRate)
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -51,8 +51,8 @@
 	sweepInterval = 200 * time.Millisecond
 	// statusInterval is how often the counters are logged, so that the log alone shows how much work was done.
 	statusInterval = 10 * time.Second
-	// rushInterval is how often the load is compared with that of the other daemons.
-	rushInterval = 100 * time.Millisecond
+	// intakeInterval is how often the load is measured and compared with that of the other daemons.
+	intakeInterval = 100 * time.Millisecond
 	// settingsInterval is how often the settings file is checked, since it may change without a signal.
 	settingsInterval = 2 * time.Second
 	// rowsTimeout is how long a daemon that already has the tables holds requests until the list of daemons is read,
@@ -98,13 +98,12 @@
 	endGossip     *endGossip
 	// origins knows at which software version streams began.
 	origins *relay.Origins
-	// rush closes new connections while this daemon gets too many of them, and limits are those of the requests in progress.
-	rush   connectionRush
+	// intake decides which connections and requests are taken, and limits are those of the requests in progress.
+	intake requestIntake
 	limits relay.Limits
-	// traffic counts the bytes of callers, targets and other daemons. loadMeter measures how much of the VM was used since the
-	// last comparison with other daemons, and statusMeter since the last status.
-	traffic                *wire.Traffic
-	loadMeter, statusMeter *loadMeter
+	// traffic counts the bytes of callers and targets, and statusMeter measures how much of the VM was used since the last status.
+	traffic     *wire.Traffic
+	statusMeter *loadMeter
 	// noticeGossip forwards what targets say about themselves.
 	noticeGossip *noticeGossip
 	// endRowSync sends ends of targets through the store to daemons that this one cannot reach.
@@ -186,6 +185,11 @@
 // WithMaxOpenRequests sets the number of requests that may be in progress, instead of one that follows from the memory.
 func WithMaxOpenRequests(n int64) RelayOption { return func(d *Relay) { d.limits.MaxOpen = n } }
 
+// WithSharedProcess tells that other daemons run in the same process, whose use of the processor then says nothing about this one.
+func WithSharedProcess() RelayOption {
+	return func(d *Relay) { d.intake.meter.shared, d.statusMeter.shared = true, true }
+}
+
 // WithTargetDialer sets the function that opens connections to targets. Tests use it to cut single daemons off from targets.
 func WithTargetDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) RelayOption {
 	return func(d *Relay) { d.transportOptions = append(d.transportOptions, wire.WithDialer(dial)) }
@@ -202,7 +206,7 @@
 	d := &Relay{settings: settings, clock: clock, restoreClock: clock, log: log, sink: sink, tables: &relay.Tables{}, store: platform.NewStore(settings.StoreAddr), linkKey: settings.StoreAddr.String(), zoneCosts: relay.DefaultZoneCosts()}
 	d.limits = relayLimits(settings)
 	d.traffic = &wire.Traffic{}
-	d.loadMeter = newLoadMeter(settings.CPULimit, settings.LinkRate, d.traffic)
+	d.intake.meter = newLoadMeter(settings.CPULimit, settings.LinkRate, d.traffic)
 	d.statusMeter = newLoadMeter(settings.CPULimit, settings.LinkRate, d.traffic)
 	for _, option := range options {
 		option(d)
@@ -235,7 +239,7 @@
 		Clock: clock, Log: log.Named("relay"), Dialect: dialect, Sender: d.transport, Fleet: d.fleet, Tables: d.tables,
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget:       relay.RetryBudgetConfig{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
-		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Origins: d.origins, Started: d.started, Limits: d.limits,
+		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Origins: d.origins, Started: d.started, Limits: d.limits, Intake: relayIntake{d},
 	})
 	return d
 }
@@ -266,7 +270,7 @@
 	d.peers.fleetSize = d.peers.Count
 	d.peers.links = wire.NewLinks(wire.LinksConfig{
 		Self: d.self.VM, SharedKey: d.linkKey, Credentials: d.credentials, Log: d.log.Named("links"),
-		Resolve: d.peers.resolve, Handle: d.handle, Dial: d.dialLink, Traffic: d.traffic, Tunnels: wire.TunnelConfig{
+		Resolve: d.peers.resolve, Handle: d.handle, Dial: d.dialLink, Tunnels: wire.TunnelConfig{
 			Dial: d.dialTarget, IsTarget: d.fleet.IsAddress, TrustsLinks: func(ctx context.Context) bool { return d.transport.TrustsLinks(ctx) }, MaxOpen: relayLimits(d.settings).MaxOpen / maxTunnelsDivisor,
 		},
 	})
@@ -282,7 +286,7 @@
 	return proto.Heartbeat{
 		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), EndsDigest: d.crashTracker.Digest(), InvalidDigest: d.fleet.InvalidDigest(),
 		NoticesDigest: d.fleet.NoticeDigest(), Evacuations: d.fleet.EvacuationsVersion(),
-		Load: uint32(d.server.OpenRequests() + d.peers.links.TunnelCounts().Open), CutOff: d.paths.CutOff(),
+		Load: uint32(d.server.OpenRequests() + d.peers.links.TunnelCounts().Open), CutOff: d.paths.CutOff(), Pressure: d.intake.pressure(), SentAt: time.Duration(d.clock.Now().UnixNano()),
 	}
 }
 
@@ -446,7 +450,7 @@
 			d.crashDetector.Sweep()
 			d.logFreshness()
 		}),
-		d.periodic(rushInterval, d.observeRush),
+		d.periodic(intakeInterval, d.observeIntake),
 		d.periodic(forgetInterval, d.crashTracker.Sweep),
 		d.periodic(forgetInterval, func() { d.origins.Sweep(d.peers.members.Live()) }),
 		d.periodic(endRowInterval, d.endRowSync.writeIfDue),
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -15,6 +15,7 @@
 	"emberlead/origin"
 	"emberlead/proto"
 	"emberlead/relay"
+	"emberlead/sched"
 	"emberlead/wire"
 )
 
@@ -74,6 +75,8 @@
 	invalidAskedAt map[proto.VM]time.Time
 	// loads holds what the heartbeats of other daemons last told of their load.
 	loads map[proto.VM]peerLoad
+	// delay tells how long heartbeats wait on this daemon's link.
+	delay sched.LinkDelay[peerRun]
 	// ranking ranks the other daemons for streams, as of rankedAt.
 	ranking  *origin.Ranking
 	rankedAt time.Time
@@ -81,16 +84,26 @@
 
 // peerLoad is the load of another daemon as of its last heartbeat.
 type peerLoad struct {
-	open   int
-	cutOff bool
-	at     time.Time
+	open     int
+	pressure float64
+	cutOff   bool
+	at       time.Time
+}
+
+// peerRun is a run of another daemon.
+type peerRun struct {
+	vm          proto.VM
+	incarnation proto.Incarnation
 }
 
 // recordLoad records the load that a heartbeat tells.
 func (p *relayPeers) recordLoad(now time.Time, from proto.VM, h proto.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loads[from] = peerLoad{open: int(h.Load), cutOff: h.CutOff, at: now}
+	p.loads[from] = peerLoad{open: int(h.Load), pressure: float64(h.Pressure) / 100, cutOff: h.CutOff, at: now}
+	if h.SentAt > 0 {
+		p.delay.Record(now, peerRun{from, h.Incarnation}, h.SentAt)
+	}
 }
 
 // Carriers returns the daemons that were heard a moment ago and can carry connections to targets.
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -41,7 +41,7 @@
 		closes  func() bool
 	}{
 		// The methods and paths of callers are forwarded unchanged, so there is no router in front of the relay.
-		{d.settings.CallerAddr, d.server, nil, func() bool { return d.rush.closes(d.clock.Now(), d.server.OpenRequests()) }},
+		{d.settings.CallerAddr, d.server, nil, func() bool { return d.intake.closes(d.clock.Now(), d.server.OpenRequests()) }},
 		{d.settings.HealthAddr, health, nil, nil},
 		{d.settings.PeerAddr, d.peers.links.Handler(), d.peers.links.ServerTLS(), nil},
 		{d.settings.MetricsAddr, metrics, nil, nil},
@@ -58,12 +58,12 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
 	}
-	listener = d.traffic.Listener(listener)
 	if closes != nil {
+		listener = d.traffic.Listener(listener)
 		listener = &wire.SheddingListener{Listener: listener, Closes: closes}
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ConnContext: relay.WithConnection, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	if config != nil {
@@ -117,8 +117,8 @@
 	Crashes relay.CrashStats `json:"crashes"`
 	// Origins counts the streams that callers took up again.
 	Origins relay.OriginStats `json:"origins"`
-	// Rush tells how many new connections were closed unread, since most came to this daemon.
-	Rush rushStats `json:"rush"`
+	// Intake tells what this daemon did not take, since it could not serve it.
+	Intake intakeStats `json:"intake"`
 	// Cold counts what this daemon sent to cold targets, and how often others had taken the rest of a target's capacity.
 	Cold relay.ColdStats `json:"cold"`
 	// Paths tells which links to targets are lost, and what other daemons carry for this one; Tunnels counts what it carries for them.
@@ -148,8 +148,8 @@
 		RoutingAge: ageMillis(&d.routingFreshness, now), TargetsAge: ageMillis(&d.targetsFreshness, now),
 		Requests: d.server.Counts().Stats(), Pieces: d.pieces.Stats(), TargetConnections: d.transport.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Lag: d.versionLag.stats(now), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
-		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Rush: d.rush.stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
-		Usage: d.loadMeter.latest(),
+		LinkAuth: d.linkAuth(), Crashes: d.crashTracker.Stats(), Origins: d.origins.Stats(), Intake: d.intake.stats(), Cold: d.placer.ColdStats(), Placements: d.placer.PlacementStats(), Paths: d.paths.Stats(), Tunnels: d.peers.links.TunnelCounts(), Notices: d.fleet.NoticeStats(now), Permits: d.placer.PermitStats(), Store: d.store.Counts(), LogLinesDropped: d.sink.Dropped(),
+		Usage: d.intake.meter.latest(),
 	}
 }
 
@@ -162,7 +162,7 @@
 }
 
 func (d *Relay) logStatus() {
-	v := d.vars()
-	d.log.Info("status", "usage", d.statusMeter.read(d.clock.Now()), "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "lag", v.Lag, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "rush", v.Rush, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
+	v, now := d.vars(), d.clock.Now()
+	d.log.Info("status", "usage", d.statusMeter.read(now, d.peers.linkDelay(now)), "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
+		"routing", v.Routing, "lag", v.Lag, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "intake", v.Intake, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
 }
--- a/wire/links.go
+++ b/wire/links.go
@@ -84,8 +84,6 @@
 	Handle      func(context.Context, proto.VM, proto.Message) proto.Message
 	// Dial opens connections to other daemons; the default is a dialer whose connections fail when the other end stops responding.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Traffic counts the bytes of connections that are opened here; nil if they are not counted.
-	Traffic *Traffic
 	// BeforeMessage runs before each received message is handled.
 	BeforeMessage func()
 	// Tunnels configures the connections to targets that this daemon carries for others; none if it is zero.
@@ -108,9 +106,6 @@
 	if dial == nil {
 		dial = NewDialer(dialTimeout).DialContext
 	}
-	if c.Traffic != nil {
-		dial = c.Traffic.Dialer(dial)
-	}
 	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: l.tls, DialContext: dial.withRetry(linkDialAttemptTimeout)}}
 	return l
 }
