A late daemon waits longer before it doubts its links

In a rush of connections the logs of the rushed daemon showed 926 attempts that failed since 'the link may have failed', 41 times all links lost and regained, and 5,030 connections that others were asked for and did not open: its own time-outs of 80 and 200 ms ran out while its link or its processor held everything up, and the added work kept it late for 26 s after the rush.

Time-outs of connections to targets are longer by twice the daemon's own delay, 2 s at most, so that they say nothing of links and targets while the daemon is late itself.

--- a/sched/intake.go
+++ b/sched/intake.go
@@ -140,6 +140,14 @@
 	return pressure
 }
 
+// Delay returns how late the daemon is with everything: 0 unless its work or its messages wait for long.
+func (i *Intake) Delay() time.Duration {
+	if i.delay < longDelay.Seconds() {
+		return 0
+	}
+	return time.Duration(i.delay * float64(time.Second))
+}
+
 // currentRate returns how many requests a second can be served; 0 if that is unknown.
 func (i *Intake) currentRate() float64 {
 	rate := 0.0
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -225,7 +225,7 @@
 	d.shareTracker = coord.NewShareTracker(d.self.VM, shareTiming(settings))
 	d.initPeers()
 	d.paths = relay.NewPaths(d.self.Zone, clock, log.Named("paths"), d.peers, d.fleet)
-	d.transport = wire.NewTargetTransport(clock, append(d.transportOptions, wire.WithTraffic(d.traffic), wire.WithPaths(d.paths, d.peers.links.OpenTunnel))...)
+	d.transport = wire.NewTargetTransport(clock, append(d.transportOptions, wire.WithTraffic(d.traffic), wire.WithOwnDelay(d.intake.delay), wire.WithPaths(d.paths, d.peers.links.OpenTunnel))...)
 	dialect := platform.Dialect{}
 	d.noticeGossip = newNoticeGossip(clock, func(m proto.TargetNotices) { d.peers.sendToLinks(m) })
 	d.endGossip = newEndGossip(clock, func(m proto.TargetEnds) { d.peers.sendToLinks(m) })
--- a/serve/relayintake.go
+++ b/serve/relayintake.go
@@ -83,6 +83,13 @@
 	return c.intake.Spreads()
 }
 
+// delay returns how late this daemon is with everything.
+func (c *requestIntake) delay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.intake.Delay()
+}
+
 func (c *requestIntake) stats() intakeStats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -73,7 +73,7 @@
 		c, err := t.openOwn(context.WithoutCancel(ctx), to)
 		own <- openResult{c, err}
 	}()
-	headStart := t.clock.NewTimer(relay.DirectHeadStart)
+	headStart := t.clock.NewTimer(t.whenLate(relay.DirectHeadStart))
 	defer headStart.Stop()
 	select {
 	case result := <-own:
@@ -99,7 +99,7 @@
 	if err == nil || ctx.Err() != nil || !t.paths.MayConnect(to) {
 		return c, t.markDoubtful(to, err)
 	}
-	ownCtx, cancel := context.WithTimeout(ctx, relay.DirectHeadStart)
+	ownCtx, cancel := context.WithTimeout(ctx, t.whenLate(relay.DirectHeadStart))
 	defer cancel()
 	if own, ownErr := t.openOwn(ownCtx, to); ownErr == nil {
 		return own, nil
@@ -164,7 +164,7 @@
 // DialOwn opens a connection to a target over this daemon's own link.
 func (t *TargetTransport) DialOwn(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	t.dialed.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, t.whenLate(connectTimeout))
 	defer cancel()
 	conn, err := t.dial(ctx, "tcp4", to.String())
 	switch {
@@ -177,6 +177,11 @@
 	return conn, err
 }
 
+// whenLate returns a timeout that is longer by the delay of this daemon itself.
+func (t *TargetTransport) whenLate(timeout time.Duration) time.Duration {
+	return timeout + min(maxOwnDelay, ownDelayFactor*t.ownDelay())
+}
+
 // TrustsLinks reports whether this daemon's links to targets work. If it doubts them, it verifies them at another target.
 func (t *TargetTransport) TrustsLinks(ctx context.Context) bool {
 	if !t.paths.DoubtsLinks() {
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -24,8 +24,11 @@
 
 const (
 	// connectTimeout bounds opening a connection: targets are one millisecond away, and a dropped SYN packet is
-	// retransmitted only after one second.
+	// retransmitted only after one second. It is longer while this daemon itself is late, by ownDelayFactor times its delay and
+	// maxOwnDelay at most: what takes long then says nothing of a target or a link.
 	connectTimeout = 200 * time.Millisecond
+	ownDelayFactor = 2
+	maxOwnDelay    = 2 * time.Second
 	// defaultMaxIdle is how long a connection may stay idle if the target states no keep-alive timeout.
 	defaultMaxIdle = 4 * time.Second
 	// keepAliveFraction is the fraction of the keep-alive timeout stated by a target for which a connection may stay
@@ -56,6 +59,9 @@
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*targetConn
 
+	// ownDelay returns how late this daemon is with everything.
+	ownDelay func() time.Duration
+
 	dialed, reused, stray atomic.Int64
 	// asking counts the connections that others are asked for although the link is not known to be lost.
 	asking atomic.Int64
@@ -74,6 +80,11 @@
 	return func(t *TargetTransport) { t.dial = traffic.Dialer(t.dial) }
 }
 
+// WithOwnDelay sets the function that returns how late this daemon is with everything, as its processor or its link is the limit.
+func WithOwnDelay(delay func() time.Duration) TransportOption {
+	return func(t *TargetTransport) { t.ownDelay = delay }
+}
+
 // tunnelFunc opens a connection to a target that another daemon carries.
 type tunnelFunc func(ctx context.Context, by proto.VM, to netip.AddrPort) (io.ReadWriteCloser, relay.CarryOutcome, error)
 
@@ -84,7 +95,7 @@
 
 // NewTargetTransport returns a transport without open connections.
 func NewTargetTransport(clock clockwork.Clock, options ...TransportOption) *TargetTransport {
-	t := &TargetTransport{clock: clock, idle: map[netip.AddrPort][]*targetConn{}, dial: (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext}
+	t := &TargetTransport{clock: clock, idle: map[netip.AddrPort][]*targetConn{}, dial: (&net.Dialer{KeepAlive: -1}).DialContext, ownDelay: func() time.Duration { return 0 }}
 	for _, option := range options {
 		option(t)
 	}
--- a/wire/tunnels_test.go
+++ b/wire/tunnels_test.go
@@ -38,6 +38,7 @@
 	transport *TargetTransport
 	carrier   *Links
 	server    *httptest.Server
+	links     *Links
 	paths     *relay.Paths
 }
 
@@ -64,6 +65,7 @@
 		return proto.Alive{VM: vm, Peer: addressOf(x.server.URL)}, true
 	}})
 	t.Cleanup(links.Close)
+	x.links = links
 	clock := clockwork.NewRealClock()
 	x.paths = relay.NewPaths("r/z", clock, hclog.NewNullLogger(), oneCarrier{}, addressSet(known))
 	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
