--- a/sched/intake.go
+++ b/sched/intake.go
@@ -196,7 +196,7 @@
 }
 
 // Admit decides whether to serve a request that was read, or else when its caller should come back. fresh is set for the first
-// request of a connection.
+// request of a connection. What was read is refused only once work waits for long.
 func (i *Intake) Admit(now time.Time, fresh bool) (retryAfter time.Duration, admitted bool) {
 	if i.Limits() && !(fresh && i.elsewhere) {
 		i.refill(now)
@@ -204,10 +204,10 @@
 		if !fresh {
 			least -= i.rate * intakeDebt.Seconds()
 		}
-		if i.tokens < least {
+		if i.tokens < least && i.Delay() > 0 {
 			return i.retryAfter(least), false
 		}
-		i.tokens--
+		i.tokens = max(i.tokens-1, -i.rate*intakeDebt.Seconds())
 	}
 	i.requests.Add(now, costHalfLife, 1)
 	return 0, true
