Requests beyond the rate are refused while others have room

Refused callers find another daemon within 50 ms, while what is kept makes the rest late. It stays so while no other daemon has room.

The lowest factor goes from 0.15 to 0.2.

--- a/sched/intake.go
+++ b/sched/intake.go
@@ -22,7 +22,7 @@
 	// rateShrink and rateGrowth are the factors on the rate in each rateInterval, and minIntakeFactor is the least of them together.
 	rateShrink, rateGrowth = 0.9, 1.15
 	rateInterval           = 100 * time.Millisecond
-	minIntakeFactor        = 0.15
+	minIntakeFactor        = 0.2
 	// minIntakeRate is the lowest rate, in requests per second: only requests can show that there is room again.
 	minIntakeRate = 1.0
 	// intakeBurst is for how long unused admissions accumulate, of which minIntakeBurst always may. intakeDebt is how far requests over open
@@ -196,7 +196,7 @@
 }
 
 // Admit decides whether to serve a request that was read, or else when its caller should come back. fresh is set for the first
-// request of a connection. What was read is refused only once work waits for long.
+// request of a connection. While no other daemon has room, what was read is refused only once work waits for long.
 func (i *Intake) Admit(now time.Time, fresh bool) (retryAfter time.Duration, admitted bool) {
 	if i.Limits() && !(fresh && i.elsewhere) {
 		i.refill(now)
@@ -204,7 +204,7 @@
 		if !fresh {
 			least -= i.rate * intakeDebt.Seconds()
 		}
-		if i.tokens < least && i.Delay() > 0 {
+		if i.tokens < least && (i.elsewhere || i.Delay() > 0) {
 			return i.retryAfter(least), false
 		}
 		i.tokens = max(i.tokens-1, -i.rate*intakeDebt.Seconds())
--- a/sched/intake_test.go
+++ b/sched/intake_test.go
@@ -72,10 +72,9 @@
 	}{
 		{"at rest", sched.Usage{Processor: 0.1}, elsewhere, false, false},
 		{"busy, but not beyond", sched.Usage{Processor: 0.7}, elsewhere, false, false},
-		{"the processor is full", sched.Usage{Processor: 0.95}, elsewhere, true, false},
-		{"the processor is full, and work waits", sched.Usage{Processor: 0.95, Delay: time.Second}, elsewhere, true, true},
-		{"the link is full", sched.Usage{Processor: 0.2, Received: 0.95}, elsewhere, true, false},
-		{"the link is full with answers", sched.Usage{Processor: 0.2, Sent: 0.95}, elsewhere, true, false},
+		{"the processor is full", sched.Usage{Processor: 0.95}, elsewhere, true, true},
+		{"the link is full", sched.Usage{Processor: 0.2, Received: 0.95}, elsewhere, true, true},
+		{"the link is full with answers", sched.Usage{Processor: 0.2, Sent: 0.95}, elsewhere, true, true},
 		{"work waits", sched.Usage{Processor: 0.4, Delay: time.Second}, elsewhere, true, true},
 		{"messages wait on the link", sched.Usage{Processor: 0.4, LinkDelay: time.Second}, elsewhere, true, true},
 		{"full like the others", sched.Usage{Processor: 0.95}, busy, false, false},
