--- a/sched/intake.go
+++ b/sched/intake.go
@@ -61,17 +61,20 @@
 // request costs is learned from the use of both, so that the limit is known when connections come that exceed it; the delay of
 // work corrects it. Its user must hold a lock.
 type Intake struct {
-	resources  [3]intakeResource
-	requests   state.DecayingSum
+	// resources are the processor and both directions of the link, and requests counts the admitted requests.
+	resources [3]intakeResource
+	requests  state.DecayingSum
+	// delay is how long work or messages wait, in seconds, as of observedAt.
 	delay      float64
 	observedAt time.Time
-	limited    bool
-	elsewhere  bool
-	// factor is the correction of the rate.
-	factor     float64
-	rate       float64
+	// limited is set while the pressure is high, and elsewhere while other daemons have room.
+	limited, elsewhere bool
+	// rate is the number of requests per second that can be served, by their cost and the correction factor.
+	rate, factor float64
+	// tokens is the number of requests that may be admitted at once, as of refilledAt; negative if too many were.
 	tokens     float64
 	refilledAt time.Time
+	// acceptedAt is when a connection was last accepted.
 	acceptedAt time.Time
 }
 
@@ -111,6 +114,7 @@
 	}
 }
 
+// haveRoom reports whether enough daemons have room, by their pressures.
 func haveRoom(pressures []float64) bool {
 	room := 0
 	for _, pressure := range pressures {
@@ -121,6 +125,7 @@
 	return room > 0 && float64(room) >= roomFraction*float64(len(pressures))
 }
 
+// adjustFactor corrects the rate by the delay.
 func (i *Intake) adjustFactor(elapsed time.Duration) {
 	steps := min(1, elapsed.Seconds()/rateInterval.Seconds())
 	switch {
--- a/sched/rush.go
+++ b/sched/rush.go
@@ -27,8 +27,9 @@
 	Refused int64
 }
 
-// Rush decides which new connections a daemon closes before it reads from them, when it gets more of them than it can serve
-// while others have room: what it reads it must serve, and callers whose request was not read try another daemon.
+// Rush decides which new connections a daemon closes before it reads from them, when it gets more of them than its limits of requests
+// allow while others have room: what it reads it must serve, and callers whose request was not read try another daemon. Intake decides by
+// what its processor and link can carry.
 type Rush struct {
 	share      float64
 	uneven     bool
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -59,6 +59,7 @@
 		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
 	}
 	if closes != nil {
+		// Only the bytes of requests count as their cost.
 		listener = d.traffic.Listener(listener)
 		listener = &wire.SheddingListener{Listener: listener, Closes: closes}
 	}
