Case of the review: a stream is worked on by two servers after a short cut

The daemon asks a second server, the first is back before the second has made an event, and both work on the stream until its end.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,6 +15,7 @@
 // cases are the scripts by their names. Each returns whether the rule was broken.
 var cases = map[string]func(root string, out *record, trouble bool) (broken bool, err error){
 	"surplus": surplusCase,
+	"cut":     cutCase,
 }
 
 func main() {
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -28,10 +28,24 @@
 	waiting  atomic.Int64
 	seq      int
 	stop     chan struct{}
+	// listed is the address in the target's entry, where callers reach it: its own, or that of a proxy before it.
+	listed string
+	model  modelTimes
 	// surplus returns after which time the answer to a call is sent once more; 0 for not at all.
 	surplus func() time.Duration
 }
 
+// modelTimes are those of a model's streams.
+type modelTimes struct {
+	first, pause time.Duration
+	events       int
+	// staged is set if requests need the results of stages.
+	staged bool
+}
+
+// summaryTimes are those of the streams with stages.
+var summaryTimes = modelTimes{first: 60 * time.Millisecond, pause: 20 * time.Millisecond, events: 8, staged: true}
+
 // world holds what all targets know together: the results of stages, and what was run.
 type world struct {
 	store  *store
@@ -43,6 +57,7 @@
 	// foreign counts the requests and pieces that got inputs of another request.
 	foreign atomic.Int64
 	calls   atomic.Int64
+	runs    runBook
 }
 
 // result is the result of one piece, with the request and the key that it was made for.
@@ -59,7 +74,7 @@
 // beat is how often a target writes to the store.
 const beat = 1200 * time.Millisecond
 
-// newTarget starts a target and lists it in the store.
+// newTarget starts a target that is not listed yet.
 func (w *world) newTarget(service, zone string, slots, queue int) (*target, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -71,10 +86,15 @@
 	w.mu.Unlock()
 	t := &target{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, queue: queue,
-		world: w, listener: listener, slot: make(chan struct{}, slots), stop: make(chan struct{}), surplus: func() time.Duration { return 0 },
+		listed: listener.Addr().String(), model: summaryTimes, world: w, listener: listener, slot: make(chan struct{}, slots), stop: make(chan struct{}), surplus: func() time.Duration { return 0 },
 	}
-	t.write()
 	go t.accept()
+	return t, nil
+}
+
+// list lists a target in the store until it closes.
+func (t *target) list() {
+	t.write()
 	go func() {
 		ticker := time.NewTicker(beat)
 		defer ticker.Stop()
@@ -87,14 +107,13 @@
 			}
 		}
 	}()
-	return t, nil
 }
 
 // write writes the target's entry.
 func (t *target) write() {
 	t.seq++
 	t.world.store.putJSON("servers", t.id, map[string]any{
-		"service": t.service, "address": t.address, "zone": t.zone, "version": "v1", "slots": t.slots, "state": "ready", "coldLeftMs": 0, "seqNo": t.seq,
+		"service": t.service, "address": t.listed, "zone": t.zone, "version": "v1", "slots": t.slots, "state": "ready", "coldLeftMs": 0, "seqNo": t.seq,
 	})
 }
 
@@ -322,13 +341,8 @@
 	}
 }
 
-// Times of the model.
-const (
-	fetchTime  = 5 * time.Millisecond
-	readTime   = 60 * time.Millisecond
-	eventPause = 20 * time.Millisecond
-	eventCount = 8
-)
+// fetchTime is how long a model takes to fetch the results of stages.
+const fetchTime = 5 * time.Millisecond
 
 // fetch returns the results that a request names, or false if one is gone.
 func (w *world) fetch(handles []string) ([]*result, bool) {
@@ -348,7 +362,7 @@
 // runModel reads the inputs of a request and answers with a stream made from them.
 func (t *target) runModel(ctx context.Context, conn net.Conn, writing *sync.Mutex, request *http.Request, send func(*answer) bool) bool {
 	id := request.Header.Get(headerID)
-	if id == "" || request.Header.Get(headerInputs) == "" {
+	if id == "" || t.model.staged && request.Header.Get(headerInputs) == "" {
 		return send(notRun(http.StatusBadRequest))
 	}
 	full, closed := t.take(ctx)
@@ -359,6 +373,9 @@
 		return false
 	}
 	defer func() { <-t.slot }()
+	if !t.model.staged {
+		return t.stream(ctx, conn, writing, request, "text")
+	}
 	time.Sleep(fetchTime)
 	inputs, found := t.world.fetch(strings.Split(request.Header.Get(headerInputs), ","))
 	if !found {
@@ -374,26 +391,31 @@
 		keys = append(keys, r.key)
 	}
 	t.world.record.add("request %s runs at %s", id, t.id)
-	return t.stream(ctx, conn, writing, id, strings.Join(keys, ","))
+	return t.stream(ctx, conn, writing, request, strings.Join(keys, ","))
 }
 
-// stream sends events that tell from which inputs they were made.
-func (t *target) stream(ctx context.Context, conn net.Conn, writing *sync.Mutex, id, text string) bool {
+// stream sends the events after the one that the request names, with a text.
+func (t *target) stream(ctx context.Context, conn net.Conn, writing *sync.Mutex, request *http.Request, text string) bool {
 	writing.Lock()
 	defer writing.Unlock()
+	id := request.Header.Get(headerID)
+	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	run := t.world.runs.begin(id, t.id, after)
+	defer run.end()
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerStamp, t.id, id)
-	if pause(ctx, readTime) != nil {
+	if pause(ctx, t.model.first) != nil {
 		return false
 	}
+	run.started()
 	if _, err := io.WriteString(conn, head); err != nil {
 		return false
 	}
-	for n := 1; n <= eventCount; n++ {
+	for n := after + 1; n <= t.model.events; n++ {
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, text)
 		if _, err := fmt.Fprintf(conn, "%s\r\n%s\r\n", strconv.FormatInt(int64(len(event)), 16), event); err != nil {
 			return false
 		}
-		if pause(ctx, eventPause) != nil {
+		if pause(ctx, t.model.pause) != nil {
 			return false
 		}
 	}
--- a/review/stand/surplus.go
+++ b/review/stand/surplus.go
@@ -1,12 +1,8 @@
 package main
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -76,6 +72,7 @@
 			return false, err
 		}
 		defer t.close()
+		t.list()
 		feeds = append(feeds, t)
 	}
 	for n := range modelServers {
@@ -84,6 +81,7 @@
 			return false, err
 		}
 		defer t.close()
+		t.list()
 	}
 	startedAt := time.Now()
 	if err := d.startAll(); err != nil {
@@ -141,12 +139,15 @@
 	to := c.deployment.daemons[rand.IntN(len(c.deployment.daemons))]
 	c.sent.Add(1)
 	c.record.add("request %s of %s sent to %s", id, tenant, to.name)
-	status, body, err := exchange(to.front, id, tenant, key)
+	status, body, err := exchange(to.front, callerDeadline, "/summary/"+id, map[string]string{
+		headerID: id, "Authorization": "Bearer key-of-" + tenant, headerModel: "m", headerTokens: "800,24",
+		headerPrompts: fmt.Sprintf("5c1e07a2:550,%08x:250", n), headerPieces: fmt.Sprint(piecesPerRequest), headerKey: key,
+	})
 	switch {
 	case err != nil:
 		c.other.Add(1)
 		c.record.add("request %s: %v", id, err)
-	case status == http.StatusOK && strings.Contains(body, fmt.Sprintf("id: %d\n", eventCount)):
+	case status == http.StatusOK && strings.Contains(body, fmt.Sprintf("id: %d\n", summaryTimes.events)):
 		c.served.Add(1)
 		c.check(id, tenant, key, body)
 	case status == http.StatusServiceUnavailable:
@@ -174,36 +175,3 @@
 	}
 	c.record.add("request %s served", id)
 }
-
-// exchange sends a request over a new connection and reads its answer.
-func exchange(address, id, tenant, key string) (status int, body string, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
-	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return 0, "", err
-	}
-	defer conn.Close()
-	deadline, _ := ctx.Deadline()
-	_ = conn.SetDeadline(deadline)
-	request, err := http.NewRequest(http.MethodPost, "http://scores.example/summary/"+id, strings.NewReader("a prompt"))
-	if err != nil {
-		return 0, "", err
-	}
-	for name, value := range map[string]string{
-		headerID: id, headerAtMost: fmt.Sprint(callerDeadline.Milliseconds()), "Authorization": "Bearer key-of-" + tenant, headerModel: "m", headerTokens: "800,24",
-		headerPrompts: "5c1e07a2:550," + fmt.Sprintf("%08x:250", len(id)+int(id[len(id)-1])), headerPieces: fmt.Sprint(piecesPerRequest), headerKey: key,
-	} {
-		request.Header.Set(name, value)
-	}
-	if err := request.Write(conn); err != nil {
-		return 0, "", err
-	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
-	if err != nil {
-		return 0, "", err
-	}
-	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(data), err
-}
