--- a/review/stand/cut.go
+++ b/review/stand/cut.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,9 @@
 	defer d.stopAll()
 	w := newWorld(d.store, out)
 	d.store.putJSON("op", "config", captionConfig)
-	var gates []*gate
+	// Instead of being cut off, a server may also fall silent.
+	silent := os.Getenv("HOW") == "silent"
+	var valves []*valve
 	for n := range cutServers {
 		t, err := w.newTarget("pool", zones[n%len(zones)].name, 128, 268)
 		if err != nil {
@@ -64,7 +67,10 @@
 			return false, err
 		}
 		defer g.close()
-		gates = append(gates, g)
+		valves = append(valves, g.valve)
+		if silent {
+			valves[n] = t.quiet
+		}
 		t.listed, t.model = g.address(), captionTimes
 		t.list()
 		out.add("model server %s", t.id)
@@ -78,7 +84,7 @@
 	var cuts []cut
 	if trouble {
 		cuts = drawCuts(trafficAt)
-		go playCuts(cuts, gates, out)
+		go playCuts(cuts, valves, out)
 	}
 	sent, served, other := sendCaptions(d, out, trafficAt)
 	for _, one := range d.daemons {
@@ -106,11 +112,11 @@
 	return cuts
 }
 
-func playCuts(cuts []cut, gates []*gate, out *record) {
+func playCuts(cuts []cut, valves []*valve, out *record) {
 	for _, c := range cuts {
 		time.Sleep(time.Until(c.from))
 		out.add("model server %d is cut off for %s", c.server+1, c.to.Sub(c.from))
-		gates[c.server].shut(time.Until(c.to))
+		valves[c.server].shut(time.Until(c.to))
 		out.add("model server %d is back", c.server+1)
 	}
 }
--- a/review/stand/gate.go
+++ b/review/stand/gate.go
@@ -6,14 +6,42 @@
 	"time"
 )
 
-// gate is a proxy before a target. While it is shut, it holds what arrives in either direction, as a network does that is cut for a
-// moment, and passes it on later.
+// valve is open except for the times for which it is shut.
+type valve struct {
+	mu   sync.Mutex
+	open chan struct{}
+}
+
+func newValve() *valve {
+	v := &valve{open: make(chan struct{})}
+	close(v.open)
+	return v
+}
+
+// shut shuts the valve for a time.
+func (v *valve) shut(d time.Duration) {
+	v.mu.Lock()
+	open := make(chan struct{})
+	v.open = open
+	v.mu.Unlock()
+	time.Sleep(d)
+	close(open)
+}
+
+// wait waits until the valve is open.
+func (v *valve) wait() {
+	v.mu.Lock()
+	open := v.open
+	v.mu.Unlock()
+	<-open
+}
+
+// gate is a proxy before a target. While its valve is shut, it holds what arrives in either direction, as a network does that is cut for
+// a moment, and passes it on later.
 type gate struct {
+	*valve
 	listener net.Listener
 	target   string
-
-	mu   sync.Mutex
-	open chan struct{}
 }
 
 func newGate(target string) (*gate, error) {
@@ -21,8 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gate{listener: listener, target: target, open: make(chan struct{})}
-	close(g.open)
+	g := &gate{valve: newValve(), listener: listener, target: target}
 	go g.accept()
 	return g, nil
 }
@@ -31,24 +58,6 @@
 
 func (g *gate) close() { _ = g.listener.Close() }
 
-// shut holds everything for a time.
-func (g *gate) shut(d time.Duration) {
-	g.mu.Lock()
-	open := make(chan struct{})
-	g.open = open
-	g.mu.Unlock()
-	time.Sleep(d)
-	close(open)
-}
-
-// wait waits until the gate is open.
-func (g *gate) wait() {
-	g.mu.Lock()
-	open := g.open
-	g.mu.Unlock()
-	<-open
-}
-
 func (g *gate) accept() {
 	for {
 		conn, err := g.listener.Accept()
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -31,6 +31,8 @@
 	// listed is the address in the target's entry, where callers reach it: its own, or that of a proxy before it.
 	listed string
 	model  modelTimes
+	// quiet is shut while the target falls silent.
+	quiet *valve
 	// surplus returns after which time the answer to a call is sent once more; 0 for not at all.
 	surplus func() time.Duration
 }
@@ -86,7 +88,7 @@
 	w.mu.Unlock()
 	t := &target{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, queue: queue,
-		listed: listener.Addr().String(), model: summaryTimes, world: w, listener: listener, slot: make(chan struct{}, slots), stop: make(chan struct{}), surplus: func() time.Duration { return 0 },
+		listed: listener.Addr().String(), model: summaryTimes, quiet: newValve(), world: w, listener: listener, slot: make(chan struct{}, slots), stop: make(chan struct{}), surplus: func() time.Duration { return 0 },
 	}
 	go t.accept()
 	return t, nil
@@ -411,6 +413,7 @@
 		return false
 	}
 	for n := after + 1; n <= t.model.events; n++ {
+		t.quiet.wait()
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, text)
 		if _, err := fmt.Fprintf(conn, "%s\r\n%s\r\n", strconv.FormatInt(int64(len(event)), 16), event); err != nil {
 			return false
