--- a/review/stand/cut.go
+++ b/review/stand/cut.go
@@ -141,6 +141,7 @@
 			})
 			if err == nil && status == http.StatusOK && body == wholeStream() {
 				whole.Add(1)
+				out.add("stream %s served whole", id)
 				return
 			}
 			rest.Add(1)
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -70,7 +70,7 @@
 }
 
 func newWorld(s *store, r *record) *world {
-	return &world{store: s, record: r, results: map[string]*result{}}
+	return &world{store: s, record: r, results: map[string]*result{}, runs: runBook{record: r}}
 }
 
 // beat is how often a target writes to the store.
--- a/review/stand/runs.go
+++ b/review/stand/runs.go
@@ -6,17 +6,19 @@
 	"time"
 )
 
-// runBook holds when targets worked on requests.
+// runBook holds when targets worked on requests, and writes it down.
 type runBook struct {
+	record *record
+
 	mu   sync.Mutex
 	runs map[string][]*modelRun
 }
 
 // modelRun is the work of one target on one request.
 type modelRun struct {
-	book   *runBook
-	target string
-	after  int
+	book            *runBook
+	request, target string
+	after           int
 	// acceptedAt, firstAt and endedAt are when the target took the request, made its first event and stopped working; the latter two
 	// are zero as long as that has not come.
 	acceptedAt, firstAt, endedAt time.Time
@@ -28,8 +30,9 @@
 	if b.runs == nil {
 		b.runs = map[string][]*modelRun{}
 	}
-	r := &modelRun{book: b, target: target, after: after, acceptedAt: time.Now()}
+	r := &modelRun{book: b, request: request, target: target, after: after, acceptedAt: time.Now()}
 	b.runs[request] = append(b.runs[request], r)
+	b.record.add("%s takes request %s from event %d on", target, request, after)
 	return r
 }
 
@@ -37,12 +40,14 @@
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
 	r.firstAt = time.Now()
+	r.book.record.add("%s makes the first event of request %s", r.target, r.request)
 }
 
 func (r *modelRun) end() {
 	r.book.mu.Lock()
 	defer r.book.mu.Unlock()
 	r.endedAt = time.Now()
+	r.book.record.add("%s ends its work on request %s", r.target, r.request)
 }
 
 // overlap is the work of a target on a request that another target had begun to answer before.
