--- a/review/stand/cut.go
+++ b/review/stand/cut.go
@@ -173,14 +173,15 @@
 		}
 		count++
 		longest = max(longest, took)
-		if !undisturbed(cuts, o.endsAt) {
+		// The machine must have been in touch from before the last longestBeside of the overlap on.
+		if !undisturbed(cuts, o.endsAt.Add(-longestBeside)) {
 			continue
 		}
 		inTouch++
 		out.add("BROKEN: stream %s runs at %s and %s for %s, until %s after the last cut", o.request, o.first.target, o.second.target, took, sinceCut(cuts, o.endsAt))
 	}
 	out.say("streams that two servers worked on for over %s after the first event of the second: %d, the longest for %s", longestBeside, count, longest)
-	out.say("of these, still worked on by both when nothing had been cut off for %s: %d", contactTime, inTouch)
+	out.say("of these, worked on by both for another %s after nothing had been cut off for %s: %d", longestBeside, contactTime, inTouch)
 	return inTouch > 0
 }
 
--- a/review/stand/gate.go
+++ b/review/stand/gate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -36,6 +37,19 @@
 	<-open
 }
 
+// waitOr waits until the valve is open or the context ends.
+func (v *valve) waitOr(ctx context.Context) error {
+	v.mu.Lock()
+	open := v.open
+	v.mu.Unlock()
+	select {
+	case <-open:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // gate is a proxy before a target. While its valve is shut, it holds what arrives in either direction, as a network does that is cut for
 // a moment, and passes it on later.
 type gate struct {
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -223,7 +223,17 @@
 	if expected := request.Header.Get(headerExpect); expected != "" && expected != t.id {
 		return send(&answer{status: http.StatusMisdirectedRequest, header: [][2]string{{"Emberlead-Instance-Id", t.id}}})
 	}
+	if wait, err := strconv.Atoi(request.Header.Get(headerAtMost)); err == nil {
+		// A target stops working at the time that it is handed.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+		defer cancel()
+	}
 	switch {
+	case request.URL.Path == "/healthz":
+		return send(&answer{status: http.StatusOK, header: [][2]string{{"Emberlead-Instance-Id", t.id}}})
+	case request.URL.Path == "/-/report":
+		return send(&answer{status: http.StatusOK, header: [][2]string{{"Content-Type", "application/json"}}, body: t.report()})
 	case request.URL.Path == "/-/stage-free":
 		t.free(body)
 		return send(&answer{status: http.StatusOK})
@@ -250,6 +260,15 @@
 	}
 }
 
+// report tells the state of the target.
+func (t *target) report() []byte {
+	data, _ := json.Marshal(map[string]any{
+		"stage": "colocated", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "busySlots": false, "seqNo": 0,
+		"queuedCount": t.waiting.Load(), "activeCount": len(t.slot), "kvUsed": 0, "kvTotal": 286093, "handles": 0, "freeMb": 18,
+	})
+	return data
+}
+
 // take waits for a slot, or reports that the target is full or the connection closed.
 func (t *target) take(ctx context.Context) (full, closed bool) {
 	select {
@@ -271,11 +290,13 @@
 }
 
 type callItem struct {
-	ID         string   `json:"id"`
-	Stage      int      `json:"stage"`
-	Piece      int      `json:"piece"`
-	PrivateKey string   `json:"privateKey"`
-	Inputs     []string `json:"inputs"`
+	ID         string `json:"id"`
+	Stage      int    `json:"stage"`
+	Piece      int    `json:"piece"`
+	PrivateKey string `json:"privateKey"`
+	// RemainingMs is how long the result is of use; 0 for any time.
+	RemainingMs int64    `json:"remainingMs"`
+	Inputs      []string `json:"inputs"`
 }
 
 // Times of a call for pieces, as the small deployment's pages give them.
@@ -294,6 +315,7 @@
 	if json.Unmarshal(body, &call) != nil || len(call.Items) > maxCallItems {
 		return &answer{status: http.StatusBadRequest}
 	}
+	arrivedAt := time.Now()
 	full, closed := t.take(ctx)
 	switch {
 	case full:
@@ -302,6 +324,7 @@
 		return nil
 	}
 	defer func() { <-t.slot }()
+	turnAt := time.Now()
 	t.world.calls.Add(1)
 	t.world.record.add("call at %s: %s", t.id, short(body))
 	time.Sleep(callTime + time.Duration(len(call.Items))*pieceTime)
@@ -309,6 +332,10 @@
 	t.world.mu.Lock()
 	defer t.world.mu.Unlock()
 	for _, item := range call.Items {
+		if item.RemainingMs > 0 && turnAt.Sub(arrivedAt) > time.Duration(item.RemainingMs)*time.Millisecond {
+			items = append(items, map[string]string{"reason": "late"})
+			continue
+		}
 		t.world.nextID++
 		handle := fmt.Sprintf("%s/%08x", t.address, t.world.nextID)
 		t.world.results[handle] = &result{request: item.ID, key: item.PrivateKey, stage: item.Stage, piece: item.Piece, expires: time.Now().Add(resultLife)}
@@ -404,7 +431,7 @@
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	run := t.world.runs.begin(id, t.id, after)
 	defer run.end()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerStamp, t.id, id)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\nEmberlead-Weight-Versions: 1\r\n%s: %d,%d,%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, id, headerStamp, t.id, id, headerLoad, len(t.slot), t.waiting.Load(), t.slots)
 	if pause(ctx, t.model.first) != nil {
 		return false
 	}
@@ -413,7 +440,9 @@
 		return false
 	}
 	for n := after + 1; n <= t.model.events; n++ {
-		t.quiet.wait()
+		if t.quiet.waitOr(ctx) != nil {
+			return false
+		}
 		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, text)
 		if _, err := fmt.Fprintf(conn, "%s\r\n%s\r\n", strconv.FormatInt(int64(len(event)), 16), event); err != nil {
 			return false
