One rule ends the overlap of two targets on a stream

Callers saw nothing but work: each got its stream once and whole.

Cause: the attempts beside the leader were only canceled when the leader changed. Hypotheses were (1) the first goes on before the second begins, so that the leader stays the same; (2) both lead by turns, and each change starts the time anew; (3) the cancellation does not reach the target; (4) the goroutine of the request waits for a slow caller. The daemon's log told them apart: for a counted stream "attempt beside" with lastEvent 5, then "stream begins at a target" with lastEvent 7, and "attempt given up" for the second 5.3 s later, at the end of the stream: (1).

Now the first event of a stream that arrives beside another attempt sets a deadline, which no change of the leader extends, and at which one attempt is kept. It is reported by the goroutines that read, and does not depend on that of the request. Comments are no events.

Tried and not kept: the same for two plain answers that both arrive. The one kept may stall, and callers waited for it; plain services may run a request twice.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -149,7 +149,7 @@
 	for len(events) > 0 {
 		event, rest := firstEvent(events)
 		id, ok := eventID(event)
-		if ok && id > f.lastEventID || !ok && bytes.Contains(event, []byte("data:")) {
+		if ok && id > f.lastEventID || !ok && hasData(event) {
 			return true
 		}
 		events = rest
@@ -157,6 +157,11 @@
 	return false
 }
 
+// hasData reports whether events contain one that is more than a comment.
+func hasData(events []byte) bool {
+	return bytes.HasPrefix(events, []byte("data:")) || bytes.Contains(events, []byte("\ndata:"))
+}
+
 func firstEvent(events []byte) (event, rest []byte) {
 	lf := bytes.Index(events, []byte("\n\n"))
 	crlf := bytes.Index(events, []byte("\r\n\r\n"))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -429,6 +429,7 @@
 		Matches:       func(h http.Header) bool { return s.dialect.ParseResponse(0, h).RequestID == f.req.ID },
 	}
 	x := &exchange{attempt: a, ctx: a.ctx, server: s, to: spec.Address, requestID: f.req.ID, stream: f.route.Kind == routeStream, answers: &f.answers}
+	a.race.overlap.add(a)
 	go x.run(out)
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -125,6 +125,9 @@
 		buffered = append(buffered, buffer[:n]...)
 		var events []byte
 		events, buffered = splitEvents(buffered)
+		if hasData(events) {
+			x.attempt.race.overlap.recordEvent(x.attempt)
+		}
 		if len(events) > 0 {
 			x.send(&attemptUpdate{response: final.response, info: final.info, events: events})
 		}
--- a/relay/race.go
+++ b/relay/race.go
@@ -32,10 +32,9 @@
 	running []*attempt
 	// started counts the attempts.
 	started int
-	// leader is the attempt that delivered the last forwarded events; nil before the first. overlapTimer fires when the
-	// others are canceled in favor of it.
-	leader       *attempt
-	overlapTimer clockwork.Timer
+	// leader is the attempt that delivered the last forwarded events; nil before the first.
+	leader  *attempt
+	overlap *overlapLimit
 	// hedgeTimer fires at hedgeAt, when the running attempt has taken longer than delay. hedgeAt is zero if no hedging
 	// attempt is scheduled.
 	hedgeTimer clockwork.Timer
@@ -46,15 +45,11 @@
 	lastResult    attemptResult
 }
 
-// overlap is how long other attempts continue once one has started to answer: longer than a received response waits to
-// be read on a busy machine.
-const overlap = minStartTimeout
-
 // updateBuffer lets an attempt keep reading while one of its updates is handled.
 const updateBuffer = 1
 
 func newRace(parent context.Context, f *flow) *race {
-	r := &race{flow: f, updates: make(chan *attemptUpdate, updateBuffer), done: make(chan struct{})}
+	r := &race{flow: f, updates: make(chan *attemptUpdate, updateBuffer), done: make(chan struct{}), overlap: newOverlapLimit(f.server.clock, f.server.keep)}
 	ctx, cancel := context.WithCancelCause(parent)
 	r.ctx, r.cancel = ctx, cancel
 	cause := errDeadlineReached
@@ -65,8 +60,6 @@
 	r.stopCloseWatch = context.AfterFunc(f.server.closeCtx, func() { cancel(errClosing) })
 	r.hedgeTimer = f.server.clock.NewTimer(f.timeLeft())
 	r.hedgeTimer.Stop()
-	r.overlapTimer = f.server.clock.NewTimer(f.timeLeft())
-	r.overlapTimer.Stop()
 	return r
 }
 
@@ -79,7 +72,7 @@
 	r.stopCloseWatch()
 	r.deadlineTimer.Stop()
 	r.hedgeTimer.Stop()
-	r.overlapTimer.Stop()
+	r.overlap.stop()
 	r.cancel(nil)
 }
 
@@ -109,11 +102,8 @@
 				continue
 			}
 			r.onHedgeTimer()
-		case <-r.overlapTimer.Chan():
-			if r.leader != nil {
-				r.supersede(r.leader)
-				r.setHedgeTimer(r.flow.silenceHedgeDelay())
-			}
+		case <-r.overlap.ended:
+			r.removeSuperseded()
 		}
 	}
 	return r.lastResult
@@ -160,6 +150,7 @@
 
 // handle processes an update of an attempt, and reports whether the complete response was delivered.
 func (r *race) handle(update *attemptUpdate) (done bool) {
+	r.removeSuperseded()
 	a := update.attempt
 	if !slices.Contains(r.running, a) {
 		// The attempt has been canceled meanwhile.
@@ -224,10 +215,8 @@
 	if r.leader != a && f.committed && !f.hasNewEvents(update.events) {
 		return false
 	}
-	if r.leader != a && len(r.running) > 1 {
-		r.overlapTimer.Reset(overlap)
-	}
 	r.leader = a
+	r.overlap.lead(a)
 	f.target = a.placement.Spec.ID
 	if !f.committed {
 		// A stream that has begun has until the deadline of the request.
@@ -264,14 +253,35 @@
 	r.deadlineTimer.Reset(max(f.timeLeft(), maxAnswerPause))
 }
 
-// supersede cancels all attempts but one. Their targets have not failed: the request may return to them.
+// supersede cancels all attempts but one.
 func (r *race) supersede(winner *attempt) {
-	for _, a := range slices.Clone(r.running) {
+	for _, a := range r.running {
 		if a != winner {
-			r.cancelAttempt(a, winner.placement.Spec.ID, errSuperseded.Error())
+			a.cancel(errSuperseded)
+		}
+	}
+	r.removeSuperseded()
+}
+
+// removeSuperseded removes the attempts that were canceled in favor of another. Their targets have not failed: the request
+// may return to them.
+func (r *race) removeSuperseded() {
+	if !slices.ContainsFunc(r.running, (*attempt).isSuperseded) {
+		return
+	}
+	winner := ""
+	if i := slices.IndexFunc(r.running, func(a *attempt) bool { return !a.isSuperseded() }); i >= 0 {
+		winner = r.running[i].placement.Spec.ID
+	}
+	for _, a := range slices.Clone(r.running) {
+		if a.isSuperseded() {
+			r.cancelAttempt(a, winner, errSuperseded.Error())
 			r.flow.superseded = append(r.flow.superseded, a.placement.Spec.ID)
 		}
 	}
+	if r.leader != nil {
+		r.setHedgeTimer(r.flow.silenceHedgeDelay())
+	}
 }
 
 // finishAttempt records the result of an attempt and removes it. The complete response cancels the other attempts.
@@ -309,6 +319,7 @@
 	if r.leader == a {
 		r.leader = nil
 	}
+	r.overlap.remove(a)
 	a.stopWatching()
 	a.cancelFreeing()
 	a.placement.Finish(a.verdict, a.load)
--- a/relay/racehelpers_test.go
+++ b/relay/racehelpers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -41,7 +42,7 @@
 	canceled map[netip.AddrPort]int
 }
 
-func (s *raceSender) Send(ctx context.Context, to netip.AddrPort, _ *TargetRequest) (*TargetResponse, error) {
+func (s *raceSender) Send(ctx context.Context, to netip.AddrPort, out *TargetRequest) (*TargetResponse, error) {
 	s.mu.Lock()
 	s.asked[to]++
 	r := s.racers[to]
@@ -51,7 +52,16 @@
 		defer s.mu.Unlock()
 		s.canceled[to]++
 	})
-	return r(ctx)
+	return r(context.WithValue(ctx, afterKey{}, out.Header.Get(afterHeader)))
+}
+
+// afterKey is the context key under which racers find the ID of the last event that the caller has.
+type afterKey struct{}
+
+// requestAfter returns the ID of the last event that the caller has.
+func requestAfter(ctx context.Context) int {
+	after, _ := strconv.Atoi(fmt.Sprint(ctx.Value(afterKey{})))
+	return after
 }
 
 func (s *raceSender) askedOf(i int) int {
@@ -69,7 +79,14 @@
 // raceDialect treats every response as that of the request, unless its header says that the request was not run.
 type raceDialect struct{ stubDialect }
 
-const notRunHeader = "Not-Run"
+const (
+	notRunHeader = "Not-Run"
+	afterHeader  = "After"
+)
+
+func (raceDialect) Header(_ *Request, fwd *ForwardInfo) http.Header {
+	return http.Header{afterHeader: {strconv.Itoa(fwd.After)}}
+}
 
 func (raceDialect) ParseResponse(_ int, h http.Header) ResponseInfo {
 	return ResponseInfo{RequestID: "r", Stamped: true, NotRun: h.Get(notRunHeader) != ""}
