Answers without end are given up

A server in trouble may send bytes that are no answer until its connection is closed. An answer to another request of more than 8 MB was cut there, and its rest read as an answer.

Cause: the standard reader of heads has no limit of its own, and limits were set where something is kept and not where something is read.

Now a connection is read with a limit for each part but the own answer's body: 64 KB for the head and all interim answers, 2 MB for the heads of all connections (4 KB of each are free, so that ordinary ones are always read), 8 MB as sent for an answer to another request. A refusal is known by its head: 64 KB of its body are read, for 50 ms at most, so that the connection can be used again. Comments count as bytes without an event, incomplete events share the limit of buffered answers, failures of unknown length end at 1 MB, answers to calls at 64 KB and 1 KB an item. The store's heads end at 64 KB, bodies that its status makes needless too; those of links and of the other clients have the same limit, and an event of many lines ends at 1 MB. The connection is closed, the target counts as failed, the request as one that may have run. Each cause has a counter and a reason in the log.

Looked at and left: trailers, chunk sizes and extensions are limited by the library; what passes through a tunnel waits for its reader, 16 KB at each end; messages of daemons end at 16 MB, heads and bodies of callers at the limits of the configuration. A plain success without a length is passed on from 16 MB on, for as long as its caller reads.

Tests, which fail without the change: TestEndlessBytesBeforeAnswerAreNotTaken (9 of 10), TestEndlessResponsesAreGivenUp (5 of 7), TestIncompleteEventsShareALimit, TestEndlessAnswersToCallsAreGivenUp (4 of 4). TestLargeAnswersPassWhole holds before and after.

--- a/relay/answerbudget.go
+++ b/relay/answerbudget.go
@@ -148,6 +148,10 @@
 			return
 		}
 		switch {
+		case !final.passed && isEndlessFailure(final.response, len(body.chunks)*readSize):
+			final.oversized = oversizedFailure
+			x.answers.release(int64(body.counted) * readSize)
+			return
 		case !final.passed && len(body.chunks) < uncountedChunks:
 		case !final.passed && len(body.chunks)*readSize < maxResponseBytes && x.answers.take(readSize):
 			body.counted++
@@ -159,6 +163,11 @@
 	}
 }
 
+// isEndlessFailure reports whether a failure response of unknown length is too large by its first bytes.
+func isEndlessFailure(response *TargetResponse, bytes int) bool {
+	return response.Status >= http.StatusBadRequest && response.Header.Get("Content-Length") == "" && bytes > maxFailureBytes
+}
+
 // endAnswer records in the final update how an answer ended.
 func (x *exchange) endAnswer(final *attemptUpdate, body *answerBody, err error) {
 	final.body = body
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -50,6 +50,7 @@
 	errNoFirstEvent    = errors.New("the caller leaves, as no first event has come")
 	errClosing         = errors.New("the daemon stops")
 	errTargetRestarted = errors.New("the target has started again")
+	errRefusalBody     = errors.New("the body of a refusal is late")
 )
 
 // attemptResult is the outcome of an attempt.
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -20,6 +20,7 @@
 type RequestCounters struct {
 	received, completed, late, unavailable, failed, rejected, callerLeft, callerLeftUnsent, streamsBroken, streamsResumed, retried, crashing, notAdmitted, leaving, nextStageSlow, expiredRebuilds, passedOn atomic.Int64
 
+	oversized                                          oversizeCounts
 	refusals                                           refusalStats
 	ownTimes                                           ownTimes
 	ownLimits                                          atomic.Int64
@@ -59,6 +60,8 @@
 	ExpiredRebuilds int64 `json:"expiredRebuilds"`
 	// PassedOn counts answers that were passed on as they arrived, since the daemon's limit left no room to buffer them.
 	PassedOn int64 `json:"passedOn"`
+	// Oversized counts responses of targets that were given up because of their size, by what was too large.
+	Oversized map[oversizeCause]int64 `json:"oversized"`
 	// Refusals holds the requests that were refused as not run, by the kind of reason and the time from their arrival.
 	Refusals RefusalStats `json:"refusals"`
 	// Admitted counts requests admitted by the load of their whole pipeline. NotAdmittedByStage and NotAdmittedByEngines
@@ -106,7 +109,7 @@
 	r := RequestStats{
 		Received: c.received.Load(), Delivered: c.completed.Load(), Late: c.late.Load(), NotRun: c.unavailable.Load(), Failed: c.failed.Load(),
 		Rejected: c.rejected.Load(), CallerLeft: c.callerLeft.Load(), CallerLeftUnsent: c.callerLeftUnsent.Load(), StreamsBroken: c.streamsBroken.Load(), StreamsResumed: c.streamsResumed.Load(), Retried: c.retried.Load(), Crashing: c.crashing.Load(), NotAdmitted: c.notAdmitted.Load(), CallerLeaving: c.leaving.Load(), NextStageSlow: c.nextStageSlow.Load(), ExpiredRebuilds: c.expiredRebuilds.Load(),
-		PassedOn: c.passedOn.Load(), Refusals: c.refusals.stats(), OwnMillis: c.ownTimes.quantiles(),
+		PassedOn: c.passedOn.Load(), Oversized: c.oversized.snapshot(), Refusals: c.refusals.stats(), OwnMillis: c.ownTimes.quantiles(),
 		Admitted: c.admitted.Load(), NotAdmittedByStage: c.notAdmittedByStage.Load(), NotAdmittedByEngines: c.notAdmittedByEngines.Load(),
 	}
 	c.mu.Lock()
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -23,8 +23,9 @@
 	passing, passed bool
 	// stream is set if a stream has ended, and truncated if it ended within an event.
 	stream, truncated bool
-	// mismatch is set if the response belongs to another request, and oversized if an event is too long.
-	mismatch, oversized bool
+	// mismatch is set if the response belongs to another request, and oversized if a part of it is too large.
+	mismatch  bool
+	oversized oversizeCause
 	// err is why there is no response or no more of it; io.EOF at the regular end of a stream.
 	err error
 }
@@ -99,7 +100,7 @@
 	update := &attemptUpdate{response: response, info: x.server.dialect.ParseResponse(response.Status, response.Header)}
 	switch {
 	case update.info.NotRun || update.info.Misdirected:
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
+		x.discardRefusal(response)
 	case x.mismatched(response, update.info):
 		update.mismatch = true
 	case x.stream && response.Status == http.StatusOK:
@@ -111,6 +112,15 @@
 	return update
 }
 
+// discardRefusal reads the body of a refusal, so that its connection can be used again unless the body is large or late.
+func (x *exchange) discardRefusal(response *TargetResponse) {
+	timer := x.server.clock.AfterFunc(refusalBodyTime, func() { x.attempt.cancel(errRefusalBody) })
+	defer timer.Stop()
+	if n, _ := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes+1)); n > maxRefusalBytes {
+		x.server.counts.oversized.add(oversizedRefusal)
+	}
+}
+
 // mismatched reports whether a successful response does not belong to the request.
 func (x *exchange) mismatched(response *TargetResponse, info ResponseInfo) bool {
 	return response.Status/100 == http.StatusOK/100 && (!info.Stamped || info.ContentEncoded || info.RequestID != x.requestID)
@@ -120,12 +130,16 @@
 func (x *exchange) readStream(final *attemptUpdate) {
 	var buffered []byte
 	buffer := make([]byte, readSize)
+	sinceEvent, counted := 0, 0
+	defer func() { x.answers.release(int64(counted)) }()
 	for {
 		n, err := final.response.Body.Read(buffer)
 		buffered = append(buffered, buffer[:n]...)
+		sinceEvent += n
 		var events []byte
 		events, buffered = splitEvents(buffered)
 		if hasData(events) {
+			sinceEvent = 0
 			x.attempt.race.overlap.recordEvent(x.attempt)
 		}
 		if len(events) > 0 {
@@ -135,9 +149,25 @@
 			final.err, final.truncated = err, len(buffered) > 0
 			return
 		}
-		if len(buffered) > maxEventBytes {
-			final.oversized = true
+		switch {
+		case len(buffered) > maxEventBytes:
+			final.oversized = oversizedEvent
 			return
+		case sinceEvent > maxCommentBytes+maxEventBytes:
+			final.oversized = oversizedComments
+			return
+		}
+		if len(buffered) <= uncountedEventBytes {
+			x.answers.release(int64(counted))
+			counted = 0
+			continue
+		}
+		if more := len(buffered) - uncountedEventBytes - counted; more > 0 {
+			if !x.answers.take(int64(more)) {
+				final.oversized = oversizedAllEvents
+				return
+			}
+			counted += more
 		}
 	}
 }
--- a/relay/freequeue.go
+++ b/relay/freequeue.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	defer in.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxPiecesResponseBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxRefusalBytes)); err != nil {
 		return &Error{Op: "free results", Kind: proto.KindUnknown, Err: err}
 	}
 	if in.Status != http.StatusOK {
--- /dev/null
+++ b/relay/oversize.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"maps"
+	"sync"
+)
+
+const (
+	// maxCommentBytes limits what a stream may hold without an event.
+	maxCommentBytes = maxEventBytes
+	// uncountedEventBytes of an incomplete event do not count against the daemon's limit of buffered answers.
+	uncountedEventBytes = 64 << 10
+	// maxFailureBytes limits the body of a failure response that does not state its length.
+	maxFailureBytes = 1 << 20
+	// maxRefusalBytes limits what is read of the body of a refusal, whose head tells all, so that its connection can be used again.
+	// refusalBodyTime is how long it may take.
+	maxRefusalBytes = 64 << 10
+	refusalBodyTime = minStartTimeout
+)
+
+// oversizeCause is what part of a response was larger than its limit; empty if none was.
+type oversizeCause string
+
+// Causes of oversized responses.
+const (
+	oversizedEvent     oversizeCause = "event"
+	oversizedAllEvents oversizeCause = "allEvents"
+	oversizedComments  oversizeCause = "comments"
+	oversizedFailure   oversizeCause = "failure"
+	oversizedRefusal   oversizeCause = "refusal"
+)
+
+// reason returns the reason why an attempt with such a response fails.
+func (c oversizeCause) reason() string {
+	switch c {
+	case oversizedEvent:
+		return "an event has no end"
+	case oversizedAllEvents:
+		return "the incomplete events of all streams are too large"
+	case oversizedComments:
+		return "the stream holds no event among its comments"
+	case oversizedFailure:
+		return "the failure response has no end"
+	}
+	return string(c)
+}
+
+// oversizeCounts counts oversized responses by cause.
+type oversizeCounts struct {
+	mu     sync.Mutex
+	counts map[oversizeCause]int64
+}
+
+func (c *oversizeCounts) add(cause oversizeCause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[oversizeCause]int64{}
+	}
+	c.counts[cause]++
+}
+
+func (c *oversizeCounts) snapshot() map[oversizeCause]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.counts)
+}
--- a/relay/piececall.go
+++ b/relay/piececall.go
@@ -75,20 +75,47 @@
 		return nil, err
 	}
 	out.Target = c.Target
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	in, err := p.sender.Send(ctx, c.Target.Address, &out)
 	if err != nil {
 		return nil, err
 	}
 	defer in.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(in.Body, maxPiecesResponseBytes))
+	if in.Status != http.StatusOK {
+		return nil, p.refusedCall(in, cancel)
+	}
+	limit := maxPiecesResponseBytes(len(c.Items))
+	body, err := io.ReadAll(io.LimitReader(in.Body, limit+1))
 	if err != nil {
 		return nil, &Error{Op: "read pieces", Kind: proto.KindUnknown, Err: err}
 	}
-	if in.Status == http.StatusServiceUnavailable {
-		return nil, errBusy
-	}
-	if in.Status != http.StatusOK {
-		return nil, newError("call for pieces", proto.KindUnknown, "the target answered with status %d", in.Status)
+	if int64(len(body)) > limit {
+		p.oversized.Add(1)
+		return nil, newError("read pieces", proto.KindTooLarge, "the answer has more than %d bytes", limit)
 	}
 	return p.dialect.ParsePiecesResponse(body, len(c.Items))
 }
+
+// refusedCall returns the error of a call without results, which its status tells. The body is read so that the connection can be
+// used again, unless it is large or late.
+func (p *PieceScheduler) refusedCall(in *TargetResponse, cancel context.CancelFunc) error {
+	timer := p.clock.AfterFunc(refusalBodyTime, cancel)
+	defer timer.Stop()
+	if n, _ := io.Copy(io.Discard, io.LimitReader(in.Body, maxRefusalBytes+1)); n > maxRefusalBytes {
+		p.oversized.Add(1)
+	}
+	if in.Status == http.StatusServiceUnavailable {
+		return errBusy
+	}
+	return newError("call for pieces", proto.KindUnknown, "the target answered with status %d", in.Status)
+}
+
+// maxPiecesResponseBytes returns the maximum size of the response to a call for n pieces.
+func maxPiecesResponseBytes(n int) int64 {
+	const (
+		responseBytes = 64 << 10
+		itemBytes     = 1 << 10
+	)
+	return responseBytes + int64(n)*itemBytes
+}
--- a/relay/piecescheduler.go
+++ b/relay/piecescheduler.go
@@ -29,8 +29,6 @@
 	overdueCheckFactor = 6
 	// freeTimeout is the timeout of a call that frees results.
 	freeTimeout = time.Second
-	// maxPiecesResponseBytes is the maximum size of the response to a call, in bytes.
-	maxPiecesResponseBytes = 1 << 20
 	// batchTaskPrefix is the prefix of the names of batching tasks.
 	batchTaskPrefix = "batch/"
 )
@@ -59,7 +57,7 @@
 	crashes       *CrashTracker
 	crashDetector *CrashDetector
 
-	callCount, pieceCount, failedCalls, inputsExpired atomic.Int64
+	callCount, pieceCount, failedCalls, inputsExpired, oversized atomic.Int64
 }
 
 // PieceSchedulerOption configures a PieceScheduler.
@@ -287,11 +285,13 @@
 	Failed int64 `json:"failedCalls"`
 	// InputsExpired counts stages that ended because their inputs expired in the queue.
 	InputsExpired int64 `json:"inputsExpired"`
+	// Oversized counts answers to calls that were given up because of their size.
+	Oversized int64 `json:"oversized"`
 }
 
 // Stats returns the totals.
 func (p *PieceScheduler) Stats() PieceStats {
-	return PieceStats{Calls: p.callCount.Load(), Pieces: p.pieceCount.Load(), Failed: p.failedCalls.Load(), InputsExpired: p.inputsExpired.Load()}
+	return PieceStats{Calls: p.callCount.Load(), Pieces: p.pieceCount.Load(), Failed: p.failedCalls.Load(), InputsExpired: p.inputsExpired.Load(), Oversized: p.oversized.Load()}
 }
 
 func (p *PieceScheduler) workerFor(key shard) *worker {
--- a/relay/race.go
+++ b/relay/race.go
@@ -181,9 +181,10 @@
 	case update.mismatch:
 		a.markFailed()
 		return attemptResult{sent: true, reason: "the answer is not that of the request"}
-	case update.oversized:
+	case update.oversized != "":
 		a.markFailed()
-		return attemptResult{sent: true, reason: "an event has no end"}
+		a.race.flow.server.counts.oversized.add(update.oversized)
+		return attemptResult{sent: true, reason: update.oversized.reason()}
 	case update.stream:
 		return a.handleStreamEnd(update)
 	case update.passed:
--- a/wire/targetpaths.go
+++ b/wire/targetpaths.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newTargetConn(conn, ""), nil
+	return t.newConn(conn, ""), nil
 }
 
 // DialOwn opens a connection to a target over this daemon's own link.
@@ -273,7 +273,7 @@
 		return carryResult{outcome: outcome, err: err}
 	}
 	t.paths.RecordCarried(to, by)
-	c := newTargetConn(conn, by)
+	c := t.newConn(conn, by)
 	c.onClose = sync.OnceFunc(func() { t.paths.RecordClosed(by) })
 	return carryResult{conn: c}
 }
--- a/wire/targets.go
+++ b/wire/targets.go
@@ -86,10 +86,11 @@
 			}
 			return &countingConn{Conn: conn}, nil
 		},
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleTimeout,
-		DisableKeepAlives:   fresh,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdlePerTarget,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		IdleConnTimeout:        idleTimeout,
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
 	}
 	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return http.ErrUseLastResponse
@@ -271,6 +272,7 @@
 }
 
 func (r *eventReader) next() (name string, data []byte, err error) {
+	read := 0
 	for r.scanner.Scan() {
 		line := r.scanner.Text()
 		switch {
@@ -281,6 +283,9 @@
 		case strings.HasPrefix(line, "data: "):
 			data = append(data, line[len("data: "):]...)
 		}
+		if read += len(line) + 1; read > maxEventLine {
+			return "", nil, newError("read stream", proto.KindTooLarge, "no event within %d bytes", maxEventLine)
+		}
 	}
 	if err := r.scanner.Err(); err != nil {
 		return "", nil, err
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -44,7 +44,9 @@
 	maxInlineBody = 4 << 10
 	// maxStrayResponses bounds the responses to other requests that are discarded before the matching one.
 	maxStrayResponses = 2
-	readBufferSize    = 4 << 10
+	// maxStrayBytes bounds the body of each of them.
+	maxStrayBytes  = 8 << 20
+	readBufferSize = 4 << 10
 )
 
 // TargetTransport sends requests to targets over connections of its own. Unlike a general HTTP client, it never sends a
@@ -63,6 +65,7 @@
 	ownDelay func() time.Duration
 
 	dialed, reused, stray atomic.Int64
+	limits                answerLimits
 	// asking counts the connections that others are asked for although the link is not known to be lost.
 	asking atomic.Int64
 }
@@ -107,15 +110,18 @@
 	Dialed int64 `json:"dialed"`
 	Reused int64 `json:"reused"`
 	Stray  int64 `json:"strayAnswers"`
+	// Oversized counts the answers that were given up because of their size.
+	Oversized AnswerLimitCounts `json:"oversized"`
 }
 
 // Counts returns the totals.
 func (t *TargetTransport) Counts() TransportCounts {
-	return TransportCounts{Dialed: t.dialed.Load(), Reused: t.reused.Load(), Stray: t.stray.Load()}
+	return TransportCounts{Dialed: t.dialed.Load(), Reused: t.reused.Load(), Stray: t.stray.Load(), Oversized: t.limits.counts()}
 }
 
 type targetConn struct {
 	io.ReadWriteCloser
+	limit  *limitedReader
 	reader *bufio.Reader
 	// carrier is the daemon that carries the connection, or "" for an own one.
 	carrier proto.VM
@@ -260,8 +266,9 @@
 	return t.open(ctx, to)
 }
 
-func newTargetConn(conn io.ReadWriteCloser, carrier proto.VM) *targetConn {
-	return &targetConn{ReadWriteCloser: conn, reader: bufio.NewReaderSize(conn, readBufferSize), carrier: carrier}
+func (t *TargetTransport) newConn(conn io.ReadWriteCloser, carrier proto.VM) *targetConn {
+	limit := &limitedReader{Reader: conn, limits: &t.limits}
+	return &targetConn{ReadWriteCloser: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), carrier: carrier}
 }
 
 // Send writes a request and returns the status and header of its response; canceling the context closes the connection.
@@ -278,6 +285,12 @@
 		return nil, &relay.SendError{Written: sent, Err: body.checkLink(err)}
 	}
 	resp, err := body.readHead(out)
+	if proto.KindOf(err) == proto.KindTooLarge {
+		// The link works, so this says something about the target.
+		t.recordHeard(to, c)
+		body.closeConn()
+		return nil, &relay.SendError{Written: true, Err: err}
+	}
 	if err != nil {
 		body.closeConn()
 		return nil, &relay.SendError{Written: true, Err: body.checkLink(err)}
@@ -334,27 +347,38 @@
 // readHead reads the head of the matching response; responses to earlier requests on the connection are discarded.
 func (r *responseBody) readHead(out *relay.TargetRequest) (*http.Response, error) {
 	request := &http.Request{Method: out.Method}
-	for stray := 0; ; stray++ {
-		resp, err := http.ReadResponse(r.conn.reader, request)
+	limit := r.conn.limit
+	defer limit.begin(partBody)
+	for stray := 0; ; {
+		limit.begin(partHead)
+		resp, err := r.readFinalHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
 		if out.Matches == nil || out.Matches(resp.Header) {
 			return resp, nil
 		}
 		r.transport.stray.Add(1)
-		if stray >= maxStrayResponses {
+		if stray++; stray > maxStrayResponses {
 			return nil, newError("read answer", proto.KindMismatch, "the answers on the connection are for other requests")
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseSize)); err != nil {
+		limit.begin(partStray)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// readFinalHead reads the head of a final answer, and discards the interim ones before it.
+func (r *responseBody) readFinalHead(request *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(r.conn.reader, request)
+		if err != nil || resp.StatusCode/100 != 1 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, err
+		}
+	}
+}
+
 // Read reads the body; it returns io.EOF only at the proper end of the body.
 func (r *responseBody) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
