A call takes no surplus answer of an earlier one

PROTOCOL.md calls what the servers do a fault ("A surplus answer may arrive late, in the place where the next answer is expected; the id shows which one it is"), so the product has to bear it.

Cause: a call for pieces named no id and took whatever answer came first on its connection. Requests to model servers compare ids; calls only compared the number of results. The answer to a call whose results could not be read left its connection open as well, with that of the next call off by one.

--- a/relay/piececall.go
+++ b/relay/piececall.go
@@ -94,7 +94,16 @@
 		p.oversized.Add(1)
 		return nil, newError("read pieces", proto.KindTooLarge, "the answer has more than %d bytes", limit)
 	}
-	return p.dialect.ParsePiecesResponse(body, len(c.Items))
+	results, err := p.dialect.ParsePiecesResponse(body, len(c.Items))
+	if err == nil && !p.handles.addNew(results) {
+		err = newError("read pieces", proto.KindMismatch, "the answer is that of an earlier call")
+	}
+	if err != nil {
+		// The answer to this call may still arrive, so the connection must not be used again.
+		cancel()
+		return nil, err
+	}
+	return results, nil
 }
 
 // refusedCall returns the error of a call without results, which its status tells. The body is read so that the connection can be
--- a/relay/piececall_test.go
+++ b/relay/piececall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -92,3 +93,43 @@
 		})
 	}
 }
+
+// TestAnswerOfEarlierCallIsNotTaken guards against pieces made from inputs of other requests, by a target that does not say which call
+// an answer belongs to: it sent the answer of a call once more, and the next call took it for its own.
+func TestAnswerOfEarlierCallIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRaced(proto.RouteRepeatable, hangs)
+		var contexts []context.Context
+		answer := whole(raceTypicalLatency, "{}")
+		p := newTestPieceScheduler(r.server.clock, r.server.peers, &callSender{func(ctx context.Context) (*TargetResponse, error) {
+			contexts = append(contexts, ctx)
+			return answer(ctx)
+		}})
+		c := &Call{Target: raceTarget(0), Items: make([]CallItem, 2)}
+		if results, err := p.sendCall(t.Context(), c); err != nil || len(results) != 2 {
+			t.Fatalf("results %+v, %v", results, err)
+		}
+		// The stand-in gives each answer the same handles.
+		if results, err := p.sendCall(t.Context(), c); proto.KindOf(err) != proto.KindMismatch {
+			t.Errorf("results %+v, %v, want a mismatch", results, err)
+		}
+		if len(contexts) != 2 || contexts[1].Err() == nil {
+			t.Error("the connection is not closed")
+		}
+	})
+}
+
+func TestKnownHandlesAreLimited(t *testing.T) {
+	var s handleSet
+	for i := range 3 * maxKnownHandles {
+		if !s.addNew([]ItemResult{{Handle: fmt.Sprint(i)}, {Outcome: proto.PiecesLate}}) {
+			t.Fatalf("handle %d is not new", i)
+		}
+	}
+	if n := len(s.recent) + len(s.older); n > maxKnownHandles {
+		t.Errorf("%d handles are known", n)
+	}
+	if s.addNew([]ItemResult{{Handle: fmt.Sprint(3*maxKnownHandles - 1)}}) {
+		t.Error("the last handle is not known")
+	}
+}
--- a/relay/piecescheduler.go
+++ b/relay/piecescheduler.go
@@ -49,6 +49,8 @@
 	mu        sync.Mutex
 	workers   map[shard]*worker
 	freeQueue *freeQueue
+	// handles are those of known results.
+	handles handleSet
 
 	queueDelays queueDelays
 	stageLoads  stageLoads
