Goroutines may log after the log is closed

A daemon that had stopped could end with a panic: the sink closed the channel of lines while goroutines still logged ("send on closed channel", seen twice by the review with the race detector). Now it stops reading once nothing is queued, and lines logged after that may be lost.

TestLoggingWhileSinkClosesDoesNotPanic panics without the change.

--- a/serve/logsink.go
+++ b/serve/logsink.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -19,14 +20,16 @@
 	lines           chan []byte
 	unreportedDrops atomic.Int64
 	totalDrops      atomic.Int64
-	done            chan struct{}
+	// closing is closed by Close, and done once all lines queued before are written. Goroutines may log after that.
+	closing, done chan struct{}
+	closeOnce     sync.Once
 }
 
 // NewLogSink returns a sink that writes to out in its own goroutine.
 func NewLogSink(out io.Writer) *LogSink { return newLogSink(out, time.Now) }
 
 func newLogSink(out io.Writer, now func() time.Time) *LogSink {
-	s := &LogSink{lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	s := &LogSink{lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run(out, now)
 	return s
 }
@@ -45,9 +48,9 @@
 // Dropped returns the number of lines dropped since the start.
 func (s *LogSink) Dropped() int64 { return s.totalDrops.Load() }
 
-// Close waits until the queued lines are written, but no longer than the given time.
+// Close waits until the queued lines are written, but no longer than the given time. Lines logged later may be lost.
 func (s *LogSink) Close(timeout time.Duration) {
-	close(s.lines)
+	s.closeOnce.Do(func() { close(s.closing) })
 	select {
 	case <-s.done:
 	case <-time.After(timeout):
@@ -57,7 +60,11 @@
 func (s *LogSink) run(out io.Writer, now func() time.Time) {
 	defer close(s.done)
 	reportedAt := now()
-	for line := range s.lines {
+	for {
+		line, ok := s.next()
+		if !ok {
+			return
+		}
 		// There is nowhere to report that the log cannot be written.
 		_, _ = out.Write(line)
 		if current := now(); current.Sub(reportedAt) > dropReportInterval {
@@ -68,3 +75,18 @@
 		}
 	}
 }
+
+// next returns the next line, or false if none is queued after Close.
+func (s *LogSink) next() (line []byte, ok bool) {
+	select {
+	case line = <-s.lines:
+		return line, true
+	case <-s.closing:
+	}
+	select {
+	case line = <-s.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
--- a/serve/logsink_test.go
+++ b/serve/logsink_test.go
@@ -64,3 +64,36 @@
 		t.Error("the number of dropped lines is not reported")
 	}
 }
+
+// TestLoggingWhileSinkClosesDoesNotPanic guards against a daemon that ends with a panic since goroutines log after its log is closed.
+func TestLoggingWhileSinkClosesDoesNotPanic(t *testing.T) {
+	w := &blockingWriter{release: make(chan struct{})}
+	close(w.release)
+	s := NewLogSink(w)
+	_, _ = s.Write([]byte("first\n"))
+	stop := make(chan struct{})
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = s.Write([]byte("line\n"))
+				}
+			}
+		})
+	}
+	s.Close(10 * time.Millisecond)
+	s.Close(10 * time.Millisecond)
+	_, _ = s.Write([]byte("last\n"))
+	close(stop)
+	writers.Wait()
+	s.Close(time.Minute)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !strings.HasPrefix(w.written.String(), "first\n") {
+		t.Error("a line that was queued before is lost")
+	}
+}
