A stage whose caller left is answered

Withdrawn jobs are answered now.

TestWithdrawnStageIsAnswered fails without the change: 0 of 1 answered, 2 waited for.

--- a/relay/piecescheduler_test.go
+++ b/relay/piecescheduler_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -181,3 +182,31 @@
 		t.Errorf("the batcher makes calls of up to %d pieces with a fixed time of %v", w.batcher.spec.MaxPieces, time.Duration(w.batcher.model.callCost()))
 	}
 }
+
+// TestWithdrawnStageIsAnswered guards against goroutines that wait for stages whose callers have left: another daemon that asked for
+// the pieces withdraws them with a message, and the answer to its call never came.
+func TestWithdrawnStageIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		p := newTestPieceScheduler(clock, &scriptedPeers{silent: make(chan struct{})}, &callSender{whole(time.Minute, "{}")})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		now := clock.Now()
+		answers := make(chan proto.PiecesAnswer, 2)
+		for _, id := range []string{"left", "stays"} {
+			go func() {
+				answers <- p.RunLocally(ctx, proto.PiecesAsk{Pool: "p", RequestID: id, Pieces: 2, ResultBytes: 10}, now.Add(time.Hour), now.Add(time.Hour))
+			}()
+		}
+		synctest.Wait()
+		p.Drop(proto.PiecesDrop{Pool: "p", RequestID: "left"})
+		synctest.Wait()
+		if len(answers) != 1 || (<-answers).Outcome != proto.PiecesLate {
+			t.Errorf("%d stages are answered", len(answers))
+		}
+		if n := len(p.workers[shard{pool: "p"}].waiters); n != 1 {
+			t.Errorf("%d stages are waited for, want 1", n)
+		}
+		time.Sleep(2 * time.Hour)
+	})
+}
--- a/relay/worker.go
+++ b/relay/worker.go
@@ -43,11 +43,22 @@
 	handles := d.Handles
 	if d.RequestID != "" {
 		handles = append(handles, w.batcher.Withdraw(d.RequestID, d.Stage)...)
+		w.answerWithdrawn(d.RequestID, d.Stage)
 	}
 	w.pieces.freeQueue.enqueue(w, handles)
 	w.schedule()
 }
 
+// answerWithdrawn answers the withdrawn jobs of a request, for which another daemon may still wait.
+func (w *worker) answerWithdrawn(request string, stage int) {
+	for j, answers := range w.waiters {
+		if j.done && j.Params.RequestID == request && j.Params.Stage == stage {
+			answers <- proto.PiecesAnswer{Outcome: proto.PiecesLate, Detail: "the request ended"}
+			delete(w.waiters, j)
+		}
+	}
+}
+
 // targets returns the targets of the shard that may get work.
 func (w *worker) targets() []proto.RelayTarget {
 	return w.pieces.fleet.shardLayout(w.pool).targetsOf(w.index, w.pieces.fleet.Usable(w.pieces.clock.Now(), w.pool))
