Limits of the configuration apply to callers' connections

headerBytes, headerMs and idleMs of a configuration were read and used by nothing: constants held. An operator who raised headerBytes got 431 for proper requests, and a closed connection for slow heads.

The standard library's server reads its limits without a lock, so they cannot change while it runs. Connections of callers apply them now, and ask for them with each request; a head that is too large is still answered 431.

--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -1,10 +1,12 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
 	"expvar"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -58,7 +60,8 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: proto.KindUnavailable, Err: err}
 	}
-	if closes != nil {
+	callers := closes != nil
+	if callers {
 		// Only the bytes of requests count as their cost.
 		listener = d.traffic.Listener(listener)
 		listener = &wire.SheddingListener{Listener: listener, Closes: closes}
@@ -67,6 +70,11 @@
 		Handler: handler, ConnContext: relay.WithConnection, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: d.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	if callers {
+		// The configuration sets these limits, and may change them.
+		server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = 0, 0, math.MaxInt32
+		listener = wire.NewCallerConns(d.clock, d.callerLimits).Limit(server, listener)
+	}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -90,6 +98,18 @@
 	return nil
 }
 
+// callerLimits returns the limits of the configuration in force, or the default of each one that it does not set.
+func (d *Relay) callerLimits() proto.CallerLimits {
+	limits := proto.CallerLimits{}
+	if table := d.tables.Current(); table != nil {
+		limits = table.Routing().Limits
+	}
+	limits.MaxHeaderBytes = cmp.Or(limits.MaxHeaderBytes, maxHeaderBytes)
+	limits.HeaderTimeout = cmp.Or(limits.HeaderTimeout, headerTimeout)
+	limits.IdleTimeout = cmp.Or(limits.IdleTimeout, idleTimeout)
+	return limits
+}
+
 // RelayVars holds the metrics of a relay daemon at /debug/vars.
 type RelayVars struct {
 	Requests          relay.RequestStats   `json:"requests"`
