Estimates by which requests are refused age

What was learned of a time to first events, or of calls, during a disturbance held until the next request ran; requests that are refused by it never do. A mean that was not observed for 10 s now approaches what is assumed without observations, and the next request that is not slow starts from there. The upper bounds by which attempts are hedged do not age, and what rare slow requests teach is kept.

--- a/relay/server.go
+++ b/relay/server.go
@@ -85,7 +85,7 @@
 
 	// firstEventTimes are the times to the first event of streams, by route and without the stages. responseTimes are those to
 	// complete responses and callTimes those of calls for pieces, by pool. requestTimes are those of whole requests, by route.
-	firstEventTimes, responseTimes, callTimes, requestTimes durationEstimates[string]
+	firstEventTimes, responseTimes, callTimes, requestTimes *durationEstimates[string]
 	fetchTimes                                              fetchTimes
 
 	budgetMu sync.Mutex
@@ -151,6 +151,9 @@
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*RetryBudget{},
 		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins, intake: c.Intake,
 	}
+	for _, times := range []**durationEstimates[string]{&s.firstEventTimes, &s.responseTimes, &s.callTimes, &s.requestTimes} {
+		*times = newDurationEstimates[string](c.Clock)
+	}
 	if s.origins == nil {
 		s.origins = NewOrigins(c.Clock, c.Log, nil)
 	}
