--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -130,16 +130,16 @@
 func (x *exchange) readStream(final *attemptUpdate) {
 	var buffered []byte
 	buffer := make([]byte, readSize)
-	sinceEvent, counted := 0, 0
-	defer func() { x.answers.release(int64(counted)) }()
+	limit := &streamLimit{answers: x.answers}
+	defer limit.release()
 	for {
 		n, err := final.response.Body.Read(buffer)
 		buffered = append(buffered, buffer[:n]...)
-		sinceEvent += n
+		limit.withoutEvent += n
 		var events []byte
 		events, buffered = splitEvents(buffered)
 		if hasData(events) {
-			sinceEvent = 0
+			limit.withoutEvent = 0
 			x.attempt.race.overlap.recordEvent(x.attempt)
 		}
 		if len(events) > 0 {
@@ -149,25 +149,8 @@
 			final.err, final.truncated = err, len(buffered) > 0
 			return
 		}
-		switch {
-		case len(buffered) > maxEventBytes:
-			final.oversized = oversizedEvent
+		if final.oversized = limit.hold(len(buffered)); final.oversized != "" {
 			return
-		case sinceEvent > maxCommentBytes+maxEventBytes:
-			final.oversized = oversizedComments
-			return
-		}
-		if len(buffered) <= uncountedEventBytes {
-			x.answers.release(int64(counted))
-			counted = 0
-			continue
-		}
-		if more := len(buffered) - uncountedEventBytes - counted; more > 0 {
-			if !x.answers.take(int64(more)) {
-				final.oversized = oversizedAllEvents
-				return
-			}
-			counted += more
 		}
 	}
 }
--- a/relay/oversize.go
+++ b/relay/oversize.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxCommentBytes limits what a stream may hold without an event.
+	// maxCommentBytes limits the comments of a stream between two events, beside what an event may hold.
 	maxCommentBytes = maxEventBytes
 	// uncountedEventBytes of an incomplete event do not count against the daemon's limit of buffered answers.
 	uncountedEventBytes = 64 << 10
@@ -45,6 +45,40 @@
 	return string(c)
 }
 
+// streamLimit limits what is read and held of a stream.
+type streamLimit struct {
+	// answers is what the request holds of the daemon's limit of buffered answers, held of which are an incomplete event.
+	answers *reservation
+	held    int
+	// withoutEvent is how much was read since the last complete event.
+	withoutEvent int
+}
+
+// hold records the size of the incomplete event, and returns what is too large, if anything is.
+func (l *streamLimit) hold(size int) oversizeCause {
+	switch {
+	case size > maxEventBytes:
+		return oversizedEvent
+	case l.withoutEvent > maxCommentBytes+maxEventBytes:
+		return oversizedComments
+	case size <= uncountedEventBytes:
+		l.release()
+		return ""
+	}
+	if more := size - uncountedEventBytes - l.held; more > 0 {
+		if !l.answers.take(int64(more)) {
+			return oversizedAllEvents
+		}
+		l.held += more
+	}
+	return ""
+}
+
+func (l *streamLimit) release() {
+	l.answers.release(int64(l.held))
+	l.held = 0
+}
+
 // oversizeCounts counts oversized responses by cause.
 type oversizeCounts struct {
 	mu     sync.Mutex
