A handle that a target's next run gives again is new

Handles die with the run that made the results, and a run may begin to count anew: its answers would have been taken for those of earlier calls.

--- a/relay/piececall_test.go
+++ b/relay/piececall_test.go
@@ -122,14 +122,17 @@
 func TestKnownHandlesAreLimited(t *testing.T) {
 	var s handleSet
 	for i := range 3 * maxKnownHandles {
-		if !s.addNew([]ItemResult{{Handle: fmt.Sprint(i)}, {Outcome: proto.PiecesLate}}) {
+		if !s.addNew("run", []ItemResult{{Handle: fmt.Sprint(i)}, {Outcome: proto.PiecesLate}}) {
 			t.Fatalf("handle %d is not new", i)
 		}
 	}
 	if n := len(s.recent) + len(s.older); n > maxKnownHandles {
 		t.Errorf("%d handles are known", n)
 	}
-	if s.addNew([]ItemResult{{Handle: fmt.Sprint(3*maxKnownHandles - 1)}}) {
+	if s.addNew("run", []ItemResult{{Handle: fmt.Sprint(3*maxKnownHandles - 1)}}) {
 		t.Error("the last handle is not known")
 	}
+	if !s.addNew("next run", []ItemResult{{Handle: fmt.Sprint(3*maxKnownHandles - 1)}}) {
+		t.Error("the same handle of another run is known")
+	}
 }
