--- a/relay/handleset.go
+++ b/relay/handleset.go
@@ -15,38 +15,49 @@
 	handle string
 }
 
-// handleSet remembers the handles that calls returned last. When it is full it drops the older half.
+// pieceName names a piece of a request. A target may give its result the same handle when it makes it again.
+type pieceName struct {
+	request      string
+	stage, piece int
+}
+
+// handleSet remembers the handles that calls returned last, and whose results they name. When it is full it drops the older half.
 type handleSet struct {
 	mu            sync.Mutex
-	recent, older map[knownHandle]struct{}
+	recent, older map[knownHandle]pieceName
 }
 
-// addNew adds the handles of an answer, and reports whether all of them are new. A handle names one result, so an answer with a
-// known one was given to an earlier call.
-func (s *handleSet) addNew(run proto.RunName, results []ItemResult) bool {
+// addOwn adds the handles of an answer to a call, and reports whether none of them is known as that of another piece. Such an
+// answer was given to an earlier call.
+func (s *handleSet) addOwn(c *Call, results []ItemResult) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, result := range results {
-		if s.has(knownHandle{run, result.Handle}) {
+	run := c.Target.RunName()
+	for i, result := range results {
+		if piece, known := s.find(knownHandle{run, result.Handle}); known && piece != c.Items[i].name() {
 			return false
 		}
 	}
-	for _, result := range results {
+	for i, result := range results {
 		if result.Handle == "" {
 			continue
 		}
 		if s.recent == nil || len(s.recent) >= maxKnownHandles/2 {
-			s.older, s.recent = s.recent, map[knownHandle]struct{}{}
+			s.older, s.recent = s.recent, map[knownHandle]pieceName{}
 		}
-		s.recent[knownHandle{run, result.Handle}] = struct{}{}
+		s.recent[knownHandle{run, result.Handle}] = c.Items[i].name()
 	}
 	return true
 }
 
-func (s *handleSet) has(known knownHandle) bool {
-	if _, ok := s.recent[known]; ok {
-		return true
+func (s *handleSet) find(handle knownHandle) (pieceName, bool) {
+	if piece, known := s.recent[handle]; known {
+		return piece, true
 	}
-	_, ok := s.older[known]
-	return ok
+	piece, known := s.older[handle]
+	return piece, known
+}
+
+func (i CallItem) name() pieceName {
+	return pieceName{i.Job.Params.RequestID, i.Job.Params.Stage, i.Piece}
 }
--- a/relay/piececall.go
+++ b/relay/piececall.go
@@ -95,7 +95,7 @@
 		return nil, newError("read pieces", proto.KindTooLarge, "the answer has more than %d bytes", limit)
 	}
 	results, err := p.dialect.ParsePiecesResponse(body, len(c.Items))
-	if err == nil && !p.handles.addNew(c.Target.RunName(), results) {
+	if err == nil && !p.handles.addOwn(c, results) {
 		err = newError("read pieces", proto.KindMismatch, "the answer is that of an earlier call")
 	}
 	if err != nil {
