The log names the target whose refusal has no end

A refusal is known by its head, so that an endless body of one only showed in a counter, and nobody could tell which target sent it. Requests and calls for pieces log the target now.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -118,6 +118,7 @@
 	defer timer.Stop()
 	if n, _ := io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes+1)); n > maxRefusalBytes {
 		x.server.counts.oversized.add(oversizedRefusal)
+		x.server.log.Warn("the body of a refusal is too large", "request", x.requestID, "target", x.attempt.placement.Spec.ID, "address", x.to)
 	}
 }
 
--- a/relay/oversize_test.go
+++ b/relay/oversize_test.go
@@ -94,6 +94,9 @@
 				if n := r.server.counts.oversized.snapshot()[s.cause]; s.cause != "" && n != 1 {
 					t.Errorf("%d counted", n)
 				}
+				if s.cause == oversizedRefusal && !strings.Contains(r.log.String(), "the body of a refusal is too large: request=r target=t0") {
+					t.Errorf("the log does not name the target\n%s", r.log)
+				}
 				if s.cause != "" && s.cause != oversizedRefusal && !strings.Contains(r.log.String(), s.cause.reason()) {
 					t.Errorf("the log does not name the cause\n%s", r.log)
 				}
--- a/relay/piececall.go
+++ b/relay/piececall.go
@@ -83,7 +83,7 @@
 	}
 	defer in.Body.Close()
 	if in.Status != http.StatusOK {
-		return nil, p.refusedCall(in, cancel)
+		return nil, p.refusedCall(c, in, cancel)
 	}
 	limit := maxPiecesResponseBytes(len(c.Items))
 	body, err := io.ReadAll(io.LimitReader(in.Body, limit+1))
@@ -108,11 +108,12 @@
 
 // refusedCall returns the error of a call without results, which its status tells. The body is read so that the connection can be
 // used again, unless it is large or late.
-func (p *PieceScheduler) refusedCall(in *TargetResponse, cancel context.CancelFunc) error {
+func (p *PieceScheduler) refusedCall(c *Call, in *TargetResponse, cancel context.CancelFunc) error {
 	timer := p.clock.AfterFunc(refusalBodyTime, cancel)
 	defer timer.Stop()
 	if n, _ := io.Copy(io.Discard, io.LimitReader(in.Body, maxRefusalBytes+1)); n > maxRefusalBytes {
 		p.oversized.Add(1)
+		p.log.Warn("the body of a refusal is too large", "target", c.Target.ID, "address", c.Target.Address, "status", in.Status)
 	}
 	if in.Status == http.StatusServiceUnavailable {
 		return errBusy
