Review: the case looks for a calm moment, and ends its daemons when stopped

Under load another daemon may read for a moment in place of one that looks silent; the script then exited with 2, once. It now waits for a moment at which only the readers watch. SIGTERM and SIGINT to the script end its daemons too.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -52,6 +54,13 @@
 	}
 	s.store.find = func(port int) *daemon { return processOf(s.daemons, port) }
 	defer s.stopDaemons()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		s.stopDaemons()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[os.Args[1]](s)
 	switch {
 	case err != nil:
--- a/review/stand-2/readers.go
+++ b/review/stand-2/readers.go
@@ -31,6 +31,8 @@
 	configDelay, drainDelay = 500 * time.Millisecond, time.Second
 	// drainRest is how long the runner serves on after drainTime.
 	drainRest = 2 * time.Second
+	// maxTries is how often a moment is looked for at which only the readers watch the store, a second apart.
+	maxTries = 15
 	// clientPause is the mean pause of a client between an answer and its next request.
 	clientPause = 80 * time.Millisecond
 )
@@ -90,9 +92,17 @@
 
 // turnAwayReaders has the store turn away the daemons that watch it.
 func (p *readers) turnAwayReaders() error {
-	watchers := p.store.watchers()
-	if n := float64(len(watchers)); n == 0 || n > maxAwayShare*float64(len(p.daemons)) {
-		return fmt.Errorf("%w: %d of %d daemons watch the store", errNotRun, len(watchers), len(p.daemons))
+	var watchers []*daemon
+	// On a busy machine a daemon may look silent to others for a moment, and another one then reads in its place.
+	for tries := 0; ; tries++ {
+		watchers = p.store.watchers()
+		if n := float64(len(watchers)); n > 0 && n <= maxAwayShare*float64(len(p.daemons)) {
+			break
+		}
+		if tries == maxTries {
+			return fmt.Errorf("%w: %d of %d daemons watch the store", errNotRun, len(watchers), len(p.daemons))
+		}
+		time.Sleep(time.Second)
 	}
 	if !p.trouble {
 		return nil
