Review: a port is given once, and a watch that lasts is ended

Case 4 could not run twice on a quiet machine: two daemons had got the same port, and once five of twelve daemons watched the store for 15 s. Ports stay taken until all are found, and the operator writes a configuration where too many watch.

--- a/review/stand-2/daemon.go
+++ b/review/stand-2/daemon.go
@@ -33,13 +33,19 @@
 	exited                            chan struct{}
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddresses returns free addresses, all different.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		// Addresses stay taken until all are found, as a free one could be found twice.
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 // startDaemons starts a daemon for each of some zones, and waits until all are ready.
@@ -49,14 +55,15 @@
 		return err
 	}
 	s.dir = dir
+	const each = 4
+	addresses, err := freeAddresses(each * len(zones))
+	if err != nil {
+		return err
+	}
 	var seeds []string
 	for i, zone := range zones {
-		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone}
-		for _, address := range []*string{&d.front, &d.readiness, &d.control, &d.metric} {
-			if *address, err = freeAddress(); err != nil {
-				return err
-			}
-		}
+		own := addresses[each*i : each*(i+1)]
+		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, front: own[0], readiness: own[1], control: own[2], metric: own[3]}
 		s.daemons = append(s.daemons, d)
 		seeds = append(seeds, d.control)
 	}
--- a/review/stand-2/readers.go
+++ b/review/stand-2/readers.go
@@ -41,6 +41,8 @@
 type readers struct {
 	*stage
 	leaving *runner
+	// version is that of the configuration.
+	version int
 	// notBound holds the daemons that are turned away, which the rules do not bind.
 	notBound []*daemon
 
@@ -53,8 +55,8 @@
 }
 
 func playReaders(s *stage) (bool, error) {
-	p := &readers{stage: s, senders: map[string]*daemon{}}
-	p.putConfig(7, []string{plainPath}, []string{keptKey, droppedKey})
+	p := &readers{stage: s, version: 7, senders: map[string]*daemon{}}
+	p.putConfig([]string{plainPath}, []string{keptKey, droppedKey})
 	for i, zone := range []string{"marousi-hall", "piraeus-hall", "marousi-hall"} {
 		r, err := s.startRunner(fmt.Sprintf("i-7f3a91c%d", i), plainService, zone, workTime)
 		if err != nil {
@@ -93,7 +95,8 @@
 // turnAwayReaders has the store turn away the daemons that watch it.
 func (p *readers) turnAwayReaders() error {
 	var watchers []*daemon
-	// On a busy machine a daemon may look silent to others for a moment, and another one then reads in its place.
+	// A daemon may look silent to others for a moment, and another one then reads in its place. It stops when its watch ends, as it does
+	// at the next change.
 	for tries := 0; ; tries++ {
 		watchers = p.store.watchers()
 		if n := float64(len(watchers)); n > 0 && n <= maxAwayShare*float64(len(p.daemons)) {
@@ -102,6 +105,9 @@
 		if tries == maxTries {
 			return fmt.Errorf("%w: %d of %d daemons watch the store", errNotRun, len(watchers), len(p.daemons))
 		}
+		p.version++
+		p.putConfig([]string{plainPath}, []string{keptKey, droppedKey})
+		p.leaving.enter("ready")
 		time.Sleep(time.Second)
 	}
 	if !p.trouble {
@@ -119,7 +125,8 @@
 func (p *readers) change() {
 	end := time.After(awayTime)
 	time.Sleep(configDelay)
-	p.putConfig(8, []string{plainPath, addedPath}, []string{keptKey})
+	p.version++
+	p.putConfig([]string{plainPath, addedPath}, []string{keptKey})
 	p.mu.Lock()
 	p.configAt = time.Now()
 	p.mu.Unlock()
@@ -208,7 +215,7 @@
 }
 
 // putConfig writes a configuration with routes to the plain service, the first of which may not be repeated by clients that post.
-func (p *readers) putConfig(version int, paths, keys []string) {
+func (p *readers) putConfig(paths, keys []string) {
 	var routes []map[string]any
 	for _, path := range paths {
 		routes = append(routes, map[string]any{
@@ -217,7 +224,7 @@
 		})
 	}
 	p.store.put("op", "config", map[string]any{
-		"version": version, "routes": routes,
+		"version": p.version, "routes": routes,
 		"services": []map[string]any{{"name": plainService, "healthPath": "/healthz", "maxConns": 500, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000},
 		"tenants":  []map[string]any{{"name": "bozi300", "apiKeys": keys, "priority": 1}},
