--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	headerInstance = "Emberlead-Instance-Id"
 	headerStamp    = "Emberlead-Server-Stamp"
 	headerDeadline = "Emberlead-Deadline-Ms"
+	// Headers of a stream that a client takes up again.
+	headerLastEvent, headerResumes = "Last-Event-Id", "Resumes"
 )
 
 // runner stands in for a runner of a plain service. It works on each request for a time, and drops one whose connection closes.
@@ -29,6 +32,9 @@
 	server      *http.Server
 	store       *store
 
+	// events is the number of events of its answers, which are streams then, and 0 for plain answers.
+	events int
+
 	mu       sync.Mutex
 	arrivals []arrival
 	ended    bool
@@ -89,6 +95,10 @@
 	r.arrivals = append(r.arrivals, arrival{attempt, time.Now()})
 	r.mu.Unlock()
 	r.record.add(r.id, "runs %s, deadline in %s ms", attempt, req.Header.Get(headerDeadline))
+	if r.events > 0 {
+		r.stream(w, req)
+		return
+	}
 	select {
 	case <-time.After(r.work):
 	case <-req.Context().Done():
@@ -101,3 +111,24 @@
 	_, _ = io.WriteString(w, body)
 	r.record.add(r.id, "has answered %s", attempt)
 }
+
+// stream sends the events after the last one that the client has, with a pause before each.
+func (r *runner) stream(w http.ResponseWriter, req *http.Request) {
+	attempt, flusher := req.Header.Get(headerAttempt), http.NewResponseController(w)
+	w.Header().Set(headerStamp, "stamp."+r.id+"."+attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(req.Header.Get(headerLastEvent))
+	for i := last + 1; i <= r.events; i++ {
+		select {
+		case <-time.After(r.work):
+		case <-req.Context().Done():
+			r.record.add(r.id, "drops %s before event %d, as its connection was closed", attempt, i)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.id)
+		if flusher.Flush() != nil {
+			return
+		}
+	}
+	r.record.add(r.id, "has answered %s", attempt)
+}
