--- a/review/stand-2/question.go
+++ b/review/stand-2/question.go
@@ -133,12 +133,12 @@
 	return d.start(p.record)
 }
 
-// choose returns a daemon for a new connection, other than one.
+// choose returns a daemon for a new connection, another one of the same zone.
 func (p *question) choose(other *daemon) *daemon {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
-		if d := p.daemons[rand.IntN(len(p.daemons))]; d != p.killed && d != other {
+		if d := p.daemons[rand.IntN(len(p.daemons))]; d != p.killed && d != other && d.zone == other.zone {
 			return d
 		}
 	}
--- a/review/stand-2/readers.go
+++ b/review/stand-2/readers.go
@@ -23,10 +23,11 @@
 	keptKey, droppedKey  = "9dnn2ctnfzs989anu6ws", "jnbanfqasnmgkcuyj8pj"
 	plainPath, addedPath = "/wuhu344/", "/nuvo21/"
 	plainService         = "wuno96b"
+	machinesPerZone      = 7
 	// workTime is how long runners work on a request, and requestDeadline how long clients wait.
 	workTime, requestDeadline = 150 * time.Millisecond, 3 * time.Second
 	// awayTime is how long the store turns machines away, and maxAwayShare which part of them at most.
-	awayTime, maxAwayShare = 9 * time.Second, 0.35
+	awayTime, maxAwayShare = 9 * time.Second, 0.33
 	// configDelay is how long after that the operator writes the configuration, and drainDelay when a runner says that it is draining.
 	configDelay, drainDelay = 500 * time.Millisecond, time.Second
 	// drainRest is how long the runner serves on after drainTime.
@@ -65,7 +66,7 @@
 		p.leaving = r
 	}
 	var zones []string
-	for range 6 {
+	for range machinesPerZone {
 		zones = append(zones, "marousi-hall", "piraeus-hall")
 	}
 	if err := s.startDaemons(zones...); err != nil {
@@ -96,10 +97,10 @@
 func (p *readers) turnAwayReaders() error {
 	var watchers []*daemon
 	// A daemon may look silent to others for a moment, and another one then reads in its place. It stops when its watch ends, as it does
-	// at the next change.
+	// at the next change. So does a watch whose daemon isn't known, which could not be turned away.
 	for tries := 0; ; tries++ {
 		watchers = p.store.watchers()
-		if n := float64(len(watchers)); n > 0 && n <= maxAwayShare*float64(len(p.daemons)) {
+		if n := float64(len(watchers)); n > 0 && n <= maxAwayShare*float64(len(p.daemons)) && !slices.Contains(watchers, nil) {
 			break
 		}
 		if tries == maxTries {
@@ -107,7 +108,7 @@
 		}
 		p.version++
 		p.putConfig([]string{plainPath}, []string{keptKey, droppedKey})
-		p.leaving.enter("ready")
+		p.leaving.enter(stateReady)
 		time.Sleep(time.Second)
 	}
 	if !p.trouble {
@@ -131,7 +132,7 @@
 	p.configAt = time.Now()
 	p.mu.Unlock()
 	time.Sleep(drainDelay - configDelay)
-	p.leaving.enter("draining")
+	p.leaving.enter(stateDraining)
 	p.mu.Lock()
 	p.drainAt = time.Now()
 	p.mu.Unlock()
--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,10 +19,22 @@
 	headerInstance = "Emberlead-Instance-Id"
 	headerStamp    = "Emberlead-Server-Stamp"
 	headerDeadline = "Emberlead-Deadline-Ms"
+	headerNotRun   = "Emberlead-Not-Executed"
 	// Headers of a stream that a client takes up again.
 	headerLastEvent, headerResumes = "Last-Event-Id", "Resumes"
 )
 
+const (
+	// runnerSlots is how many requests a runner works on at once. It rejects more.
+	runnerSlots = 64
+	// beat is how often a runner writes to its entry, as in the settings of the daemons.
+	beat = 1200 * time.Millisecond
+	// endTimeout is how long a runner that ends goes on with what it is at work on.
+	endTimeout = time.Second
+	// The states of a runner in its entry.
+	stateReady, stateDraining = "ready", "draining"
+)
+
 // runner stands in for a runner of a plain service. It works on each request for a time, and drops one whose connection closes.
 type runner struct {
 	record      *record
@@ -37,6 +50,9 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	busy     int
+	state    string
+	beats    int
 	ended    bool
 }
 
@@ -55,45 +71,103 @@
 	r := &runner{record: s.record, id: id, service: service, address: listener.Addr().String(), zone: zone, work: work, store: s.store}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }()
-	r.enter("ready")
+	r.enter(stateReady)
+	go r.renew()
 	return r, nil
 }
 
 // enter writes the runner's entry with a state.
 func (r *runner) enter(state string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = state
+	r.write()
+}
+
+// write writes the runner's entry, unless it has ended. The lock must be held.
+func (r *runner) write() {
+	if r.ended {
+		return
+	}
+	r.beats++
 	r.store.put("servers", r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 64, "state": state, "coldLeftMs": 0, "seqNo": 1,
+		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": runnerSlots, "state": r.state, "coldLeftMs": 0, "seqNo": r.beats,
 	})
 }
 
-// end ends the runner, with what it is at work on, and removes its entry.
+// renew writes the runner's entry again and again, until it ends.
+func (r *runner) renew() {
+	for {
+		time.Sleep(beat)
+		r.mu.Lock()
+		r.write()
+		ended := r.ended
+		r.mu.Unlock()
+		if ended {
+			return
+		}
+	}
+}
+
+// end ends the runner once it has answered what it is at work on, and removes its entry.
 func (r *runner) end() {
+	r.record.add(r.id, "ends")
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	_ = r.server.Shutdown(ctx)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.ended = true
-	r.mu.Unlock()
-	r.record.add(r.id, "ends")
-	_ = r.server.Close()
 	r.store.put("servers", r.id, nil)
 }
 
+// admit takes a slot for a request, if there is one, and reports whether the runner is leaving.
+func (r *runner) admit(attempt string) (admitted, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy >= runnerSlots {
+		return false, r.state != stateReady
+	}
+	r.busy++
+	if attempt != "" {
+		r.arrivals = append(r.arrivals, arrival{attempt, time.Now()})
+	}
+	return true, r.state != stateReady
+}
+
+func (r *runner) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy--
+}
+
 // ServeHTTP answers health checks and runs requests.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	w.Header().Set(headerInstance, r.id)
 	if req.URL.Path == "/healthz" {
+		r.serveHealth(w)
 		return
 	}
 	attempt := req.Header.Get(headerAttempt)
 	w.Header().Set(headerAttempt, attempt)
 	if expected := req.Header.Get(headerExpect); expected != "" && expected != r.id {
+		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
-	r.mu.Lock()
-	r.arrivals = append(r.arrivals, arrival{attempt, time.Now()})
-	r.mu.Unlock()
+	admitted, leaving := r.admit(attempt)
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
+	if !admitted {
+		r.record.add(r.id, "is full and rejects %s", attempt)
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.release()
 	r.record.add(r.id, "runs %s, deadline in %s ms", attempt, req.Header.Get(headerDeadline))
 	if r.events > 0 {
 		r.stream(w, req)
@@ -112,6 +186,21 @@
 	r.record.add(r.id, "has answered %s", attempt)
 }
 
+// serveHealth answers a health check, which takes a slot as a request does.
+func (r *runner) serveHealth(w http.ResponseWriter) {
+	w.Header().Set(headerInstance, r.id)
+	admitted, leaving := r.admit("")
+	if admitted {
+		defer r.release()
+	}
+	if leaving {
+		w.Header().Set("Connection", "close")
+	}
+	if !admitted || leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // stream sends the events after the last one that the client has, with a pause before each.
 func (r *runner) stream(w http.ResponseWriter, req *http.Request) {
 	attempt, flusher := req.Header.Get(headerAttempt), http.NewResponseController(w)
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -128,7 +128,7 @@
 	return caller
 }
 
-// watchers returns the daemons that hold a watch now.
+// watchers returns the daemons that hold a watch now, with nil for one whose daemon wasn't known when it began.
 func (s *store) watchers() []*daemon {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,11 +226,9 @@
 	wait, _ := strconv.Atoi(q.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	caller, _ := r.Context().Value(callerKey{}).(*daemon)
-	if caller != nil {
-		s.mu.Lock()
-		defer s.countWatch(caller)()
-		s.mu.Unlock()
-	}
+	s.mu.Lock()
+	defer s.countWatch(caller)()
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		if s.away[caller] {
