Daemons read the store in place of readers that it turns away

Cause: the readers of a zone were chosen by rank and by being heard (Relay.isReader), and nothing told the others how old the readers' copies were.

Change: what counts is how old a copy is known to be (coord.TableReader, one for each table). A reader whose copy is older than 1 s while its calls are refused, or than 1.55 s while one is under way, asks the next two daemons of its zone by rank, and after 0.1 s the next twelve, until one of them is served; it asks again only after its copy was confirmed in between. Those asked read for 3 s, which a reader that is still refused renews for two of them. Heartbeats tell the age of copies; a daemon whose copy is older than 3.5 s reads by itself, at random moments whose rate doesn't grow with the zone. The two zero fields that each heartbeat carried are left out, which pays for the age. A log line and a metric tell since when and why a copy is unconfirmed.

Tried first: groups without a pause for the first answer asked all seven daemons of a zone (all 14 called the store for 3 to 9 s).

--- a/coord/owner.go
+++ b/coord/owner.go
@@ -100,6 +100,28 @@
 	return len(ranked) <= limit || slices.Contains(ranked[:limit], m.self.VM)
 }
 
+// RankedInZone returns the daemons of this daemon's zone ranked for a task, of those that are live and not stopping. Daemons for which
+// skip returns true are excluded.
+func (m *Members) RankedInZone(task string, skip func(proto.VM) bool) []proto.VM {
+	m.mu.Lock()
+	ranked := m.notStopping(m.ranked(task, m.self.Zone))
+	m.mu.Unlock()
+	return slices.DeleteFunc(ranked, skip)
+}
+
+// ZoneCount returns the number of live daemons in this daemon's zone, this one included.
+func (m *Members) ZoneCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, mem := range m.members {
+		if !mem.dead && mem.announcement.Zone == m.self.Zone {
+			count++
+		}
+	}
+	return count
+}
+
 // FirstInZone returns the first daemons of this daemon's zone for a task, up to the given number, of those that are live and not
 // stopping.
 func (m *Members) FirstInZone(task string, limit int) []proto.VM {
@@ -109,6 +131,11 @@
 	return ranked[:min(len(ranked), limit)]
 }
 
+// IsFirst reports whether a daemon of this daemon's zone is one of the first for a task, up to the given number.
+func (m *Members) IsFirst(task string, limit int, vm proto.VM) bool {
+	return slices.Contains(m.FirstInZone(task, limit), vm)
+}
+
 // FirstPerZone returns, zone by zone in order of name, the first daemons of each zone for a task, up to the given
 // number, of those that are live and not stopping.
 func (m *Members) FirstPerZone(task string, limit int) []proto.VM {
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -136,5 +136,6 @@
 	MessageDaemonRowsAnswer: decodeAs[DaemonRowsAnswer],
 	MessageStreamStarts:     decodeAs[StreamStarts],
 	MessageStreamAsk:        decodeAs[StreamAsk],
+	MessageReadAsk:          decodeAs[ReadAsk],
 	MessageTunnelClose:      decodeAs[TunnelClose],
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -62,13 +62,14 @@
 	MessageStreamStarts
 	MessageStreamAsk
 	MessageTunnelClose
+	MessageReadAsk
 )
 
 // Heartbeat tells a peer that the sender is alive and which versions of the shared state it has.
 type Heartbeat struct {
 	Incarnation Incarnation `cbor:"1,keyasint"`
-	Generation  Generation  `cbor:"2,keyasint"`
-	Roster      Epoch       `cbor:"3,keyasint"`
+	Generation  Generation  `cbor:"2,keyasint,omitempty"`
+	Roster      Epoch       `cbor:"3,keyasint,omitempty"`
 	Stopping    bool        `cbor:"4,keyasint,omitempty"`
 	// Routing is the version of the routing configuration that the sender has, and Targets the revision of its target list.
 	Routing uint64   `cbor:"5,keyasint,omitempty"`
@@ -93,6 +94,10 @@
 	Pressure uint8 `cbor:"15,keyasint,omitempty"`
 	// SentAt is when the heartbeat was sent, by a clock of the sender that changes of the time of day do not affect; 0 if it does not say.
 	SentAt time.Duration `cbor:"16,keyasint,omitempty"`
+	// CopyAge is how long ago the sender's copies of the store's tables were known to be current, in tenths of a second rounded up; 0 if it
+	// does not say. CopyHops is through how many daemons the sender knows that.
+	CopyAge  uint16 `cbor:"17,keyasint,omitempty"`
+	CopyHops uint8  `cbor:"18,keyasint,omitempty"`
 }
 
 // Alive announces a daemon, or refutes an alarm about it with a higher sequence number.
@@ -121,6 +126,8 @@
 	PeerProtocolStreams PeerProtocol = 3
 	// PeerProtocolTunnelClose has TunnelClose.
 	PeerProtocolTunnelClose PeerProtocol = 4
+	// PeerProtocolReadAsk has ReadAsk.
+	PeerProtocolReadAsk PeerProtocol = 5
 )
 
 // Alarm reports that a daemon has stopped hearing from a peer it is connected to, or hears from it again.
@@ -407,6 +414,7 @@
 func (DaemonRowsAnswer) messageKind() MessageKind { return MessageDaemonRowsAnswer }
 func (StreamStarts) messageKind() MessageKind     { return MessageStreamStarts }
 func (StreamAsk) messageKind() MessageKind        { return MessageStreamAsk }
+func (ReadAsk) messageKind() MessageKind          { return MessageReadAsk }
 func (TunnelClose) messageKind() MessageKind      { return MessageTunnelClose }
 
 // Envelope frames one message. Call is nonzero for a call and for its answer.
--- a/proto/relay.go
+++ b/proto/relay.go
@@ -476,6 +476,12 @@
 	Evacuations Revision `cbor:"5,keyasint,omitzero"`
 }
 
+// ReadAsk asks a daemon of the sender's zone to read tables of the store, since nobody confirms the sender's copies of them.
+type ReadAsk struct {
+	Routing bool `cbor:"1,keyasint,omitempty"`
+	Targets bool `cbor:"2,keyasint,omitempty"`
+}
+
 // DaemonRowsAsk requests the table of the daemons from a daemon that reads the store, as the store held it at most MaxAge ago.
 type DaemonRowsAsk struct {
 	MaxAge time.Duration `cbor:"1,keyasint"`
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -213,12 +213,14 @@
 	}
 	d.eventLimiter = newEventLimiter()
 	d.started, d.bootstrapped, d.eraChanged = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+	d.routingFreshness.init(clock.Now())
+	d.targetsFreshness.init(clock.Now())
 	d.store.OnRestored(d.handleStoreRestored)
 	d.routingDocument.sender.BytesPerSecond = settings.LinkRate
 	d.documents.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
-		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolTunnelClose,
+		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolReadAsk,
 	}
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
 		relay.WithColdConfig(relay.ColdConfig{Factor: settings.ColdFactor, Slack: settings.ColdSlack}), relay.WithNoticeHandler(d.forwardNotices))
@@ -284,11 +286,13 @@
 }
 
 func (d *Relay) heartbeat() proto.Heartbeat {
-	return proto.Heartbeat{
+	h := proto.Heartbeat{
 		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), EndsDigest: d.crashTracker.Digest(), InvalidDigest: d.fleet.InvalidDigest(),
 		NoticesDigest: d.fleet.NoticeDigest(), Evacuations: d.fleet.EvacuationsVersion(),
 		Load: uint32(d.server.OpenRequests() + d.peers.links.TunnelCounts().Open), CutOff: d.paths.CutOff(), Pressure: d.intake.pressure(), SentAt: time.Duration(d.clock.Now().UnixNano()),
 	}
+	d.fillCopyAge(d.clock.Now(), &h)
+	return h
 }
 
 // handle processes a message of another daemon.
@@ -302,9 +306,10 @@
 		d.tables.ObserveVersion(now, msg.Routing)
 		d.versionLag.heard(now, from, msg.Routing, d.tables.Version())
 		newer := msg.Routing > d.tables.Version() || msg.Targets.After(d.fleet.Version()) || msg.Evacuations.After(d.fleet.EvacuationsVersion())
-		if d.peers.shouldPull(from, newer, newer && d.isReader()) {
+		if d.peers.shouldPull(from, newer, newer && d.isServedReader()) {
 			go d.pullFrom(from)
 		}
+		d.handleCopyAge(now, &msg)
 		if d.peers.shouldAskInvalid(now, from, d.fleet.InvalidDigest(), msg.InvalidDigest) {
 			go d.pullFrom(from)
 		}
@@ -344,6 +349,9 @@
 		return d.placer.DecideAdmission(msg)
 	case proto.Confirmed:
 		d.applyPeerConfirmation(now, msg)
+		d.recordStandIn(now, from, msg)
+	case proto.ReadAsk:
+		d.handleReadAsk(now, from, msg)
 	case proto.StreamStarts:
 		d.origins.Merge(msg)
 	case proto.StreamAsk:
@@ -426,11 +434,11 @@
 
 func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
 	routing := &watcher{
-		daemon: d, name: "routing", table: d.store.Routing(), freshness: &d.routingFreshness, isReader: d.isReader, onConfirmed: d.notifyReaders,
+		daemon: d, name: tableRouting, table: d.store.Routing(), freshness: &d.routingFreshness, isReader: d.readsTable(&d.routingFreshness), onConfirmed: d.notifyReaders, onResult: d.recordCall(&d.routingFreshness),
 		replace: d.handleRoutingTable, apply: d.handleRoutingChanges,
 	}
 	targets := &watcher{
-		daemon: d, name: "targets", table: d.store.Targets(), minInterval: minWatchInterval, leader: routing, freshness: &d.targetsFreshness, isReader: d.isReader, onConfirmed: d.notifyReaders,
+		daemon: d, name: tableTargets, table: d.store.Targets(), minInterval: minWatchInterval, leader: routing, freshness: &d.targetsFreshness, isReader: d.readsTable(&d.targetsFreshness), onConfirmed: d.notifyReaders, onResult: d.recordCall(&d.targetsFreshness),
 		replace: d.handleTargetTable, apply: d.handleTargetChanges, onStep: d.recordStoreState,
 	}
 	for _, loop := range []func(context.Context){
@@ -439,7 +447,9 @@
 			d.peers.members.Tick(d.clock.Now())
 			d.peers.announceToSeeds()
 			d.updateShare()
+			d.askReaders()
 		}),
+		d.periodic(standInInterval, d.tellReadersWhileStandIn),
 		d.periodic(sweepInterval, func() {
 			d.handleFleetEvents(d.fleet.Sweep(d.clock.Now()), "time")
 			d.reapplyExpired(d.fleet.ExpireInvalid(d.restoreClock.Now()))
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"emberlead/coord"
 	"emberlead/proto"
 )
 
@@ -22,12 +23,117 @@
 	confirmed time.Time
 	// confirmedByPeer is the same, as reported by another daemon that had no newer state than this one.
 	confirmedByPeer time.Time
+	// gossiped is the same, as heartbeats tell it, and gossipHops through how many daemons.
+	gossiped   time.Time
+	gossipHops int
+	// awaited is what a heartbeat told of a version that this daemon did not have yet.
+	awaited awaitedGossip
+	// failure tells why the last call of this daemon failed; empty once one is answered.
+	failure string
 	// loggedStale is set while the last log line about the age says that the copy is too old.
 	loggedStale bool
+	// reader decides whether this daemon reads the table, and woken receives a value when another daemon asks for it.
+	reader *coord.TableReader
+	woken  chan struct{}
+}
+
+// awaitedGossip says that the copy was current as of a moment for daemons that have a version.
+type awaitedGossip struct {
+	version proto.Revision
+	asOf    time.Time
+	hops    int
+}
+
+// Names of the store's tables in log lines and metrics.
+const (
+	tableRouting = "routing"
+	tableTargets = "targets"
+)
+
+func (v *tableFreshness) init(now time.Time) {
+	v.reader, v.woken = coord.NewTableReader(now, readerTiming()), make(chan struct{}, 1)
+}
+
+func (v *tableFreshness) confirmReader(at time.Time) {
+	if v.reader != nil {
+		v.reader.Confirm(at)
+	}
+}
+
+// wake has the loop that reads the table check at once whether it should.
+func (v *tableFreshness) wake() {
+	select {
+	case v.woken <- struct{}{}:
+	default:
+	}
+}
+
+// confirmByGossip records that other daemons know the contents of the table as of a moment.
+func (v *tableFreshness) confirmByGossip(at time.Time, hops int) {
+	v.confirmReader(at)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at.After(v.gossiped) {
+		v.gossiped, v.gossipHops = at, hops
+	}
+}
+
+// awaitGossip is confirmByGossip for daemons that have a version; it takes effect once this daemon has it too.
+func (v *tableFreshness) awaitGossip(version proto.Revision, at time.Time, hops int, own proto.Revision) {
+	v.mu.Lock()
+	awaited := v.awaited
+	switch {
+	case !version.After(own):
+		awaited = awaitedGossip{version, at, hops}
+		v.awaited = awaitedGossip{}
+	case awaited.asOf.IsZero() || !awaited.version.After(own):
+		v.awaited = awaitedGossip{version, at, hops}
+	}
+	v.mu.Unlock()
+	if !awaited.asOf.IsZero() && !awaited.version.After(own) {
+		v.confirmByGossip(awaited.asOf, awaited.hops)
+	}
+}
+
+// gossip returns the latest moment as of which this daemon knows its copy to be current, and through how many daemons it does.
+func (v *tableFreshness) gossip() (at time.Time, hops int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at = v.confirmed
+	if v.confirmedByPeer.After(at) {
+		at, hops = v.confirmedByPeer, 1
+	}
+	if v.gossiped.After(at) {
+		at, hops = v.gossiped, v.gossipHops
+	}
+	return at, hops
+}
+
+// recordCall records whether the store answered a call of this daemon.
+func (v *tableFreshness) recordCall(now time.Time, s coord.Standing, err error) {
+	v.mu.Lock()
+	v.failure = ""
+	if err != nil {
+		v.failure = err.Error()
+	}
+	v.mu.Unlock()
+	if err != nil {
+		v.reader.Failed(now, s)
+		return
+	}
+	v.reader.Answered(now, s)
+}
+
+// lastFailure returns why the last call of this daemon failed; empty if it was answered or there was none.
+func (v *tableFreshness) lastFailure() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.failure
 }
 
 // confirm records that the store told this daemon the contents of the table as of a moment.
 func (v *tableFreshness) confirm(at time.Time) {
+	v.confirmReader(at)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.confirmed = later(v.confirmed, at)
@@ -35,12 +141,13 @@
 
 // confirmByPeer records that the store told another daemon the contents of the table as of a moment.
 func (v *tableFreshness) confirmByPeer(at time.Time) {
+	v.confirmReader(at)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.confirmedByPeer = later(v.confirmedByPeer, at)
 }
 
-// confirmedAt returns when the copy was last known to be current, zero if it never was.
+// confirmedAt returns when the copy was last known to be current from the store or a daemon that reads it, zero if it never was.
 func (v *tableFreshness) confirmedAt() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -56,7 +163,7 @@
 
 // age returns how long ago the copy was last known to be current, and false if it never was.
 func (v *tableFreshness) age(now time.Time) (time.Duration, bool) {
-	at := v.confirmedAt()
+	at, _ := v.gossip()
 	return now.Sub(at), !at.IsZero()
 }
 
@@ -71,7 +178,7 @@
 	return max(now.Sub(v.confirmed), 1)
 }
 
-// log logs when the copy becomes too old, and when it is confirmed again.
+// log logs when the copy becomes too old, since when and why, and when it is confirmed again.
 func (v *tableFreshness) log(now time.Time, logger hclog.Logger, table string, version fmt.Stringer) {
 	age, known := v.age(now)
 	v.mu.Lock()
@@ -79,13 +186,46 @@
 	switch {
 	case known && age > maxStateAge && !v.loggedStale:
 		v.loggedStale = true
-		logger.Warn("state of the store not confirmed", "table", table, "version", version, "age", age.String())
+		logger.Warn("state of the store not confirmed", "table", table, "version", version, "age", age.String(), "since", now.Add(-age).UTC(), "why", v.whyUnconfirmed())
 	case known && age <= maxStateAge && v.loggedStale:
 		v.loggedStale = false
 		logger.Info("state of the store confirmed again", "table", table, "version", version, "age", age.String())
 	}
 }
 
+// whyUnconfirmed tells why the copy is not confirmed; the lock must be held.
+func (v *tableFreshness) whyUnconfirmed() string {
+	if v.failure != "" {
+		return v.failure
+	}
+	return "no answer of the store, and no daemon that reads it confirms the copy"
+}
+
+// CopyStats tells how current the copy of a table of the store is.
+type CopyStats struct {
+	// Age is how long ago the copy was last known to be current, in milliseconds; -1 if it never was.
+	Age int64 `json:"ageMs"`
+	// UnconfirmedSince is as of when the copy is known to be current if that is too long ago, and Why tells the reason.
+	UnconfirmedSince string `json:"unconfirmedSince,omitempty"`
+	Why              string `json:"why,omitempty"`
+	// Reads is why this daemon reads the table: rank, asked or stale copy; empty if others do. Failing is for how long its calls have failed,
+	// in milliseconds.
+	Reads   coord.ReadReason `json:"reads,omitempty"`
+	Failing int64            `json:"failingMs,omitempty"`
+}
+
+func (v *tableFreshness) stats(now time.Time, s coord.Standing) CopyStats {
+	reads := v.reader.Reason(now, s)
+	stats := CopyStats{Age: ageMillis(v, now), Reads: reads, Failing: v.reader.FailedFor(now).Milliseconds()}
+	age, known := v.age(now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known && age > maxStateAge {
+		stats.UnconfirmedSince, stats.Why = now.Add(-age).UTC().Format(time.RFC3339Nano), v.whyUnconfirmed()
+	}
+	return stats
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -106,6 +246,19 @@
 	}
 }
 
+// recordStandIn records that the store serves a daemon of this zone that is not one of its readers by rank.
+func (d *Relay) recordStandIn(now time.Time, from proto.VM, m proto.Confirmed) {
+	if alive, known := d.peers.members.Lookup(from); !known || alive.Zone != d.self.Zone || d.peers.members.IsFirst(taskReadStore, readersPerZone, from) {
+		return
+	}
+	if 0 < m.RoutingAge && m.RoutingAge < silentCopyAge {
+		d.routingFreshness.reader.HandleStandIn(now, from)
+	}
+	if 0 < m.TargetsAge && m.TargetsAge < silentCopyAge {
+		d.targetsFreshness.reader.HandleStandIn(now, from)
+	}
+}
+
 // applyPeerConfirmation takes over the confirmation of another daemon for the tables of which this daemon has no older state.
 func (d *Relay) applyPeerConfirmation(now time.Time, m proto.Confirmed) {
 	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() && !m.Evacuations.After(d.fleet.EvacuationsVersion()) {
@@ -125,14 +278,10 @@
 	return max(routing, targets), routingKnown && targetsKnown
 }
 
-// logFreshness logs when the configuration is behind that of other daemons, and when a daemon that reads the store does not know the
-// store's present state.
+// logFreshness logs when the configuration is behind that of other daemons, and when this daemon does not know the store's present state.
 func (d *Relay) logFreshness() {
-	now, isReader := d.clock.Now(), d.isReader()
-	d.versionLag.log(now, d.log, d.tables.Version(), isReader)
-	if !isReader {
-		return
-	}
-	d.routingFreshness.log(now, d.log, "routing", proto.Revision{Version: d.tables.Version()})
-	d.targetsFreshness.log(now, d.log, "targets", d.fleet.Version())
+	now, s := d.clock.Now(), d.standing()
+	d.versionLag.log(now, d.log, d.tables.Version(), d.isReader())
+	d.routingFreshness.log(now, d.log.With("reads", d.routingFreshness.reader.Reason(now, s)), tableRouting, proto.Revision{Version: d.tables.Version()})
+	d.targetsFreshness.log(now, d.log.With("reads", d.targetsFreshness.reader.Reason(now, s)), tableTargets, d.fleet.Version())
 }
--- a/serve/relayservers.go
+++ b/serve/relayservers.go
@@ -132,6 +132,8 @@
 	// or to one that told it, in milliseconds; -1 if it never did.
 	RoutingAge int64 `json:"routingAgeMs"`
 	TargetsAge int64 `json:"targetsAgeMs"`
+	// Copies tells for each table of the store since when the local copy is unconfirmed, why, and whether this daemon reads the table.
+	Copies map[string]CopyStats `json:"copies"`
 	// LinkAuth is how daemons authenticate to each other: storeAddress (which keeps nobody out), key or certificates.
 	LinkAuth linkAuth `json:"linkAuth"`
 	// Crashes counts the remembered ends of targets under requests, and the requests affected.
@@ -164,8 +166,9 @@
 }
 
 func (d *Relay) vars() RelayVars {
-	now := d.clock.Now()
+	now, s := d.clock.Now(), d.standing()
 	return RelayVars{
+		Copies:     map[string]CopyStats{tableRouting: d.routingFreshness.stats(now, s), tableTargets: d.targetsFreshness.stats(now, s)},
 		RoutingAge: ageMillis(&d.routingFreshness, now), TargetsAge: ageMillis(&d.targetsFreshness, now),
 		Requests: d.server.Counts().Stats(), Pieces: d.pieces.Stats(), TargetConnections: d.transport.Counts(), Links: d.peers.links.Counts(),
 		Members: d.peers.members.Counts(), Share: d.peers.Share(), Routing: d.tables.Version(), Lag: d.versionLag.stats(now), Fleet: d.fleet.Version().String(), Era: d.store.Era(), Evacuated: d.fleet.EvacuatedZones(), OpenRequests: d.server.OpenRequests(),
@@ -185,5 +188,5 @@
 func (d *Relay) logStatus() {
 	v, now := d.vars(), d.clock.Now()
 	d.log.Info("status", "usage", d.statusMeter.read(now, d.peers.linkDelay(now)), "requests", v.Requests, "pieces", v.Pieces, "connections", v.TargetConnections, "links", v.Links, "members", v.Members, "share", v.Share,
-		"routing", v.Routing, "lag", v.Lag, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "intake", v.Intake, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
+		"routing", v.Routing, "lag", v.Lag, "routingAgeMs", v.RoutingAge, "targets", v.Fleet, "targetsAgeMs", v.TargetsAge, "copies", v.Copies, "storeEra", v.Era, "evacuated", v.Evacuated, "linkAuth", v.LinkAuth, "crashes", v.Crashes, "origins", v.Origins, "intake", v.Intake, "cold", v.Cold, "placements", v.Placements, "paths", v.Paths, "tunnels", v.Tunnels, "notices", v.Notices, "permits", v.Permits, "open", v.OpenRequests, "store", v.Store, "dropped", v.LogLinesDropped)
 }
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -99,9 +99,10 @@
 	// freshness records as of when the store's answers hold.
 	freshness *tableFreshness
 	// isReader reports whether this daemon should call the store. onConfirmed is called after a check that confirmed
-	// the copy, so that other daemons learn of it.
+	// the copy, so that other daemons learn of it, and onResult after each step; isFirst is set unless the step before was answered.
 	isReader    func() bool
 	onConfirmed func()
+	onResult    func(now time.Time, err error, isFirst bool)
 
 	storeUp bool
 	// lastSent is when the last finished call was sent.
@@ -116,13 +117,13 @@
 	startedAt := w.daemon.clock.Now()
 	for ctx.Err() == nil {
 		waited := w.daemon.clock.Now().Sub(startedAt)
-		if !w.daemon.hasTables() && !w.daemon.mayReadFirst(waited) || waited < membersWait && !w.daemon.rowsRead.Load() {
+		if !w.daemon.hasTables() && !w.daemon.mayReadFirst(waited) && !w.isReader() || waited < membersWait && !w.daemon.rowsRead.Load() {
 			w.daemon.sleep(ctx, rowsWait/20)
 			continue
 		}
-		if w.daemon.hasTables() && !w.daemon.isReader() {
-			version = proto.Revision{}
-			w.daemon.sleep(ctx, readerCheckInterval)
+		if w.daemon.hasTables() && !w.isReader() {
+			version, w.storeUp = proto.Revision{}, false
+			w.daemon.waitToRead(ctx, w.freshness, readerCheckInterval)
 			continue
 		}
 		next, err := w.step(ctx, version)
@@ -168,13 +169,6 @@
 // hasTables reports whether the daemon has both tables, from any source.
 func (d *Relay) hasTables() bool { return d.tables.Current() != nil && d.targetsKnown.Load() }
 
-// isReader reports whether this daemon is one of those in its zone that watch the store. Daemons that this one does not
-// hear read only for themselves, and a daemon that hears no other daemon is told nothing, so it reads too.
-func (d *Relay) isReader() bool {
-	members := d.peers.members
-	return members.IsAmongFirst(taskReadStore, readersPerZone, d.peers.isSilentPeer) || members.AllSilent(d.clock.Now(), peerSilenceTimeout)
-}
-
 // mayReadFirst reports whether a daemon without the tables, which started to need them a time ago, should read them from the store. Where
 // all daemons start together the readers of each zone do so, and the others get the tables over the links, unless the store can answer
 // all of them within a moment. Should that fail, the number of those that read doubles in each interval, so that the load of the store
@@ -279,8 +273,7 @@
 
 // checkDue reports whether this daemon should check now; others may have confirmed the copy since the timer was set.
 func (w *watcher) checkDue(now time.Time) bool {
-	age, _ := w.freshness.age(now)
-	return age >= checkAfter && w.isReader()
+	return now.Sub(w.freshness.confirmedAt()) >= checkAfter && w.isReader()
 }
 
 // finishWatch handles the answer of a watch. A watch that hung is treated as if it had brought no changes.
@@ -344,6 +337,10 @@
 	case err == nil && !w.storeUp:
 		w.daemon.log.Info("store reached", "table", w.name)
 	}
+	isFirst := !w.storeUp
 	w.storeUp = err == nil
 	w.reached.Store(w.storeUp)
+	if w.onResult != nil {
+		w.onResult(now, err, isFirst)
+	}
 }
