--- a/origin/book.go
+++ b/origin/book.go
@@ -9,10 +9,10 @@
 
 // Limits on what is remembered.
 const (
-	// maxStarts limits the number of remembered streams, at about 150 bytes each.
+	// maxStarts limits the number of remembered streams, at some 250 bytes each.
 	maxStarts = 32768
-	// maxStartsPerRequest limits the streams of equal requests, such as a question that many callers ask.
-	maxStartsPerRequest = 64
+	// maxStartsPerRequest limits the streams of equal requests, such as a question that many callers ask, so that others keep room.
+	maxStartsPerRequest = maxStarts / 2
 	// MaxLifetime is how long a stream is remembered at most.
 	MaxLifetime = 10 * time.Minute
 )
@@ -20,21 +20,37 @@
 // Book remembers where streams began. A start is only ever added, so that daemons which exchange starts in any order, and
 // any number of times, come to the same answers.
 type Book struct {
-	byRequest map[proto.RequestDigest][]start
-	// order holds the requests of all starts, the oldest first.
-	order []proto.RequestDigest
+	byRequest map[proto.RequestDigest]*requestStarts
+	// order holds all starts, the oldest first, and some that were removed since.
+	order []startName
 	size  int
 }
 
+// startName names a remembered start.
+type startName struct {
+	request proto.RequestDigest
+	stream  proto.StreamKey
+	origin  proto.StreamOrigin
+}
+
+// requestStarts holds the streams of equal requests.
+type requestStarts struct {
+	byStream map[proto.StreamKey][]start
+	// order holds the streams, the oldest first, and some that were removed since.
+	order []startName
+	size  int
+	// origins holds until when a stream of each origin may be taken up again.
+	origins []start
+}
+
 // start is where a stream began, and until when its caller may take it up again.
 type start struct {
-	stream proto.StreamKey
 	origin proto.StreamOrigin
 	until  time.Time
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{byRequest: map[proto.RequestDigest][]start{}} }
+func NewBook() *Book { return &Book{byRequest: map[proto.RequestDigest]*requestStarts{}} }
 
 // Add remembers where a stream began.
 func (b *Book) Add(now time.Time, s proto.StreamStart) {
@@ -42,22 +58,65 @@
 	if lifetime <= 0 || s.Origin == (proto.StreamOrigin{}) {
 		return
 	}
-	list := b.byRequest[s.Request]
-	for i := range list {
-		if list[i].stream == s.Stream && list[i].origin == s.Origin {
-			list[i].until = later(list[i].until, now.Add(lifetime))
-			return
-		}
+	r := b.byRequest[s.Request]
+	if r == nil {
+		r = &requestStarts{byStream: map[proto.StreamKey][]start{}}
+		b.byRequest[s.Request] = r
 	}
-	if len(list) >= maxStartsPerRequest {
-		list = slices.Delete(list, 0, 1)
-		b.size--
+	until := now.Add(lifetime)
+	r.origins, _ = addStart(r.origins, s.Origin, until)
+	starts, isNew := addStart(r.byStream[s.Stream], s.Origin, until)
+	r.byStream[s.Stream] = starts
+	if !isNew {
+		return
 	}
-	b.byRequest[s.Request] = append(list, start{stream: s.Stream, origin: s.Origin, until: now.Add(lifetime)})
-	b.order = append(b.order, s.Request)
+	name := startName{s.Request, s.Stream, s.Origin}
+	r.order = append(r.order, name)
+	b.order = append(b.order, name)
+	r.size++
 	b.size++
+	for r.size > maxStartsPerRequest {
+		oldest := r.order[0]
+		r.order = r.order[1:]
+		b.remove(oldest)
+	}
 	for b.size > maxStarts {
-		b.dropOldest()
+		oldest := b.order[0]
+		b.order = b.order[1:]
+		b.remove(oldest)
+	}
+}
+
+// addStart adds a start to a list, or extends the one of its origin, and reports whether it is new.
+func addStart(starts []start, at proto.StreamOrigin, until time.Time) ([]start, bool) {
+	for i := range starts {
+		if starts[i].origin == at {
+			starts[i].until = later(starts[i].until, until)
+			return starts, false
+		}
+	}
+	return append(starts, start{at, until}), true
+}
+
+// remove forgets a start, if it is still remembered.
+func (b *Book) remove(name startName) {
+	r := b.byRequest[name.request]
+	if r == nil {
+		return
+	}
+	starts := r.byStream[name.stream]
+	kept := slices.DeleteFunc(starts, func(s start) bool { return s.origin == name.origin })
+	if len(kept) == len(starts) {
+		return
+	}
+	b.size--
+	r.size--
+	r.byStream[name.stream] = kept
+	if len(kept) == 0 {
+		delete(r.byStream, name.stream)
+	}
+	if r.size == 0 {
+		delete(b.byRequest, name.request)
 	}
 }
 
@@ -66,11 +125,11 @@
 func (b *Book) Find(now time.Time, request proto.RequestDigest, stream proto.StreamKey) (proto.StreamOrigin, bool) {
 	var found proto.StreamOrigin
 	known := false
-	for _, s := range b.byRequest[request] {
-		if !s.until.After(now) || stream != 0 && s.stream != stream {
+	for _, s := range b.starts(request, stream) {
+		if !s.until.After(now) {
 			continue
 		}
-		if known && s.origin != found {
+		if known {
 			return proto.StreamOrigin{}, false
 		}
 		found, known = s.origin, true
@@ -78,12 +137,37 @@
 	return found, known
 }
 
+// starts returns the starts of a stream or, without a key, one of each origin of the request's streams.
+func (b *Book) starts(request proto.RequestDigest, stream proto.StreamKey) []start {
+	r := b.byRequest[request]
+	switch {
+	case r == nil:
+		return nil
+	case stream == 0:
+		return r.origins
+	}
+	return r.byStream[stream]
+}
+
 // Starts returns what is known of the streams of a request.
 func (b *Book) Starts(now time.Time, request proto.RequestDigest) []proto.StreamStart {
 	var starts []proto.StreamStart
-	for _, s := range b.byRequest[request] {
+	r := b.byRequest[request]
+	if r == nil {
+		return nil
+	}
+	for stream := range r.byStream {
+		starts = append(starts, b.StartsOf(now, request, stream)...)
+	}
+	return starts
+}
+
+// StartsOf returns what is known of a stream.
+func (b *Book) StartsOf(now time.Time, request proto.RequestDigest, stream proto.StreamKey) []proto.StreamStart {
+	var starts []proto.StreamStart
+	for _, s := range b.starts(request, stream) {
 		if s.until.After(now) {
-			starts = append(starts, proto.StreamStart{Request: request, Stream: s.stream, Origin: s.origin, Lifetime: s.until.Sub(now)})
+			starts = append(starts, proto.StreamStart{Request: request, Stream: stream, Origin: s.origin, Lifetime: s.until.Sub(now)})
 		}
 	}
 	return starts
@@ -103,30 +187,30 @@
 
 // Sweep removes the streams that can no longer be taken up.
 func (b *Book) Sweep(now time.Time) {
-	for request, list := range b.byRequest {
-		before := len(list)
-		list = slices.DeleteFunc(list, func(s start) bool { return !s.until.After(now) })
-		b.size -= before - len(list)
-		b.byRequest[request] = list
-		if len(list) == 0 {
+	expired := func(s start) bool { return !s.until.After(now) }
+	for request, r := range b.byRequest {
+		before := r.size
+		for stream, starts := range r.byStream {
+			kept := slices.DeleteFunc(starts, expired)
+			r.size -= len(starts) - len(kept)
+			r.byStream[stream] = kept
+			if len(kept) == 0 {
+				delete(r.byStream, stream)
+			}
+		}
+		b.size -= before - r.size
+		r.origins = slices.DeleteFunc(r.origins, expired)
+		r.order = slices.DeleteFunc(r.order, b.isForgotten)
+		if r.size == 0 {
 			delete(b.byRequest, request)
 		}
 	}
-	b.order = slices.DeleteFunc(b.order, func(request proto.RequestDigest) bool { return b.byRequest[request] == nil })
+	b.order = slices.DeleteFunc(b.order, b.isForgotten)
 }
 
-func (b *Book) dropOldest() {
-	request := b.order[0]
-	b.order = b.order[1:]
-	list := b.byRequest[request]
-	if len(list) == 0 {
-		return
-	}
-	b.size--
-	b.byRequest[request] = slices.Delete(list, 0, 1)
-	if len(list) == 1 {
-		delete(b.byRequest, request)
-	}
+// isForgotten reports whether a start is no longer remembered.
+func (b *Book) isForgotten(name startName) bool {
+	return !slices.ContainsFunc(b.starts(name.request, name.stream), func(s start) bool { return s.origin == name.origin })
 }
 
 func later(a, b time.Time) time.Time {
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -1,6 +1,7 @@
 package origin_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,43 @@
 		t.Errorf("%d streams are left after their time", b.Size())
 	}
 }
+
+// TestStreamsOfEqualRequestsAreRemembered guards against a page that everybody reads: callers whose streams broke off were refused, since
+// only the last few streams of equal requests were remembered.
+func TestStreamsOfEqualRequestsAreRemembered(t *testing.T) {
+	const streams = 1000
+	now := time.Unix(1000, 0)
+	b := origin.NewBook()
+	for i := range streams {
+		b.Add(now, proto.StreamStart{Request: 1, Stream: proto.StreamKey(i + 1), Origin: proto.StreamOrigin{Pool: "p", Software: fmt.Sprint("v", i%2)}, Lifetime: time.Minute})
+	}
+	for i := range streams {
+		if at, known := b.Find(now, 1, proto.StreamKey(i+1)); !known || at.Software != fmt.Sprint("v", i%2) {
+			t.Fatalf("stream %d of %d began at %+v, known %t", i, streams, at, known)
+		}
+	}
+	if at, known := b.Find(now, 1, 0); known {
+		t.Errorf("a stream that may have begun at either of two versions is said to have begun at %+v", at)
+	}
+	b.Sweep(now.Add(time.Hour))
+	if got := b.Size(); got != 0 {
+		t.Errorf("%d streams are remembered after all can no longer be taken up", got)
+	}
+}
+
+// TestManyEqualRequestsLeaveRoomForOthers guards against a request that all callers repeat and whose streams push out all others.
+func TestManyEqualRequestsLeaveRoomForOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := origin.NewBook()
+	b.Add(now, proto.StreamStart{Request: 2, Stream: 1, Origin: proto.StreamOrigin{Pool: "p", Software: "v1"}, Lifetime: time.Minute})
+	const streams = 100_000
+	for i := range streams {
+		b.Add(now, proto.StreamStart{Request: 1, Stream: proto.StreamKey(i + 1), Origin: proto.StreamOrigin{Pool: "p", Software: "v1"}, Lifetime: time.Minute})
+	}
+	if _, known := b.Find(now, 2, 1); !known {
+		t.Error("the stream of another request is forgotten")
+	}
+	if got := b.Size(); got > streams/2 {
+		t.Errorf("%d streams are remembered, want a limit", got)
+	}
+}
--- a/proto/streams.go
+++ b/proto/streams.go
@@ -26,7 +26,8 @@
 	Starts []StreamStart `cbor:"1,keyasint,omitempty"`
 }
 
-// StreamAsk requests the StreamStarts of a request.
+// StreamAsk requests the StreamStarts of a stream or, without a key, one of each origin of the request's streams.
 type StreamAsk struct {
 	Request RequestDigest `cbor:"1,keyasint"`
+	Stream  StreamKey     `cbor:"2,keyasint,omitempty"`
 }
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -17,6 +17,8 @@
 const (
 	// originsBatchDelay is how long starts of streams are collected before other daemons are told.
 	originsBatchDelay = 10 * time.Millisecond
+	// maxStartsPerMessage limits the size of a message; a daemon that has started is told of many streams.
+	maxStartsPerMessage = 1000
 	// originsTimeout is how long the other daemons may take to tell where a stream began.
 	originsTimeout = 150 * time.Millisecond
 	// originsStartTime is how long after its start a daemon may still learn of other daemons that it can ask, and
@@ -102,7 +104,9 @@
 	o.pending = map[proto.VM][]proto.StreamStart{}
 	o.mu.Unlock()
 	for vm, starts := range pending {
-		o.peers.Send(vm, proto.StreamStarts{Starts: starts})
+		for part := range slices.Chunk(starts, maxStartsPerMessage) {
+			o.peers.Send(vm, proto.StreamStarts{Starts: part})
+		}
 	}
 }
 
@@ -116,11 +120,11 @@
 	}
 }
 
-// Answer tells another daemon what is known of the streams of a request.
+// Answer tells another daemon what is known of a stream.
 func (o *Origins) Answer(ask proto.StreamAsk) proto.StreamStarts {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return proto.StreamStarts{Starts: o.book.Starts(o.clock.Now(), ask.Request)}
+	return proto.StreamStarts{Starts: o.book.StartsOf(o.clock.Now(), ask.Request, ask.Stream)}
 }
 
 // Find returns where a stream began, if it is known here or at the daemons that keep it. Without a key it finds any stream
@@ -151,7 +155,7 @@
 	defer cancel()
 	startedAt := o.clock.Now()
 	answers := make(chan proto.StreamStarts)
-	asked, answered := o.askHolders(ctx, request, nil, answers), 0
+	asked, answered := o.askHolders(ctx, proto.StreamAsk{Request: request, Stream: stream}, nil, answers), 0
 	for ctx.Err() == nil && (answered < len(asked) || o.mayKnowMore()) {
 		select {
 		case starts := <-answers:
@@ -161,7 +165,7 @@
 				return found, true
 			}
 		case <-o.clock.After(originsAskInterval):
-			asked = o.askHolders(ctx, request, asked, answers)
+			asked = o.askHolders(ctx, proto.StreamAsk{Request: request, Stream: stream}, asked, answers)
 		case <-ctx.Done():
 		}
 	}
@@ -173,14 +177,14 @@
 func (o *Origins) mayKnowMore() bool { return o.clock.Now().Sub(o.startedAt) < originsStartTime }
 
 // askHolders asks the daemons that keep a stream, except those asked before, and returns all of them.
-func (o *Origins) askHolders(ctx context.Context, request proto.RequestDigest, asked []proto.VM, answers chan<- proto.StreamStarts) []proto.VM {
-	for _, vm := range o.peers.StreamHolders(request, origin.Asked) {
+func (o *Origins) askHolders(ctx context.Context, ask proto.StreamAsk, asked []proto.VM, answers chan<- proto.StreamStarts) []proto.VM {
+	for _, vm := range o.peers.StreamHolders(ask.Request, origin.Asked) {
 		if slices.Contains(asked, vm) {
 			continue
 		}
 		asked = append(asked, vm)
 		go func() {
-			m, err := o.peers.Call(ctx, vm, proto.StreamAsk{Request: request})
+			m, err := o.peers.Call(ctx, vm, ask)
 			if err != nil {
 				o.log.Debug("a daemon does not tell where a stream began", "from", vm, "error", err)
 			}
