An older state of an entry lists no target that was removed

A target whose removal is known was listed again by an older answer of another daemon that arrives after it, until the next change of its entry, and work was sent to its address, which may be another's by then.

Cause: Fleet.applyChange compared versions only with a listed target, so that any version of one that isn't listed was new.

Change: removals are remembered for a minute, also those of entries that were never listed here; an entry older than its removal, within an era of the store, is ignored.

Evidence: TestOlderAnswerListsNoRemovedTarget, six of nine scenarios fail before (an older state after the removal, of a target never listed, after a while, after whole lists, in the same answer); the tests of lapsed entries and of restored stores pass unchanged.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -157,6 +157,8 @@
 	// departed holds the targets that left recently, and restoredAsOf is the revision of the first list read in the store's era.
 	departed     map[string]departedTarget
 	restoredAsOf proto.Revision
+	// removals holds the entries that were removed recently.
+	removals map[string]removedEntry
 	// evacuations holds the zones that are or were evacuated, and evacuationsVersion is the revision of the newest change.
 	evacuations        map[string]proto.Evacuation
 	evacuationsVersion proto.Revision
@@ -188,7 +190,7 @@
 func NewFleet(changed func(pool string), options ...FleetOption) *Fleet {
 	f := &Fleet{
 		pools: map[string]*targetPool{}, byID: map[string]*Target{}, invalid: map[string]invalidEntry{}, revalidated: map[string]proto.Revision{},
-		departed: map[string]departedTarget{}, evacuations: map[string]proto.Evacuation{}, evacuationRowVersions: map[string]uint64{}, heldSince: map[string]time.Time{},
+		departed: map[string]departedTarget{}, removals: map[string]removedEntry{}, evacuations: map[string]proto.Evacuation{}, evacuationRowVersions: map[string]uint64{}, heldSince: map[string]time.Time{},
 		changed: changed, zones: DefaultZoneCosts(), signals: map[proto.RunName]*targetSignals{}, watched: map[*Target]struct{}{}, onNotices: func([]proto.TargetNotice) {},
 	}
 	for _, option := range options {
@@ -257,6 +259,7 @@
 		case listed[id]:
 		case complete:
 			f.recordDeparture(now, t, asOf)
+			f.recordRemoval(now, id, asOf)
 			events = append(events, f.drop(t))
 		default:
 			events = append(events, f.applyChange(now, FleetChange{ID: id, Removed: true, Version: asOf, LostInRestore: restored})...)
@@ -327,9 +330,12 @@
 
 func (f *Fleet) applyChange(now time.Time, c FleetChange) []FleetEvent {
 	t := f.byID[c.ID]
-	if t != nil && t.version.After(c.Version) {
+	if t != nil && t.version.After(c.Version) || f.isOutdated(c) {
 		return nil
 	}
+	if c.Removed {
+		f.recordRemoval(now, c.ID, c.Version)
+	}
 	switch {
 	case c.Unusable || f.isInvalid(c):
 		return f.dropUnusable(now, t, c)
--- a/relay/fleet_test.go
+++ b/relay/fleet_test.go
@@ -311,3 +311,44 @@
 		}
 	}
 }
+
+// TestOlderAnswerListsNoRemovedTarget guards against an answer of another daemon that arrives after the removal of a target that it still
+// lists: the target was used again, though its address may be another's by then.
+func TestOlderAnswerListsNoRemovedTarget(t *testing.T) {
+	put3, put7, remove6 := putChange(3, testTarget("a", "p", "z")), putChange(7, testTarget("a", "p", "z")), removeChange(6, "a")
+	whole := func(asOf uint64, complete bool) func(*Fleet) {
+		return func(f *Fleet) {
+			f.Replace(start, rev(asOf), []FleetChange{putChange(2, testTarget("b", "p", "z"))}, complete)
+		}
+	}
+	apply := func(changes ...FleetChange) func(*Fleet) {
+		return func(f *Fleet) { f.ApplyChanges(start, changes) }
+	}
+	wait := func(f *Fleet) { f.Sweep(start.Add(departedRetention / 2)) }
+	scenarios := []struct {
+		name  string
+		steps []func(*Fleet)
+		want  string
+	}{
+		{"an older state after the removal", []func(*Fleet){apply(put3), apply(remove6), apply(put3)}, ""},
+		{"an older state of a target that was never listed", []func(*Fleet){apply(remove6), apply(put3)}, ""},
+		{"an older state after a while", []func(*Fleet){apply(put3), apply(remove6), wait, apply(put3)}, ""},
+		{"an older state after a whole list without it", []func(*Fleet){apply(put3), whole(6, true), apply(put3)}, "b "},
+		{"an older state after the list of the store", []func(*Fleet){apply(put3), whole(6, false), apply(put3)}, "b "},
+		{"an older state in the same answer", []func(*Fleet){apply(remove6, put3)}, ""},
+		{"a later state", []func(*Fleet){apply(put3), apply(remove6), apply(put7)}, "a "},
+		{"a later state, and then an older one", []func(*Fleet){apply(put3), apply(remove6), apply(put7), apply(put3)}, "a "},
+		{"a later state and a removal before it", []func(*Fleet){apply(put7), apply(remove6)}, "a "},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			f := NewFleet(func(string) {})
+			for _, step := range s.steps {
+				step(f)
+			}
+			if got := usableIDs(f, "p"); got != s.want {
+				t.Errorf("usable: %q, want %q", got, s.want)
+			}
+		})
+	}
+}
--- a/relay/fleetinvalid.go
+++ b/relay/fleetinvalid.go
@@ -38,7 +38,29 @@
 	f.departed[t.Spec.ID] = departedTarget{startedAt: t.Spec.StartedAt, announced: t.leaves(), version: version, at: now}
 }
 
+// removedEntry is an entry that the store no longer had as of a revision.
+type removedEntry struct {
+	version proto.Revision
+	at      time.Time
+}
+
+func (f *Fleet) recordRemoval(now time.Time, id string, version proto.Revision) {
+	f.removals[id] = removedEntry{version: proto.Latest(f.removals[id].version, version), at: now}
+}
+
+// isOutdated reports whether a change was made before the entry was removed: answers of other daemons may overtake each other. Versions of
+// an earlier era of the store cannot be compared.
+func (f *Fleet) isOutdated(c FleetChange) bool {
+	removed, known := f.removals[c.ID]
+	return known && !c.Removed && removed.version.Era == c.Version.Era && removed.version.After(c.Version)
+}
+
 func (f *Fleet) forgetDepartures(now time.Time) {
+	for id, removed := range f.removals {
+		if now.Sub(removed.at) > departedRetention {
+			delete(f.removals, id)
+		}
+	}
 	for id, departure := range f.departed {
 		if now.Sub(departure.at) > departedRetention {
 			delete(f.departed, id)
