Of two changes of a pool at once the later targets stay

Change: the targets are read under the lock. Evidence: TestLaterTargetsOfAPoolStay fails before ("a target that has left gets work again").

--- a/relay/worker.go
+++ b/relay/worker.go
@@ -65,11 +65,11 @@
 }
 
 func (w *worker) updateTargets() {
-	targets, limits := w.targets(), w.pieces.fleet.poolLimits(w.pieces.clock.Now(), w.pool)
+	// The targets are read under the lock, so that of two updates at once the later one has the later targets.
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.deliver(w.batcher.SetTargets(targets))
-	w.limits = limits
+	w.deliver(w.batcher.SetTargets(w.targets()))
+	w.limits = w.pieces.fleet.poolLimits(w.pieces.clock.Now(), w.pool)
 	w.schedule()
 }
 
