A new VM's share waits until others can have read its row

A new VM whose row the store takes only after two minutes used its share of the limits at once, while others had not read the row and counted one VM less, so that all together could repeat more than allowed.

Cause: ShareTracker.Start counted the VM as listed from its start, also if the others did not know it, so that the first write of its row did not make it wait.

Evidence: TestShareWaitsForARowThatIsTakenLate fails before for rows taken after 1, 3 and 4 minutes (used 0 s to 70 s later); a row taken after 10 minutes was handled already.

--- a/coord/shares.go
+++ b/coord/shares.go
@@ -84,8 +84,10 @@
 		return
 	}
 	t.establishedAt = now
-	t.lastListed = latest(t.lastListed, now)
-	if !known {
+	if known {
+		t.lastListed = latest(t.lastListed, now)
+	} else {
+		// The others count this VM only once they have read its row, whenever the store takes that.
 		t.establishedAt = now.Add(t.timing.MaxReadAge)
 	}
 	t.establishedAt = latest(t.establishedAt, t.notBefore)
--- a/coord/shares_test.go
+++ b/coord/shares_test.go
@@ -460,3 +460,28 @@
 	wantShare(t, tracker, usableAt.Add(-time.Second), 1, ShareStarting)
 	wantShare(t, tracker, usableAt, 1, ShareUsable)
 }
+
+// TestShareWaitsForARowThatIsTakenLate guards against a new VM whose row the store takes only after minutes: it used a share while others
+// had not read its row yet and counted one VM less.
+func TestShareWaitsForARowThatIsTakenLate(t *testing.T) {
+	timing := ShareTiming{Window: 10 * time.Second, Lease: 10 * time.Minute, MaxReadAge: 2 * time.Minute}
+	start := time.Unix(1000, 0)
+	for _, taken := range []time.Duration{time.Second, time.Minute, 3 * time.Minute, 4 * time.Minute, 10 * time.Minute} {
+		tracker := NewShareTracker("new", timing)
+		tracker.Start(start, false)
+		sent := start.Add(taken)
+		tracker.RowWritten(sent, 0)
+		// Another daemon that last read the rows just before may use its share for MaxReadAge.
+		readByAll := sent.Add(timing.MaxReadAge)
+		for at := sent; at.Before(readByAll.Add(timing.Window + time.Second)); at = at.Add(time.Second) {
+			tracker.ObserveRows(at, at, 0, map[proto.VM]proto.Revision{"old": {Version: 1}})
+			if usable := tracker.Share(at).Usable; usable && at.Before(readByAll) {
+				t.Errorf("a row that was taken after %s: the share is used %s later, when others may not know it", taken, at.Sub(sent))
+				break
+			}
+		}
+		if !tracker.Share(readByAll.Add(timing.Window + time.Second)).Usable {
+			t.Errorf("a row that was taken after %s: the share is not used after all have read it", taken)
+		}
+	}
+}
