One rule tells how old a copy of the store may be, and who reads then

Those that ask a reader for the list of daemons waited for its call to fail, 1.5 s while the store is silent. A 429 with Retry-After was called again sooner than told.

Change: a daemon that has read for others for a while stops only once it knows that others read: a confirmation that is later than its own isn't an echo. One whose copy is stale makes its first call soon (0.1 s a daemon of the zone), later ones 1.5 s a daemon apart. A daemon that failed a moment ago isn't made to call again by a second reader. Readers that the store doesn't answer say so at once when they are asked for the list of daemons, and four daemons are asked instead of two. Retry-After is observed, up to 1.5 s.

--- a/coord/tablereader.go
+++ b/coord/tablereader.go
@@ -9,6 +9,9 @@
 	"emberlead/proto"
 )
 
+// echoMargin is how much later than this daemon's own confirmations those of others must be to be told from echoes of them.
+const echoMargin = 100 * time.Millisecond
+
 // ReaderTiming holds the limits by which the daemons of a zone agree who reads a table of the store.
 type ReaderTiming struct {
 	// Readers is the number of daemons of a zone that read the table by their rank.
@@ -24,12 +27,30 @@
 	Lease time.Duration
 	// MaxAge is how old the copy of any daemon may become before it reads by itself, although nobody asked it.
 	MaxAge time.Duration
-	// CallSpacing is the mean time between two calls of a zone's daemons that read because of MaxAge and are not answered.
-	CallSpacing time.Duration
-	// StaleLease is how long such a daemon reads once it was answered.
+	// FirstCallSpacing is the mean time between the first calls of a zone's daemons that do so at once, and CallSpacing the mean time between
+	// their later calls if these are not answered.
+	FirstCallSpacing, CallSpacing time.Duration
+	// StaleLease is how long such a daemon reads at most, once it was answered, before it looks whether others do.
 	StaleLease time.Duration
 }
 
+// DefaultReaderTiming returns timing by which a change is in force everywhere within two seconds, if readers check their copies every 1.3 s
+// and heartbeats are sent every 0.3 s.
+func DefaultReaderTiming() ReaderTiming {
+	return ReaderTiming{
+		Readers: 2,
+		// A short disturbance of the store costs no calls of other daemons.
+		RefusedAge: time.Second,
+		// The latest check, and the answer of a slow store.
+		SilentAge: 1550 * time.Millisecond,
+		// The store turns away a third of all daemons at most, unless it serves nobody.
+		AskInterval: 100 * time.Millisecond, AskGrowth: 4, MaxAsked: 16,
+		Lease: 3 * time.Second,
+		// Heartbeats tell the age over a few links, each up to 0.3 s later.
+		MaxAge: 3500 * time.Millisecond, FirstCallSpacing: 100 * time.Millisecond, CallSpacing: 1500 * time.Millisecond, StaleLease: 30 * time.Second,
+	}
+}
+
 // Standing tells whether a daemon is one of the first of its zone, which read for the others, and how many daemons the zone has.
 type Standing struct {
 	First bool
@@ -58,15 +79,20 @@
 	mu     sync.Mutex
 	timing ReaderTiming
 	random func(n time.Duration) time.Duration
-	// confirmed is the latest moment as of which the copy is known to be current.
-	confirmed time.Time
-	// failedSince is since when calls of this daemon have failed; zero once one is answered.
-	failedSince time.Time
+	// confirmed is the latest moment as of which the copy is known to be current, confirmedByStore the same as the store told this daemon, and
+	// confirmedByOthers as it knows from the reads of others.
+	confirmed, confirmedByStore, confirmedByOthers time.Time
+	// failedSince is since when calls of this daemon have failed, the last of them at failedAt; zero once one is answered.
+	failedSince, failedAt time.Time
+	// readingSince is since when this daemon has read by its rank or for others, zero if it did not when it last looked. One that has read
+	// for a while stops once it knows that others read.
+	readingSince time.Time
 	// leases holds until when this daemon reads for those that asked it, and staleLease until when it reads since its copy was too old.
 	leases     map[proto.VM]time.Time
 	staleLease time.Time
-	// probeAt is when this daemon may next read because of the age of its copy.
+	// probeAt is when this daemon may next read because of the age of its copy, and probing is set while it does without a lease.
 	probeAt time.Time
+	probing bool
 	// asked is the rank up to which daemons were asked since the copy became too old, the last of them at askedAt.
 	asked   int
 	askedAt time.Time
@@ -91,21 +117,33 @@
 	return r
 }
 
-// Confirm records that this daemon's copy is current as of a moment.
+// Confirm records that the store told this daemon that its copy is current as of a moment.
 func (r *TableReader) Confirm(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmed, r.confirmedByStore = latest(r.confirmed, at), latest(r.confirmedByStore, at)
+}
+
+// ConfirmByOthers records that other daemons told that this daemon's copy is current as of a moment.
+func (r *TableReader) ConfirmByOthers(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirmed = latest(r.confirmed, at)
+	// What this daemon itself told comes back to it, and is never later.
+	if at.Sub(r.confirmedByStore) > echoMargin {
+		r.confirmedByOthers = latest(r.confirmedByOthers, at)
+	}
 }
 
 // Answered records that the store answered a call of this daemon.
 func (r *TableReader) Answered(now time.Time, s Standing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.reason(now, s) == ReadStale {
-		r.staleLease = now.Add(r.timing.StaleLease)
+	if r.probing && !s.First {
+		r.extendStaleLease(now)
 	}
-	r.failedSince, r.probeAt = time.Time{}, time.Time{}
+	r.probing = false
+	r.failedSince, r.failedAt, r.probeAt = time.Time{}, time.Time{}, time.Time{}
 }
 
 // Failed records that a call of this daemon failed.
@@ -115,17 +153,13 @@
 	if r.failedSince.IsZero() {
 		r.failedSince = now
 	}
+	r.failedAt = now
 	if s.First {
 		return
 	}
 	// A daemon that was asked has tried, and others are asked in its place.
 	clear(r.leases)
-	r.staleLease = time.Time{}
-	r.scheduleProbe(now, s)
-}
-
-// scheduleProbe sets the next call of a daemon that reads because of the age of its copy.
-func (r *TableReader) scheduleProbe(now time.Time, s Standing) {
+	r.staleLease, r.probing, r.readingSince = time.Time{}, false, time.Time{}
 	period := r.timing.CallSpacing * time.Duration(s.Count)
 	r.probeAt = now.Add(period/2 + r.random(period))
 }
@@ -148,32 +182,47 @@
 }
 
 func (r *TableReader) reason(now time.Time, s Standing) ReadReason {
+	leased := r.leased(now)
+	if (s.First || leased) && r.readingSince.IsZero() {
+		r.readingSince = now
+	}
 	switch {
 	case s.First:
+		r.staleLease = time.Time{}
 		return ReadRank
-	case r.leased(now):
+	case leased:
 		return ReadAsked
+	}
+	othersRead := now.Sub(r.confirmedByOthers) <= r.timing.MaxAge
+	if !r.readingSince.IsZero() && now.Sub(r.readingSince) >= r.timing.Lease/2 && !othersRead {
+		r.extendStaleLease(now)
+	}
+	r.readingSince = time.Time{}
+	switch {
 	case now.Before(r.staleLease):
 		return ReadStale
-	case now.Sub(r.confirmed) <= r.maxAge(now):
-		r.probeAt = time.Time{}
+	case !r.staleLease.IsZero() && !othersRead:
+		r.extendStaleLease(now)
+		return ReadStale
+	case now.Sub(r.confirmed) <= r.timing.MaxAge:
+		r.staleLease = time.Time{}
+		if now.Sub(r.failedAt) > r.timing.MaxAge {
+			r.failedSince, r.failedAt, r.probeAt = time.Time{}, time.Time{}, time.Time{}
+		}
 		return ReadNone
-	case r.probeAt.IsZero() && r.staleLease.IsZero():
-		r.scheduleProbe(now, s)
+	case r.probeAt.IsZero():
+		r.probeAt = now.Add(r.random(r.timing.FirstCallSpacing * time.Duration(s.Count)))
 	}
 	if now.Before(r.probeAt) {
 		return ReadNone
 	}
+	r.probing = true
 	return ReadStale
 }
 
-// maxAge returns how old the copy may become now. A daemon that had to read before does so again sooner.
-func (r *TableReader) maxAge(now time.Time) time.Duration {
-	if now.Sub(r.staleLease) < r.timing.StaleLease {
-		return r.timing.SilentAge
-	}
-	r.staleLease = time.Time{}
-	return r.timing.MaxAge
+// extendStaleLease has this daemon go on reading although nobody asked it. Of several daemons that do so, one stops first.
+func (r *TableReader) extendStaleLease(now time.Time) {
+	r.staleLease = now.Add(r.timing.StaleLease/2 + r.random(r.timing.StaleLease/2))
 }
 
 func (r *TableReader) leased(now time.Time) bool {
@@ -186,10 +235,14 @@
 	return false
 }
 
-// HandleAsk records that a reader asked this daemon to read, and reports whether it does so from now on only.
+// HandleAsk records that a reader asked this daemon to read, and reports whether it does so from now on only. All readers of a zone ask,
+// and a daemon whose call failed a moment ago has tried for all of them.
 func (r *TableReader) HandleAsk(now time.Time, from proto.VM) (isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.failedAt.IsZero() && now.Sub(r.failedAt) < r.timing.RefusedAge {
+		return false
+	}
 	isNew = !r.leased(now)
 	r.leases[from] = now.Add(r.timing.Lease)
 	return isNew
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -51,12 +51,16 @@
 )
 
 func (v *tableFreshness) init(now time.Time) {
-	v.reader, v.woken = coord.NewTableReader(now, readerTiming()), make(chan struct{}, 1)
+	v.reader, v.woken = coord.NewTableReader(now, coord.DefaultReaderTiming()), make(chan struct{}, 1)
 }
 
-func (v *tableFreshness) confirmReader(at time.Time) {
-	if v.reader != nil {
+func (v *tableFreshness) confirmReader(at time.Time, byStore bool) {
+	switch {
+	case v.reader == nil:
+	case byStore:
 		v.reader.Confirm(at)
+	default:
+		v.reader.ConfirmByOthers(at)
 	}
 }
 
@@ -70,7 +74,7 @@
 
 // confirmByGossip records that other daemons know the contents of the table as of a moment.
 func (v *tableFreshness) confirmByGossip(at time.Time, hops int) {
-	v.confirmReader(at)
+	v.confirmReader(at, false)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if at.After(v.gossiped) {
@@ -133,7 +137,7 @@
 
 // confirm records that the store told this daemon the contents of the table as of a moment.
 func (v *tableFreshness) confirm(at time.Time) {
-	v.confirmReader(at)
+	v.confirmReader(at, true)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.confirmed = later(v.confirmed, at)
@@ -141,7 +145,7 @@
 
 // confirmByPeer records that the store told another daemon the contents of the table as of a moment.
 func (v *tableFreshness) confirmByPeer(at time.Time) {
-	v.confirmReader(at)
+	v.confirmReader(at, false)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.confirmedByPeer = later(v.confirmedByPeer, at)
@@ -251,10 +255,10 @@
 	if alive, known := d.peers.members.Lookup(from); !known || alive.Zone != d.self.Zone || d.peers.members.IsFirst(taskReadStore, readersPerZone, from) {
 		return
 	}
-	if 0 < m.RoutingAge && m.RoutingAge < silentCopyAge {
+	if 0 < m.RoutingAge && m.RoutingAge < checkAfter+checkJitter {
 		d.routingFreshness.reader.HandleStandIn(now, from)
 	}
-	if 0 < m.TargetsAge && m.TargetsAge < silentCopyAge {
+	if 0 < m.TargetsAge && m.TargetsAge < checkAfter+checkJitter {
 		d.targetsFreshness.reader.HandleStandIn(now, from)
 	}
 }
--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"emberlead/coord"
@@ -9,38 +10,12 @@
 )
 
 const (
-	// refusedCopyAge is how old a reader's copy may become while the store turns it away before it asks other daemons to read. A change must
-	// be in force two seconds after the store has it, and a short disturbance of the store must not cost calls of others.
-	refusedCopyAge = time.Second
-	// silentCopyAge is the same for a reader whose call is under way: the latest check, and the answer of a slow store.
-	silentCopyAge = checkAfter + checkJitter + 250*time.Millisecond
-	// readAskInterval is the time between two groups of daemons that are asked; those that the store serves read within some milliseconds.
-	readAskInterval = 100 * time.Millisecond
-	// readAskGrowth and maxReadAsked choose the groups: after the two readers the next two daemons, and then the next twelve. The store turns
-	// away a third of all daemons at most, unless it serves nobody.
-	readAskGrowth, maxReadAsked = 4, 16
-	// readLease is how long a daemon reads after it was asked; readers that are still turned away renew it with each of their own calls.
-	readLease = 3 * time.Second
-	// maxGossipedAge is how old the copy of a daemon that reads for nobody may become. The readers' copies are confirmed each 1.3 s, and
-	// heartbeats tell it over a few links, each 0.3 s later.
-	maxGossipedAge = 3500 * time.Millisecond
-	// staleCallSpacing is the mean time between calls of a zone's daemons beyond its readers while the store answers none of them.
-	staleCallSpacing = 1500 * time.Millisecond
-	// staleLease is how long a daemon that nobody tells of the store reads by itself.
-	staleLease = 30 * time.Second
 	// standInInterval is how often a daemon that reads in place of others tells them that the store serves it.
 	standInInterval = 500 * time.Millisecond
 	// copyAgeUnit is the unit of the age in heartbeats, and maxCopyHops through how many daemons it is told.
 	copyAgeUnit, maxCopyHops = 100 * time.Millisecond, 8
 )
 
-func readerTiming() coord.ReaderTiming {
-	return coord.ReaderTiming{
-		Readers: readersPerZone, RefusedAge: refusedCopyAge, SilentAge: silentCopyAge, AskInterval: readAskInterval, AskGrowth: readAskGrowth, MaxAsked: maxReadAsked,
-		Lease: readLease, MaxAge: maxGossipedAge, CallSpacing: staleCallSpacing, StaleLease: staleLease,
-	}
-}
-
 // standing tells whether this daemon is one of the readers of its zone by rank. Daemons that this one does not hear read only for
 // themselves, and a daemon that hears no other daemon is told nothing, so it reads too.
 func (d *Relay) standing() coord.Standing {
@@ -161,7 +136,7 @@
 		return
 	}
 	age := max(now.Sub(routing), now.Sub(targets))
-	if units := (age + copyAgeUnit - 1) / copyAgeUnit; units < maxGossipedAge/copyAgeUnit {
+	if units := (age + copyAgeUnit - 1) / copyAgeUnit; units < math.MaxUint16 {
 		h.CopyAge, h.CopyHops = uint16(max(units, 1)), uint8(hops)
 	}
 }
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -45,6 +45,9 @@
 	// initialRetryDelay and maxRetryDelay limit the pause after a failed call.
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = 800 * time.Millisecond
+	// maxRequestedDelay limits how long the store may ask a daemon to wait: a call must be answered well within the three seconds after which
+	// the daemon counts as reachable again.
+	maxRequestedDelay = 1500 * time.Millisecond
 	// maxFollowWait is how long a loop of a daemon that has just started waits for another loop to reach the store.
 	maxFollowWait = 2 * time.Second
 	// readerCheckInterval is how often a daemon checks whether it has to read the store itself.
@@ -151,7 +154,16 @@
 		w.daemon.waitForStore(ctx, maxFollowWait)
 		return
 	}
-	w.daemon.sleep(ctx, delay)
+	w.daemon.sleep(ctx, max(delay, requestedDelay(err)))
+}
+
+// requestedDelay returns how long the store asked this daemon to wait before its next call, up to maxRequestedDelay.
+func requestedDelay(err error) time.Duration {
+	var refused *platform.RefusedError
+	if !errors.As(err, &refused) {
+		return 0
+	}
+	return min(refused.RetryAfter, maxRequestedDelay)
 }
 
 // waitForStore waits until the store has answered a watcher of this daemon, or another daemon sent its contents, but no
--- a/serve/relaywatcher_test.go
+++ b/serve/relaywatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -182,3 +183,19 @@
 		t.Errorf("the state is confirmed as of %s ago (%t), want about %s", age, known, transfer)
 	}
 }
+
+// TestRetryAfterOfTheStoreIsObserved guards against a daemon that calls a store again sooner than it was told, or so late that it stays cut
+// off from a store that serves it again.
+func TestRetryAfterOfTheStoreIsObserved(t *testing.T) {
+	for value, want := range map[string]time.Duration{"": 0, "0.5": 500 * time.Millisecond, "1": time.Second, "60": maxRequestedDelay, "1e300": maxRequestedDelay, "-1": 0, "NaN": 0, "soon": 0} {
+		store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", value)
+			w.WriteHeader(http.StatusTooManyRequests)
+		}))
+		_, err := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://"))).Routing().Read(t.Context())
+		store.Close()
+		if got := requestedDelay(err); got != want || !errors.Is(err, platform.ErrRefused) {
+			t.Errorf("Retry-After %q: waits %s after %v, want %s", value, got, err, want)
+		}
+	}
+}
--- a/serve/rowtable.go
+++ b/serve/rowtable.go
@@ -43,9 +43,10 @@
 	return rows, now, nil
 }
 
-// relayedRows asks a reader of this daemon's zone for the table. It returns false if this daemon has to read it itself.
+// relayedRows asks a reader of this daemon's zone for the table, or one of those that may read in its place. It returns false if this daemon
+// has to read it itself.
 func (d *Relay) relayedRows(ctx context.Context, maxAge time.Duration) (platform.RowSet, time.Time, bool) {
-	for _, vm := range d.peers.members.FirstInZone(taskReadStore, readersPerZone) {
+	for _, vm := range d.peers.members.FirstInZone(taskReadStore, 2*readersPerZone) {
 		if vm == d.self.VM {
 			return platform.RowSet{}, time.Time{}, false
 		}
@@ -84,6 +85,10 @@
 func (d *Relay) answerDaemonRowsAsk(ctx context.Context, ask proto.DaemonRowsAsk) proto.DaemonRowsAnswer {
 	ctx, cancel := context.WithTimeout(ctx, d.tableReadTimeout())
 	defer cancel()
+	// Another daemon must not wait for a call that the store is unlikely to answer.
+	if d.routingFreshness.reader.FailedFor(d.clock.Now()) > 0 {
+		return proto.DaemonRowsAnswer{}
+	}
 	rows, sentAt, err := d.readRows(ctx, min(ask.MaxAge, maxRelayedRowsAge))
 	if err != nil {
 		d.log.Debug("cannot read the list of daemons for another daemon", "error", err)
