Daemons without tables read only if they are asked, and far ones don't warn

A daemon without tables counted its copies as stale 3.5 s after its start, so that in a first start of hundreds all would have read whole lists within some seconds, beside the rule that doubles those who read every two seconds.

Change: without tables only a daemon that a reader asked reads beyond that rule; a daemon that doesn't read warns from 3.5 s on.

Evidence: TestDaemonsWithoutTablesReadIfAsked.

--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -224,7 +224,7 @@
 	age, known := v.age(now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if known && age > maxStateAge {
+	if known && age > staleAge(reads) {
 		stats.UnconfirmedSince, stats.Why = now.Add(-age).UTC().Format(time.RFC3339Nano), v.whyUnconfirmed()
 	}
 	return stats
@@ -286,6 +286,22 @@
 func (d *Relay) logFreshness() {
 	now, s := d.clock.Now(), d.standing()
 	d.versionLag.log(now, d.log, d.tables.Version(), d.isReader())
-	d.routingFreshness.log(now, d.log.With("reads", d.routingFreshness.reader.Reason(now, s)), tableRouting, proto.Revision{Version: d.tables.Version()})
-	d.targetsFreshness.log(now, d.log.With("reads", d.targetsFreshness.reader.Reason(now, s)), tableTargets, d.fleet.Version())
+	for _, table := range []struct {
+		freshness *tableFreshness
+		name      string
+		version   fmt.Stringer
+	}{{&d.routingFreshness, tableRouting, proto.Revision{Version: d.tables.Version()}}, {&d.targetsFreshness, tableTargets, d.fleet.Version()}} {
+		reads := table.freshness.reader.Reason(now, s)
+		if age, _ := table.freshness.age(now); age > staleAge(reads) || age <= maxStateAge {
+			table.freshness.log(now, d.log.With("reads", reads), table.name, table.version)
+		}
+	}
+}
+
+// staleAge returns how old the copy of a daemon may be before this is logged. Those that do not read hear of it later.
+func staleAge(reads coord.ReadReason) time.Duration {
+	if reads == coord.ReadNone {
+		return coord.DefaultReaderTiming().MaxAge
+	}
+	return maxStateAge
 }
--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -29,6 +29,12 @@
 	return func() bool { return freshness.reader.Reason(d.clock.Now(), d.standing()) != coord.ReadNone }
 }
 
+// isAsked reports whether another daemon asked this one to read a table. A daemon without the tables reads only then or when mayReadFirst
+// allows it: copies that nobody has yet are no reason for all to read at once.
+func (d *Relay) isAsked(freshness *tableFreshness) bool {
+	return freshness.reader.Reason(d.clock.Now(), d.standing()) == coord.ReadAsked
+}
+
 // recordCall returns a function that records whether the store answered a call for a table.
 func (d *Relay) recordCall(freshness *tableFreshness) func(now time.Time, err error, isFirst bool) {
 	return func(now time.Time, err error, isFirst bool) {
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -120,7 +120,7 @@
 	startedAt := w.daemon.clock.Now()
 	for ctx.Err() == nil {
 		waited := w.daemon.clock.Now().Sub(startedAt)
-		if !w.daemon.hasTables() && !w.daemon.mayReadFirst(waited) && !w.isReader() || waited < membersWait && !w.daemon.rowsRead.Load() {
+		if !w.daemon.hasTables() && !w.daemon.mayReadFirst(waited) && !w.daemon.isAsked(w.freshness) || waited < membersWait && !w.daemon.rowsRead.Load() {
 			w.daemon.sleep(ctx, rowsWait/20)
 			continue
 		}
--- a/serve/relaywatcher_test.go
+++ b/serve/relaywatcher_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// TestDaemonsWithoutTablesReadIfAsked guards against a fleet that starts while nobody has the tables, and whose daemons all read a few seconds
+// later since their copies are old; one that a reader asks reads at once.
+func TestDaemonsWithoutTablesReadIfAsked(t *testing.T) {
+	const daemons = 160
+	clock := clockwork.NewFakeClock()
+	alive := func(i int) proto.Alive {
+		return proto.Alive{VM: proto.VM(fmt.Sprint("vm-", i)), Zone: "r/z", Incarnation: 1, Sequence: 1}
+	}
+	for i := range daemons {
+		d := &Relay{clock: clock, tables: &relay.Tables{}, self: alive(i)}
+		d.routingFreshness.init(clock.Now().Add(-time.Minute))
+		d.peers = &relayPeers{clock: clock, self: d.self, members: coord.NewMembers(d.self, peerTiming(), coord.DefaultRings(), noPeers{}, nil)}
+		for other := range daemons {
+			d.peers.members.HandleAlive(clock.Now(), alive(other), "")
+		}
+		if d.isAsked(&d.routingFreshness) {
+			t.Fatalf("daemon %d reads although nobody asked it", i)
+		}
+		if d.standing().First {
+			continue
+		}
+		d.routingFreshness.reader.HandleAsk(clock.Now(), "vm-0")
+		if !d.isAsked(&d.routingFreshness) {
+			t.Fatalf("daemon %d does not read although it was asked", i)
+		}
+	}
+}
+
 // noPeers drops all messages.
 type noPeers struct{}
 
