--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -154,16 +154,7 @@
 		w.daemon.waitForStore(ctx, maxFollowWait)
 		return
 	}
-	w.daemon.sleep(ctx, max(delay, requestedDelay(err)))
-}
-
-// requestedDelay returns how long the store asked this daemon to wait before its next call, up to maxRequestedDelay.
-func requestedDelay(err error) time.Duration {
-	var refused *platform.RefusedError
-	if !errors.As(err, &refused) {
-		return 0
-	}
-	return min(refused.RetryAfter, maxRequestedDelay)
+	w.daemon.sleep(ctx, max(delay, min(platform.RetryAfter(err), maxRequestedDelay)))
 }
 
 // waitForStore waits until the store has answered a watcher of this daemon, or another daemon sent its contents, but no
--- a/serve/relaywatcher_test.go
+++ b/serve/relaywatcher_test.go
@@ -222,7 +222,7 @@
 		}))
 		_, err := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://"))).Routing().Read(t.Context())
 		store.Close()
-		if got := requestedDelay(err); got != want || !errors.Is(err, platform.ErrRefused) {
+		if got := min(platform.RetryAfter(err), maxRequestedDelay); got != want || !errors.Is(err, platform.ErrRefused) {
 			t.Errorf("Retry-After %q: waits %s after %v, want %s", value, got, err, want)
 		}
 	}
