--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -68,7 +68,7 @@
 // isStandIn reports whether this daemon reads in place of others.
 func (d *Relay) isStandIn() bool { return !d.standing().First && d.isServedReader() }
 
-// askReaders asks other daemons of the zone to read if nobody confirms this reader's copies, and renews what it asked for.
+// askReaders asks other daemons of the zone to read if nobody confirms this reader's copies.
 func (d *Relay) askReaders() {
 	s := d.standing()
 	if !s.First {
