--- a/relay/accept.go
+++ b/relay/accept.go
@@ -55,15 +55,6 @@
 	return f.server.unknownFailure(http.StatusUnauthorized, "no workspace holds the key")
 }
 
-// unknownFailure returns the failure of a request whose route or key is not in the configuration. If a newer one is on its way it may be
-// in that, and a caller who comes back in a moment is served.
-func (s *Server) unknownFailure(status int, reason string) *failure {
-	if !s.tables.Outdated(s.clock.Now()) {
-		return &failure{status: status, reason: reason}
-	}
-	return &failure{status: http.StatusServiceUnavailable, retryAfter: outdatedRetryAfter, reason: reason + ", but a newer configuration is on its way", kind: refusedOutdated}
-}
-
 // refuseStopping refuses a request that might still be running when this daemon stops.
 func (f *flow) refuseStopping() *failure {
 	plan := f.server.stopping.Load()
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -22,6 +22,7 @@
 
 	oversized                                          oversizeCounts
 	refusals                                           refusalStats
+	unknown                                            unknownCounts
 	ownTimes                                           ownTimes
 	ownLimits                                          atomic.Int64
 	admitted, notAdmittedByStage, notAdmittedByEngines atomic.Int64
@@ -64,6 +65,8 @@
 	Oversized map[oversizeCause]int64 `json:"oversized"`
 	// Refusals holds the requests that were refused as not run, by the kind of reason and the time from their arrival.
 	Refusals RefusalStats `json:"refusals"`
+	// Unknown tells of requests for a route or with a key that the configuration does not have.
+	Unknown UnknownStats `json:"unknown"`
 	// Admitted counts requests admitted by the load of their whole pipeline. NotAdmittedByStage and NotAdmittedByEngines
 	// count those refused by it, by the kind of the pool that limited them.
 	Admitted             int64 `json:"admitted"`
@@ -109,7 +112,7 @@
 	r := RequestStats{
 		Received: c.received.Load(), Delivered: c.completed.Load(), Late: c.late.Load(), NotRun: c.unavailable.Load(), Failed: c.failed.Load(),
 		Rejected: c.rejected.Load(), CallerLeft: c.callerLeft.Load(), CallerLeftUnsent: c.callerLeftUnsent.Load(), StreamsBroken: c.streamsBroken.Load(), StreamsResumed: c.streamsResumed.Load(), Retried: c.retried.Load(), Crashing: c.crashing.Load(), NotAdmitted: c.notAdmitted.Load(), CallerLeaving: c.leaving.Load(), NextStageSlow: c.nextStageSlow.Load(), ExpiredRebuilds: c.expiredRebuilds.Load(),
-		PassedOn: c.passedOn.Load(), Oversized: c.oversized.snapshot(), Refusals: c.refusals.stats(), OwnMillis: c.ownTimes.quantiles(),
+		PassedOn: c.passedOn.Load(), Oversized: c.oversized.snapshot(), Refusals: c.refusals.stats(), Unknown: c.unknown.stats(), OwnMillis: c.ownTimes.quantiles(),
 		Admitted: c.admitted.Load(), NotAdmittedByStage: c.notAdmittedByStage.Load(), NotAdmittedByEngines: c.notAdmittedByEngines.Load(),
 	}
 	c.mu.Lock()
--- a/relay/outdated_test.go
+++ b/relay/outdated_test.go
@@ -12,7 +12,7 @@
 func TestUnknownRouteIsRefusedWhileANewerConfigurationIsOnItsWay(t *testing.T) {
 	tables := &Tables{}
 	clock := clockwork.NewFakeClock()
-	s := &Server{tables: tables, clock: clock}
+	s := NewServer(ServerConfig{Tables: tables, Clock: clock})
 	tables.ReplaceIfNewer(routing(3))
 	for _, step := range []struct {
 		heard, inForce uint64
--- a/relay/server.go
+++ b/relay/server.go
@@ -82,6 +82,7 @@
 	linkChecker   LinkChecker
 	origins       *Origins
 	intake        Intake
+	routingAge    CopyAge
 
 	// firstEventTimes are the times to the first event of streams, by route and without the stages. responseTimes are those to
 	// complete responses and callTimes those of calls for pieces, by pool. requestTimes are those of whole requests, by route.
@@ -140,6 +141,8 @@
 	Origins *Origins
 	// Intake decides which requests are served; nil for all.
 	Intake Intake
+	// RoutingAge tells how current the configuration is; nil if it always is.
+	RoutingAge CopyAge
 	// Started is closed once the daemon has the data to serve requests; nil if it has it already.
 	Started <-chan struct{}
 }
@@ -149,7 +152,10 @@
 	s := &Server{
 		keep: keepLeader, clock: c.Clock, log: c.Log, dialect: c.Dialect, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*RetryBudget{},
-		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins, intake: c.Intake,
+		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins, intake: c.Intake, routingAge: c.RoutingAge,
+	}
+	if s.routingAge == nil {
+		s.routingAge = func(time.Time) (time.Duration, bool) { return 0, true }
 	}
 	for _, times := range []**durationEstimates[string]{&s.firstEventTimes, &s.responseTimes, &s.callTimes, &s.requestTimes} {
 		*times = newDurationEstimates[string](c.Clock)
@@ -267,6 +273,8 @@
 	reason     string
 	// kind is the kind of the reason in the statistics of refusals.
 	kind refusalKind
+	// routingAge tells for an unknown route or key how long ago the configuration was known to be the newest one; empty otherwise.
+	routingAge string
 }
 
 // ServeHTTP forwards one request, and returns when the response is complete or has failed.
@@ -530,6 +538,9 @@
 	} else {
 		logFields = append(logFields, "took", formatDuration(now.Sub(startedAt)))
 	}
+	if fail.routingAge != "" {
+		logFields = append(logFields, "routingAge", fail.routingAge)
+	}
 	s.log.Info("request refused", logFields...)
 	if fail.retryAfter > 0 {
 		s.dialect.SetRetryAfter(w.Header(), fail.retryAfter)
--- /dev/null
+++ b/relay/unknown.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// CopyAge tells how long ago the configuration in force was known to be the newest one; false if it never was.
+type CopyAge func(now time.Time) (age time.Duration, known bool)
+
+// Bounds of the histogram of ages, in microseconds.
+const (
+	minAgeMicros = 1
+	maxAgeMicros = int64(10 * time.Minute / time.Microsecond)
+	ageDigits    = 2
+)
+
+// UnknownStats tells of the requests for a route or with a key that the configuration in force does not have.
+type UnknownStats struct {
+	// Rejected counts those that were answered for good, and Deferred those that were refused with a retry time.
+	Rejected int64 `json:"rejected"`
+	Deferred int64 `json:"deferred"`
+	// AgeMillis tells how long before the answer the configuration was known to be the newest one.
+	AgeMillis map[string]float64 `json:"ageMillis"`
+}
+
+// unknownCounts counts requests for unknown routes and with unknown keys.
+type unknownCounts struct {
+	mu                 sync.Mutex
+	rejected, deferred int64
+	ages               *hdrhistogram.Histogram
+}
+
+func (c *unknownCounts) record(fail *failure, age time.Duration, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if fail.retryAfter > 0 {
+		c.deferred++
+	} else {
+		c.rejected++
+	}
+	if !known {
+		return
+	}
+	if c.ages == nil {
+		c.ages = hdrhistogram.New(minAgeMicros, maxAgeMicros, ageDigits)
+	}
+	// The value is within the bounds, so that recording it cannot fail.
+	_ = c.ages.RecordValue(min(maxAgeMicros, max(minAgeMicros, age.Microseconds())))
+}
+
+func (c *unknownCounts) stats() UnknownStats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return UnknownStats{Rejected: c.rejected, Deferred: c.deferred, AgeMillis: quantilesMillis(c.ages)}
+}
+
+// unknownFailure returns the failure of a request whose route or key is not in the configuration. If a newer one is on its way it may be
+// in that, and a caller who comes back in a moment is served.
+func (s *Server) unknownFailure(status int, reason string) *failure {
+	now := s.clock.Now()
+	fail := &failure{status: status, reason: reason, kind: refusedUnknown}
+	if s.tables.Outdated(now) {
+		fail = &failure{status: http.StatusServiceUnavailable, retryAfter: outdatedRetryAfter, reason: reason + ", but a newer configuration is on its way", kind: refusedOutdated}
+	}
+	age, known := s.routingAge(now)
+	if fail.routingAge = "unknown"; known {
+		fail.routingAge = formatDuration(age)
+	}
+	s.counts.unknown.record(fail, age, known)
+	return fail
+}
