Only a configuration that is known to be the newest rejects unknown routes and keys for good

What callers saw: 404 and 401, which they do not repeat, for a route or key that the operator had added, from daemons that had not learnt for a long time whether their configuration was the newest. Cause: 'no such route' is a claim about the newest configuration, and was made from any copy, however old. Class: a claim without evidence of its age. Now such a daemon answers 503 with Retry-After 1 s once its copy was last confirmed longer ago than a change may take (bounds.configApplyMs), and a daemon that was never confirmed does the same.

--- a/relay/refusals.go
+++ b/relay/refusals.go
@@ -42,6 +42,8 @@
 	refusedVersionGone
 	// refusedOutdated means that the route or the key is unknown, while a newer configuration is on its way.
 	refusedOutdated
+	// refusedUnconfirmed means that the route or the key is unknown, and a newer configuration may be in force elsewhere.
+	refusedUnconfirmed
 	// refusedUnknown means that the newest configuration has no such route or key.
 	refusedUnknown
 	// refusedOverload means that the processor or the link of the daemon has no room for the request.
@@ -51,7 +53,7 @@
 
 // refusalKindNames are the names of the kinds in the log and in the metrics.
 var refusalKindNames = [refusalKindCount]string{
-	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone", "outdated", "unknown", "overload",
+	"other", "enginesBusy", "stageQueue", "stageLate", "inputsExpired", "callerLeaving", "noTarget", "limits", "stopping", "noConfiguration", "tooManyOpen", "streamUnknown", "versionGone", "outdated", "unconfirmed", "unknown", "overload",
 }
 
 func (k refusalKind) String() string { return refusalKindNames[k] }
--- a/relay/server.go
+++ b/relay/server.go
@@ -25,6 +25,9 @@
 	unknownPoolRetryAfter = 400 * time.Millisecond
 	// outdatedRetryAfter is the Retry-After for a route or key that a configuration on its way may have.
 	outdatedRetryAfter = 300 * time.Millisecond
+	// unconfirmedRetryAfter is the Retry-After for a route or key that a newer configuration may have. A daemon whose configuration nobody
+	// confirms checks it by itself within about that time.
+	unconfirmedRetryAfter = time.Second
 	// startupWait is how long a request waits for a daemon that is starting: a fraction of the shortest latency goals.
 	startupWait = 100 * time.Millisecond
 	// fullRetryAfter is the Retry-After of a daemon at its limit of open requests.
@@ -83,6 +86,7 @@
 	origins       *Origins
 	intake        Intake
 	routingAge    CopyAge
+	maxRoutingAge time.Duration
 
 	// firstEventTimes are the times to the first event of streams, by route and without the stages. responseTimes are those to
 	// complete responses and callTimes those of calls for pieces, by pool. requestTimes are those of whole requests, by route.
@@ -141,8 +145,10 @@
 	Origins *Origins
 	// Intake decides which requests are served; nil for all.
 	Intake Intake
-	// RoutingAge tells how current the configuration is; nil if it always is.
-	RoutingAge CopyAge
+	// RoutingAge tells how current the configuration is; nil if it always is. Within MaxRoutingAge a new configuration must be in force; 0 for
+	// no limit.
+	RoutingAge    CopyAge
+	MaxRoutingAge time.Duration
 	// Started is closed once the daemon has the data to serve requests; nil if it has it already.
 	Started <-chan struct{}
 }
@@ -152,7 +158,7 @@
 	s := &Server{
 		keep: keepLeader, clock: c.Clock, log: c.Log, dialect: c.Dialect, fleet: c.Fleet, tables: c.Tables,
 		pieces: c.Pieces, placer: c.Placer, peers: c.Peers, zone: c.Zone, limits: c.Limits, started: c.Started, budget: c.Budget, budgets: map[string]*RetryBudget{},
-		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins, intake: c.Intake, routingAge: c.RoutingAge,
+		crashTracker: c.CrashTracker, crashDetector: c.CrashDetector, linkChecker: c.LinkChecker, origins: c.Origins, intake: c.Intake, routingAge: c.RoutingAge, maxRoutingAge: c.MaxRoutingAge,
 	}
 	if s.routingAge == nil {
 		s.routingAge = func(time.Time) (time.Duration, bool) { return 0, true }
--- a/relay/unknown.go
+++ b/relay/unknown.go
@@ -58,15 +58,21 @@
 	return UnknownStats{Rejected: c.rejected, Deferred: c.deferred, AgeMillis: quantilesMillis(c.ages)}
 }
 
-// unknownFailure returns the failure of a request whose route or key is not in the configuration. If a newer one is on its way it may be
-// in that, and a caller who comes back in a moment is served.
+// unknownFailure returns the failure of a request whose route or key is not in the configuration. It is final only if that configuration is
+// known to be the newest: a newer one may have what the request needs, and a caller who comes back in a moment, or to another daemon, is
+// served.
 func (s *Server) unknownFailure(status int, reason string) *failure {
 	now := s.clock.Now()
-	fail := &failure{status: status, reason: reason, kind: refusedUnknown}
-	if s.tables.Outdated(now) {
+	age, known := s.routingAge(now)
+	var fail *failure
+	switch {
+	case s.tables.Outdated(now):
 		fail = &failure{status: http.StatusServiceUnavailable, retryAfter: outdatedRetryAfter, reason: reason + ", but a newer configuration is on its way", kind: refusedOutdated}
+	case s.maxRoutingAge > 0 && (!known || age > s.maxRoutingAge):
+		fail = &failure{status: http.StatusServiceUnavailable, retryAfter: unconfirmedRetryAfter, reason: reason + ", but there may be a newer configuration", kind: refusedUnconfirmed}
+	default:
+		fail = &failure{status: status, reason: reason, kind: refusedUnknown}
 	}
-	age, known := s.routingAge(now)
 	if fail.routingAge = "unknown"; known {
 		fail.routingAge = formatDuration(age)
 	}
--- a/relay/unknown_test.go
+++ b/relay/unknown_test.go
@@ -43,3 +43,32 @@
 		})
 	}
 }
+
+// TestUnknownRouteIsRejectedOnlyByTheNewestConfiguration guards against a final 404 or 401 by a daemon that cannot know whether the operator
+// has added the route or the key.
+func TestUnknownRouteIsRejectedOnlyByTheNewestConfiguration(t *testing.T) {
+	const limit = 2 * time.Second
+	scenarios := []struct {
+		name  string
+		age   time.Duration
+		known bool
+		limit time.Duration
+		want  int
+	}{
+		{"confirmed within the time of a change", limit, true, limit, http.StatusNotFound},
+		{"confirmed before that", limit + 1, true, limit, http.StatusServiceUnavailable},
+		{"never confirmed", 0, false, limit, http.StatusServiceUnavailable},
+		{"changes have no limit", time.Hour, true, 0, http.StatusNotFound},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			tables := &Tables{}
+			tables.ReplaceIfNewer(routing(3))
+			server := NewServer(ServerConfig{Tables: tables, Clock: clockwork.NewFakeClock(), MaxRoutingAge: s.limit, RoutingAge: func(time.Time) (time.Duration, bool) { return s.age, s.known }})
+			fail := server.unknownFailure(http.StatusNotFound, "no route")
+			if fail.status != s.want || (fail.retryAfter > 0) != (s.want == http.StatusServiceUnavailable) {
+				t.Errorf("status %d, Retry-After %s, want status %d", fail.status, fail.retryAfter, s.want)
+			}
+		})
+	}
+}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -242,7 +242,7 @@
 		Pieces: d.pieces, Placer: d.placer, Peers: d.peers, Zone: settings.Zone,
 		Budget:       relay.RetryBudgetConfig{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
 		CrashTracker: d.crashTracker, CrashDetector: d.crashDetector, LinkChecker: d.transport, Origins: d.origins, Started: d.started, Limits: d.limits, Intake: relayIntake{d},
-		RoutingAge: d.routingFreshness.age,
+		RoutingAge: d.routingFreshness.age, MaxRoutingAge: settings.ConfigApplyTimeout,
 	})
 	return d
 }
