Daemons stop reading in place of others once a reader by rank is served again

What was seen: TestDaemonsReadInPlaceOfRefusedReaders failed in its last step, 6 of 12 in three runs with the race detector beside load: 20 s after the store served all again, other daemons than the readers still called it. Cause: a daemon that reads since its copy was stale, or that has read for others and hears no confirmation but echoes, takes a lease of 15 to 30 s that nothing ended sooner. A confirmation by gossip can't end it, as it may be an echo. Now readers by rank tell those that stand in for them when the store confirms their own copies, and at once when their calls are answered again; that is no echo, since it holds only what the store said to that reader, and ends the lease.

--- a/coord/tablereader.go
+++ b/coord/tablereader.go
@@ -82,6 +82,8 @@
 	// confirmed is the latest moment as of which the copy is known to be current, confirmedByStore the same as the store told this daemon, and
 	// confirmedByOthers as it knows from the reads of others.
 	confirmed, confirmedByStore, confirmedByOthers time.Time
+	// confirmedByRank is as of when the store last confirmed the copy of a daemon that reads by its rank.
+	confirmedByRank time.Time
 	// failedSince is since when calls of this daemon have failed, the last of them at failedAt; zero once one is answered.
 	failedSince, failedAt time.Time
 	// readingSince is since when this daemon has read by its rank or for others, zero if it did not when it last looked. One that has read
@@ -193,7 +195,11 @@
 	case leased:
 		return ReadAsked
 	}
-	othersRead := now.Sub(r.confirmedByOthers) <= r.timing.MaxAge
+	rankReads := now.Sub(r.confirmedByRank) <= r.timing.MaxAge
+	othersRead := rankReads || now.Sub(r.confirmedByOthers) <= r.timing.MaxAge
+	if rankReads {
+		r.staleLease = time.Time{}
+	}
 	if !r.readingSince.IsZero() && now.Sub(r.readingSince) >= r.timing.Lease/2 && !othersRead {
 		r.extendStaleLease(now)
 	}
@@ -255,6 +261,34 @@
 	r.standIns[vm] = now
 }
 
+// HandleServedReader records as of when the store confirmed the copy of a daemon that reads by its rank. This daemon need not read for as
+// long as it hears of that.
+func (r *TableReader) HandleServedReader(asOf time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmedByRank = latest(r.confirmedByRank, asOf)
+}
+
+// StandIns returns the daemons that lately told that the store serves them in place of this one.
+func (r *TableReader) StandIns(now time.Time) []proto.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.currentStandIns(now)
+}
+
+func (r *TableReader) currentStandIns(now time.Time) []proto.VM {
+	var served []proto.VM
+	for vm, at := range r.standIns {
+		if now.Sub(at) > r.timing.Lease {
+			delete(r.standIns, vm)
+			continue
+		}
+		served = append(served, vm)
+	}
+	slices.Sort(served)
+	return served
+}
+
 // lastStandIn returns when a daemon that was asked last told that the store serves it.
 func (r *TableReader) lastStandIn() time.Time {
 	var last time.Time
@@ -268,18 +302,10 @@
 func (r *TableReader) Renewals(now time.Time, s Standing) []proto.VM {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var served []proto.VM
-	for vm, at := range r.standIns {
-		if now.Sub(at) > r.timing.Lease {
-			delete(r.standIns, vm)
-			continue
-		}
-		served = append(served, vm)
-	}
+	served := r.currentStandIns(now)
 	if r.failedSince.IsZero() || !s.First {
 		return nil
 	}
-	slices.Sort(served)
 	return served[:min(len(served), r.timing.Readers)]
 }
 
--- a/coord/tablereadermodel_test.go
+++ b/coord/tablereadermodel_test.go
@@ -147,7 +147,9 @@
 func (m *readerModel) notify(vm proto.VM) {
 	d := m.daemons[vm]
 	message := proto.Confirmed{Targets: proto.Revision{Version: d.version}, TargetsAge: max(1, m.now.Sub(d.own))}
-	for _, other := range m.members[vm].FirstPerZone(modelTask, 2) {
+	told := append(m.members[vm].FirstPerZone(modelTask, 2), d.reader.StandIns(m.now)...)
+	slices.Sort(told)
+	for _, other := range slices.Compact(told) {
 		if other != vm {
 			meshPeers{m.meshSim, vm}.Send(other, message)
 		}
@@ -175,7 +177,7 @@
 	d.reader.Answered(m.now, s)
 	d.watching, d.retryDelay = true, 0
 	d.jitter = time.Duration(m.rng.Int64N(int64(modelCheckJitter)))
-	if call.isCheck || isFirst && !s.First {
+	if call.isCheck || isFirst {
 		m.notify(vm)
 	}
 }
@@ -232,7 +234,10 @@
 			d.byPeer = latest(d.byPeer, m.now.Add(-message.TargetsAge))
 			d.reader.ConfirmByOthers(d.byPeer)
 		}
-		if !slices.Contains(m.members[msg.to].FirstInZone(modelTask, 2), msg.from) && m.zone[msg.from] == m.zone[msg.to] {
+		switch {
+		case slices.Contains(m.members[msg.to].FirstInZone(modelTask, 2), msg.from):
+			d.reader.HandleServedReader(m.now.Add(-message.TargetsAge))
+		case m.zone[msg.from] == m.zone[msg.to]:
 			d.reader.HandleStandIn(m.now, msg.from)
 		}
 	case proto.ReadAsk:
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -351,6 +351,7 @@
 	case proto.Confirmed:
 		d.applyPeerConfirmation(now, msg)
 		d.recordStandIn(now, from, msg)
+		d.recordServedReader(now, from, msg)
 	case proto.ReadAsk:
 		d.handleReadAsk(now, from, msg)
 	case proto.StreamStarts:
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -243,7 +244,12 @@
 	// The ages are taken before the versions, because a version may only include more than the age states.
 	m := proto.Confirmed{RoutingAge: d.routingFreshness.ownAge(now), TargetsAge: d.targetsFreshness.ownAge(now)}
 	m.Routing, m.Targets, m.Evacuations = d.tables.Version(), d.fleet.Version(), d.fleet.EvacuationsVersion()
-	for _, vm := range d.peers.members.FirstPerZone(taskReadStore, readersPerZone) {
+	told := d.peers.members.FirstPerZone(taskReadStore, readersPerZone)
+	// Daemons that read in place of this one stop when they hear that the store serves it again.
+	told = append(told, d.routingFreshness.reader.StandIns(now)...)
+	told = append(told, d.targetsFreshness.reader.StandIns(now)...)
+	slices.Sort(told)
+	for _, vm := range slices.Compact(told) {
 		if vm != d.self.VM {
 			d.peers.Send(vm, m)
 		}
@@ -263,6 +269,19 @@
 	}
 }
 
+// recordServedReader records that the store serves a daemon that reads by its rank.
+func (d *Relay) recordServedReader(now time.Time, from proto.VM, m proto.Confirmed) {
+	if !d.peers.members.IsFirst(taskReadStore, readersPerZone, from) {
+		return
+	}
+	if m.RoutingAge > 0 {
+		d.routingFreshness.reader.HandleServedReader(now.Add(-m.RoutingAge))
+	}
+	if m.TargetsAge > 0 {
+		d.targetsFreshness.reader.HandleServedReader(now.Add(-m.TargetsAge))
+	}
+}
+
 // applyPeerConfirmation takes over the confirmation of another daemon for the tables of which this daemon has no older state.
 func (d *Relay) applyPeerConfirmation(now time.Time, m proto.Confirmed) {
 	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() && !m.Evacuations.After(d.fleet.EvacuationsVersion()) {
--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -47,7 +47,7 @@
 		switch {
 		case err != nil:
 			d.renewLeases(freshness)
-		case isFirst && !s.First:
+		case isFirst:
 			d.notifyReaders()
 		}
 	}
