An answer of the store confirms nothing that came after its call

What callers could see: a daemon that takes its copy for current although it is older, and so refuses or serves by an older configuration without reading the store. Cause: the answer of a watch counted as of when it began to arrive. One that waited in the network, or in the socket of a suspended daemon, was read as fresh, and the daemon told others so. Now it counts as of its call, which is known, and checks go on at their pace although watches are answered.

--- a/proto/progress.go
+++ b/proto/progress.go
@@ -79,16 +79,6 @@
 	return !p.beganAt.IsZero()
 }
 
-// SinceBegan returns how long ago the answer began to arrive, and 0 if it has not. What it says may be as old.
-func (p *Progress) SinceBegan() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.beganAt.IsZero() {
-		return 0
-	}
-	return time.Since(p.beganAt)
-}
-
 // Receive records that bytes of the answer have arrived.
 func (p *Progress) Receive(bytes int) {
 	p.mu.Lock()
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -110,6 +110,8 @@
 	storeUp bool
 	// lastSent is when the last finished call was sent.
 	lastSent time.Time
+	// lastCheck is when the last check of a watch was due.
+	lastCheck time.Time
 }
 
 // run reads the whole table and then watches it, until the context ends.
@@ -200,10 +202,8 @@
 // watchResult is the result of one watch of the table.
 type watchResult struct {
 	sentAt time.Time
-	// asOf is when the store began to answer; changes after it may be missing.
-	asOf time.Time
-	rows platform.RowSet
-	err  error
+	rows   platform.RowSet
+	err    error
 }
 
 // step makes one call, or a watch with checks during it, and returns the version to continue from.
@@ -245,11 +245,10 @@
 	defer cancel()
 	call := w.startWatch(ctx, version, watchHold, watchHold+watchGrace)
 	var checkResult <-chan watchResult
-	lastCheck := w.daemon.clock.Now()
 	for {
 		var checkTimer <-chan time.Time
 		if checkResult == nil {
-			next := later(w.freshness.confirmedAt(), lastCheck).Add(checkAfter + rand.N(checkJitter))
+			next := later(w.freshness.confirmedAt(), w.lastCheck).Add(checkAfter + rand.N(checkJitter))
 			checkTimer = w.daemon.clock.After(next.Sub(w.daemon.clock.Now()))
 		}
 		select {
@@ -265,9 +264,9 @@
 			w.freshness.confirm(r.sentAt)
 			w.onConfirmed()
 		case <-checkTimer:
-			lastCheck = w.daemon.clock.Now()
+			w.lastCheck = w.daemon.clock.Now()
 			// An answer that is arriving needs no check, which would bring the same changes again over the same link.
-			if !call.progress.Began() && w.checkDue(lastCheck) {
+			if !call.progress.Began() && w.checkDue(w.lastCheck) {
 				checkResult = w.startWatch(ctx, version, probeHold, probeTimeout).result
 			}
 		}
@@ -302,7 +301,7 @@
 	go func() {
 		defer cancel()
 		rows, err := w.table.Watch(ctx, version, hold)
-		call.result <- watchResult{sentAt: sentAt, asOf: w.daemon.clock.Now().Add(-progress.SinceBegan()), rows: rows, err: err}
+		call.result <- watchResult{sentAt: sentAt, rows: rows, err: err}
 	}()
 	return call
 }
@@ -316,7 +315,8 @@
 	if len(r.rows.Rows) > 0 {
 		w.apply(r.rows)
 	}
-	w.freshness.confirm(r.asOf)
+	// The answer may have waited anywhere on its way, so only changes from before the call are known to be in it.
+	w.freshness.confirm(r.sentAt)
 	return r.rows.Version, nil
 }
 
