Confirmations of other daemons count as of when they were sent

What callers could see: as with late answers of the store. Cause: the age in a heartbeat or a Confirmed message was taken off the time at which the message was read; one that waited on a full link, or at a suspended daemon, made the copy look younger by as much, at eight daemons one after the other. Now messages carry when they were sent, and how much longer one took than the fastest of its sender is added to the age.

--- a/proto/relay.go
+++ b/proto/relay.go
@@ -474,6 +474,8 @@
 	// Evacuations is the revision of the newest evacuation that the sender knows of. Evacuations are stored in the
 	// configuration table.
 	Evacuations Revision `cbor:"5,keyasint,omitzero"`
+	// SentAt is when the message was sent, by a clock of the sender that changes of the time of day do not affect; 0 if it does not say.
+	SentAt time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // ReadAsk asks a daemon of the sender's zone to read tables of the store, since nobody confirms the sender's copies of them.
--- a/sched/linkdelay.go
+++ b/sched/linkdelay.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -29,8 +30,9 @@
 	at              time.Time
 }
 
-// Record records that a message arrived. sentAt is its time by a clock of the sender that continues evenly.
-func (l *LinkDelay[K]) Record(now time.Time, sender K, sentAt time.Duration) {
+// Record records that a message arrived, and returns how much longer it took than the fastest one of its sender. sentAt is its time by a
+// clock of the sender that continues evenly.
+func (l *LinkDelay[K]) Record(now time.Time, sender K, sentAt time.Duration) time.Duration {
 	if l.senders == nil {
 		l.senders = map[K]*senderDelay{}
 	}
@@ -45,16 +47,20 @@
 	}
 	s.fastest = min(s.fastest, took)
 	s.delay, s.at = took-min(s.fastest, s.before), now
+	return s.delay
+}
+
+// Prune removes the senders that have not been heard for long.
+func (l *LinkDelay[K]) Prune(now time.Time) {
+	maps.DeleteFunc(l.senders, func(_ K, s *senderDelay) bool { return now.Sub(s.at) > 2*delayBaseline })
 }
 
 // Delay returns how long most messages waited lately; 0 if that is unknown.
 func (l *LinkDelay[K]) Delay(now time.Time) time.Duration {
 	l.delays = l.delays[:0]
-	for sender, s := range l.senders {
-		switch age := now.Sub(s.at); {
-		case age > 2*delayBaseline:
-			delete(l.senders, sender)
-		case age <= delayMaxAge:
+	l.Prune(now)
+	for _, s := range l.senders {
+		if now.Sub(s.at) <= delayMaxAge {
 			l.delays = append(l.delays, s.delay)
 		}
 	}
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -302,7 +302,7 @@
 	switch msg := m.(type) {
 	case proto.Heartbeat:
 		d.peers.members.HandleHeartbeat(now, from, msg)
-		d.peers.recordLoad(now, from, msg)
+		sentAt := d.peers.recordLoad(now, from, msg)
 		d.store.ObserveEra(msg.Targets.Era)
 		d.tables.ObserveVersion(now, msg.Routing)
 		d.versionLag.heard(now, from, msg.Routing, d.tables.Version())
@@ -310,7 +310,7 @@
 		if d.peers.shouldPull(from, newer, newer && d.isServedReader()) {
 			go d.pullFrom(from)
 		}
-		d.handleCopyAge(now, &msg)
+		d.handleCopyAge(sentAt, &msg)
 		if d.peers.shouldAskInvalid(now, from, d.fleet.InvalidDigest(), msg.InvalidDigest) {
 			go d.pullFrom(from)
 		}
@@ -349,9 +349,10 @@
 	case proto.AdmitAsk:
 		return d.placer.DecideAdmission(msg)
 	case proto.Confirmed:
-		d.applyPeerConfirmation(now, msg)
+		sentAt := d.peers.confirmedSentAt(now, from, msg)
+		d.applyPeerConfirmation(sentAt, msg)
 		d.recordStandIn(now, from, msg)
-		d.recordServedReader(now, from, msg)
+		d.recordServedReader(sentAt, from, msg)
 	case proto.ReadAsk:
 		d.handleReadAsk(now, from, msg)
 	case proto.StreamStarts:
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -242,7 +242,7 @@
 func (d *Relay) notifyReaders() {
 	now := d.clock.Now()
 	// The ages are taken before the versions, because a version may only include more than the age states.
-	m := proto.Confirmed{RoutingAge: d.routingFreshness.ownAge(now), TargetsAge: d.targetsFreshness.ownAge(now)}
+	m := proto.Confirmed{SentAt: time.Duration(now.UnixNano()), RoutingAge: d.routingFreshness.ownAge(now), TargetsAge: d.targetsFreshness.ownAge(now)}
 	m.Routing, m.Targets, m.Evacuations = d.tables.Version(), d.fleet.Version(), d.fleet.EvacuationsVersion()
 	told := d.peers.members.FirstPerZone(taskReadStore, readersPerZone)
 	// Daemons that read in place of this one stop when they hear that the store serves it again.
@@ -269,26 +269,27 @@
 	}
 }
 
-// recordServedReader records that the store serves a daemon that reads by its rank.
-func (d *Relay) recordServedReader(now time.Time, from proto.VM, m proto.Confirmed) {
+// recordServedReader records that the store serves a daemon that reads by its rank, as it told at a moment.
+func (d *Relay) recordServedReader(sentAt time.Time, from proto.VM, m proto.Confirmed) {
 	if !d.peers.members.IsFirst(taskReadStore, readersPerZone, from) {
 		return
 	}
 	if m.RoutingAge > 0 {
-		d.routingFreshness.reader.HandleServedReader(now.Add(-m.RoutingAge))
+		d.routingFreshness.reader.HandleServedReader(sentAt.Add(-m.RoutingAge))
 	}
 	if m.TargetsAge > 0 {
-		d.targetsFreshness.reader.HandleServedReader(now.Add(-m.TargetsAge))
+		d.targetsFreshness.reader.HandleServedReader(sentAt.Add(-m.TargetsAge))
 	}
 }
 
-// applyPeerConfirmation takes over the confirmation of another daemon for the tables of which this daemon has no older state.
-func (d *Relay) applyPeerConfirmation(now time.Time, m proto.Confirmed) {
+// applyPeerConfirmation takes over the confirmation that another daemon sent at a moment, for the tables of which this daemon has no older
+// state.
+func (d *Relay) applyPeerConfirmation(sentAt time.Time, m proto.Confirmed) {
 	if m.RoutingAge > 0 && m.Routing <= d.tables.Version() && !m.Evacuations.After(d.fleet.EvacuationsVersion()) {
-		d.routingFreshness.confirmByPeer(now.Add(-m.RoutingAge))
+		d.routingFreshness.confirmByPeer(sentAt.Add(-m.RoutingAge))
 	}
 	if m.TargetsAge > 0 && !m.Targets.After(d.fleet.Version()) {
-		d.targetsFreshness.confirmByPeer(now.Add(-m.TargetsAge))
+		d.targetsFreshness.confirmByPeer(sentAt.Add(-m.TargetsAge))
 	}
 }
 
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -75,8 +75,8 @@
 	invalidAskedAt map[proto.VM]time.Time
 	// loads holds what the heartbeats of other daemons last told of their load.
 	loads map[proto.VM]peerLoad
-	// delay tells how long heartbeats wait on this daemon's link.
-	delay sched.LinkDelay[peerRun]
+	// delay tells how long heartbeats wait on this daemon's link, and confirmedDelay how long each confirmation took.
+	delay, confirmedDelay sched.LinkDelay[peerRun]
 	// ranking ranks the other daemons for streams, as of rankedAt.
 	ranking  *origin.Ranking
 	rankedAt time.Time
@@ -96,14 +96,26 @@
 	incarnation proto.Incarnation
 }
 
-// recordLoad records the load that a heartbeat tells.
-func (p *relayPeers) recordLoad(now time.Time, from proto.VM, h proto.Heartbeat) {
+// recordLoad records the load that a heartbeat tells, and returns when it was sent.
+func (p *relayPeers) recordLoad(now time.Time, from proto.VM, h proto.Heartbeat) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loads[from] = peerLoad{open: int(h.Load), pressure: float64(h.Pressure) / 100, cutOff: h.CutOff, at: now}
-	if h.SentAt > 0 {
-		p.delay.Record(now, peerRun{from, h.Incarnation}, h.SentAt)
+	if h.SentAt == 0 {
+		return now
 	}
+	return now.Add(-p.delay.Record(now, peerRun{from, h.Incarnation}, h.SentAt))
+}
+
+// confirmedSentAt returns when a confirmation was sent. It may have waited on a link, or while this daemon was suspended.
+func (p *relayPeers) confirmedSentAt(now time.Time, from proto.VM, m proto.Confirmed) time.Time {
+	alive, known := p.members.Lookup(from)
+	if m.SentAt == 0 || !known {
+		return now
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Add(-p.confirmedDelay.Record(now, peerRun{from, alive.Incarnation}, m.SentAt))
 }
 
 // Carriers returns the daemons that were heard a moment ago and can carry connections to targets.
@@ -171,6 +183,7 @@
 	now := p.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.confirmedDelay.Prune(now)
 	maps.DeleteFunc(p.loads, func(_ proto.VM, load peerLoad) bool { return now.Sub(load.at) > peerSilenceTimeout })
 }
 
--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -147,13 +147,13 @@
 	}
 }
 
-// handleCopyAge takes over what a heartbeat tells of the age of its sender's copies, for the tables of which this daemon has no older
-// state.
-func (d *Relay) handleCopyAge(now time.Time, h *proto.Heartbeat) {
+// handleCopyAge takes over what a heartbeat, sent at a moment, tells of the age of its sender's copies, for the tables of which this daemon
+// has no older state.
+func (d *Relay) handleCopyAge(sentAt time.Time, h *proto.Heartbeat) {
 	if h.CopyAge == 0 || h.CopyHops >= maxCopyHops {
 		return
 	}
-	asOf, hops := now.Add(-time.Duration(h.CopyAge)*copyAgeUnit), int(h.CopyHops)+1
+	asOf, hops := sentAt.Add(-time.Duration(h.CopyAge)*copyAgeUnit), int(h.CopyHops)+1
 	if h.Routing <= d.tables.Version() && !h.Evacuations.After(d.fleet.EvacuationsVersion()) {
 		d.routingFreshness.confirmByGossip(asOf, hops)
 	}
