--- a/coord/tablereadermodel_test.go
+++ b/coord/tablereadermodel_test.go
@@ -318,7 +318,11 @@
 		d.standInAt = m.now
 		m.notify(vm)
 	}
-	if due := latest(latest(d.own, d.byPeer), d.checkedAt).Add(modelCheckAfter + d.jitter); !m.now.Before(due) {
+	from := latest(d.own, d.byPeer)
+	if len(d.reader.StandIns(m.now)) > 0 {
+		from = d.own
+	}
+	if due := latest(from, d.checkedAt).Add(modelCheckAfter + d.jitter); !m.now.Before(due) {
 		d.checkedAt, d.jitter = m.now, time.Duration(m.rng.Int64N(int64(modelCheckJitter)))
 		m.startCall(vm, true)
 	}
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -159,6 +159,17 @@
 	return later(v.confirmed, v.confirmedByPeer)
 }
 
+// checkFrom returns from when on the time to the next check counts. While others read in place of this daemon, only its own reads tell them
+// that they need not.
+func (v *tableFreshness) checkFrom(now time.Time) time.Time {
+	if v.reader != nil && len(v.reader.StandIns(now)) > 0 {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return v.confirmed
+	}
+	return v.confirmedAt()
+}
+
 // confirmedSince reports whether the store has answered a call that this daemon sent after a moment.
 func (v *tableFreshness) confirmedSince(at time.Time) bool {
 	v.mu.Lock()
--- a/serve/relaywatcher.go
+++ b/serve/relaywatcher.go
@@ -248,8 +248,9 @@
 	for {
 		var checkTimer <-chan time.Time
 		if checkResult == nil {
-			next := later(w.freshness.confirmedAt(), w.lastCheck).Add(checkAfter + rand.N(checkJitter))
-			checkTimer = w.daemon.clock.After(next.Sub(w.daemon.clock.Now()))
+			now := w.daemon.clock.Now()
+			next := later(w.freshness.checkFrom(now), w.lastCheck).Add(checkAfter + rand.N(checkJitter))
+			checkTimer = w.daemon.clock.After(next.Sub(now))
 		}
 		select {
 		case r := <-call.result:
@@ -275,7 +276,7 @@
 
 // checkDue reports whether this daemon should check now; others may have confirmed the copy since the timer was set.
 func (w *watcher) checkDue(now time.Time) bool {
-	return now.Sub(w.freshness.confirmedAt()) >= checkAfter && w.isReader()
+	return now.Sub(w.freshness.checkFrom(now)) >= checkAfter && w.isReader()
 }
 
 // finishWatch handles the answer of a watch. A watch that hung is treated as if it had brought no changes.
