Two ways and more to reject unknown routes, compared in one model

Callers ask daemons of the reader model for routes that were added and for one that does not exist, beside a store that turns away some daemons or all, pauses, cuts, suspended daemons that read their messages later, and slow links. Drawn orders of events, repeatable; judged by the rule at every daemon: a route that was in force two seconds ago is not rejected for good. It fails with each mechanism taken out: the bound on the age, a larger bound, and the delay of messages.

--- a/coord/tablereadermodel_test.go
+++ b/coord/tablereadermodel_test.go
@@ -81,11 +81,23 @@
 	cutSince  time.Time
 	// n counts the steps, and nextChange is the step of the next change.
 	n, nextChange int
+	// suspended daemons get their messages when they go on, and slowLink tells how much longer than others a message takes.
+	suspended map[proto.VM]bool
+	slowLink  func(from, to proto.VM) time.Duration
+	held      []heldMessage
+	// ignoresDelay has messages count as of when they are read.
+	ignoresDelay bool
+}
+
+// heldMessage is a message that takes longer than others since arrivedAt.
+type heldMessage struct {
+	meshMessage
+	arrivedAt, dueAt time.Time
 }
 
 func newReaderModel(way readerWay, seed uint64, size, zones int) *readerModel {
 	timing := MemberTiming{HeartbeatInterval: 300 * time.Millisecond, SilenceTimeout: 900 * time.Millisecond, PauseThreshold: 600 * time.Millisecond, MaxListLag: 2 * time.Minute, ForgetAfter: 2 * time.Minute}
-	m := &readerModel{meshSim: newMesh(size, 1, zones, timing), way: way, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), daemons: map[proto.VM]*modelDaemon{}, changedAt: []time.Time{{}}, away: map[proto.VM]bool{}}
+	m := &readerModel{meshSim: newMesh(size, 1, zones, timing), way: way, seed: seed, rng: rand.New(rand.NewPCG(seed, 3)), daemons: map[proto.VM]*modelDaemon{}, changedAt: []time.Time{{}}, away: map[proto.VM]bool{}, suspended: map[proto.VM]bool{}, slowLink: func(proto.VM, proto.VM) time.Duration { return 0 }}
 	for _, vm := range m.vms {
 		random := rand.New(rand.NewPCG(seed, uint64(len(m.daemons))))
 		d := &modelDaemon{reader: NewTableReader(m.now, way.timing, WithReaderRandom(func(n time.Duration) time.Duration { return time.Duration(random.Int64N(int64(n))) })), knownAt: []time.Time{m.now}, own: m.now}
@@ -214,8 +226,13 @@
 	}
 }
 
-func (m *readerModel) receive(msg meshMessage) {
+// receive has a daemon read a message that took longer than others.
+func (m *readerModel) receive(msg meshMessage, delay time.Duration) {
 	d := m.daemons[msg.to]
+	sentAt := m.now.Add(-delay)
+	if m.ignoresDelay {
+		sentAt = m.now
+	}
 	switch message := msg.m.(type) {
 	case proto.Heartbeat:
 		if message.Targets.Version > d.version && d.pullAt.IsZero() {
@@ -226,17 +243,17 @@
 		}
 		if d.awaited.Targets.Version <= d.version {
 			m.gossip(d, d.awaited, d.awaitedAt)
-			d.awaited, d.awaitedAt = message, m.now
+			d.awaited, d.awaitedAt = message, sentAt
 			m.gossip(d, d.awaited, d.awaitedAt)
 		}
 	case proto.Confirmed:
 		if message.Targets.Version <= d.version {
-			d.byPeer = latest(d.byPeer, m.now.Add(-message.TargetsAge))
+			d.byPeer = latest(d.byPeer, sentAt.Add(-message.TargetsAge))
 			d.reader.ConfirmByOthers(d.byPeer)
 		}
 		switch {
 		case slices.Contains(m.members[msg.to].FirstInZone(modelTask, 2), msg.from):
-			d.reader.HandleServedReader(m.now.Add(-message.TargetsAge))
+			d.reader.HandleServedReader(sentAt.Add(-message.TargetsAge))
 		case m.zone[msg.from] == m.zone[msg.to]:
 			d.reader.HandleStandIn(m.now, msg.from)
 		}
@@ -263,12 +280,21 @@
 	batch := m.queue
 	m.queue = nil
 	for _, msg := range batch {
-		if m.isDown(msg.to) || m.isDown(msg.from) || m.isCut(msg.from, msg.to) {
+		if m.isDown(msg.to) && !m.suspended[msg.to] || m.isDown(msg.from) || m.isCut(msg.from, msg.to) {
 			continue
 		}
-		m.deliver(msg)
-		m.receive(msg)
+		m.held = append(m.held, heldMessage{msg, m.now, m.now.Add(m.slowLink(msg.from, msg.to))})
 	}
+	m.held = slices.DeleteFunc(m.held, func(h heldMessage) bool {
+		if m.suspended[h.to] || m.now.Before(h.dueAt) {
+			return false
+		}
+		if !m.isDown(h.to) {
+			m.deliver(h.meshMessage)
+			m.receive(h.meshMessage, m.now.Sub(h.arrivedAt))
+		}
+		return true
+	})
 	for i, vm := range m.vms {
 		if m.isDown(vm) {
 			continue
