A configuration that was replaced during a look-up rejects nothing

What callers saw: a final 404 or 401 for a route or a key that the operator had added, from a daemon that was late, or suspended, between looking a request up and answering it. Cause: the look-up was made in one configuration, and the evidence of being the newest was read afterwards: if the next version came into force in between, its confirmation spoke for the one before it. Evidence: by reading; TestReplacedConfigurationRejectsNothing has a version come into force there and failed with the check taken out (404 and 401). Now a request that was not found is looked up again if the configuration was replaced meanwhile; each round needs a newer version, and requests that are found cost nothing more. The counters of unknown routes count answers, not look-ups.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -16,16 +16,8 @@
 		return nil, &failure{status: http.StatusBadRequest, reason: err.Error()}
 	}
 	f := &flow{server: s, w: w, req: req, startedAt: startedAt, triedTargets: map[string]bool{}, lastEventID: req.After}
-	table := s.tables.Current()
-	if table == nil {
-		return f, &failure{status: http.StatusServiceUnavailable, retryAfter: outageRetryAfter(req), reason: "no configuration is known yet", kind: refusedNoConfiguration}
-	}
-	f.routingVersion = table.Routing().Version
-	f.route = table.Match(req.Host, req.Path)
-	if f.route == nil {
-		return f, s.unknownFailure(http.StatusNotFound, "no route has the host and path")
-	}
-	if fail := f.authorize(table); fail != nil {
+	table, fail := f.findTable()
+	if fail != nil {
 		return f, fail
 	}
 	if fail := f.refuseStopping(); fail != nil {
@@ -43,6 +35,31 @@
 	return f, f.findOrigin(r.Context(), table)
 }
 
+// findTable looks up the route and the workspace in the configuration in force, and returns its table.
+func (f *flow) findTable() (*Table, *failure) {
+	for {
+		table := f.server.tables.Current()
+		if table == nil {
+			return nil, &failure{status: http.StatusServiceUnavailable, retryAfter: outageRetryAfter(f.req), reason: "no configuration is known yet", kind: refusedNoConfiguration}
+		}
+		fail := f.lookUp(table)
+		// A table that was replaced meanwhile rejects nothing: the age belongs to its successor.
+		if fail == nil || table == f.server.tables.Current() {
+			return table, fail
+		}
+	}
+}
+
+// lookUp finds the route and the workspace of the request in a table.
+func (f *flow) lookUp(table *Table) *failure {
+	f.routingVersion = table.Routing().Version
+	f.route = table.Match(f.req.Host, f.req.Path)
+	if f.route == nil {
+		return f.server.unknownFailure(http.StatusNotFound, "no route has the host and path")
+	}
+	return f.authorize(table)
+}
+
 func (f *flow) authorize(table *Table) *failure {
 	f.workspaceSpec = table.Owner(f.req.APIKey)
 	if f.workspaceSpec != nil {
--- a/relay/server.go
+++ b/relay/server.go
@@ -279,8 +279,8 @@
 	reason     string
 	// kind is the kind of the reason in the statistics of refusals.
 	kind refusalKind
-	// routingAge tells for an unknown route or key how long ago the configuration was known to be the newest one; empty otherwise.
-	routingAge string
+	// routingAge tells for an unknown route or key how long ago the configuration was known to be the newest one; nil otherwise.
+	routingAge *routingAge
 }
 
 // ServeHTTP forwards one request, and returns when the response is complete or has failed.
@@ -544,8 +544,9 @@
 	} else {
 		logFields = append(logFields, "took", formatDuration(now.Sub(startedAt)))
 	}
-	if fail.routingAge != "" {
-		logFields = append(logFields, "routingAge", fail.routingAge)
+	if fail.routingAge != nil {
+		s.counts.unknown.record(fail)
+		logFields = append(logFields, "routingAge", fail.routingAge.String())
 	}
 	s.log.Info("request refused", logFields...)
 	if fail.retryAfter > 0 {
--- a/relay/unknown.go
+++ b/relay/unknown.go
@@ -11,6 +11,19 @@
 // CopyAge tells how long ago the configuration in force was known to be the newest one; false if it never was.
 type CopyAge func(now time.Time) (age time.Duration, known bool)
 
+// routingAge is what a CopyAge told for an unknown route or key.
+type routingAge struct {
+	age   time.Duration
+	known bool
+}
+
+func (a *routingAge) String() string {
+	if !a.known {
+		return "unknown"
+	}
+	return formatDuration(a.age)
+}
+
 // Bounds of the histogram of ages, in microseconds.
 const (
 	minAgeMicros = 1
@@ -34,7 +47,7 @@
 	ages               *hdrhistogram.Histogram
 }
 
-func (c *unknownCounts) record(fail *failure, age time.Duration, known bool) {
+func (c *unknownCounts) record(fail *failure) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if fail.retryAfter > 0 {
@@ -42,14 +55,14 @@
 	} else {
 		c.rejected++
 	}
-	if !known {
+	if !fail.routingAge.known {
 		return
 	}
 	if c.ages == nil {
 		c.ages = hdrhistogram.New(minAgeMicros, maxAgeMicros, ageDigits)
 	}
 	// The value is within the bounds, so that recording it cannot fail.
-	_ = c.ages.RecordValue(min(maxAgeMicros, max(minAgeMicros, age.Microseconds())))
+	_ = c.ages.RecordValue(min(maxAgeMicros, max(minAgeMicros, fail.routingAge.age.Microseconds())))
 }
 
 func (c *unknownCounts) stats() UnknownStats {
@@ -73,9 +86,6 @@
 	default:
 		fail = &failure{status: status, reason: reason, kind: refusedUnknown}
 	}
-	if fail.routingAge = "unknown"; known {
-		fail.routingAge = formatDuration(age)
-	}
-	s.counts.unknown.record(fail, age, known)
+	fail.routingAge = &routingAge{age, known}
 	return fail
 }
--- a/relay/unknown_test.go
+++ b/relay/unknown_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
 )
 
 // TestRefusalsOfUnknownRoutesTellTheAgeOfTheConfiguration guards against refusals of unknown routes of which nobody can tell afterwards whether
@@ -72,3 +74,36 @@
 		})
 	}
 }
+
+// TestReplacedConfigurationRejectsNothing guards against a final 404 or 401 for a route or a key that was looked up in one configuration, where
+// the evidence of being the newest is that of the next one, which came into force in between.
+func TestReplacedConfigurationRejectsNothing(t *testing.T) {
+	route := proto.Route{Name: "added", Host: "a.example", Prefix: "/added/"}
+	scenarios := []struct {
+		name   string
+		before *proto.Routing
+	}{
+		{"a route was added", routing(3)},
+		{"a key was added", &proto.Routing{Version: 3, Routes: []proto.Route{route}, Workspaces: []proto.RelayWorkspace{{Name: "north", Keys: []string{"key-9"}}}}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			tables := &Tables{}
+			tables.ReplaceIfNewer(s.before)
+			server := NewServer(ServerConfig{Tables: tables, Clock: clockwork.NewFakeClock(), MaxRoutingAge: time.Second, RoutingAge: func(time.Time) (time.Duration, bool) {
+				tables.ReplaceIfNewer(routing(4, route))
+				return 0, true
+			}})
+			f := &flow{server: server, req: &Request{ID: "r1", Host: "a.example", Path: "/added/1", APIKey: "key-1"}}
+			if _, fail := f.findTable(); fail != nil {
+				t.Fatalf("refused with %d: %s", fail.status, fail.reason)
+			}
+			if f.routingVersion != 4 || f.route == nil || f.workspace != "north" {
+				t.Errorf("found %+v of workspace %q in version %d", f.route, f.workspace, f.routingVersion)
+			}
+			if _, fail := (&flow{server: server, req: &Request{ID: "r2", Host: "a.example", Path: "/other/"}}).findTable(); fail == nil || fail.status != http.StatusNotFound {
+				t.Errorf("a route that no configuration has: %+v", fail)
+			}
+		})
+	}
+}
