Heartbeats confirm the version that they tell

What callers saw: possibly a final 404 or 401 by an older configuration. Cause: a heartbeat read its sender's versions first and the age of its copies later. If the next version came into force in between, the heartbeat told of the older one with the confirmation of the newer, and daemons that had the older one took it for the newest. notifyReaders already read the ages first. Evidence: TestHeartbeatsConfirmTheVersionThatTheyTell has a version come into force while the heartbeat is made; before, the heartbeat told that version 5 was confirmed 100 ms ago, when only version 6 was. Now the time, the ages and then the versions are read. Found by reading; not seen in a run of daemons.

--- a/serve/relay.go
+++ b/serve/relay.go
@@ -287,12 +287,15 @@
 }
 
 func (d *Relay) heartbeat() proto.Heartbeat {
-	h := proto.Heartbeat{
-		Incarnation: d.self.Incarnation, Stopping: d.stopping.Load(), Routing: d.tables.Version(), Targets: d.fleet.Version(), EndsDigest: d.crashTracker.Digest(), InvalidDigest: d.fleet.InvalidDigest(),
-		NoticesDigest: d.fleet.NoticeDigest(), Evacuations: d.fleet.EvacuationsVersion(),
-		Load: uint32(d.server.OpenRequests() + d.peers.links.TunnelCounts().Open), CutOff: d.paths.CutOff(), Pressure: d.intake.pressure(), SentAt: time.Duration(d.clock.Now().UnixNano()),
-	}
-	d.fillCopyAge(d.clock.Now(), &h)
+	var h proto.Heartbeat
+	// The ages are taken before the versions, because a version may only include more than the age states.
+	now := d.clock.Now()
+	d.fillCopyAge(now, &h)
+	h.SentAt = time.Duration(now.UnixNano())
+	h.Incarnation, h.Stopping = d.self.Incarnation, d.stopping.Load()
+	h.Routing, h.Targets, h.Evacuations = d.tables.Version(), d.fleet.Version(), d.fleet.EvacuationsVersion()
+	h.EndsDigest, h.InvalidDigest, h.NoticesDigest = d.crashTracker.Digest(), d.fleet.InvalidDigest(), d.fleet.NoticeDigest()
+	h.Load, h.CutOff, h.Pressure = uint32(d.server.OpenRequests()+d.peers.links.TunnelCounts().Open), d.paths.CutOff(), d.intake.pressure()
 	return h
 }
 
--- a/serve/relayconfirmations_test.go
+++ b/serve/relayconfirmations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -61,3 +62,41 @@
 		t.Errorf("the copy counts as current as of %s after the call was sent", at.Sub(sentAt))
 	}
 }
+
+// newsClock is a clock by which something happens whenever it is read.
+type newsClock struct {
+	clockwork.Clock
+	news func()
+}
+
+func (c *newsClock) Now() time.Time {
+	c.news()
+	return c.Clock.Now()
+}
+
+// TestHeartbeatsConfirmTheVersionThatTheyTell guards against a heartbeat that tells of one version and of the confirmation of the next one,
+// which came into force while it was made: daemons that have the first version would take it for the newest.
+func TestHeartbeatsConfirmTheVersionThatTheyTell(t *testing.T) {
+	settings, err := platform.ParseSettings("nodeName=vm-1\nzone=a\nregion=r\nlisten.front=127.0.0.1:1\nlisten.readiness=127.0.0.1:2\nlisten.control=127.0.0.1:3\ninternalPorts=4,5\nplatform.address=127.0.0.1:6\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := &newsClock{Clock: clockwork.NewFakeClock(), news: func() {}}
+	steady := clock.Clock.(*clockwork.FakeClock)
+	d := NewRelay(settings, clock, hclog.NewNullLogger(), NewLogSink(io.Discard))
+	const stale = 5 * time.Second
+	confirm := func(version uint64) {
+		d.tables.ReplaceIfNewer(&proto.Routing{Version: version})
+		d.routingFreshness.confirm(steady.Now())
+		d.targetsFreshness.confirm(steady.Now())
+	}
+	confirm(5)
+	steady.Advance(stale)
+	if h := d.heartbeat(); h.Routing != 5 || h.CopyAge != uint16(stale/copyAgeUnit) {
+		t.Fatalf("the heartbeat tells version %d and age %d", h.Routing, h.CopyAge)
+	}
+	clock.news = func() { confirm(6) }
+	if h := d.heartbeat(); h.Routing != 6 && h.CopyAge < uint16(stale/copyAgeUnit) {
+		t.Errorf("the heartbeat tells that version %d was confirmed %d00 ms ago, when only version 6 was", h.Routing, h.CopyAge)
+	}
+}
