Daemons log when they begin or stop to read a table of the store, and why

Nothing told which daemon read when: a daemon that reads unasked, or that takes its zone's readers for silent, showed only in the calls that the store counted. One line for each change, with the reason before and after, the age of the copy and the error of the last call.

--- a/serve/relay.go
+++ b/serve/relay.go
@@ -440,11 +440,11 @@
 
 func (d *Relay) addRelayLoops(ctx context.Context, cancel func(), g *run.Group) {
 	routing := &watcher{
-		daemon: d, name: tableRouting, table: d.store.Routing(), freshness: &d.routingFreshness, isReader: d.readsTable(&d.routingFreshness), onConfirmed: d.notifyReaders, onResult: d.recordCall(&d.routingFreshness),
+		daemon: d, name: tableRouting, table: d.store.Routing(), freshness: &d.routingFreshness, isReader: d.readsTable(&d.routingFreshness, tableRouting), onConfirmed: d.notifyReaders, onResult: d.recordCall(&d.routingFreshness),
 		replace: d.handleRoutingTable, apply: d.handleRoutingChanges,
 	}
 	targets := &watcher{
-		daemon: d, name: tableTargets, table: d.store.Targets(), minInterval: minWatchInterval, leader: routing, freshness: &d.targetsFreshness, isReader: d.readsTable(&d.targetsFreshness), onConfirmed: d.notifyReaders, onResult: d.recordCall(&d.targetsFreshness),
+		daemon: d, name: tableTargets, table: d.store.Targets(), minInterval: minWatchInterval, leader: routing, freshness: &d.targetsFreshness, isReader: d.readsTable(&d.targetsFreshness, tableTargets), onConfirmed: d.notifyReaders, onResult: d.recordCall(&d.targetsFreshness),
 		replace: d.handleTargetTable, apply: d.handleTargetChanges, onStep: d.recordStoreState,
 	}
 	for _, loop := range []func(context.Context){
--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -33,6 +33,8 @@
 	failure string
 	// loggedStale is set while the last log line about the age says that the copy is too old.
 	loggedStale bool
+	// loggedReason is why this daemon read the table according to the last log line about it.
+	loggedReason coord.ReadReason
 	// reader decides whether this daemon reads the table, and woken receives a value when another daemon asks for it.
 	reader *coord.TableReader
 	woken  chan struct{}
@@ -180,7 +182,8 @@
 // age returns how long ago the copy was last known to be current, and false if it never was.
 func (v *tableFreshness) age(now time.Time) (time.Duration, bool) {
 	at, _ := v.gossip()
-	return now.Sub(at), !at.IsZero()
+	// A confirmation may have come since the time was read.
+	return max(now.Sub(at), 0), !at.IsZero()
 }
 
 // ownAge returns the age that other daemons may rely on: how long ago the store told this daemon itself. Confirmations by peers do not
@@ -209,6 +212,19 @@
 	}
 }
 
+// logReason logs when this daemon begins or stops to read the table, and why.
+func (v *tableFreshness) logReason(now time.Time, reason coord.ReadReason, logger hclog.Logger, table string) {
+	v.mu.Lock()
+	before := v.loggedReason
+	v.loggedReason = reason
+	v.mu.Unlock()
+	if reason == before {
+		return
+	}
+	age, known := v.age(now)
+	logger.Info("who reads the store changed", "table", table, "reads", reason, "before", before, "age", age.String(), "known", known, "failed", v.lastFailure())
+}
+
 // whyUnconfirmed tells why the copy is not confirmed; the lock must be held.
 func (v *tableFreshness) whyUnconfirmed() string {
 	if v.failure != "" {
--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -25,8 +25,13 @@
 }
 
 // readsTable returns a function that reports whether this daemon reads a table.
-func (d *Relay) readsTable(freshness *tableFreshness) func() bool {
-	return func() bool { return freshness.reader.Reason(d.clock.Now(), d.standing()) != coord.ReadNone }
+func (d *Relay) readsTable(freshness *tableFreshness, table string) func() bool {
+	return func() bool {
+		now := d.clock.Now()
+		reason := freshness.reader.Reason(now, d.standing())
+		freshness.logReason(now, reason, d.log, table)
+		return reason != coord.ReadNone
+	}
 }
 
 // isAsked reports whether another daemon asked this one to read a table. A daemon without the tables reads only then or when mayReadFirst
