--- a/serve/relayfreshness.go
+++ b/serve/relayfreshness.go
@@ -186,6 +186,15 @@
 	return max(now.Sub(at), 0), !at.IsZero()
 }
 
+// describeAge returns the age as log lines tell it.
+func (v *tableFreshness) describeAge(now time.Time) string {
+	age, known := v.age(now)
+	if !known {
+		return "unknown"
+	}
+	return age.String()
+}
+
 // ownAge returns the age that other daemons may rely on: how long ago the store told this daemon itself. Confirmations by peers do not
 // count, so that no daemon is confirmed by what it said earlier. It is at least a nanosecond, and 0 if the store never answered.
 func (v *tableFreshness) ownAge(now time.Time) time.Duration {
@@ -221,8 +230,7 @@
 	if reason == before {
 		return
 	}
-	age, known := v.age(now)
-	logger.Info("who reads the store changed", "table", table, "reads", reason, "before", before, "age", age.String(), "known", known, "failed", v.lastFailure())
+	logger.Info("who reads the store changed", "table", table, "reads", reason, "before", before, "age", v.describeAge(now), "failed", v.lastFailure())
 }
 
 // whyUnconfirmed tells why the copy is not confirmed; the lock must be held.
--- a/serve/relayreaders.go
+++ b/serve/relayreaders.go
@@ -70,6 +70,12 @@
 	return d.isReader() && d.routingFreshness.reader.FailedFor(now) == 0 && d.targetsFreshness.reader.FailedFor(now) == 0
 }
 
+// ReadReasons returns why this daemon reads the configuration and the targets from the store.
+func (d *Relay) ReadReasons() (routing, targets coord.ReadReason) {
+	now, s := d.clock.Now(), d.standing()
+	return d.routingFreshness.reader.Reason(now, s), d.targetsFreshness.reader.Reason(now, s)
+}
+
 // isStandIn reports whether this daemon reads in place of others.
 func (d *Relay) isStandIn() bool { return !d.standing().First && d.isServedReader() }
 
@@ -93,9 +99,7 @@
 			asked += d.sendReadAsk(vm, m)
 		}
 	}
-	routingAge, _ := d.routingFreshness.age(now)
-	targetsAge, _ := d.targetsFreshness.age(now)
-	d.log.Warn("asking other daemons to read the store", "daemons", asked, "routingAge", routingAge.String(), "targetsAge", targetsAge.String(),
+	d.log.Warn("asking other daemons to read the store", "daemons", asked, "routingAge", d.routingFreshness.describeAge(now), "targetsAge", d.targetsFreshness.describeAge(now),
 		"routingFailed", d.routingFreshness.lastFailure(), "targetsFailed", d.targetsFreshness.lastFailure())
 }
 
@@ -125,8 +129,7 @@
 		if !ask.wanted || !ask.freshness.reader.HandleAsk(now, from) {
 			continue
 		}
-		age, _ := ask.freshness.age(now)
-		d.log.Info("reading the store in place of another daemon", "table", ask.table, "from", from, "age", age.String())
+		d.log.Info("reading the store in place of another daemon", "table", ask.table, "from", from, "age", ask.freshness.describeAge(now))
 		ask.freshness.wake()
 	}
 }
