The models of readers and of unknown routes have changes in pairs

No play had two changes within a second of each other while other daemons become readers. Every second change now follows within a second, in plays of their own, so that earlier plays stay as they were.

--- a/coord/tablereadermodel_test.go
+++ b/coord/tablereadermodel_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +88,18 @@
 	held      []heldMessage
 	// ignoresDelay has messages count as of when they are read.
 	ignoresDelay bool
+	// pairs has every second change follow within a second.
+	pairs bool
+}
+
+// inPairs ends the description of a store whose changes come in pairs.
+const inPairs = ", changes in pairs"
+
+func (m *readerModel) stepsToNextChange() int {
+	if m.pairs && len(m.changedAt)%2 == 0 {
+		return 1 + m.rng.IntN(int(time.Second/modelStep))
+	}
+	return 100 + m.rng.IntN(300)
 }
 
 // heldMessage is a message that takes longer than others since arrivedAt.
@@ -441,6 +454,7 @@
 
 // play plays a store that turns some daemons away, or all, or none.
 func (m *readerModel) play(share string) readerResult {
+	share, m.pairs = strings.CutSuffix(share, inPairs)
 	steps := map[int]func(){}
 	if share != "none" {
 		steps = m.disturb(share == "all")
@@ -458,7 +472,7 @@
 		}
 		if n == m.nextChange && n < int((modelLength-modelInForce)/modelStep) {
 			m.changedAt = append(m.changedAt, m.now)
-			m.nextChange += 100 + m.rng.IntN(300)
+			m.nextChange += m.stepsToNextChange()
 		}
 		m.advance()
 		m.markBound()
@@ -540,20 +554,28 @@
 func TestEachDaemonThatTheStoreServesHasEachChange(t *testing.T) {
 	t.Parallel()
 	ranks, asks, ages, both := readerWays()
-	for _, way := range []readerWay{ranks, asks, ages, both} {
-		seeds := histories(200)
-		if way.name != both.name {
-			seeds /= 10
-		}
+	plays := []struct {
+		way   readerWay
+		share string
+		seeds int
+	}{
+		{ranks, "some", histories(200) / 10},
+		{asks, "some", histories(200) / 10},
+		{ages, "some", histories(200) / 10},
+		{both, "some", histories(200)},
+		{both, "some" + inPairs, histories(200) / 4},
+	}
+	for _, play := range plays {
+		way := play.way
 		var sum readerResult
 		var failed []uint64
-		for seed, r := range playSeeds(way, "some", seeds) {
+		for seed, r := range playSeeds(way, play.share, play.seeds) {
 			sum = readerResult{late: sum.late + r.late, due: sum.due + r.due, calls: sum.calls + r.calls, worst: max(sum.worst, r.worst)}
 			if r.late > 0 {
 				failed = append(failed, uint64(seed))
 			}
 		}
-		t.Logf("%s: %d of %d changes late, worst after %s, in %d seeds; %d calls", way.name, sum.late, sum.due, sum.worst, len(failed), sum.calls)
+		t.Logf("%s, store turns away %s: %d of %d changes late, worst after %s, in %d of %d seeds; %d calls", way.name, play.share, sum.late, sum.due, sum.worst, len(failed), play.seeds, sum.calls)
 		switch way.name {
 		case both.name, asks.name:
 			if len(failed) > 0 {
--- a/coord/unknownroutemodel_test.go
+++ b/coord/unknownroutemodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -170,6 +171,7 @@
 
 // play plays a store that turns some daemons away, or all, or none, beside callers.
 func (m *rejectModel) play(share string) rejectResult {
+	share, m.pairs = strings.CutSuffix(share, inPairs)
 	steps := map[int]func(){}
 	if share != "none" {
 		steps = m.disturb(share == "all")
@@ -183,7 +185,7 @@
 		}
 		if n == m.nextChange {
 			m.changedAt = append(m.changedAt, m.now)
-			m.nextChange += 100 + m.rng.IntN(300)
+			m.nextChange += m.stepsToNextChange()
 		}
 		m.advance()
 		m.callers()
@@ -234,8 +236,11 @@
 		{name: "by copies confirmed within the bound, without the delay of messages", bound: modelInForce, ignoresDelay: true},
 		{name: "by copies confirmed within the bound, others are checked", bound: modelInForce, checks: true},
 	}
-	for _, share := range []string{"all", "some", "none"} {
+	for _, share := range []string{"all", "some", "none", "all" + inPairs, "some" + inPairs} {
 		for _, way := range ways {
+			if way != taken && strings.HasSuffix(share, inPairs) {
+				continue
+			}
 			seeds := histories(20)
 			if way != taken && share != "all" || share == "none" {
 				seeds /= 5
