A version is told once its document is there

What callers saw: a daemon that ended at its start, and all requests at it with it: 'panic: assignment to entry in nil map' in Packer.Pack. Cause: a configuration came into force, and heartbeats told its version, before its document was set; a daemon that asked in between got the document of the version before, and with the first version the asked one ended. Now the document is set first, and nothing is packed before there is one.

--- a/serve/relayconfirmations_test.go
+++ b/serve/relayconfirmations_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
@@ -77,13 +76,9 @@
 // TestHeartbeatsConfirmTheVersionThatTheyTell guards against a heartbeat that tells of one version and of the confirmation of the next one,
 // which came into force while it was made: daemons that have the first version would take it for the newest.
 func TestHeartbeatsConfirmTheVersionThatTheyTell(t *testing.T) {
-	settings, err := platform.ParseSettings("nodeName=vm-1\nzone=a\nregion=r\nlisten.front=127.0.0.1:1\nlisten.readiness=127.0.0.1:2\nlisten.control=127.0.0.1:3\ninternalPorts=4,5\nplatform.address=127.0.0.1:6\n")
-	if err != nil {
-		t.Fatal(err)
-	}
 	clock := &newsClock{Clock: clockwork.NewFakeClock(), news: func() {}}
 	steady := clock.Clock.(*clockwork.FakeClock)
-	d := NewRelay(settings, clock, hclog.NewNullLogger(), NewLogSink(io.Discard))
+	d := newIdleRelay(t, clock)
 	const stale = 5 * time.Second
 	confirm := func(version uint64) {
 		d.tables.ReplaceIfNewer(&proto.Routing{Version: version})
--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -73,11 +73,12 @@
 		return
 	}
 	oldVersion := d.tables.Version()
+	// Other daemons ask for the document as soon as they hear of its version.
+	d.routingDocument.set(r.Version, body)
 	if !d.tables.ReplaceIfNewer(r) {
 		d.log.Debug("ignoring a configuration that is not newer", "from", from, "version", r.Version, "inForce", oldVersion)
 		return
 	}
-	d.routingDocument.set(body, func() bool { return r.Version == d.tables.Version() })
 	how := d.versionLag.adopted(d.clock.Now(), r.Version, from, len(body), age)
 	d.log.Info("configuration in force", "from", from, "version", r.Version, "before", oldVersion, "routes", len(r.Routes), "pools", len(r.Pools), "workspaces", len(r.Workspaces),
 		"bytes", how.Bytes, "asked", how.Asked, "failed", how.Failed, "behindMs", how.Behind, "storeAgeMs", how.StoreAge)
--- a/serve/relaydocuments_test.go
+++ b/serve/relaydocuments_test.go
@@ -1,10 +1,51 @@
 package serve
 
 import (
+	"io"
 	"testing"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/platform"
+	"emberlead/proto"
+	"emberlead/spread"
 )
 
+// newIdleRelay returns a daemon that does not run.
+func newIdleRelay(t *testing.T, clock clockwork.Clock) *Relay {
+	t.Helper()
+	settings, err := platform.ParseSettings("nodeName=vm-1\nzone=a\nregion=r\nlisten.front=127.0.0.1:1\nlisten.readiness=127.0.0.1:2\nlisten.control=127.0.0.1:3\ninternalPorts=4,5\nplatform.address=127.0.0.1:6\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewRelay(settings, clock, hclog.NewNullLogger(), NewLogSink(io.Discard))
+}
+
+// TestVersionIsToldOnceItsDocumentIsThere guards against daemons that ask for a version of which they heard, and get the document of the one
+// before it, or end the daemon that has none yet.
+func TestVersionIsToldOnceItsDocumentIsThere(t *testing.T) {
+	const body = `{"version":7,"routes":[],"services":[],"limits":{"headerBytes":16384,"bodyBytes":1000,"headerMs":3000,"idleMs":15000},"tenants":[]}`
+	d := newIdleRelay(t, clockwork.NewFakeClock())
+	d.routingDocument.mu.Lock()
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		d.applyRouting([]byte(body), fromStore, 0)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if version := d.tables.Version(); version != 0 {
+		t.Errorf("version %d is told before its document is there", version)
+	}
+	d.routingDocument.mu.Unlock()
+	<-applied
+	answer := d.answerRoutingAsk(proto.RoutingAsk{Packed: true})
+	if got, err := spread.Unpack(answer.RoutingPacked, nil); answer.Routing != 7 || err != nil || string(got) != body {
+		t.Errorf("version %d with the document %q, %v", answer.Routing, got, err)
+	}
+}
+
 // TestFullListsAreRateLimited has hundreds of daemons that start together ask the same daemon.
 func TestFullListsAreRateLimited(t *testing.T) {
 	var s documentCache
--- a/serve/relaypull.go
+++ b/serve/relaypull.go
@@ -15,18 +15,20 @@
 
 // routingDocument holds the configuration in force as the operator wrote it, in the forms in which it is sent to other daemons.
 type routingDocument struct {
-	mu     sync.Mutex
-	packer spread.Packer
+	mu      sync.Mutex
+	version uint64
+	packer  spread.Packer
 	sender spread.Sender
 	// wholeNext is set if differences that were received did not fit.
 	wholeNext bool
 }
 
-// set replaces the document unless a newer one has come into force meanwhile.
-func (r *routingDocument) set(body []byte, isCurrent func() bool) {
+// set replaces the document by that of a newer version.
+func (r *routingDocument) set(version uint64, body []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if isCurrent() {
+	if _, digest := r.packer.Document(); digest == 0 || version > r.version {
+		r.version = version
 		r.packer.Set(body)
 	}
 }
--- a/spread/packer.go
+++ b/spread/packer.go
@@ -54,8 +54,12 @@
 // Document returns the newest version and its digest.
 func (p *Packer) Document() (document []byte, digest uint64) { return p.document, p.digest }
 
-// Pack returns the newest version for a daemon that has the version with a digest: as differences if that version is known, or whole.
+// Pack returns the newest version for a daemon that has the version with a digest: as differences if that version is known, or whole. It
+// returns none before the first version is set.
 func (p *Packer) Pack(base uint64) (proto.PackedDocument, error) {
+	if p.packed == nil {
+		return proto.PackedDocument{}, nil
+	}
 	var known []byte
 	for _, b := range p.bases {
 		if b.digest == base {
--- a/spread/packer_test.go
+++ b/spread/packer_test.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// TestNothingIsPackedBeforeTheFirstVersion guards against a daemon that ends when another one asks it for a document that it does not have yet.
+func TestNothingIsPackedBeforeTheFirstVersion(t *testing.T) {
+	var p Packer
+	if packed, err := p.Pack(0); err != nil || len(packed.Parts) > 0 {
+		t.Errorf("packed %+v, %v", packed, err)
+	}
+}
+
 // TestDifferencesToAnotherDocumentAreRejected guards against a document that no daemon ever had.
 func TestDifferencesToAnotherDocumentAreRejected(t *testing.T) {
 	var p Packer
