A version of the list of targets is told once its entries are there

What callers saw: possibly requests sent to a target that leaves, by daemons that had just started. Cause: the targets in use changed first, with the version that heartbeats and answers tell, and the entries that are sent to other daemons only afterwards. A daemon that asked in between for the whole list got it under a version whose changes were not in it, and so never asked for them again; it passed them on in the same way. A whole list and a change that came at the same time could leave the entries without the change for good. Now one lock is held while both change, and while an answer takes version and entries.

--- a/serve/relaydocuments.go
+++ b/serve/relaydocuments.go
@@ -17,6 +17,7 @@
 
 // documentCache keeps the targets in force in the platform's format, for daemons that the store does not answer.
 type documentCache struct {
+	// mu is held while both the fleet and the documents change, so that a version of the fleet has its documents.
 	mu sync.Mutex
 	// targets also holds entries that were removed after completeSince.
 	targets map[string]proto.TargetDocument
@@ -148,22 +149,31 @@
 			entries = append(entries, change)
 		}
 	}
-	events, replaced := d.fleet.Replace(d.clock.Now(), asOf, entries, complete)
+	events, replaced := d.replaceFleet(asOf, entries, complete, byID, completeSince)
 	if !replaced {
 		d.log.Info("ignoring an outdated list of targets", "from", from, "asOf", asOf, "known", d.fleet.Version())
 		return false
 	}
+	d.handleFleetEvents(events, from)
+	d.targetsKnown.Store(true)
+	d.startWhenReady()
+	return true
+}
+
+// replaceFleet replaces the targets in use and their documents.
+func (d *Relay) replaceFleet(asOf proto.Revision, entries []relay.FleetChange, complete bool, byID map[string]proto.TargetDocument, completeSince proto.Revision) ([]relay.FleetEvent, bool) {
 	d.documents.mu.Lock()
+	defer d.documents.mu.Unlock()
+	events, replaced := d.fleet.Replace(d.clock.Now(), asOf, entries, complete)
+	if !replaced {
+		return nil, false
+	}
 	d.documents.targets, d.documents.completeSince = byID, d.fleet.Version()
 	if !completeSince.IsZero() {
 		d.documents.completeSince = completeSince
 	}
 	d.documents.targetLog.rebuild(byID)
-	d.documents.mu.Unlock()
-	d.handleFleetEvents(events, from)
-	d.targetsKnown.Store(true)
-	d.startWhenReady()
-	return true
+	return events, true
 }
 
 func (d *Relay) handleTargetChanges(rows platform.RowSet) {
@@ -178,12 +188,18 @@
 		change.FromPeer = fromPeer
 		changes = append(changes, change)
 	}
+	d.handleFleetEvents(d.changeFleet(changes, docs), from)
+}
+
+// changeFleet applies changes to the targets in use and to their documents.
+func (d *Relay) changeFleet(changes []relay.FleetChange, docs []proto.TargetDocument) []relay.FleetEvent {
+	d.documents.mu.Lock()
+	defer d.documents.mu.Unlock()
 	events := d.fleet.ApplyChanges(d.clock.Now(), changes)
 	lapsed := map[string]bool{}
 	for _, event := range events {
 		lapsed[event.Target.ID] = event.Outcome == relay.OutcomeLapsed
 	}
-	d.documents.mu.Lock()
 	for _, doc := range docs {
 		doc.Lapsed = doc.Removed && lapsed[doc.ID]
 		known, exists := d.documents.targets[doc.ID]
@@ -196,8 +212,7 @@
 		}
 	}
 	d.documents.targetLog.compact(d.documents.targets)
-	d.documents.mu.Unlock()
-	d.handleFleetEvents(events, from)
+	return events
 }
 
 func (d *Relay) handleFleetEvents(events []relay.FleetEvent, from string) {
@@ -303,15 +318,17 @@
 		d.addRouting(&answer, ask)
 	}
 	if answer.Targets.After(ask.Targets) {
-		d.documents.addTargets(&answer, ask.Targets)
+		d.addTargets(&answer, ask.Targets)
 	}
 	return answer
 }
 
 // addTargets adds the entries that changed after a version to an answer, or all of them if the changes are not known.
-func (s *documentCache) addTargets(answer *proto.RoutingAnswer, after proto.Revision) {
+func (d *Relay) addTargets(answer *proto.RoutingAnswer, after proto.Revision) {
+	s := &d.documents
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	answer.Targets = d.fleet.Version()
 	answer.HasTargets, answer.Full = true, s.completeSince.After(after)
 	if !answer.Full {
 		answer.TargetEntries = s.targetLog.after(after, s.targets)
--- a/serve/relaydocuments_test.go
+++ b/serve/relaydocuments_test.go
@@ -46,6 +46,45 @@
 	}
 }
 
+// TestVersionOfTargetsHasItsEntries guards against a daemon that takes a whole list of targets for one of a version whose changes it does not
+// have, and so goes on using a target that leaves.
+func TestVersionOfTargetsHasItsEntries(t *testing.T) {
+	entry := func(version uint64, id, state string) platform.RowSet {
+		at := proto.Revision{Version: version}
+		body := `{"service":"plain","address":"10.0.0.1:80","zone":"a","state":"` + state + `","seqNo":1}`
+		return platform.RowSet{Version: at, Rows: []platform.Row{{Key: id, Version: at, Body: []byte(body)}}}
+	}
+	scenarios := []struct {
+		name string
+		news func(d *Relay)
+	}{
+		{"a change", func(d *Relay) { d.handleTargetChanges(entry(6, "i-1", "draining")) }},
+		{"a whole list", func(d *Relay) { d.handleTargetTable(entry(6, "i-1", "draining")) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := newIdleRelay(t, clockwork.NewFakeClock())
+			d.handleTargetTable(entry(5, "i-1", "ready"))
+			d.documents.mu.Lock()
+			applied := make(chan struct{})
+			go func() {
+				defer close(applied)
+				s.news(d)
+			}()
+			time.Sleep(50 * time.Millisecond)
+			if version := d.fleet.Version().Version; version != 5 {
+				t.Errorf("version %d is told before its entries are there", version)
+			}
+			d.documents.mu.Unlock()
+			<-applied
+			answer := d.answerRoutingAsk(proto.RoutingAsk{})
+			if answer.Targets.Version != 6 || len(answer.TargetEntries) != 1 || answer.TargetEntries[0].Version.Version != 6 {
+				t.Errorf("version %s with the entries %+v", answer.Targets, answer.TargetEntries)
+			}
+		})
+	}
+}
+
 // TestFullListsAreRateLimited has hundreds of daemons that start together ask the same daemon.
 func TestFullListsAreRateLimited(t *testing.T) {
 	var s documentCache
