--- a/serve/relaypull.go
+++ b/serve/relaypull.go
@@ -18,7 +18,7 @@
 	mu      sync.Mutex
 	version uint64
 	packer  spread.Packer
-	sender spread.Sender
+	sender  spread.Sender
 	// wholeNext is set if differences that were received did not fit.
 	wholeNext bool
 }
