--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -290,6 +290,8 @@
 	cancel    context.CancelCauseFunc
 	span      trace.Span
 	startedAt time.Time
+	// work records when the target may have worked on the request.
+	work *workSpan
 	// startDelay is how long the attempt may take to start answering before a hedging attempt.
 	startDelay hedgeDelay
 	// cancelFreeing stops the timer that frees the inputs, and stopWatching the watch for the end of the target's run.
@@ -416,8 +418,14 @@
 	f.target = spec.ID
 	ctx, span := otel.Tracer(tracerName).Start(a.race.ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
 	a.span = span
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	cancel := a.cancel
+	a.work = newWorkSpan(s.clock, spec.ID, len(f.work)+1)
+	f.work = append(f.work, a.work)
+	attemptCtx, cancelCtx := context.WithCancelCause(ctx)
+	cancel := func(cause error) {
+		a.work.stop()
+		cancelCtx(cause)
+	}
+	a.ctx, a.cancel = attemptCtx, cancel
 	stop := context.AfterFunc(a.placement.Target.runCtx, func() {
 		s.clock.AfterFunc(restartGrace, func() { cancel(errTargetRestarted) })
 	})
@@ -429,7 +437,9 @@
 		NonIdempotent: !f.route.Repeatable(),
 		Matches:       func(h http.Header) bool { return s.dialect.ParseResponse(0, h).RequestID == f.req.ID },
 	}
-	x := &exchange{attempt: a, ctx: a.ctx, server: s, to: spec.Address, requestID: f.req.ID, stream: f.route.Kind == routeStream, answers: &f.answers}
+	x := &exchange{attempt: a, ctx: a.ctx, server: s, to: spec.Address, requestID: f.req.ID, stream: f.route.Kind == routeStream, answers: &f.answers, span: a.work}
+	out.Observer = x
+	context.AfterFunc(a.ctx, a.work.stop)
 	a.race.overlap.add(a)
 	go x.run(out)
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+
+	"emberlead/proto"
 )
 
 // attemptUpdate is a message from the goroutine of an attempt to the race.
@@ -61,6 +63,22 @@
 	stream    bool
 	// answers is what the request holds of the daemon's limit of buffered answers.
 	answers *reservation
+	// span records when the target may have worked on the request.
+	span *workSpan
+}
+
+// BeforeWrite implements SendObserver.
+func (x *exchange) BeforeWrite(carrier proto.VM) {
+	a := x.attempt
+	x.span.begin(carrier)
+	x.server.log.Info("request sent", "request", x.requestID, "target", a.placement.Spec.ID, "run", a.placement.Spec.RunName(), "address", x.to, "by", carrier, "attempt", x.span.number)
+}
+
+// Aborted implements SendObserver.
+func (x *exchange) Aborted() {
+	if late := x.span.close(); late > lateClose {
+		x.server.log.Warn("a target was told late to stop", "request", x.requestID, "target", x.attempt.placement.Spec.ID, "late", formatDuration(late))
+	}
 }
 
 // send sends an update to the race, unless the race is over.
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -113,6 +113,17 @@
 	NonIdempotent bool
 	// Matches reports whether the headers of a response belong to this request.
 	Matches func(h http.Header) bool
+	// Observer learns how far the request gets. It may be nil.
+	Observer SendObserver
+}
+
+// SendObserver learns how far a request to a target gets. Its methods are called by any goroutine.
+type SendObserver interface {
+	// BeforeWrite is called once there is a connection, which the given daemon carries unless it is empty, before the first byte is
+	// written: from then on the target may run the request.
+	BeforeWrite(carrier proto.VM)
+	// Aborted is called when the connection was closed before the response was complete.
+	Aborted()
 }
 
 // TargetResponse is a target's response. The caller must close its body.
--- a/relay/race.go
+++ b/relay/race.go
@@ -325,6 +325,7 @@
 	a.cancelFreeing()
 	a.placement.Finish(a.verdict, a.load)
 	a.recordOutcome(result)
+	a.work.end(result)
 	a.cancel(nil)
 	a.span.End()
 }
--- a/relay/racehelpers_test.go
+++ b/relay/racehelpers_test.go
@@ -47,7 +47,9 @@
 	s.asked[to]++
 	r := s.racers[to]
 	s.mu.Unlock()
+	out.Observer.BeforeWrite("")
 	context.AfterFunc(ctx, func() {
+		out.Observer.Aborted()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.canceled[to]++
--- a/relay/server.go
+++ b/relay/server.go
@@ -261,6 +261,8 @@
 	writeDeadlineSetAt time.Time
 	// fallback is a target's failure response, forwarded if no better one arrives.
 	fallback *bufferedResponse
+	// work records for each attempt when its target may have worked on the request.
+	work []*workSpan
 	// stageLog describes the stages that have ended, including repeated ones.
 	stageLog []stageLogEntry
 	// firstSentAt is when something was first sent for the request.
@@ -502,7 +504,7 @@
 	return []any{
 		"request", f.req.ID, "route", f.route.Name, "workspace", f.workspace, "routing", f.routingVersion, "targets", f.server.fleet.Version(),
 		"rank", f.rank, "took", formatDuration(now.Sub(f.startedAt)), "own", formatDuration(elapsed(f.startedAt, f.firstSentAt)), "staged", formatDuration(elapsed(f.startedAt, f.stagesDoneAt)), "first", formatDuration(elapsed(f.startedAt, f.firstEventAt)), "goal", formatDuration(f.route.LatencyGoal), "pause", formatDuration(f.longestPause),
-		"sent", f.sent, "runs", f.runs, "target", f.target, "stages", f.stageLog,
+		"sent", f.sent, "runs", f.runs, "target", f.target, "attempts", f.workLog(), "stages", f.stageLog,
 	}
 }
 
--- /dev/null
+++ b/relay/workspan.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"emberlead/proto"
+)
+
+// lateClose is how long after the decision a connection may be closed without a warning.
+const lateClose = 50 * time.Millisecond
+
+// workSpan records when a target may have worked on a request, as far as this daemon can know.
+type workSpan struct {
+	clock  clockwork.Clock
+	target string
+	// number is that of the attempt among those of the request, from 1.
+	number int
+
+	mu sync.Mutex
+	// carrier is the daemon that carried the connection, or "" for an own one.
+	carrier proto.VM
+	// sentAt is when the first byte of the request was about to be written, stoppedAt when this daemon decided to stop the target, closedAt
+	// when it had closed the connection, and endedAt when the attempt ended; zero if that has not happened.
+	sentAt, stoppedAt, closedAt, endedAt time.Time
+	outcome                              string
+}
+
+func newWorkSpan(clock clockwork.Clock, target string, number int) *workSpan {
+	return &workSpan{clock: clock, target: target, number: number}
+}
+
+// begin records that the request is about to be written.
+func (w *workSpan) begin(carrier proto.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.carrier, w.sentAt = carrier, w.clock.Now()
+}
+
+// stop records the decision to stop the target, unless the attempt has ended.
+func (w *workSpan) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.endedAt.IsZero() && w.stoppedAt.IsZero() {
+		w.stoppedAt = w.clock.Now()
+	}
+}
+
+// close records that the connection was closed, and returns how long after the decision that was.
+func (w *workSpan) close() (late time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closedAt = w.clock.Now()
+	if w.stoppedAt.IsZero() {
+		return 0
+	}
+	return w.closedAt.Sub(w.stoppedAt)
+}
+
+// end records how the attempt ended.
+func (w *workSpan) end(result *attemptResult) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endedAt = w.clock.Now()
+	switch {
+	case result.done:
+		w.outcome = "answered"
+	case result.notRun && result.sent:
+		w.outcome = "not run, as the target says: " + result.reason
+	case result.notRun:
+		w.outcome = "not sent: " + result.reason
+	default:
+		w.outcome = "may have run: " + result.reason
+	}
+}
+
+// workLogEntry is a workSpan in the log, with times since the request arrived.
+type workLogEntry struct {
+	Target  string   `json:"target"`
+	Carrier proto.VM `json:"by,omitempty"`
+	Sent    string   `json:"sent,omitempty"`
+	Stopped string   `json:"stopped,omitempty"`
+	Closed  string   `json:"closed,omitempty"`
+	Ended   string   `json:"ended,omitempty"`
+	Outcome string   `json:"outcome,omitempty"`
+}
+
+// workLog returns when each target may have worked on the request, for the log.
+func (f *flow) workLog() []workLogEntry {
+	entries := make([]workLogEntry, 0, len(f.work))
+	since := func(at time.Time) string {
+		if at.IsZero() {
+			return ""
+		}
+		return formatDuration(at.Sub(f.startedAt))
+	}
+	for _, w := range f.work {
+		w.mu.Lock()
+		entries = append(entries, workLogEntry{w.target, w.carrier, since(w.sentAt), since(w.stoppedAt), since(w.closedAt), since(w.endedAt), w.outcome})
+		w.mu.Unlock()
+	}
+	return entries
+}
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -277,8 +277,11 @@
 	if err != nil {
 		return nil, &relay.SendError{Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.abort() })
-	body := &responseBody{transport: t, to: to, conn: c, ctx: ctx, sentAt: t.clock.Now(), stopCancel: stop, writeDone: make(chan error, 1)}
+	body := &responseBody{transport: t, to: to, conn: c, ctx: ctx, sentAt: t.clock.Now(), observer: out.Observer, writeDone: make(chan error, 1)}
+	body.stopCancel = context.AfterFunc(ctx, body.abort)
+	if body.observer != nil {
+		body.observer.BeforeWrite(c.carrier)
+	}
 	sent, err := body.writeRequest(out)
 	if err != nil {
 		body.closeConn()
@@ -308,6 +311,7 @@
 	// ctx is that of the request, which was sent at sentAt.
 	ctx             context.Context
 	sentAt          time.Time
+	observer        relay.SendObserver
 	stopCancel      func() bool
 	writeDone       chan error
 	concurrentWrite bool // the body is written by another goroutine
@@ -424,5 +428,13 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.abort()
+}
+
+// abort closes the connection while the target works on the request.
+func (r *responseBody) abort() {
 	_ = r.conn.abort()
+	if r.observer != nil {
+		r.observer.Aborted()
+	}
 }
