--- a/relay/overlapmodel_test.go
+++ b/relay/overlapmodel_test.go
@@ -133,6 +133,8 @@
 	stalls           time.Duration
 	lastAt           time.Time
 	longest, stalled time.Duration
+	// onFirst is called before the first event is taken, if it is set.
+	onFirst func()
 }
 
 func (c *stallingCaller) Write(p []byte) (int, error) {
@@ -141,6 +143,9 @@
 		c.stalled = c.stalls
 		time.Sleep(c.stalls)
 	}
+	if c.lastAt.IsZero() && c.onFirst != nil {
+		c.onFirst()
+	}
 	if !c.lastAt.IsZero() {
 		c.longest = max(c.longest, now.Sub(c.lastAt))
 	}
--- a/relay/racehelpers_test.go
+++ b/relay/racehelpers_test.go
@@ -40,6 +40,8 @@
 	racers   map[netip.AddrPort]racer
 	asked    map[netip.AddrPort]int
 	canceled map[netip.AddrPort]int
+	// connect returns how long it takes to connect to a target; nil if it takes no time.
+	connect func() time.Duration
 }
 
 func (s *raceSender) Send(ctx context.Context, to netip.AddrPort, out *TargetRequest) (*TargetResponse, error) {
@@ -47,6 +49,13 @@
 	s.asked[to]++
 	r := s.racers[to]
 	s.mu.Unlock()
+	if s.connect != nil {
+		select {
+		case <-time.After(s.connect()):
+		case <-ctx.Done():
+			return nil, &SendError{Err: ctx.Err()}
+		}
+	}
 	out.Observer.BeforeWrite("")
 	context.AfterFunc(ctx, func() {
 		out.Observer.Aborted()
