--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -144,6 +144,7 @@
 func (c *targetConn) abort() error {
 	tunnel, ok := c.ReadWriteCloser.(*tunnelConn)
 	if !ok {
+		discardUnsent(c.ReadWriteCloser)
 		return c.Close()
 	}
 	if c.onClose != nil {
--- a/wire/traffic.go
+++ b/wire/traffic.go
@@ -62,6 +62,27 @@
 	return n, err
 }
 
+// SetLinger sets what becomes of unsent data when the connection is closed.
+func (c *countedConn) SetLinger(seconds int) error {
+	own, ok := c.Conn.(lingerer)
+	if !ok {
+		return newError("access connection", proto.KindInvalid, "it has no linger time")
+	}
+	return own.SetLinger(seconds)
+}
+
+// lingerer is a connection whose unsent data can be discarded when it is closed.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// discardUnsent makes the end of a connection a reset, which the other end notices even if it has not read all before.
+func discardUnsent(conn any) {
+	if own, ok := conn.(lingerer); ok {
+		_ = own.SetLinger(0) // The connection may be closed already.
+	}
+}
+
 // SyscallConn returns the raw connection, by which the end of an idle one is noticed.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
 	own, ok := c.Conn.(syscall.Conn)
--- a/wire/tunnels.go
+++ b/wire/tunnels.go
@@ -87,6 +87,7 @@
 	defer s.mu.Unlock()
 	for _, target := range s.conns {
 		if target.tunnel == id {
+			discardUnsent(target.Conn)
 			_ = target.Close() // It may have just been closed.
 		}
 	}
@@ -166,6 +167,7 @@
 func carry(ctx context.Context, tunnel *websocket.Conn, target net.Conn) {
 	go func() {
 		defer target.Close()
+		defer discardUnsent(target)
 		buffer := make([]byte, tunnelChunk)
 		for {
 			_, r, err := tunnel.Reader(ctx)
