--- a/wire/callerconns.go
+++ b/wire/callerconns.go
@@ -35,12 +35,18 @@
 	server.ConnState = c.onState
 	withConn := server.ConnContext
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(withConn(ctx, conn), callerConnKey{}, conn)
+		ctx = context.WithValue(withConn(ctx, conn), callerConnKey{}, conn)
+		if caller, ok := conn.(*callerConn); ok {
+			ctx, caller.ahead.leave = context.WithCancel(ctx)
+		}
+		return ctx
 	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
 			conn.endHead()
+			r.Body = conn.ahead.begin(r)
+			defer conn.ahead.finish()
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -60,13 +66,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, conns: l.conns}, nil
+	return &callerConn{Conn: conn, conns: l.conns, ahead: newReadAhead(conn)}, nil
 }
 
 // callerConn is a connection of a caller.
 type callerConn struct {
 	net.Conn
 	conns *CallerConns
+	ahead *readAhead
 
 	mu sync.Mutex
 	// inHead is set while a head is awaited or read, and headLeft is how much of it may still be read.
@@ -90,6 +97,7 @@
 		caller.awaitHead(limits.MaxHeaderBytes, limits.IdleTimeout, true)
 	case http.StateClosed, http.StateHijacked:
 		caller.endHead()
+		caller.ahead.leave()
 	}
 }
 
@@ -124,13 +132,13 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	left, limited := c.headRoom()
 	if !limited {
-		return c.Conn.Read(p)
+		return c.ahead.Read(p)
 	}
 	if left <= 0 {
 		_, _ = c.Conn.Write([]byte(headTooLarge)) // The caller may be gone.
 		return 0, newError("read request", proto.KindTooLarge, "its head is too large")
 	}
-	n, err := c.Conn.Read(p[:min(len(p), left)])
+	n, err := c.ahead.Read(p[:min(len(p), left)])
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.headLeft -= n
