--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -439,7 +439,7 @@
 	a.cancelFreeing = a.freeInputsAfterFetch()
 	fwd := &ForwardInfo{Target: spec, TimeLeft: f.timeLeft(), Workspace: f.workspace, Inputs: f.inputHandles, After: f.lastEventID, Priority: f.rank}
 	out := &TargetRequest{
-		Target: spec, Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
+		Target: spec, ID: f.req.ID, Method: f.req.Method, URI: f.req.URI, Host: f.req.Host, Header: s.dialect.Header(f.req, fwd), Body: f.req.Body,
 		NonIdempotent: !f.route.Repeatable(),
 		Matches:       func(h http.Header) bool { return s.dialect.ParseResponse(0, h).RequestID == f.req.ID },
 	}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -105,7 +105,9 @@
 // TargetRequest is an HTTP request to a target.
 type TargetRequest struct {
 	// Target is the target run that the request is meant for; zero if only the address is known.
-	Target            proto.RelayTarget
+	Target proto.RelayTarget
+	// ID is that of the caller's request; empty for other requests.
+	ID                string
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	nonIdempotentMaxIdle = 300 * time.Millisecond
 	// maxIdlePerAddress bounds the idle connections kept to one target; targets accept a few hundred from all daemons together.
 	maxIdlePerAddress = 8
+	// maxRequestsPerConn bounds the requests that a connection carries, and so the IDs that are remembered for it.
+	maxRequestsPerConn = 1000
 	// maxInlineBody is the largest body that is written before the response is read. Larger ones are written
 	// concurrently, since a target may respond before it has read them.
 	maxInlineBody = 4 << 10
@@ -130,6 +133,9 @@
 	idleSince time.Time
 	idleUntil time.Time
 	reused    bool
+	// requestIDs holds the IDs of the requests that the connection has carried: a surplus answer to one of them could be taken for that
+	// to another one with the same ID.
+	requestIDs map[string]bool
 }
 
 // Close closes the connection.
@@ -179,26 +185,26 @@
 	return err == nil && usable
 }
 
-func (t *TargetTransport) takeIdle(to netip.AddrPort, nonIdempotent bool) *targetConn {
+func (t *TargetTransport) takeIdle(to netip.AddrPort, out *relay.TargetRequest) *targetConn {
 	now := t.clock.Now()
 	usesLink := t.usesLink(to)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for {
-		conns := t.idle[to]
-		if len(conns) == 0 {
+	for i := len(t.idle[to]) - 1; i >= 0; i-- {
+		c := t.idle[to][i]
+		if out.NonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
 			return nil
 		}
-		c := conns[len(conns)-1]
-		if nonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
-			return nil
+		if c.requestIDs[out.ID] {
+			continue
 		}
-		t.idle[to] = conns[:len(conns)-1]
+		t.idle[to] = slices.Delete(t.idle[to], i, i+1)
 		if (c.carrier == "") == usesLink && now.Before(c.idleUntil) && c.usable() {
 			return c
 		}
 		_ = c.Close()
 	}
+	return nil
 }
 
 func (t *TargetTransport) putIdle(to netip.AddrPort, c *targetConn, h http.Header) {
@@ -207,7 +213,7 @@
 	c.idleUntil = now.Add(maxIdle(h))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if conns := t.idle[to]; len(conns) < maxIdlePerAddress && c.idleUntil.After(now) {
+	if conns := t.idle[to]; len(conns) < maxIdlePerAddress && len(c.requestIDs) < maxRequestsPerConn && c.idleUntil.After(now) {
 		t.idle[to] = append(conns, c)
 		return
 	}
@@ -268,8 +274,8 @@
 	}
 }
 
-func (t *TargetTransport) connect(ctx context.Context, to netip.AddrPort, nonIdempotent bool) (*targetConn, error) {
-	if c := t.takeIdle(to, nonIdempotent); c != nil {
+func (t *TargetTransport) connect(ctx context.Context, to netip.AddrPort, out *relay.TargetRequest) (*targetConn, error) {
+	if c := t.takeIdle(to, out); c != nil {
 		t.reused.Add(1)
 		return c, nil
 	}
@@ -278,12 +284,12 @@
 
 func (t *TargetTransport) newConn(conn io.ReadWriteCloser, carrier proto.VM) *targetConn {
 	limit := &limitedReader{Reader: conn, limits: &t.limits}
-	return &targetConn{ReadWriteCloser: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), carrier: carrier}
+	return &targetConn{ReadWriteCloser: conn, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), carrier: carrier, requestIDs: map[string]bool{}}
 }
 
 // Send writes a request and returns the status and header of its response; canceling the context closes the connection.
 func (t *TargetTransport) Send(ctx context.Context, to netip.AddrPort, out *relay.TargetRequest) (*relay.TargetResponse, error) {
-	c, err := t.connect(ctx, to, out.NonIdempotent)
+	c, err := t.connect(ctx, to, out)
 	if err != nil {
 		return nil, &relay.SendError{Err: err}
 	}
@@ -297,6 +303,9 @@
 		t.keepUnused(to, c)
 		return nil, &relay.SendError{Err: err}
 	}
+	if out.ID != "" {
+		c.requestIDs[out.ID] = true
+	}
 	body := &responseBody{transport: t, to: to, conn: c, ctx: ctx, sentAt: t.clock.Now(), observer: out.Observer, writeDone: make(chan error, 1)}
 	body.stopCancel = context.AfterFunc(ctx, body.abort)
 	sent, err := body.writeRequest(out)
