--- a/relay/handovermodel_test.go
+++ b/relay/handovermodel_test.go
@@ -93,7 +93,7 @@
 			wait = 0
 		}
 	}
-	body := &handoverBody{pausedBody{ctx, parts, io.EOF}, m, work}
+	body := &handoverBody{pausedBody{ctx: ctx, parts: parts, ends: io.EOF}, m, work}
 	if random.IntN(8) == 0 {
 		body.parts, body.ends = body.parts[:random.IntN(len(body.parts)+1)], io.ErrUnexpectedEOF
 	}
--- a/relay/overlap_test.go
+++ b/relay/overlap_test.go
@@ -19,7 +19,7 @@
 		m.works = append(m.works, work)
 		m.mu.Unlock()
 		context.AfterFunc(ctx, func() { m.end(work) })
-		return &TargetResponse{Status: http.StatusOK, Header: http.Header{}, Body: &workedBody{pausedBody: pausedBody{ctx, parts, io.EOF}, model: m, work: work}}, nil
+		return &TargetResponse{Status: http.StatusOK, Header: http.Header{}, Body: &workedBody{pausedBody: pausedBody{ctx: ctx, parts: parts, ends: io.EOF}, model: m, work: work}}, nil
 	}
 }
 
--- a/relay/overlapmodel_test.go
+++ b/relay/overlapmodel_test.go
@@ -64,7 +64,7 @@
 		case 1:
 			return hangs(ctx)
 		}
-		body := &workedBody{pausedBody: pausedBody{ctx, m.parts(random, requestAfter(ctx)), io.EOF}, model: m, work: work}
+		body := &workedBody{pausedBody: pausedBody{ctx: ctx, parts: m.parts(random, requestAfter(ctx)), ends: io.EOF}, model: m, work: work}
 		if random.IntN(5) == 0 {
 			body.parts, body.ends = body.parts[:1+random.IntN(len(body.parts))], io.ErrUnexpectedEOF
 		}
--- a/relay/racehelpers_test.go
+++ b/relay/racehelpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -51,6 +52,11 @@
 	s.asked[to]++
 	r := s.racers[to]
 	s.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.canceled[to]++
+	})
 	if s.connect != nil {
 		select {
 		case <-time.After(s.connect()):
@@ -58,20 +64,21 @@
 			return nil, &SendError{Err: ctx.Err()}
 		}
 	}
-	if out.Observer != nil {
-		if err := out.Observer.BeforeWrite(""); err != nil {
-			return nil, &SendError{Err: err}
-		}
+	if out.Observer == nil {
+		return r(context.WithValue(ctx, afterKey{}, out.Header.Get(afterHeader)))
 	}
-	context.AfterFunc(ctx, func() {
-		if out.Observer != nil {
-			out.Observer.Aborted()
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.canceled[to]++
-	})
-	return r(context.WithValue(ctx, afterKey{}, out.Header.Get(afterHeader)))
+	if err := out.Observer.BeforeWrite(""); err != nil {
+		return nil, &SendError{Err: err}
+	}
+	keepConnection := context.AfterFunc(ctx, out.Observer.Aborted)
+	response, err := r(context.WithValue(ctx, afterKey{}, out.Header.Get(afterHeader)))
+	if err != nil {
+		return nil, err
+	}
+	if body, ok := response.Body.(*pausedBody); ok {
+		body.complete = keepConnection
+	}
+	return response, nil
 }
 
 // afterKey is the context key under which racers find the ID of the last event that the caller has.
@@ -116,6 +123,8 @@
 	ctx   context.Context
 	parts []part
 	ends  error
+	// complete is called when the body has ended, unless it is nil.
+	complete func() bool
 }
 
 type part struct {
@@ -125,6 +134,9 @@
 
 func (b *pausedBody) Read(p []byte) (int, error) {
 	if len(b.parts) == 0 {
+		if b.complete != nil && errors.Is(b.ends, io.EOF) {
+			b.complete()
+		}
 		return 0, b.ends
 	}
 	select {
@@ -147,7 +159,7 @@
 		case <-ctx.Done():
 			return nil, &SendError{Written: true, Err: ctx.Err()}
 		}
-		return &TargetResponse{Status: status, Header: http.Header{}, Body: &pausedBody{ctx, parts, ends}}, nil
+		return &TargetResponse{Status: status, Header: http.Header{}, Body: &pausedBody{ctx: ctx, parts: parts, ends: ends}}, nil
 	}
 }
 
