--- a/origin/book.go
+++ b/origin/book.go
@@ -13,6 +13,8 @@
 	maxStarts = 32768
 	// maxStartsPerRequest limits the streams of equal requests, such as a question that many callers ask, so that others keep room.
 	maxStartsPerRequest = maxStarts / 2
+	// maxServers limits the remembered daemons that have served a stream. Earlier ones were told by those that went on with it.
+	maxServers = 4
 	// MaxLifetime is how long a stream is remembered at most.
 	MaxLifetime = 10 * time.Minute
 )
@@ -47,6 +49,8 @@
 type start struct {
 	origin proto.StreamOrigin
 	until  time.Time
+	// servers are the daemons that have served the stream, the one that was added last at the end.
+	servers []proto.VM
 }
 
 // NewBook returns an empty book.
@@ -64,8 +68,8 @@
 		b.byRequest[s.Request] = r
 	}
 	until := now.Add(lifetime)
-	r.origins, _ = addStart(r.origins, s.Origin, until)
-	starts, isNew := addStart(r.byStream[s.Stream], s.Origin, until)
+	r.origins, _ = addStart(r.origins, s.Origin, until, nil)
+	starts, isNew := addStart(r.byStream[s.Stream], s.Origin, until, s.Servers)
 	r.byStream[s.Stream] = starts
 	if !isNew {
 		return
@@ -88,14 +92,26 @@
 }
 
 // addStart adds a start to a list, or extends the one of its origin, and reports whether it is new.
-func addStart(starts []start, at proto.StreamOrigin, until time.Time) ([]start, bool) {
+func addStart(starts []start, at proto.StreamOrigin, until time.Time, servers []proto.VM) ([]start, bool) {
 	for i := range starts {
 		if starts[i].origin == at {
 			starts[i].until = later(starts[i].until, until)
+			starts[i].addServers(servers)
 			return starts, false
 		}
 	}
-	return append(starts, start{at, until}), true
+	added := start{origin: at, until: until}
+	added.addServers(servers)
+	return append(starts, added), true
+}
+
+func (s *start) addServers(servers []proto.VM) {
+	for _, vm := range servers {
+		if !slices.Contains(s.servers, vm) {
+			s.servers = append(s.servers, vm)
+		}
+	}
+	s.servers = s.servers[max(0, len(s.servers)-maxServers):]
 }
 
 // remove forgets a start, if it is still remembered.
@@ -137,6 +153,17 @@
 	return found, known
 }
 
+// Servers returns the daemons that are known to have served a stream.
+func (b *Book) Servers(request proto.RequestDigest, stream proto.StreamKey) []proto.VM {
+	var servers []proto.VM
+	if r := b.byRequest[request]; r != nil {
+		for _, s := range r.byStream[stream] {
+			servers = append(servers, s.servers...)
+		}
+	}
+	return servers
+}
+
 // starts returns the starts of a stream or, without a key, one of each origin of the request's streams.
 func (b *Book) starts(request proto.RequestDigest, stream proto.StreamKey) []start {
 	r := b.byRequest[request]
@@ -167,7 +194,7 @@
 	var starts []proto.StreamStart
 	for _, s := range b.starts(request, stream) {
 		if s.until.After(now) {
-			starts = append(starts, proto.StreamStart{Request: request, Stream: stream, Origin: s.origin, Lifetime: s.until.Sub(now)})
+			starts = append(starts, proto.StreamStart{Request: request, Stream: stream, Origin: s.origin, Lifetime: s.until.Sub(now), Servers: slices.Clone(s.servers)})
 		}
 	}
 	return starts
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -136,6 +136,7 @@
 	MessageDaemonRowsAnswer: decodeAs[DaemonRowsAnswer],
 	MessageStreamStarts:     decodeAs[StreamStarts],
 	MessageStreamAsk:        decodeAs[StreamAsk],
+	MessageStreamTakeover:   decodeAs[StreamTakeover],
 	MessageReadAsk:          decodeAs[ReadAsk],
 	MessageTunnelClose:      decodeAs[TunnelClose],
 }
--- a/proto/peer.go
+++ b/proto/peer.go
@@ -63,6 +63,7 @@
 	MessageStreamAsk
 	MessageTunnelClose
 	MessageReadAsk
+	MessageStreamTakeover
 )
 
 // Heartbeat tells a peer that the sender is alive and which versions of the shared state it has.
@@ -128,6 +129,8 @@
 	PeerProtocolTunnelClose PeerProtocol = 4
 	// PeerProtocolReadAsk has ReadAsk.
 	PeerProtocolReadAsk PeerProtocol = 5
+	// PeerProtocolTakeover has StreamTakeover.
+	PeerProtocolTakeover PeerProtocol = 6
 )
 
 // Alarm reports that a daemon has stopped hearing from a peer it is connected to, or hears from it again.
@@ -414,6 +417,7 @@
 func (DaemonRowsAnswer) messageKind() MessageKind { return MessageDaemonRowsAnswer }
 func (StreamStarts) messageKind() MessageKind     { return MessageStreamStarts }
 func (StreamAsk) messageKind() MessageKind        { return MessageStreamAsk }
+func (StreamTakeover) messageKind() MessageKind   { return MessageStreamTakeover }
 func (ReadAsk) messageKind() MessageKind          { return MessageReadAsk }
 func (TunnelClose) messageKind() MessageKind      { return MessageTunnelClose }
 
--- a/proto/streams.go
+++ b/proto/streams.go
@@ -19,6 +19,8 @@
 	Origin  StreamOrigin  `cbor:"3,keyasint"`
 	// Lifetime is the time from now in which its caller may take the stream up again.
 	Lifetime time.Duration `cbor:"4,keyasint"`
+	// Servers are the daemons that have served the stream, as far as is known, the latest last.
+	Servers []VM `cbor:"5,keyasint,omitempty"`
 }
 
 // StreamStarts tells where streams began.
@@ -31,3 +33,14 @@
 	Request RequestDigest `cbor:"1,keyasint"`
 	Stream  StreamKey     `cbor:"2,keyasint,omitempty"`
 }
+
+// StreamTakeover tells that a caller has taken a stream up again. A daemon that still serves an earlier request of the stream ends it,
+// and answers once its targets have been told to stop.
+type StreamTakeover struct {
+	Request RequestDigest `cbor:"1,keyasint"`
+	Stream  StreamKey     `cbor:"2,keyasint"`
+	// Age is how long ago the caller's request arrived: those that arrived later are not ended.
+	Age time.Duration `cbor:"3,keyasint"`
+	// By is the daemon that goes on with the stream. It is set if the receiver is to tell the daemons that it knows to have served it.
+	By VM `cbor:"4,keyasint,omitempty"`
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -424,8 +424,7 @@
 	f.target = spec.ID
 	ctx, span := otel.Tracer(tracerName).Start(a.race.ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("emberlead.target", spec.ID)))
 	a.span = span
-	a.work = newWorkSpan(s.clock, spec.ID, len(f.work)+1)
-	f.work = append(f.work, a.work)
+	a.work = f.addWork(spec.ID)
 	attemptCtx, cancelCtx := context.WithCancelCause(ctx)
 	cancel := func(cause error) {
 		a.work.stop()
--- a/relay/origins.go
+++ b/relay/origins.go
@@ -31,6 +31,9 @@
 type OriginPeers interface {
 	// StreamHolders returns up to n other daemons that keep the streams of a request, in an order on which daemons agree.
 	StreamHolders(request proto.RequestDigest, n int) []proto.VM
+	// Self returns the name of this daemon, and TakesOver reports whether another one was heard a moment ago and knows StreamTakeover.
+	Self() proto.VM
+	TakesOver(vm proto.VM) bool
 	Send(to proto.VM, m proto.Message)
 	Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error)
 }
@@ -76,10 +79,13 @@
 	return OriginStats{Remembered: o.book.Size(), Asked: o.asked.Load(), Found: o.found.Load(), Unknown: o.unknown.Load()}
 }
 
-// Record records where a stream of this daemon began, and tells the daemons that keep it.
+// Record records where a stream began that this daemon serves, and tells the daemons that keep it.
 func (o *Origins) Record(s proto.StreamStart) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.peers != nil {
+		s.Servers = []proto.VM{o.peers.Self()}
+	}
 	o.book.Add(o.clock.Now(), s)
 	if o.peers == nil {
 		return
--- a/relay/server.go
+++ b/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,9 @@
 	firstEventTimes, responseTimes, callTimes, requestTimes *durationEstimates[string]
 	fetchTimes                                              fetchTimes
 
+	// streams holds the requests in progress that callers may take up elsewhere.
+	streams streamRequests
+
 	budgetMu sync.Mutex
 	budgets  map[string]*RetryBudget
 	budget   RetryBudgetConfig
@@ -262,6 +266,10 @@
 	fallback *bufferedResponse
 	// work records for each attempt when its target may have worked on the request.
 	work []*workSpan
+	// workMu guards work against the end of the request on behalf of another one.
+	workMu sync.Mutex
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
 	// stageLog describes the stages that have ended, including repeated ones.
 	stageLog []stageLogEntry
 	// firstSentAt is when something was first sent for the request.
@@ -314,8 +322,9 @@
 	ctx, span := otel.Tracer(tracerName).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, f.cancel = context.WithCancelCause(ctx)
+	defer f.cancel(nil)
+	defer s.streams.add(f)()
 	f.serve(ctx)
 }
 
@@ -379,6 +388,7 @@
 	fail, lost := f.runStagesUntilStop(ctx)
 	for {
 		if fail == nil {
+			f.takeOver(ctx)
 			f.stagesDoneAt = f.server.clock.Now()
 			fail, lost = f.runAttempts(ctx)
 		}
@@ -488,7 +498,11 @@
 		if f.sent == 0 {
 			s.counts.callerLeftUnsent.Add(1)
 		}
-		s.log.Info("caller left", append(f.logFields(now), "reason", fail.reason)...)
+		reason := fail.reason
+		if cause := context.Cause(ctx); errors.Is(cause, errTakenOver) {
+			reason = cause.Error()
+		}
+		s.log.Info("caller left", append(f.logFields(now), "reason", reason)...)
 		panic(http.ErrAbortHandler)
 	}
 	if f.committed {
--- a/relay/streamorigin.go
+++ b/relay/streamorigin.go
@@ -71,6 +71,15 @@
 	return a.placement.Spec.Software == f.origin.Software && a.placement.Target.runCtx.Err() == nil
 }
 
+// recordServed records that this daemon serves the stream.
+func (f *flow) recordServed() {
+	lifetime := defaultTimeout
+	if f.req.CallerTimeout > 0 {
+		lifetime = f.req.CallerTimeout
+	}
+	f.server.origins.Record(proto.StreamStart{Request: f.digest, Stream: f.servedStream(), Origin: f.origin, Lifetime: lifetime})
+}
+
 // recordOrigin records where the stream began, at its first event, and cancels the attempts that may not continue it.
 func (r *race) recordOrigin(a *attempt) {
 	f := r.flow
@@ -79,11 +88,7 @@
 	}
 	f.origin = proto.StreamOrigin{Pool: f.pool, Software: a.placement.Spec.Software}
 	if f.route.Repeatable() {
-		lifetime := defaultTimeout
-		if f.req.CallerTimeout > 0 {
-			lifetime = f.req.CallerTimeout
-		}
-		f.server.origins.Record(proto.StreamStart{Request: f.digest, Stream: f.streamKey(f.req.ID), Origin: f.origin, Lifetime: lifetime})
+		f.recordServed()
 	}
 	for _, other := range slices.Clone(r.running) {
 		if !other.mayContinue() {
--- /dev/null
+++ b/relay/takeover.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"emberlead/origin"
+	"emberlead/proto"
+)
+
+// takeoverTimeout is how long the daemons that served a stream may take to stop their targets before another target gets it: one that
+// does not answer by then is late or out of reach.
+const takeoverTimeout = 150 * time.Millisecond
+
+// errTakenOver is the cause with which the earlier requests of a stream are canceled.
+var errTakenOver = errors.New("the caller goes on with the stream over another connection")
+
+// streamRequests holds the requests in progress of streams that callers may take up again.
+type streamRequests struct {
+	mu       sync.Mutex
+	byStream map[proto.StreamKey][]*flow
+}
+
+// add registers a request under its stream, if it has one that others may take up. remove has to be called at its end.
+func (s *streamRequests) add(f *flow) (remove func()) {
+	key := f.servedStream()
+	if key == 0 || f.route.Kind != routeStream || !f.route.Repeatable() {
+		return func() {}
+	}
+	if f.takenUp() {
+		f.recordServed()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byStream == nil {
+		s.byStream = map[proto.StreamKey][]*flow{}
+	}
+	s.byStream[key] = append(s.byStream[key], f)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		rest := slices.DeleteFunc(s.byStream[key], func(other *flow) bool { return other == f })
+		if s.byStream[key] = rest; len(rest) == 0 {
+			delete(s.byStream, key)
+		}
+	}
+}
+
+// arrivedBefore returns the requests of a stream that arrived before a moment.
+func (s *streamRequests) arrivedBefore(request proto.RequestDigest, stream proto.StreamKey, moment time.Time) []*flow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var earlier []*flow
+	for _, f := range s.byStream[stream] {
+		if f.digest == request && f.startedAt.Before(moment) {
+			earlier = append(earlier, f)
+		}
+	}
+	return earlier
+}
+
+// servedStream returns the key of the stream that the request begins or takes up again; 0 if it does not name the one that it takes up.
+func (f *flow) servedStream() proto.StreamKey {
+	if f.takenUp() {
+		return f.streamKey(f.req.Resumes)
+	}
+	return f.streamKey(f.req.ID)
+}
+
+// takeOver ends the earlier requests of a stream that the caller has taken up again, here and at other daemons: their connections to
+// the caller may still be open.
+func (f *flow) takeOver(ctx context.Context) {
+	if !f.takenUp() || f.servedStream() == 0 || ctx.Err() != nil {
+		return
+	}
+	s := f.server
+	startedAt := s.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	m := proto.StreamTakeover{Request: f.digest, Stream: f.servedStream(), Age: startedAt.Sub(f.startedAt)}
+	told := s.origins.tellServers(ctx, m)
+	ended := s.endStream(ctx, m.Request, m.Stream, f.startedAt)
+	unanswered := told()
+	f.logInfo("stream taken over", "resumes", f.req.Resumes, "endedHere", ended, "unanswered", unanswered, "took", formatDuration(s.clock.Now().Sub(startedAt)))
+}
+
+// endStream cancels the requests of a stream that arrived before a moment, and returns their number once their targets have been told
+// to stop.
+func (s *Server) endStream(ctx context.Context, request proto.RequestDigest, stream proto.StreamKey, moment time.Time) int {
+	earlier := s.streams.arrivedBefore(request, stream, moment)
+	for _, f := range earlier {
+		f.logInfo("stream ended here", "reason", errTakenOver.Error())
+		f.cancel(errTakenOver)
+	}
+	for _, f := range earlier {
+		f.awaitReleased(ctx)
+	}
+	return len(earlier)
+}
+
+// HandleTakeover handles a StreamTakeover of another daemon.
+func (s *Server) HandleTakeover(ctx context.Context, m proto.StreamTakeover) proto.Done {
+	moment := s.clock.Now().Add(-m.Age)
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
+	told := func() []proto.VM { return nil }
+	if m.By != "" {
+		told = s.origins.forwardTakeover(ctx, m)
+	}
+	s.endStream(ctx, m.Request, m.Stream, moment)
+	told()
+	return proto.Done{}
+}
+
+// awaitReleased waits until the connections to all targets of a canceled request are closed.
+func (f *flow) awaitReleased(ctx context.Context) {
+	f.workMu.Lock()
+	work := slices.Clone(f.work)
+	f.workMu.Unlock()
+	for _, w := range work {
+		select {
+		case <-w.released:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tellServers tells the daemons that have served a stream that this one goes on with it, and those that keep the stream, which may know
+// or reach more of them. told waits for the former, and returns those that have not answered.
+func (o *Origins) tellServers(ctx context.Context, m proto.StreamTakeover) (told func() []proto.VM) {
+	if o.peers == nil {
+		return func() []proto.VM { return nil }
+	}
+	forwarded := m
+	forwarded.By = o.peers.Self()
+	for _, vm := range o.peers.StreamHolders(m.Request, origin.Copies) {
+		if o.peers.TakesOver(vm) {
+			go o.call(ctx, vm, forwarded)
+		}
+	}
+	return o.tell(ctx, m, o.peers.Self())
+}
+
+// forwardTakeover tells the daemons that have served a stream on behalf of the one that goes on with it.
+func (o *Origins) forwardTakeover(ctx context.Context, m proto.StreamTakeover) (told func() []proto.VM) {
+	by := m.By
+	m.By = ""
+	return o.tell(ctx, m, by)
+}
+
+// tell tells the daemons that have served a stream, except for one and this daemon itself.
+func (o *Origins) tell(ctx context.Context, m proto.StreamTakeover, except proto.VM) (told func() []proto.VM) {
+	o.mu.Lock()
+	servers := slices.Clone(o.book.Servers(m.Request, m.Stream))
+	o.mu.Unlock()
+	servers = slices.DeleteFunc(servers, func(vm proto.VM) bool { return vm == except || vm == o.peers.Self() || !o.peers.TakesOver(vm) })
+	answered := make([]bool, len(servers))
+	var calls sync.WaitGroup
+	for i, vm := range servers {
+		calls.Go(func() { answered[i] = o.call(ctx, vm, m) })
+	}
+	return func() (unanswered []proto.VM) {
+		calls.Wait()
+		for i, vm := range servers {
+			if !answered[i] {
+				unanswered = append(unanswered, vm)
+			}
+		}
+		return unanswered
+	}
+}
+
+func (o *Origins) call(ctx context.Context, vm proto.VM, m proto.StreamTakeover) (answered bool) {
+	_, err := o.peers.Call(ctx, vm, m)
+	if err != nil {
+		o.log.Debug("a daemon does not confirm that a stream goes on elsewhere", "to", vm, "error", err)
+	}
+	return err == nil
+}
--- a/relay/workspan.go
+++ b/relay/workspan.go
@@ -37,6 +37,15 @@
 	return w
 }
 
+// addWork adds the record of an attempt.
+func (f *flow) addWork(target string) *workSpan {
+	f.workMu.Lock()
+	defer f.workMu.Unlock()
+	w := newWorkSpan(f.server.clock, target, len(f.work)+1)
+	f.work = append(f.work, w)
+	return w
+}
+
 // begin records that the request is about to be written.
 func (w *workSpan) begin(carrier proto.VM) {
 	w.mu.Lock()
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -220,7 +220,7 @@
 	d.documents.targets = map[string]proto.TargetDocument{}
 	d.self = proto.Alive{
 		VM: proto.VM(settings.VM), Zone: proto.Zone(settings.Region + "/" + settings.Zone), Peer: settings.PeerAddr,
-		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolReadAsk,
+		Incarnation: proto.Incarnation(clock.Now().UnixNano()), Sequence: 1, Protocol: proto.PeerProtocolTakeover,
 	}
 	d.fleet = relay.NewFleet(func(pool string) { d.pieces.TargetsChanged(pool) }, relay.WithZoneCosts(d.zoneCosts),
 		relay.WithColdConfig(relay.ColdConfig{Factor: settings.ColdFactor, Slack: settings.ColdSlack}), relay.WithNoticeHandler(d.forwardNotices))
@@ -362,6 +362,8 @@
 		d.origins.Merge(msg)
 	case proto.StreamAsk:
 		return d.origins.Answer(msg)
+	case proto.StreamTakeover:
+		return d.server.HandleTakeover(ctx, msg)
 	case proto.TargetEnds:
 		d.crashTracker.Merge(msg, from)
 	}
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -156,6 +156,15 @@
 	return p.currentRanking().Holders(request, n)
 }
 
+// Self returns the name of this daemon.
+func (p *relayPeers) Self() proto.VM { return p.self.VM }
+
+// TakesOver reports whether another daemon was heard a moment ago and knows StreamTakeover.
+func (p *relayPeers) TakesOver(vm proto.VM) bool {
+	alive, known := p.members.Lookup(vm)
+	return known && alive.Protocol >= proto.PeerProtocolTakeover && !p.Silent(vm)
+}
+
 // currentRanking returns the ranking of the other daemons that keep streams, as of a moment ago.
 func (p *relayPeers) currentRanking() *origin.Ranking {
 	now := p.clock.Now()
