--- a/proto/streams.go
+++ b/proto/streams.go
@@ -35,12 +35,17 @@
 }
 
 // StreamTakeover tells that a caller has taken a stream up again. A daemon that still serves an earlier request of the stream ends it,
-// and answers once its targets have been told to stop.
+// and answers once its targets have been told to stop. One that has a later request tells that to the sender.
 type StreamTakeover struct {
 	Request RequestDigest `cbor:"1,keyasint"`
 	Stream  StreamKey     `cbor:"2,keyasint"`
-	// Age is how long ago the caller's request arrived: those that arrived later are not ended.
-	Age time.Duration `cbor:"3,keyasint"`
-	// By is the daemon that goes on with the stream. It is set if the receiver is to tell the daemons that it knows to have served it.
-	By VM `cbor:"4,keyasint,omitempty"`
+	// After is the last event that the caller has, and Age how long ago its request arrived. A request is a later one if its caller has
+	// more events or, with as many, if it arrived later.
+	After int           `cbor:"3,keyasint,omitempty"`
+	Age   time.Duration `cbor:"4,keyasint"`
+	// SentAt is when the message was sent, by the same clock as that of a Heartbeat.
+	SentAt time.Duration `cbor:"5,keyasint,omitempty"`
+	// By is the daemon that goes on with the stream, and Forward is set if the receiver is to tell the daemons that it knows to serve it.
+	By      VM   `cbor:"6,keyasint"`
+	Forward bool `cbor:"7,keyasint,omitempty"`
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -322,14 +322,14 @@
 	ctx, span := otel.Tracer(tracerName).Start(r.Context(), "relay", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("emberlead.request", f.req.ID), attribute.String("emberlead.route", f.route.Name)))
 	defer span.End()
-	ctx, f.cancel = context.WithCancelCause(ctx)
-	defer f.cancel(nil)
-	defer s.streams.add(f)()
 	f.serve(ctx)
 }
 
 // serve runs an accepted request to its final response.
 func (f *flow) serve(ctx context.Context) {
+	ctx, f.cancel = context.WithCancelCause(ctx)
+	defer f.cancel(nil)
+	defer f.server.streams.add(f)()
 	f.answers.budget = &f.server.answers
 	defer f.answers.close()
 	defer f.clearWriteDeadline()
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -49,17 +50,22 @@
 	}
 }
 
-// arrivedBefore returns the requests of a stream that arrived before a moment.
-func (s *streamRequests) arrivedBefore(request proto.RequestDigest, stream proto.StreamKey, moment time.Time) []*flow {
+// find returns the requests of a stream that are earlier than the one of a takeover, which arrived at a moment, and those that are later.
+func (s *streamRequests) find(m proto.StreamTakeover, arrivedAt time.Time) (earlier, later []*flow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var earlier []*flow
-	for _, f := range s.byStream[stream] {
-		if f.digest == request && f.startedAt.Before(moment) {
+	for _, f := range s.byStream[m.Stream] {
+		if f.digest != m.Request {
+			continue
+		}
+		switch order := cmp.Or(cmp.Compare(f.req.After, m.After), f.startedAt.Compare(arrivedAt)); {
+		case order < 0:
 			earlier = append(earlier, f)
+		case order > 0:
+			later = append(later, f)
 		}
 	}
-	return earlier
+	return earlier, later
 }
 
 // servedStream returns the key of the stream that the request begins or takes up again; 0 if it does not name the one that it takes up.
@@ -80,17 +86,24 @@
 	startedAt := s.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
-	m := proto.StreamTakeover{Request: f.digest, Stream: f.servedStream(), Age: startedAt.Sub(f.startedAt)}
+	m := f.takeover()
 	told := s.origins.tellServers(ctx, m)
-	ended := s.endStream(ctx, m.Request, m.Stream, f.startedAt)
+	earlier, later := s.streams.find(m, f.startedAt)
+	if len(later) > 0 {
+		f.cancel(errTakenOver)
+	}
+	endEarlier(ctx, earlier)
 	unanswered := told()
-	f.logInfo("stream taken over", "resumes", f.req.Resumes, "endedHere", ended, "unanswered", unanswered, "took", formatDuration(s.clock.Now().Sub(startedAt)))
+	f.logInfo("stream taken over", "resumes", f.req.Resumes, "endedHere", len(earlier), "unanswered", unanswered, "took", formatDuration(s.clock.Now().Sub(startedAt)))
 }
 
-// endStream cancels the requests of a stream that arrived before a moment, and returns their number once their targets have been told
-// to stop.
-func (s *Server) endStream(ctx context.Context, request proto.RequestDigest, stream proto.StreamKey, moment time.Time) int {
-	earlier := s.streams.arrivedBefore(request, stream, moment)
+// takeover returns the message that the request goes on with its stream.
+func (f *flow) takeover() proto.StreamTakeover {
+	return proto.StreamTakeover{Request: f.digest, Stream: f.servedStream(), After: f.req.After, Age: f.server.clock.Now().Sub(f.startedAt)}
+}
+
+// endEarlier cancels the earlier requests of a stream, and returns once their targets have been told to stop.
+func endEarlier(ctx context.Context, earlier []*flow) {
 	for _, f := range earlier {
 		f.logInfo("stream ended here", "reason", errTakenOver.Error())
 		f.cancel(errTakenOver)
@@ -98,19 +111,23 @@
 	for _, f := range earlier {
 		f.awaitReleased(ctx)
 	}
-	return len(earlier)
 }
 
-// HandleTakeover handles a StreamTakeover of another daemon.
-func (s *Server) HandleTakeover(ctx context.Context, m proto.StreamTakeover) proto.Done {
-	moment := s.clock.Now().Add(-m.Age)
+// HandleTakeover handles a StreamTakeover of another daemon, which may have waited since it was sent.
+func (s *Server) HandleTakeover(ctx context.Context, sentAt time.Time, m proto.StreamTakeover) proto.Done {
+	arrivedAt := sentAt.Add(-m.Age)
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	told := func() []proto.VM { return nil }
-	if m.By != "" {
-		told = s.origins.forwardTakeover(ctx, m)
+	if m.Forward {
+		m.Forward, m.Age = false, s.clock.Now().Sub(arrivedAt)
+		told = s.origins.tell(ctx, m)
+	}
+	earlier, later := s.streams.find(m, arrivedAt)
+	for _, f := range later {
+		s.origins.tellLater(m.By, f.takeover())
 	}
-	s.endStream(ctx, m.Request, m.Stream, moment)
+	endEarlier(ctx, earlier)
 	told()
 	return proto.Done{}
 }
@@ -135,29 +152,33 @@
 	if o.peers == nil {
 		return func() []proto.VM { return nil }
 	}
+	m.By = o.peers.Self()
 	forwarded := m
-	forwarded.By = o.peers.Self()
+	forwarded.Forward = true
 	for _, vm := range o.peers.StreamHolders(m.Request, origin.Copies) {
 		if o.peers.TakesOver(vm) {
 			go o.call(ctx, vm, forwarded)
 		}
 	}
-	return o.tell(ctx, m, o.peers.Self())
+	return o.tell(ctx, m)
 }
 
-// forwardTakeover tells the daemons that have served a stream on behalf of the one that goes on with it.
-func (o *Origins) forwardTakeover(ctx context.Context, m proto.StreamTakeover) (told func() []proto.VM) {
-	by := m.By
-	m.By = ""
-	return o.tell(ctx, m, by)
+// tellLater tells a daemon that this one has a later request of its stream.
+func (o *Origins) tellLater(to proto.VM, m proto.StreamTakeover) {
+	m.By = o.peers.Self()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), takeoverTimeout)
+		defer cancel()
+		o.call(ctx, to, m)
+	}()
 }
 
-// tell tells the daemons that have served a stream, except for one and this daemon itself.
-func (o *Origins) tell(ctx context.Context, m proto.StreamTakeover, except proto.VM) (told func() []proto.VM) {
+// tell tells the other daemons that have served a stream, except for the one that goes on with it.
+func (o *Origins) tell(ctx context.Context, m proto.StreamTakeover) (told func() []proto.VM) {
 	o.mu.Lock()
 	servers := slices.Clone(o.book.Servers(m.Request, m.Stream))
 	o.mu.Unlock()
-	servers = slices.DeleteFunc(servers, func(vm proto.VM) bool { return vm == except || vm == o.peers.Self() || !o.peers.TakesOver(vm) })
+	servers = slices.DeleteFunc(servers, func(vm proto.VM) bool { return vm == m.By || vm == o.peers.Self() || !o.peers.TakesOver(vm) })
 	answered := make([]bool, len(servers))
 	var calls sync.WaitGroup
 	for i, vm := range servers {
@@ -175,6 +196,7 @@
 }
 
 func (o *Origins) call(ctx context.Context, vm proto.VM, m proto.StreamTakeover) (answered bool) {
+	m.SentAt = time.Duration(o.clock.Now().UnixNano())
 	_, err := o.peers.Call(ctx, vm, m)
 	if err != nil {
 		o.log.Debug("a daemon does not confirm that a stream goes on elsewhere", "to", vm, "error", err)
--- a/sched/linkdelay.go
+++ b/sched/linkdelay.go
@@ -50,6 +50,15 @@
 	return s.delay
 }
 
+// DelayOf returns how much longer a message took than the fastest one of its sender; 0 if nothing is known of that.
+func (l *LinkDelay[K]) DelayOf(now time.Time, sender K, sentAt time.Duration) time.Duration {
+	s := l.senders[sender]
+	if s == nil {
+		return 0
+	}
+	return max(0, time.Duration(now.UnixNano())-sentAt-min(s.fastest, s.before))
+}
+
 // Prune removes the senders that have not been heard for long.
 func (l *LinkDelay[K]) Prune(now time.Time) {
 	maps.DeleteFunc(l.senders, func(_ K, s *senderDelay) bool { return now.Sub(s.at) > 2*delayBaseline })
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -363,7 +363,7 @@
 	case proto.StreamAsk:
 		return d.origins.Answer(msg)
 	case proto.StreamTakeover:
-		return d.server.HandleTakeover(ctx, msg)
+		return d.server.HandleTakeover(ctx, d.peers.takeoverSentAt(now, from, msg), msg)
 	case proto.TargetEnds:
 		d.crashTracker.Merge(msg, from)
 	}
--- a/serve/relaypeers.go
+++ b/serve/relaypeers.go
@@ -118,6 +118,14 @@
 	return now.Add(-p.confirmedDelay.Record(now, peerRun{from, alive.Incarnation}, m.SentAt))
 }
 
+// takeoverSentAt returns when the message of a takeover was sent, by the usual delay of heartbeats.
+func (p *relayPeers) takeoverSentAt(now time.Time, from proto.VM, m proto.StreamTakeover) time.Time {
+	alive, _ := p.members.Lookup(from)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Add(-p.delay.DelayOf(now, peerRun{from, alive.Incarnation}, m.SentAt))
+}
+
 // Carriers returns the daemons that were heard a moment ago and can carry connections to targets.
 func (p *relayPeers) Carriers() []relay.Carrier {
 	now := p.clock.Now()
