--- a/relay/handover.go
+++ b/relay/handover.go
@@ -19,6 +19,8 @@
 	// sent holds the attempts whose targets have the request, in the order in which they got it, and answering those of them that have
 	// sent something since the last attempt was added.
 	sent, answering []*attempt
+	// closing holds attempts that have ended and whose connections may still be open.
+	closing []*attempt
 }
 
 // handoverPolicy is called with the lock when a later target is about to get the request. It returns the earlier attempts that have to be
@@ -49,6 +51,9 @@
 func (h *handover) remove(a *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if slices.Contains(h.sent, a) && !a.work.isReleased() {
+		h.closing = append(h.closing, a)
+	}
 	isEnded := func(other *attempt) bool { return other == a }
 	h.sent, h.answering = slices.DeleteFunc(h.sent, isEnded), slices.DeleteFunc(h.answering, isEnded)
 }
@@ -90,12 +95,14 @@
 	if a.ctx.Err() != nil {
 		return nil, context.Cause(a.ctx)
 	}
+	h.closing = slices.DeleteFunc(h.closing, func(ended *attempt) bool { return ended.work.isReleased() })
+	awaited = slices.Clone(h.closing)
 	earlier := slices.Clone(h.sent)
 	h.sent = append(h.sent, a)
-	if len(earlier) == 0 {
-		return nil, nil
+	if len(earlier) > 0 {
+		awaited = append(awaited, h.policy(h, earlier)...)
 	}
-	return h.policy(h, earlier), nil
+	return awaited, nil
 }
 
 func (h *handover) signal() {
--- a/relay/racehelpers_test.go
+++ b/relay/racehelpers_test.go
@@ -45,6 +45,8 @@
 	canceled map[netip.AddrPort]int
 	// connect returns how long it takes to connect to a target; nil if it takes no time.
 	connect func() time.Duration
+	// closeTime is how long it takes to close the connection of a canceled attempt.
+	closeTime time.Duration
 }
 
 func (s *raceSender) Send(ctx context.Context, to netip.AddrPort, out *TargetRequest) (*TargetResponse, error) {
@@ -70,13 +72,18 @@
 	if err := out.Observer.BeforeWrite(""); err != nil {
 		return nil, &SendError{Err: err}
 	}
-	keepConnection := context.AfterFunc(ctx, out.Observer.Aborted)
+	closed := make(chan struct{})
+	keepConnection := context.AfterFunc(ctx, func() {
+		time.Sleep(s.closeTime)
+		out.Observer.Aborted()
+		close(closed)
+	})
 	response, err := r(context.WithValue(ctx, afterKey{}, out.Header.Get(afterHeader)))
 	if err != nil {
 		return nil, err
 	}
 	if body, ok := response.Body.(*pausedBody); ok {
-		body.complete = keepConnection
+		body.complete, body.closed = keepConnection, closed
 	}
 	return response, nil
 }
@@ -123,8 +130,9 @@
 	ctx   context.Context
 	parts []part
 	ends  error
-	// complete is called when the body has ended, unless it is nil.
+	// complete is called when the body has ended, and closed is closed with the connection, unless they are nil.
 	complete func() bool
+	closed   chan struct{}
 }
 
 type part struct {
@@ -134,8 +142,8 @@
 
 func (b *pausedBody) Read(p []byte) (int, error) {
 	if len(b.parts) == 0 {
-		if b.complete != nil && errors.Is(b.ends, io.EOF) {
-			b.complete()
+		if b.complete != nil && errors.Is(b.ends, io.EOF) && b.complete() {
+			b.closed = nil
 		}
 		return 0, b.ends
 	}
@@ -149,7 +157,12 @@
 	return n, nil
 }
 
-func (b *pausedBody) Close() error { return nil }
+func (b *pausedBody) Close() error {
+	if b.closed != nil && b.ctx.Err() != nil {
+		<-b.closed
+	}
+	return nil
+}
 
 // respondsAfter returns a racer that starts to respond after a delay and then sends the parts.
 func respondsAfter(wait time.Duration, status int, ends error, parts ...part) racer {
--- a/relay/streamorigin_test.go
+++ b/relay/streamorigin_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// TestEndedAttemptIsAwaited guards against two targets at work on a request whose earlier attempt this daemon ended for another reason than
+// a handover: its connection was not closed yet when the later target got the request.
+func TestEndedAttemptIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const began, closeTime = 100 * time.Millisecond, 40 * time.Millisecond
+		r := newRaced(proto.RouteStream, streamed(began-time.Millisecond, 2, 3, 4, 5, 6, 7, 8, 9), streamed(0, 2, 3))
+		r.versioned("v1", "v1")
+		r.route.LatencyGoal = time.Second
+		r.lastEventID, r.origin, r.sender.closeTime = 1, proto.StreamOrigin{Pool: "p", Software: "v1"}, closeTime
+		time.AfterFunc(began/2, func() { r.versioned("v3", "v1") })
+		if got := eventsOf(r.end(t)); got != "23" {
+			t.Errorf("the caller received the events %s", got)
+		}
+		time.Sleep(raceLeft)
+		synctest.Wait()
+		first, second := r.work[0], r.work[1]
+		if closed := began + closeTime; second.sentAt.Before(r.startedAt.Add(closed)) || first.closedAt.After(second.sentAt) {
+			t.Errorf("the second target got the request after %s, the first one was told to stop after %s", second.sentAt.Sub(r.startedAt), first.closedAt.Sub(r.startedAt))
+		}
+	})
+}
+
 // TestReplacedRunDoesNotContinueAStream guards against events of a process that started at the address of the target that
 // was chosen, with another version.
 func TestReplacedRunDoesNotContinueAStream(t *testing.T) {
--- a/relay/workspan.go
+++ b/relay/workspan.go
@@ -69,6 +69,16 @@
 	return !w.sentAt.IsZero()
 }
 
+// isReleased reports whether the connection is closed, or the target has answered.
+func (w *workSpan) isReleased() bool {
+	select {
+	case <-w.released:
+		return true
+	default:
+		return false
+	}
+}
+
 // close records that the connection was closed, and returns how long after the decision that was.
 func (w *workSpan) close() (late time.Duration) {
 	w.mu.Lock()
@@ -94,7 +104,7 @@
 		w.outcome = "answered"
 	case result.notRun && result.sent:
 		w.outcome = "not run, as the target says: " + result.reason
-	case result.notRun:
+	case result.notRun, w.sentAt.IsZero():
 		w.outcome = "not sent: " + result.reason
 	default:
 		w.outcome = "may have run: " + result.reason
