--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -16,6 +16,12 @@
 // does not answer by then is late or out of reach.
 const takeoverTimeout = 150 * time.Millisecond
 
+// takeoverTellTime is for how long a daemon is told that a stream goes on elsewhere, and takeoverTellInterval how often if its link fails.
+const (
+	takeoverTellTime     = 2 * time.Second
+	takeoverTellInterval = 25 * time.Millisecond
+)
+
 // errTakenOver is the cause with which the earlier requests of a stream are canceled.
 var errTakenOver = errors.New("the caller goes on with the stream over another connection")
 
@@ -156,9 +162,7 @@
 	forwarded := m
 	forwarded.Forward = true
 	for _, vm := range o.peers.StreamHolders(m.Request, origin.Copies) {
-		if o.peers.TakesOver(vm) {
-			go o.call(ctx, vm, forwarded)
-		}
+		go o.tellUntilAnswered(vm, forwarded)
 	}
 	return o.tell(ctx, m)
 }
@@ -166,40 +170,54 @@
 // tellLater tells a daemon that this one has a later request of its stream.
 func (o *Origins) tellLater(to proto.VM, m proto.StreamTakeover) {
 	m.By = o.peers.Self()
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), takeoverTimeout)
-		defer cancel()
-		o.call(ctx, to, m)
-	}()
+	go o.tellUntilAnswered(to, m)
 }
 
-// tell tells the other daemons that have served a stream, except for the one that goes on with it.
+// tell tells the other daemons that have served a stream, except for the one that goes on with it. told waits for them until the context
+// ends, and returns those that have not answered by then; they are told nevertheless.
 func (o *Origins) tell(ctx context.Context, m proto.StreamTakeover) (told func() []proto.VM) {
 	o.mu.Lock()
 	servers := slices.Clone(o.book.Servers(m.Request, m.Stream))
 	o.mu.Unlock()
 	servers = slices.DeleteFunc(servers, func(vm proto.VM) bool { return vm == m.By || vm == o.peers.Self() || !o.peers.TakesOver(vm) })
-	answered := make([]bool, len(servers))
-	var calls sync.WaitGroup
-	for i, vm := range servers {
-		calls.Go(func() { answered[i] = o.call(ctx, vm, m) })
-	}
-	return func() (unanswered []proto.VM) {
-		calls.Wait()
-		for i, vm := range servers {
-			if !answered[i] {
-				unanswered = append(unanswered, vm)
+	answered := make(chan proto.VM, len(servers))
+	for _, vm := range servers {
+		go func() {
+			if o.tellUntilAnswered(vm, m) {
+				answered <- vm
+			}
+		}()
+	}
+	return func() []proto.VM {
+		for len(servers) > 0 {
+			select {
+			case vm := <-answered:
+				servers = slices.DeleteFunc(servers, func(other proto.VM) bool { return other == vm })
+			case <-ctx.Done():
+				return servers
 			}
 		}
-		return unanswered
+		return nil
 	}
 }
 
-func (o *Origins) call(ctx context.Context, vm proto.VM, m proto.StreamTakeover) (answered bool) {
-	m.SentAt = time.Duration(o.clock.Now().UnixNano())
-	_, err := o.peers.Call(ctx, vm, m)
-	if err != nil {
+// tellUntilAnswered tells a daemon again while its link breaks or can't be opened, as just after a start.
+func (o *Origins) tellUntilAnswered(vm proto.VM, m proto.StreamTakeover) (answered bool) {
+	arrivedAt := o.clock.Now().Add(-m.Age)
+	ctx, cancel := context.WithTimeout(context.Background(), takeoverTellTime)
+	defer cancel()
+	for ctx.Err() == nil && o.peers.TakesOver(vm) {
+		now := o.clock.Now()
+		m.Age, m.SentAt = now.Sub(arrivedAt), time.Duration(now.UnixNano())
+		_, err := o.peers.Call(ctx, vm, m)
+		if err == nil {
+			return true
+		}
 		o.log.Debug("a daemon does not confirm that a stream goes on elsewhere", "to", vm, "error", err)
+		select {
+		case <-o.clock.After(takeoverTellInterval):
+		case <-ctx.Done():
+		}
 	}
-	return err == nil
+	return false
 }
--- a/relay/takeovermodel_test.go
+++ b/relay/takeovermodel_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +26,16 @@
 	// for its processor.
 	takeoverDelay = 20 * time.Millisecond
 	takeoverLate  = 400 * time.Millisecond
+	// takeoverOpening is how long the links of a daemon that has just started may take to open.
+	takeoverOpening = 450 * time.Millisecond
 	// takeoverPatience is how long a caller waits at most before it goes on at another daemon, and takeoverRequests how often it asks.
 	takeoverPatience = 600 * time.Millisecond
 	takeoverRequests = 4
 )
 
+// errNotOpen is why calls fail at once.
+var errNotOpen = errors.New("the link is not open")
+
 // takeoverWay is how a daemon that goes on with a stream tells the others.
 type takeoverWay int
 
@@ -48,9 +55,13 @@
 	vms     []proto.VM
 	// targets are the targets as each daemon meets them.
 	targets []*handoverModel
-	// late is a daemon that handles messages late, and cut holds two that don't reach each other.
-	late proto.VM
-	cut  [2]proto.VM
+	// late is a daemon that handles messages late, and cut holds two that don't reach each other. opening is a daemon whose calls fail at
+	// once until its links are open, some time after the first call.
+	late, opening proto.VM
+	opens         time.Duration
+	mu            sync.Mutex
+	opensAt       time.Time
+	cut           [2]proto.VM
 }
 
 // takeoverDialect is that of the model, whose requests all have one id.
@@ -87,13 +98,27 @@
 }
 
 func (p takeoverPeers) Call(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
-	if _, takesOver := m.(proto.StreamTakeover); takesOver && p.way == takeoverTold {
+	_, takesOver := m.(proto.StreamTakeover)
+	if takesOver && p.way == takeoverTold {
 		p.Send(to, m)
 		return proto.Done{}, nil
 	}
+	if takesOver && p.opening == p.self && !p.isOpen() {
+		return nil, errNotOpen
+	}
 	return p.deliver(ctx, to, m)
 }
 
+// isOpen reports whether the links of the opening daemon are open.
+func (m *takeoverModel) isOpen() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.opensAt.IsZero() {
+		m.opensAt = time.Now().Add(m.opens)
+	}
+	return !time.Now().Before(m.opensAt)
+}
+
 // deliver brings a message to another daemon and its answer back, unless there is no link between them.
 func (p takeoverPeers) deliver(ctx context.Context, to proto.VM, m proto.Message) (proto.Message, error) {
 	if p.cut == [2]proto.VM{p.self, to} || p.cut == [2]proto.VM{to, p.self} {
@@ -143,7 +168,8 @@
 	return took, thought, back
 }
 
-// newTakeoverModel returns daemons with the same targets. In some seeds one of them is late, or two don't reach each other.
+// newTakeoverModel returns daemons with the same targets. In some seeds one of them is late or opens its links late, or two don't reach
+// each other.
 func newTakeoverModel(seed uint64, way takeoverWay) *takeoverModel {
 	m := &takeoverModel{seed: seed, way: way, random: rand.New(rand.NewPCG(seed, 43)), daemons: map[proto.VM]*racedRequest{}}
 	for i := range takeoverDaemons {
@@ -157,8 +183,10 @@
 	switch seed % 4 {
 	case 1:
 		m.late = m.vms[m.random.IntN(takeoverDaemons)]
-	case 2, 3:
+	case 2:
 		m.cut = [2]proto.VM{m.vms[0], m.vms[1+m.random.IntN(takeoverDaemons-1)]}
+	case 3:
+		m.opening, m.opens = m.vms[m.random.IntN(takeoverDaemons)], upTo(m.random, takeoverOpening)
 	}
 	return m
 }
