--- a/relay/takeovermodel_test.go
+++ b/relay/takeovermodel_test.go
@@ -201,6 +201,25 @@
 	}
 }
 
+// takeoverCaller takes what a daemon sends over one connection, also after it has gone on at another.
+type takeoverCaller struct {
+	*httptest.ResponseRecorder
+	mu sync.Mutex
+}
+
+func (c *takeoverCaller) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ResponseRecorder.Write(p)
+}
+
+// events returns the ids of the events that have come.
+func (c *takeoverCaller) events() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return eventsOf(c.Body.String())
+}
+
 // takeoverResult is what the caller and the targets saw in a play.
 type takeoverResult struct {
 	served         bool
@@ -216,8 +235,7 @@
 	startedAt, after := time.Now(), 0
 	for n := range takeoverRequests {
 		vm := m.vms[(n+m.random.IntN(2))%takeoverDaemons]
-		recorder := httptest.NewRecorder()
-		caller := &stallingCaller{ResponseRecorder: recorder, ctx: t.Context(), stallsAt: startedAt.Add(time.Hour)}
+		caller := &takeoverCaller{ResponseRecorder: httptest.NewRecorder()}
 		ctx, leave := context.WithCancel(t.Context())
 		defer leave()
 		f := m.request(vm, after, caller)
@@ -247,8 +265,7 @@
 		case <-time.After(patience):
 		}
 		synctest.Wait()
-		got := eventsOf(recorder.Body.String())
-		if result.events += got; result.events == "" {
+		if result.events += caller.events(); result.events == "" {
 			// A stream that has not begun can't be taken up: the next request begins another one.
 			leave()
 		}
