--- a/origin/book.go
+++ b/origin/book.go
@@ -9,7 +9,7 @@
 
 // Limits on what is remembered.
 const (
-	// maxStarts limits the number of remembered streams, at some 250 bytes each.
+	// maxStarts limits the number of remembered streams, at some 0.7 kB each.
 	maxStarts = 32768
 	// maxStartsPerRequest limits the streams of equal requests, such as a question that many callers ask, so that others keep room.
 	maxStartsPerRequest = maxStarts / 2
--- a/relay/server.go
+++ b/relay/server.go
@@ -266,9 +266,9 @@
 	fallback *bufferedResponse
 	// work records for each attempt when its target may have worked on the request.
 	work []*workSpan
-	// workMu guards work against the end of the request on behalf of another one.
+	// workMu guards work, which a takeover of the stream reads.
 	workMu sync.Mutex
-	// cancel ends the request.
+	// cancel ends the request with a cause.
 	cancel context.CancelCauseFunc
 	// stageLog describes the stages that have ended, including repeated ones.
 	stageLog []stageLogEntry
