An answer is reset where either side of its connection says so

What callers saw: a target answered the head of a long upload with a status of 200 and no length, sent part of a body and reset the connection while the upload was being written. Callers got that part as a complete answer, and streams ended without an event.

Cause: the kernel reports the error of a connection once, to the next call. If that is a write, the read after it returns the end of data as if the other end had closed in order, and without a length or chunks that is the end of the answer. The request is written and the answer read by two goroutines of a daemon, and two goroutines carry a tunnel.

With a length or chunks, the system handled it before.

Why this works: a connection that daemons open keeps the error that a write got, and its reader returns it in place of the end of data. A write in progress when the reader meets the end is ended first, so that its result is known. EPIPE is no such error: it follows an orderly end of what is received. It holds for connections to targets, those that are carried for other daemons, to other daemons, to the store, and of the older interface. The failure is the reset that it is: the same error as where the reader gets it, so what is repeated elsewhere and what counts against a target stays.

--- a/wire/platform.go
+++ b/wire/platform.go
@@ -48,6 +48,7 @@
 // NewPlatformClient returns a client; clientName identifies the daemon to the platform.
 func NewPlatformClient(baseURL, clientName string, limits PlatformLimits) *PlatformClient {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = CheckEnds(transport.DialContext)
 	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return &PlatformClient{
 		baseURL:    baseURL,
--- a/wire/targets.go
+++ b/wire/targets.go
@@ -77,10 +77,10 @@
 func (t *TargetClient) Abort() { t.abort() }
 
 func newTargetHTTPClient(fresh bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := CheckEnds((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -105,6 +105,7 @@
 	for _, option := range options {
 		option(t)
 	}
+	t.dial = CheckEnds(t.dial)
 	return t
 }
 
--- a/wire/traffic.go
+++ b/wire/traffic.go
@@ -4,9 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
-
-	"emberlead/proto"
 )
 
 // Traffic counts the bytes that a daemon's connections carry.
@@ -25,7 +22,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{conn, t}, nil
+		return &countedConn{socketConn{conn}, t}, nil
 	}
 }
 
@@ -40,11 +37,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{conn, l.traffic}, nil
+	return &countedConn{socketConn{conn}, l.traffic}, nil
 }
 
 type countedConn struct {
-	net.Conn
+	socketConn
 	traffic *Traffic
 }
 
@@ -62,15 +59,6 @@
 	return n, err
 }
 
-// SetLinger sets what becomes of unsent data when the connection is closed.
-func (c *countedConn) SetLinger(seconds int) error {
-	own, ok := c.Conn.(lingerer)
-	if !ok {
-		return newError("access connection", proto.KindInvalid, "it has no linger time")
-	}
-	return own.SetLinger(seconds)
-}
-
 // lingerer is a connection whose unsent data can be discarded when it is closed.
 type lingerer interface {
 	SetLinger(seconds int) error
@@ -82,12 +70,3 @@
 		_ = own.SetLinger(0) // The connection may be closed already.
 	}
 }
-
-// SyscallConn returns the raw connection, by which the end of an idle one is noticed.
-func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
-	own, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, newError("access connection", proto.KindInvalid, "it has no descriptor")
-	}
-	return own.SyscallConn()
-}
