A status that does not exist is no answer

What callers saw: an answer of a target with a status of 101, 600 or 999 reached them, with the proof of a run; one with a status of 000 ended the caller's connection without an answer, since no such status can be written.

Cause: the library's parser takes each status of three characters that is a number, and each major version. Nothing after it asked whether there is such a status; 101 was let through to end the interim answers.

Why this works: checkAnswer says what an answer is, by RFC 9110, section 15, right behind the parser: for each head that is read of a connection to a target, and in NewAnswerClient for each client that reads by the standard library: of the older interface, the store, other daemons, the demo and the command line. 101 counts where it was asked for, as between daemons. Callers get a 502 without the proof; the attempt failed after the request was written, as with other broken answers, so it may have run, is repeated only where it may be, and counts against the target alike. The clients that count what was written now count it where the connection is checked.

--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -15,6 +15,7 @@
 	"emberlead/fakes"
 	"emberlead/proto"
 	"emberlead/serve"
+	"emberlead/wire"
 )
 
 const (
@@ -207,7 +208,8 @@
 }
 
 func (b *balancer) pollLoop(ctx context.Context) {
-	client := &http.Client{Timeout: balancerPollInterval}
+	client := wire.NewAnswerClient(&http.Transport{})
+	client.Timeout = balancerPollInterval
 	ticker := time.NewTicker(balancerPollInterval)
 	defer ticker.Stop()
 	for {
--- a/demo/loadgen.go
+++ b/demo/loadgen.go
@@ -18,6 +18,7 @@
 	"emberlead/core"
 	"emberlead/fakes"
 	"emberlead/proto"
+	"emberlead/wire"
 )
 
 const (
@@ -81,7 +82,7 @@
 func newLoadGenerator(file *proto.File, b *balancer, seed uint64) *loadGenerator {
 	c := &loadGenerator{
 		file: file, balancer: b, recorder: newRecorder(), random: rand.New(rand.NewPCG(seed, 7)), poolKinds: map[string]proto.PoolKind{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client: wire.NewAnswerClient(&http.Transport{MaxIdleConnsPerHost: 256}),
 	}
 	for _, pool := range file.Pools {
 		c.poolKinds[pool.Name] = pool.Kind
--- a/entry/call.go
+++ b/entry/call.go
@@ -44,7 +44,7 @@
 	if err := setCallHeaders(c, req.Header); err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newDaemonClient().Do(req)
 	if err != nil {
 		return withExitCode(ExitUnknown, &Error{Op: "call", Kind: proto.KindUnknown, Err: err})
 	}
--- a/entry/client.go
+++ b/entry/client.go
@@ -24,6 +24,13 @@
 	}, extra...)
 }
 
+// newDaemonClient returns a client of daemons, for one request.
+func newDaemonClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DisableKeepAlives = true
+	return wire.NewAnswerClient(transport)
+}
+
 // callOperatorAPI sends a request to the operators' listener and decodes the response into result. Statuses other than
 // 200 and the accepted ones are errors.
 func callOperatorAPI(ctx context.Context, c *cli.Command, method, path string, body []byte, result any, accepted ...int) (int, error) {
@@ -37,7 +44,7 @@
 	if key := c.String("key"); key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newDaemonClient().Do(req)
 	if err != nil {
 		return 0, noResponseError(method, err)
 	}
--- a/wire/checkedconn.go
+++ b/wire/checkedconn.go
@@ -6,14 +6,15 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"emberlead/proto"
 )
 
-// CheckEnds returns a function that opens connections whose reads return io.EOF only if the other end closed in order.
-func CheckEnds(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+// checkEnds returns a function that opens connections whose reads return io.EOF only if the other end closed in order.
+func checkEnds(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
@@ -27,6 +28,8 @@
 // to a single call, and to the calls after it only that there is no more data.
 type checkedConn struct {
 	socketConn
+	// written counts the bytes that were passed to Write.
+	written atomic.Int64
 	// writing is held during a write, and guards broken.
 	writing sync.Mutex
 	broken  error
@@ -34,6 +37,7 @@
 
 // Write writes to the connection.
 func (c *checkedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
--- a/wire/links.go
+++ b/wire/links.go
@@ -109,8 +109,7 @@
 	if dial == nil {
 		dial = NewDialer(dialTimeout).DialContext
 	}
-	dial = CheckEnds(dial)
-	l.client = &http.Client{Transport: &http.Transport{TLSClientConfig: l.tls, DialContext: dial.withRetry(linkDialAttemptTimeout), MaxResponseHeaderBytes: maxHeadBytes}}
+	l.client = NewAnswerClient(&http.Transport{TLSClientConfig: l.tls, DialContext: dial.withRetry(linkDialAttemptTimeout), MaxResponseHeaderBytes: maxHeadBytes})
 	return l
 }
 
--- a/wire/platform.go
+++ b/wire/platform.go
@@ -48,12 +48,11 @@
 // NewPlatformClient returns a client; clientName identifies the daemon to the platform.
 func NewPlatformClient(baseURL, clientName string, limits PlatformLimits) *PlatformClient {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.DialContext = CheckEnds(transport.DialContext)
 	transport.MaxResponseHeaderBytes = maxHeadBytes
 	return &PlatformClient{
 		baseURL:    baseURL,
 		clientName: clientName,
-		client:     &http.Client{Transport: transport},
+		client:     NewAnswerClient(transport),
 		limits:     limits,
 		reads:      rate.NewLimiter(rate.Limit(limits.ReadsPerSecond), limits.Burst),
 		writes:     rate.NewLimiter(rate.Limit(limits.WritesPerSecond), limits.Burst),
--- a/wire/targets.go
+++ b/wire/targets.go
@@ -35,17 +35,6 @@
 	attemptDeadlineSlack = 50 * time.Millisecond
 )
 
-// countingConn counts the bytes written, because a request certainly did not run only if there were none.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 // TargetClient runs attempts at targets over HTTP.
 type TargetClient struct {
 	pooled   *http.Client
@@ -77,35 +66,27 @@
 func (t *TargetClient) Abort() { t.abort() }
 
 func newTargetHTTPClient(fresh bool) *http.Client {
-	dial := CheckEnds((&net.Dialer{Timeout: dialTimeout}).DialContext)
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: conn}, nil
-		},
+	client := NewAnswerClient(&http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdlePerTarget,
 		MaxResponseHeaderBytes: maxHeadBytes,
 		IdleConnTimeout:        idleTimeout,
 		DisableKeepAlives:      fresh,
 		DisableCompression:     true,
-	}
-	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
-		return http.ErrUseLastResponse
-	}}
+	})
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return client
 }
 
-// writeDetector detects whether any byte of a request was written to a connection.
+// writeDetector detects whether any byte of a request was written to a connection, since it certainly did not run only if none was.
 type writeDetector struct {
-	conn          atomic.Pointer[countingConn]
+	conn          atomic.Pointer[checkedConn]
 	writtenBefore atomic.Int64
 }
 
 func (w *writeDetector) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*countingConn); ok {
+		if conn, ok := info.Conn.(*checkedConn); ok {
 			w.writtenBefore.Store(conn.written.Load())
 			w.conn.Store(conn)
 		}
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -105,7 +105,7 @@
 	for _, option := range options {
 		option(t)
 	}
-	t.dial = CheckEnds(t.dial)
+	t.dial = checkEnds(t.dial)
 	return t
 }
 
@@ -404,7 +404,10 @@
 func (r *responseBody) readFinalHead(request *http.Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r.conn.reader, request)
-		if err != nil || resp.StatusCode/100 != 1 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err == nil {
+			err = checkAnswer(resp)
+		}
+		if err != nil || resp.StatusCode/100 != 1 {
 			return resp, err
 		}
 	}
