A field whose name is not a token makes no answer

What callers saw: an answer in whose head the name of a field held a blank, or had one before its colon, reached them. So did one with such a name in its trailers.

Cause: the library's parser keeps a name with a blank as it is, so that no other code finds the field. It refuses control bytes.

Evidence: TestCallersGetNoBrokenHead failed for 20 requests before, TestBrokenHeadsAreNoAnswers in the 8 cases with blanks over own links and tunnels alike (head, interim answer, answer to another request, trailers), TestClientsRejectBrokenHeads in 6, and TestLinksRejectBrokenHeads. The cases with control bytes passed before; their tests stay.

Why this works: checkAnswer, which each head passes, asks for names that are tokens (RFC 9112, section 5.1), and the body of an answer fails at its end if the name of a trailer is none. RFC 9112 lets a proxy remove a blank before a colon; a target that sends one is in trouble, and what it meant by the line is not known. What the RFC lets a recipient accept still passes: folded values, bare line feeds, a status without a reason (TestSoundHeadsPass). The failure is that of other broken answers.

--- a/wire/answercheck.go
+++ b/wire/answercheck.go
@@ -1,8 +1,12 @@
 package wire
 
 import (
+	"errors"
+	"io"
 	"net/http"
 
+	"golang.org/x/net/http/httpguts"
+
 	"emberlead/proto"
 )
 
@@ -37,7 +41,8 @@
 	return resp, nil
 }
 
-// checkAnswer fails if a parsed response is no answer by RFC 9110 and RFC 9112, since the parser is more lenient than they are.
+// checkAnswer fails if a parsed response is no answer by RFC 9110 and RFC 9112, since the parser is more lenient than they are. Its body
+// then fails at its end if the trailers are not part of one.
 func checkAnswer(resp *http.Response) error {
 	switch status := resp.StatusCode; {
 	case resp.ProtoMajor != 1 && resp.TLS == nil:
@@ -48,8 +53,42 @@
 	case status == http.StatusSwitchingProtocols && !isUpgrade(resp.Request):
 		return newError("read answer", proto.KindInvalid, "it switches to a protocol that was not asked for")
 	}
+	if err := checkFieldNames(resp.Header); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		resp.Body = &checkedBody{resp.Body, resp}
+	}
+	return nil
+}
+
+// checkFieldNames fails if the name of a header or trailer field is not a token (RFC 9112, section 5.1). The parser keeps names with
+// blanks, and then ignores what the fields say of the length of the body.
+func checkFieldNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return newError("read answer", proto.KindInvalid, "%q is no field name", name)
+		}
+	}
 	return nil
 }
 
+// checkedBody is the body of an answer whose trailers are checked.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read reads the body.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if invalid := checkFieldNames(b.resp.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
+	return n, err
+}
+
 // isUpgrade reports whether a request asks for another protocol.
 func isUpgrade(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
--- a/wire/brokenanswers_test.go
+++ b/wire/brokenanswers_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"emberlead/proto"
+	"emberlead/relay"
 )
 
 const answerHead = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
@@ -21,10 +26,26 @@
 	"status 999":                         "HTTP/1.1 999 Broken\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nbody",
 	"a status with a sign":               "HTTP/1.1 +20 Broken\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nbody",
 	"another major version":              "HTTP/2.0 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n\r\nbody",
+	"a blank in a name":                  answerHead + "X Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"a blank before a colon":             answerHead + "X-Y : 1\r\nContent-Length: 4\r\n\r\nbody",
+	"a blank after Content-Length":       answerHead + "Content-Length : 4\r\n\r\nbody",
+	"a blank after Transfer-Encoding":    answerHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	"a tab before a colon":               answerHead + "Content-Length\t: 4\r\n\r\nbody",
+	"a control byte in a name":           answerHead + "X\x01Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"a carriage return in a name":        answerHead + "X\rY: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"a delete byte in a name":            answerHead + "X\x7fY: 1\r\nContent-Length: 4\r\n\r\nbody",
+	"an empty name":                      answerHead + ": 1\r\nContent-Length: 4\r\n\r\nbody",
+	"a control byte in a value":          answerHead + "X-Y: 1\x01\r\nContent-Length: 4\r\n\r\nbody",
+	"a blank in an interim answer":       "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + answerHead + "Content-Length: 4\r\n\r\nbody",
+	"a blank in the answer to another":   "HTTP/1.1 200 OK\r\nX-Id: b\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n" + answerHead + "Content-Length: 4\r\n\r\nbody",
 	"the status of the answer to others": "HTTP/1.1 000 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n" + answerHead + "Content-Length: 4\r\n\r\nbody",
+	"a blank in a trailer":               answerHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Y: 1\r\n\r\n",
+	"a blank before a trailer's colon":   answerHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum : 1\r\n\r\n",
+	"a control byte in a trailer":        answerHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX\x01Y: 1\r\n\r\n",
 }
 
-// TestBrokenHeadsAreNoAnswers guards against heads that pass although they are no answer, as their status is none.
+// TestBrokenHeadsAreNoAnswers guards against heads and trailers that pass although they are no answer: with a status that is none, or with
+// fields whose names are none, so that the body has another end than the target meant.
 func TestBrokenHeadsAreNoAnswers(t *testing.T) {
 	for name, answer := range brokenAnswers {
 		to := rawTarget(t, answer, endOrderly)
@@ -75,7 +96,7 @@
 func TestClientsRejectBrokenHeads(t *testing.T) {
 	for name, answer := range brokenAnswers {
 		// The library discards interim answers, and reads no other versions and no answers to other requests.
-		if strings.Contains(name, "answer") || strings.Contains(name, "HTTP/1.0") {
+		if strings.Contains(name, "answer") {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
@@ -92,3 +113,17 @@
 		})
 	}
 }
+
+// TestLinksRejectBrokenHeads guards against daemons that go on over a link or a tunnel whose other end sent no answer.
+func TestLinksRejectBrokenHeads(t *testing.T) {
+	const accepted = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nX Y: 1\r\n\r\n"
+	to := rawTarget(t, accepted, func(conn net.Conn) { time.Sleep(answerPause); _ = conn.Close() })
+	links := NewLinks(LinksConfig{Self: "a", SharedKey: "k", Log: hclog.NewNullLogger(), Resolve: func(vm proto.VM) (proto.Alive, bool) {
+		return proto.Alive{VM: vm, Peer: to}, true
+	}})
+	t.Cleanup(links.Close)
+	_, outcome, err := links.OpenTunnel(t.Context(), "b", netip.MustParseAddrPort("10.0.0.1:80"))
+	if err == nil || outcome != relay.CarryUnanswered || !strings.Contains(err.Error(), "no field name") {
+		t.Errorf("outcome %v, error %v", outcome, err)
+	}
+}
