An answer of HTTP/1.0 with a transfer coding is none

What callers saw: such an answer reached them with the coded bytes, chunk sizes and all, as its body.

Cause: the library's parser drops Transfer-Encoding in HTTP/1.0, so nothing after it knows of the field.

Evidence: "chunks in HTTP/1.0" of TestBrokenHeadsAreNoAnswers failed before, over an own link and a tunnel: the body was "4\r\nbody\r\n0\r\n\r\n".

Why this works: the parser is shown HTTP/1.1, and so reads the field; checkAnswer refuses it with the version that was sent (RFC 9112, section 6.1: the framing is faulty). Whether a connection is kept after HTTP/1.0 is as before (TestConnectionsOfHTTP10), and so are its framings (TestSoundHeadsPass, TestEarlyAnswersPassWhole).

--- a/wire/answercheck.go
+++ b/wire/answercheck.go
@@ -48,6 +48,8 @@
 	case resp.ProtoMajor != 1 && resp.TLS == nil:
 		// Other versions are negotiated by TLS.
 		return newError("read answer", proto.KindInvalid, "its version is %q", resp.Proto)
+	case resp.ProtoMajor == 1 && resp.ProtoMinor == 0 && len(resp.TransferEncoding) > 0:
+		return newError("read answer", proto.KindInvalid, "%s has no transfer codings", resp.Proto)
 	case status < minStatus, status > maxStatus:
 		return newError("read answer", proto.KindInvalid, "%d is no status", status)
 	case status == http.StatusSwitchingProtocols && !isUpgrade(resp.Request):
--- a/wire/brokenanswers_test.go
+++ b/wire/brokenanswers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 
 	"emberlead/proto"
 	"emberlead/relay"
@@ -36,6 +38,7 @@
 	"a delete byte in a name":            answerHead + "X\x7fY: 1\r\nContent-Length: 4\r\n\r\nbody",
 	"an empty name":                      answerHead + ": 1\r\nContent-Length: 4\r\n\r\nbody",
 	"a control byte in a value":          answerHead + "X-Y: 1\x01\r\nContent-Length: 4\r\n\r\nbody",
+	"chunks in HTTP/1.0":                 "HTTP/1.0 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	"a blank in an interim answer":       "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + answerHead + "Content-Length: 4\r\n\r\nbody",
 	"a blank in the answer to another":   "HTTP/1.1 200 OK\r\nX-Id: b\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n" + answerHead + "Content-Length: 4\r\n\r\nbody",
 	"the status of the answer to others": "HTTP/1.1 000 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n" + answerHead + "Content-Length: 4\r\n\r\nbody",
@@ -92,11 +95,31 @@
 	}
 }
 
+// TestConnectionsOfHTTP10 checks that a connection is kept after an answer of HTTP/1.0 only if the target says so.
+func TestConnectionsOfHTTP10(t *testing.T) {
+	for field, reused := range map[string]int64{"": 0, "Connection: keep-alive\r\n": 1, "Connection: Keep-Alive\r\n": 1, "Connection: close\r\n": 0} {
+		t.Run(field, func(t *testing.T) {
+			_, to := newScriptedTarget(t, func(_, _ int, r *http.Request) (string, bool) {
+				return fmt.Sprintf("HTTP/1.0 200 OK\r\nX-Id: %s\r\n%sContent-Length: 4\r\n\r\nbody", r.Header.Get(headerID), field), false
+			})
+			transport := NewTargetTransport(clockwork.NewRealClock())
+			for _, id := range []string{"a", "b"} {
+				if body, err := sendOnce(t, transport, to, newTargetRequest(id, "q")); body != "body" || err != nil {
+					t.Fatalf("%s: %q, %v", id, body, err)
+				}
+			}
+			if got := transport.Counts().Reused; got != reused {
+				t.Errorf("%d requests on a used connection, want %d", got, reused)
+			}
+		})
+	}
+}
+
 // TestClientsRejectBrokenHeads guards against the same at the clients that read answers by the standard library.
 func TestClientsRejectBrokenHeads(t *testing.T) {
 	for name, answer := range brokenAnswers {
 		// The library discards interim answers, and reads no other versions and no answers to other requests.
-		if strings.Contains(name, "answer") {
+		if strings.Contains(name, "answer") || strings.Contains(name, "HTTP/1.0") {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
--- a/wire/targettransport.go
+++ b/wire/targettransport.go
@@ -50,6 +50,7 @@
 	// maxStrayBytes bounds the body of each of them.
 	maxStrayBytes  = 8 << 20
 	readBufferSize = 4 << 10
+	versionHTTP10  = "HTTP/1.0"
 )
 
 // TargetTransport sends requests to targets over connections of its own. Unlike a general HTTP client, it never sends a
@@ -403,7 +404,7 @@
 // readFinalHead reads the head of a final answer, and discards the interim ones before it.
 func (r *responseBody) readFinalHead(request *http.Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(r.conn.reader, request)
+		resp, err := r.conn.readResponse(request)
 		if err == nil {
 			err = checkAnswer(resp)
 		}
@@ -413,6 +414,28 @@
 	}
 }
 
+// readResponse parses a head. The parser ignores a transfer coding in HTTP/1.0, and would take the coded bytes for the body, so it is
+// shown the later version.
+func (c *targetConn) readResponse(request *http.Request) (*http.Response, error) {
+	version, err := c.reader.Peek(len(versionHTTP10))
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	http10 := string(version) == versionHTTP10
+	if http10 {
+		version[len(version)-1] = '1'
+	}
+	resp, err := http.ReadResponse(c.reader, request)
+	if err == nil && http10 {
+		resp.Proto, resp.ProtoMinor = versionHTTP10, 0
+		resp.Close = resp.Close || !strings.EqualFold(resp.Header.Get("Connection"), "keep-alive")
+	}
+	return resp, err
+}
+
 // Read reads the body; it returns io.EOF only at the proper end of the body.
 func (r *responseBody) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
