A stopping daemon asks again after an upload whether there is time to serve it

What callers saw: a request whose upload began in time and ended shortly before a planned stop was over was passed on, and ended with a 504 while its target ran it; one that may not be repeated was lost to its caller.

Cause: whether a request can end before the exit was asked when its head arrived, by that time.

Why this works: the same question is asked again by the time at which the body is there. Nothing was sent then, so the caller gets a 503 that says so, and goes to another daemon at once.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -20,12 +20,16 @@
 	if fail != nil {
 		return f, fail
 	}
-	if fail := f.refuseStopping(); fail != nil {
+	if fail := f.refuseStopping(startedAt); fail != nil {
 		return f, fail
 	}
 	if fail := f.readBody(r, table.Routing().Limits.MaxBodyBytes); fail != nil {
 		return f, fail
 	}
+	// An upload may take until shortly before the daemon exits.
+	if fail := f.refuseStopping(s.clock.Now()); fail != nil {
+		return f, fail
+	}
 	f.digest, f.parts = requestDigest(req, f.workspace), partDigests(req.PromptParts)
 	f.choosePool(table)
 	f.setDeadlines()
@@ -72,13 +76,13 @@
 	return f.server.unknownFailure(http.StatusUnauthorized, "no workspace holds the key")
 }
 
-// refuseStopping refuses a request that might still be running when this daemon stops.
-func (f *flow) refuseStopping() *failure {
+// refuseStopping refuses a request that might still be running when this daemon stops if it begins at the given time.
+func (f *flow) refuseStopping(start time.Time) *failure {
 	plan := f.server.stopping.Load()
 	if plan == nil {
 		return nil
 	}
-	if f.startedAt.Before(plan.acceptUntil(f.route.Kind, f.server.requestTimes.upperBound(f.route.Name, 0))) {
+	if start.Before(plan.acceptUntil(f.route.Kind, f.server.requestTimes.upperBound(f.route.Name, 0))) {
 		return nil
 	}
 	return &failure{status: http.StatusServiceUnavailable, retryAfter: stoppingRetryAfter, reason: "the daemon stops and the request might be cut off", kind: refusedStopping}
--- a/relay/server_test.go
+++ b/relay/server_test.go
@@ -35,7 +35,7 @@
 				s.Stop(start, start.Add(c.stops))
 			}
 			f := &flow{server: s, route: &proto.Route{Kind: c.kind}, startedAt: start.Add(c.after)}
-			fail := f.refuseStopping()
+			fail := f.refuseStopping(f.startedAt)
 			if (fail != nil) != c.refused {
 				t.Errorf("refused: %v", fail)
 			}
@@ -86,13 +86,13 @@
 	s := NewServer(ServerConfig{Clock: clockwork.NewFakeClockAt(start)})
 	s.Stop(start, start.Add(7*time.Second))
 	f := &flow{server: s, route: &proto.Route{Name: "long", Kind: proto.RouteStream}, startedAt: start.Add(time.Second)}
-	if fail := f.refuseStopping(); fail != nil {
+	if fail := f.refuseStopping(f.startedAt); fail != nil {
 		t.Fatalf("refused before any duration is known: %s", fail.reason)
 	}
 	for range 50 {
 		s.requestTimes.observe("long", minStreamTime, 6500*time.Millisecond)
 	}
-	if f.refuseStopping() == nil {
+	if f.refuseStopping(f.startedAt) == nil {
 		t.Error("accepted, although streams of the route take longer than the time left")
 	}
 }
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -153,6 +153,9 @@
 // TargetsVersion returns the revision of the newest change of the targets' entries that this daemon knows.
 func (d *Relay) TargetsVersion() proto.Revision { return d.fleet.Version() }
 
+// OpenRequests returns the number of requests in progress.
+func (d *Relay) OpenRequests() int64 { return d.server.OpenRequests() }
+
 // PieceCalls returns the number of calls for pieces that this daemon made.
 func (d *Relay) PieceCalls() int64 { return d.pieces.Stats().Calls }
 
