An answer with more bytes than its limit is not whole

What callers saw: nothing. The clients of the older interface and of the platform read 8 MB of an answer without end and took them for all of it: an object of the store, or what a target said to an order.

Cause: the limit stood in the reader, whose end is that of the body.

That targets and the store can fill no memory by such answers was shown before by TestEndlessBytesBeforeAnswerAreNotTaken, TestEndlessFramingOfBodyIsNotTaken, TestEndlessResponsesAreGivenUp, TestEndlessAnswersToCallsAreGivenUp and TestEndlessAnswersOfStoreAreGivenUp, so nothing is changed there.

Why this works: one byte more than the limit is read, and then the answer fails as too large.

--- a/wire/answercheck.go
+++ b/wire/answercheck.go
@@ -92,5 +92,14 @@
 	return n, err
 }
 
+// readAnswer reads a body, which must not have more bytes than the limit.
+func readAnswer(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = newError("read answer", proto.KindTooLarge, "it has more than %d bytes", limit)
+	}
+	return data, err
+}
+
 // isUpgrade reports whether a request asks for another protocol.
 func isUpgrade(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
--- a/wire/platform.go
+++ b/wire/platform.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -129,7 +128,7 @@
 		return nil, &Error{Op: call.op, Kind: failedCallKind(call.write && sent), Err: err}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	data, err := readAnswer(resp.Body, maxResponseSize)
 	if err != nil {
 		return nil, &Error{Op: call.op, Kind: failedCallKind(call.write), Err: err}
 	}
--- a/wire/targets.go
+++ b/wire/targets.go
@@ -359,7 +359,7 @@
 		return nil, &Error{Op: "control", Kind: proto.KindUnavailable, Err: err}
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	data, err := readAnswer(resp.Body, maxResponseSize)
 	if err != nil {
 		return nil, &Error{Op: "control", Kind: proto.KindUnavailable, Err: err}
 	}
