--- a/wire/cutanswers_test.go
+++ b/wire/cutanswers_test.go
@@ -39,36 +39,22 @@
 // cuttingTarget answers with the first bytes of the form that a request asks for, all at once or in two parts, and then closes or resets the
 // connection.
 func cuttingTarget(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				cut, _ := strconv.Atoi(r.Header.Get(headerCut))
-				answer := fmt.Sprintf(cutForms[r.Header.Get(headerForm)], r.Header.Get(headerID))[:cut]
-				split, _ := strconv.Atoi(r.Header.Get(headerSplit))
-				_, _ = io.WriteString(conn, answer[:split])
-				time.Sleep(time.Duration(min(split, 1)) * splitPause)
-				_, _ = io.WriteString(conn, answer[split:])
-				if r.Header.Get(headerReset) != "" {
-					resetConn(conn)
-				}
-			}()
+	return serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+		cut, _ := strconv.Atoi(r.Header.Get(headerCut))
+		answer := fmt.Sprintf(cutForms[r.Header.Get(headerForm)], r.Header.Get(headerID))[:cut]
+		split, _ := strconv.Atoi(r.Header.Get(headerSplit))
+		_, _ = io.WriteString(conn, answer[:split])
+		time.Sleep(time.Duration(min(split, 1)) * splitPause)
+		_, _ = io.WriteString(conn, answer[split:])
+		if r.Header.Get(headerReset) != "" {
+			resetConn(conn)
+		}
+	})
 }
 
 // TestAnswersCutAnywhereAreNotWhole guards against an answer of a target that ends inside its head, its interim answers, its body or its
--- a/wire/tunnels_test.go
+++ b/wire/tunnels_test.go
@@ -73,8 +73,8 @@
 	return x
 }
 
-// rawTarget answers the first request of each connection with bytes, and then ends the connection as told.
-func rawTarget(t *testing.T, answer string, end func(net.Conn)) netip.AddrPort {
+// serveConns handles each connection to the address that it returns.
+func serveConns(t *testing.T, handle func(net.Conn)) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -87,16 +87,22 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = io.WriteString(conn, answer)
-				end(conn)
-			}()
+			go handle(conn)
 		}
 	}()
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// rawTarget answers the first request of each connection with bytes, and then ends the connection as told.
+func rawTarget(t *testing.T, answer string, end func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	return serveConns(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, answer)
+		end(conn)
+	})
+}
+
 func endOrderly(conn net.Conn) { _ = conn.Close() }
 
 func resetConn(conn net.Conn) {
--- a/wire/uploadanswers_test.go
+++ b/wire/uploadanswers_test.go
@@ -30,29 +30,15 @@
 // earlyTarget answers as soon as it has read the head of a request, while the body is being written, and then ends the connection.
 func earlyTarget(t *testing.T, answer string, end func(net.Conn)) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, answer)
-				time.Sleep(answerPause)
-				end(conn)
-			}()
+	return serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 1<<10)); err != nil {
+			return
 		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
+		_, _ = io.WriteString(conn, answer)
+		time.Sleep(answerPause)
+		end(conn)
+	})
 }
 
 // reset ends a connection without an orderly end.
