A connection on which a broken head came is not used again

What callers saw: nothing yet. A client that reads by the standard library kept a connection if the broken answer on it had no body, and took what came next on it for the next answer.

Cause: the library puts such a connection back before the answer is checked.

Evidence: TestConnectionOfBrokenHeadIsNotUsedAgain failed before: three requests on one connection.

Why this works: the client closes its idle connections, of which it is one; others open anew when they are needed.

--- a/wire/answercheck.go
+++ b/wire/answercheck.go
@@ -36,6 +36,8 @@
 	}
 	if err := checkAnswer(resp); err != nil {
 		_ = resp.Body.Close() // Nothing more of it is of use.
+		// Without a body, the connection counts as idle already.
+		c.CloseIdleConnections()
 		return nil, err
 	}
 	return resp, nil
--- a/wire/brokenanswers_test.go
+++ b/wire/brokenanswers_test.go
@@ -137,6 +137,25 @@
 	}
 }
 
+// TestConnectionOfBrokenHeadIsNotUsedAgain guards against an answer that is read from a connection on which something else than answers came.
+func TestConnectionOfBrokenHeadIsNotUsedAgain(t *testing.T) {
+	target, to := newScriptedTarget(t, func(conn, _ int, _ *http.Request) (string, bool) {
+		if conn == 1 {
+			return "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n", false
+		}
+		return okResponse("a", "{}"), false
+	})
+	client := NewTargetClient()
+	for i, sound := range []bool{false, true, true} {
+		if _, err := client.SendRequest(t.Context(), http.MethodGet, to, "/x", nil); (err == nil) != sound {
+			t.Errorf("request %d: %v", i, err)
+		}
+	}
+	if conns, requests := target.counts(); conns != 2 || requests != 3 {
+		t.Errorf("%d connections for %d requests", conns, requests)
+	}
+}
+
 // TestLinksRejectBrokenHeads guards against daemons that go on over a link or a tunnel whose other end sent no answer.
 func TestLinksRejectBrokenHeads(t *testing.T) {
 	const accepted = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nX Y: 1\r\n\r\n"
