Tests of endless answers count what is read, and not what could be sent

Seen: in the whole script beside three busy processes, once, TestEndlessAnswersToClientsAreGivenUp/a_stream_to_the_client_of_platform: 26,473,205 bytes were taken, 20,971,520 allowed.

Cause: the test counted what the stand-in could write, with 12 MB for the sockets between. The kernel lets a receive buffer grow to 32 MB here (tcp_rmem), more when the reader is late.

Change: what the client reads from its connections is counted, and the bound is the largest body and head, 8.06 MB in place of 20 MB: no room for sockets is left in it.

--- a/wire/endlessclients_test.go
+++ b/wire/endlessclients_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,23 +15,30 @@
 	"emberlead/proto"
 )
 
-// maxTakenByClient is how much a client of the standard library may take of an endless answer: the largest body, and what the sockets hold.
-const maxTakenByClient = maxResponseSize + 12<<20
+// maxTakenByClient is how much a client of the standard library may read of an endless answer: the largest body and the largest head.
+const maxTakenByClient = maxResponseSize + maxHeadBytes
+
+// countTraffic counts what a client reads from its connections; what the other end could send depends on the sockets between them.
+func countTraffic(client *http.Client) *Traffic {
+	traffic := &Traffic{}
+	transport := client.Transport.(*answerChecker).Transport
+	transport.DialContext = traffic.Dialer(transport.DialContext)
+	return traffic
+}
 
 // startEndlessServer writes a start and then the same byte again and again to each connection, as long as it is taken.
-func startEndlessServer(t *testing.T, start string) (to netip.AddrPort, taken *atomic.Int64) {
-	taken = &atomic.Int64{}
+func startEndlessServer(t *testing.T, start string) netip.AddrPort {
 	return rawTarget(t, start, func(conn net.Conn) {
 		defer conn.Close()
 		more := strings.Repeat("x", 64<<10)
-		for taken.Load() < 4*endlessBytes {
+		for sent := 0; sent < 4*endlessBytes; {
 			n, err := io.WriteString(conn, more)
-			taken.Add(int64(n))
 			if err != nil {
 				return
 			}
+			sent += n
 		}
-	}), taken
+	})
 }
 
 // TestEndlessAnswersToClientsAreGivenUp guards against answers without end that fill the memory of a daemon, or of which the first part
@@ -43,35 +49,41 @@
 		"a head": ok + "X-A: ", "a body": ok + "\r\n", "a failure": "HTTP/1.1 500 No\r\n\r\n", "a stream": ok + "Content-Type: text/event-stream\r\n\r\n",
 		"an upgrade": "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\r\n",
 	}
-	calls := map[string]func(ctx context.Context, to netip.AddrPort) error{
-		"targets": func(ctx context.Context, to netip.AddrPort) error {
-			_, err := NewTargetClient().SendRequest(ctx, http.MethodGet, to, "/x", nil)
-			return err
+	calls := map[string]func(ctx context.Context, to netip.AddrPort) (*Traffic, error){
+		"targets": func(ctx context.Context, to netip.AddrPort) (*Traffic, error) {
+			client := NewTargetClient()
+			traffic := countTraffic(client.pooled)
+			_, err := client.SendRequest(ctx, http.MethodGet, to, "/x", nil)
+			return traffic, err
 		},
-		"platform": func(ctx context.Context, to netip.AddrPort) error {
-			_, err := NewPlatformClient("http://"+to.String(), "a", DefaultPlatformLimits()).attempt(ctx, platformCall{op: "get object", method: http.MethodGet, path: proto.PathObjects})
-			return err
+		"platform": func(ctx context.Context, to netip.AddrPort) (*Traffic, error) {
+			client := NewPlatformClient("http://"+to.String(), "a", DefaultPlatformLimits())
+			traffic := countTraffic(client.client)
+			_, err := client.attempt(ctx, platformCall{op: "get object", method: http.MethodGet, path: proto.PathObjects})
+			return traffic, err
 		},
-		"daemons": func(ctx context.Context, to netip.AddrPort) error {
+		"daemons": func(ctx context.Context, to netip.AddrPort) (*Traffic, error) {
 			links := NewLinks(LinksConfig{Self: "a", SharedKey: "k", Log: hclog.NewNullLogger(), Resolve: func(vm proto.VM) (proto.Alive, bool) {
 				return proto.Alive{VM: vm, Peer: to}, true
 			}})
 			defer links.Close()
+			traffic := countTraffic(links.client)
 			_, _, err := links.OpenTunnel(ctx, "b", netip.MustParseAddrPort("10.0.0.1:80"))
-			return err
+			return traffic, err
 		},
 	}
 	for client, call := range calls {
 		for part, head := range heads {
 			t.Run(part+" to the client of "+client, func(t *testing.T) {
-				to, taken := startEndlessServer(t, head)
+				to := startEndlessServer(t, head)
 				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 				defer cancel()
-				if err := call(ctx, to); err == nil {
+				traffic, err := call(ctx, to)
+				if err == nil {
 					t.Error("the first part counts as an answer")
 				}
-				if n := taken.Load(); n > maxTakenByClient {
-					t.Errorf("%d bytes were taken, want at most %d", n, maxTakenByClient)
+				if read, _ := traffic.Totals(); read > maxTakenByClient {
+					t.Errorf("%d bytes were read, want at most %d", read, maxTakenByClient)
 				}
 			})
 		}
